--- /dev/null
+++ b/laurelstile-core/src/agent/mod.rs
@@ -0,0 +1,613 @@
+//! The agent beside a back end: it owns the back end's slots, so that no
+//! agreement between gateways is needed to keep starts safe.
+
+mod record;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use laurelstile_types::id::{
+    BackendName, ClassName, DispatchId, Incarnation, ServiceName, SubmissionId,
+};
+use laurelstile_types::revision::{Revision, RevisionNumber};
+use laurelstile_types::time::{Span, Timestamp};
+
+use crate::messages::agent::{
+    Fate, Fence, FromAgent, FromAgentBody, NotStarted, NotStartedReason, Reconciled, Recovered,
+    SlotReport, StartTask, TaskOutcome, TaskResult, ToAgent, ToAgentBody,
+};
+use crate::payload::Payload;
+use crate::session::SessionId;
+use record::{Records, StartVerdict};
+
+/// A start is refused if its sender last heard from the agent longer ago.
+pub const START_FRESHNESS: Span = Span::from_secs(10);
+/// A session from which nothing comes for this long is closed.
+pub const SESSION_SILENCE: Span = Span::from_secs(15);
+/// Heartbeat interval towards a gateway with unresolved work.
+pub const BUSY_HEARTBEAT: Span = Span::from_millis(500);
+/// Heartbeat interval towards a gateway without.
+pub const IDLE_HEARTBEAT: Span = Span::from_secs(4);
+/// How long a back end that refused a connection gets no start.
+pub const BACKEND_BACKOFF: Span = Span::from_millis(500);
+
+/// How long a stopping agent keeps outputs that nobody has released.
+pub const HAND_OVER: Span = Span::from_secs(10);
+
+/// What happens to an agent.
+#[derive(Debug)]
+pub enum AgentEvent {
+    /// A gateway's session is open.
+    Opened {
+        /// The session.
+        session: SessionId,
+        /// Incarnation of the gateway.
+        gateway: Incarnation,
+    },
+    /// A session is closed.
+    Closed {
+        /// The session.
+        session: SessionId,
+    },
+    /// A message came.
+    Message {
+        /// Session on which it came.
+        session: SessionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// A started task has ended.
+    Finished {
+        /// The dispatch.
+        dispatch: DispatchId,
+        /// How.
+        end: RunEnd,
+    },
+    /// The process is asked to stop in a planned way.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// How the back end's run of a task ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The back end was never reached: proof that the task did not start.
+    NotStarted,
+    /// The task ended.
+    Ended(TaskOutcome),
+}
+
+/// What an agent wants done.
+#[derive(Debug)]
+pub enum AgentEffect {
+    /// Send a message.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: FromAgent,
+    },
+    /// Run a task on the back end.
+    Run {
+        /// The dispatch.
+        dispatch: DispatchId,
+        /// Service.
+        service: ServiceName,
+        /// Class.
+        class: ClassName,
+        /// Input.
+        input: Payload,
+    },
+    /// Break off the run of a task; no `Finished` needs to follow.
+    Abort(DispatchId),
+    /// Close a session.
+    Close(SessionId),
+    /// A revision is in force here.
+    InForce(Arc<Revision>),
+    /// The agent refuses all new work from now on.
+    Draining,
+    /// Everything is handed over; the process may exit.
+    Stopped,
+}
+
+/// A gateway's session.
+#[derive(Debug)]
+struct Link {
+    gateway: Incarnation,
+    processed: u64,
+    waiting: bool,
+    last_heard: Timestamp,
+    last_sent: Timestamp,
+    results: Vec<TaskResult>,
+    refused: Vec<NotStarted>,
+    offered: bool,
+}
+
+/// The agent's machine.
+#[derive(Debug)]
+pub struct Agent {
+    name: BackendName,
+    revision: Option<Arc<Revision>>,
+    slots: u32,
+    drained: bool,
+    leaving: bool,
+    stopping: bool,
+    stop_reported: bool,
+    last_run: Timestamp,
+    drain_reported: bool,
+    links: BTreeMap<SessionId, Link>,
+    records: Records,
+    backend_down_until: Timestamp,
+}
+
+impl Agent {
+    /// An agent for the named back end, without a configuration.
+    pub fn new(name: BackendName) -> Self {
+        Self {
+            name,
+            revision: None,
+            slots: 0,
+            drained: false,
+            leaving: false,
+            stopping: false,
+            stop_reported: false,
+            last_run: Timestamp::default(),
+            drain_reported: false,
+            links: BTreeMap::new(),
+            records: Records::default(),
+            backend_down_until: Timestamp::default(),
+        }
+    }
+
+    /// The revision in force here; 0 if none.
+    pub fn revision_number(&self) -> RevisionNumber {
+        self.revision.as_ref().map_or(0, |revision| revision.number)
+    }
+
+    /// Tasks that run now.
+    pub fn running(&self) -> u32 {
+        self.records.running()
+    }
+
+    /// Submissions that the agent remembers.
+    pub fn remembered(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether the agent refuses new work.
+    pub fn is_draining(&self) -> bool {
+        self.drained || self.leaving || self.stopping
+    }
+
+    /// Takes in one event. Call [`Agent::flush`] after a batch of events.
+    pub fn handle(&mut self, now: Timestamp, event: AgentEvent, effects: &mut Vec<AgentEffect>) {
+        match event {
+            AgentEvent::Opened { session, gateway } => self.open(now, session, gateway, effects),
+            AgentEvent::Closed { session } => {
+                self.links.remove(&session);
+            }
+            AgentEvent::Message { session, message } => {
+                self.on_message(now, session, message, effects);
+            }
+            AgentEvent::Finished { dispatch, end } => self.on_finished(now, dispatch, end),
+            AgentEvent::Stop => {
+                self.stopping = true;
+                self.last_run = now;
+            }
+            AgentEvent::Tick => self.on_tick(now, effects),
+        }
+    }
+
+    /// Sends what the events since the last flush gave rise to.
+    pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        if self.is_draining() && !self.drain_reported {
+            self.drain_reported = true;
+            effects.push(AgentEffect::Draining);
+        }
+        self.choose_offer();
+        for session in self.links.keys().copied().collect::<Vec<_>>() {
+            self.flush_link(now, session, effects);
+        }
+        self.report_stop(now, effects);
+    }
+
+    /// Reports the end of a planned stop: nothing runs, and every output was
+    /// released or had time to be fetched.
+    fn report_stop(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        if !self.stopping || self.stop_reported {
+            return;
+        }
+        if self.records.running() > 0 {
+            self.last_run = now;
+            return;
+        }
+        let handed_over = self.records.is_idle() || now.since(self.last_run) > HAND_OVER;
+        if handed_over {
+            self.stop_reported = true;
+            effects.push(AgentEffect::Stopped);
+        }
+    }
+
+    fn open(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        gateway: Incarnation,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        // A new session of the same incarnation fences the old one.
+        let old: Vec<SessionId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.gateway == gateway)
+            .map(|(session, _)| *session)
+            .collect();
+        for session in old {
+            self.links.remove(&session);
+            effects.push(AgentEffect::Close(session));
+        }
+        let link = Link {
+            gateway,
+            processed: 0,
+            waiting: false,
+            last_heard: now,
+            last_sent: now,
+            results: Vec::new(),
+            refused: Vec::new(),
+            offered: false,
+        };
+        self.links.insert(session, link);
+        self.send(now, session, FromAgentBody::Heartbeat, effects);
+    }
+
+    fn on_message(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        message: ToAgent,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(link) = self.links.get_mut(&session) else {
+            return;
+        };
+        link.last_heard = now;
+        for submission in &message.release {
+            self.records.release(*submission);
+        }
+        if let ToAgentBody::Revision(revision) = &message.body {
+            self.adopt(now, Arc::clone(revision), effects);
+        } else if message.revision < self.revision_number() {
+            self.send_revision(now, session, effects);
+        }
+        match message.body {
+            ToAgentBody::Heartbeat | ToAgentBody::Revision(_) => {}
+            ToAgentBody::Start(tasks) => {
+                let fresh = now.since(message.echo) <= START_FRESHNESS;
+                for task in tasks {
+                    self.start(now, session, fresh, message.revision, task, effects);
+                }
+            }
+            ToAgentBody::Reconcile(dispatches) => {
+                self.reconcile(now, session, &dispatches, effects);
+            }
+            ToAgentBody::Recover(fences) => self.recover(now, session, &fences, effects),
+            ToAgentBody::Cancel(submissions) => {
+                self.cancel(session, &submissions, effects);
+                self.send(now, session, FromAgentBody::Heartbeat, effects);
+            }
+            ToAgentBody::Leaving => self.leaving = true,
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        fresh: bool,
+        revision: RevisionNumber,
+        task: StartTask,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let refusal = self.refusal_of(now, fresh, revision, &task);
+        let Some(link) = self.links.get_mut(&session) else {
+            return;
+        };
+        link.processed += 1;
+        if let Some(reason) = refusal {
+            link.waiting |= reason == NotStartedReason::Full;
+            link.refused.push(NotStarted {
+                dispatch: task.dispatch,
+                reason,
+            });
+            return;
+        }
+        self.records.start(now, link.gateway, task.dispatch);
+        effects.push(AgentEffect::Run {
+            dispatch: task.dispatch,
+            service: task.service,
+            class: task.class,
+            input: task.input,
+        });
+    }
+
+    fn refusal_of(
+        &self,
+        now: Timestamp,
+        fresh: bool,
+        revision: RevisionNumber,
+        task: &StartTask,
+    ) -> Option<NotStartedReason> {
+        match self.records.verdict(task.dispatch) {
+            StartVerdict::Fenced => return Some(NotStartedReason::Fenced),
+            StartVerdict::Duplicate => return Some(NotStartedReason::Duplicate),
+            StartVerdict::New => {}
+        }
+        if !fresh {
+            return Some(NotStartedReason::StaleSender);
+        }
+        if self.is_draining() {
+            return Some(NotStartedReason::Draining);
+        }
+        if revision < self.revision_number() {
+            return Some(NotStartedReason::StaleRevision);
+        }
+        if now < self.backend_down_until {
+            return Some(NotStartedReason::BackendUnreachable);
+        }
+        (self.records.running() >= self.slots).then_some(NotStartedReason::Full)
+    }
+
+    fn on_finished(&mut self, now: Timestamp, dispatch: DispatchId, end: RunEnd) {
+        let Some(owner) = self.records.owner_of_running(dispatch) else {
+            return;
+        };
+        match end {
+            RunEnd::NotStarted => {
+                self.backend_down_until = now.after(BACKEND_BACKOFF);
+                self.records.forget_task(dispatch);
+                if let Some(link) = self.link_of(owner) {
+                    link.refused.push(NotStarted {
+                        dispatch,
+                        reason: NotStartedReason::BackendUnreachable,
+                    });
+                }
+            }
+            RunEnd::Ended(outcome) => {
+                let run = self.records.finish(now, dispatch, outcome.clone());
+                if let Some(link) = self.link_of(owner) {
+                    link.results.push(TaskResult {
+                        dispatch,
+                        run_micros: run.0,
+                        outcome,
+                    });
+                }
+            }
+        }
+    }
+
+    fn reconcile(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        dispatches: &[DispatchId],
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let answers = dispatches
+            .iter()
+            .map(|dispatch| Reconciled {
+                dispatch: *dispatch,
+                fate: self
+                    .records
+                    .fate_of(*dispatch)
+                    .unwrap_or(Fate::NeverReceived),
+            })
+            .collect();
+        self.send(now, session, FromAgentBody::Reconciled(answers), effects);
+    }
+
+    fn recover(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        fences: &[Fence],
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(gateway) = self.links.get(&session).map(|link| link.gateway) else {
+            return;
+        };
+        let mut answers = Vec::with_capacity(fences.len());
+        let mut superseded: BTreeMap<SessionId, Vec<Fence>> = BTreeMap::new();
+        for fence in fences {
+            let old_owners = self.records.fence(now, gateway, *fence);
+            answers.push(Recovered {
+                fence: *fence,
+                tasks: self.records.fates_of(fence.submission),
+            });
+            for (old_session, link) in &self.links {
+                if old_owners.contains(&link.gateway) {
+                    superseded.entry(*old_session).or_default().push(*fence);
+                }
+            }
+        }
+        self.send(now, session, FromAgentBody::Recovered(answers), effects);
+        for (session, fences) in superseded {
+            self.send(now, session, FromAgentBody::Superseded(fences), effects);
+        }
+    }
+
+    fn cancel(
+        &mut self,
+        session: SessionId,
+        submissions: &[SubmissionId],
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(gateway) = self.links.get(&session).map(|link| link.gateway) else {
+            return;
+        };
+        for submission in submissions {
+            for dispatch in self.records.cancel(*submission, gateway) {
+                effects.push(AgentEffect::Abort(dispatch));
+            }
+        }
+    }
+
+    fn adopt(&mut self, now: Timestamp, revision: Arc<Revision>, effects: &mut Vec<AgentEffect>) {
+        if revision.number <= self.revision_number() {
+            return;
+        }
+        self.slots = revision
+            .configuration
+            .backends()
+            .find(|backend| backend.name == self.name)
+            .map_or(0, |backend| backend.slots);
+        self.drained = revision.drained.contains(&self.name);
+        if !self.is_draining() {
+            self.drain_reported = false;
+        }
+        self.revision = Some(Arc::clone(&revision));
+        effects.push(AgentEffect::InForce(revision));
+        for session in self.links.keys().copied().collect::<Vec<_>>() {
+            self.send(now, session, FromAgentBody::Heartbeat, effects);
+        }
+    }
+
+    fn on_tick(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        self.records.expire(now);
+        let silent: Vec<SessionId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| now.since(link.last_heard) > SESSION_SILENCE)
+            .map(|(session, _)| *session)
+            .collect();
+        for session in silent {
+            self.links.remove(&session);
+            effects.push(AgentEffect::Close(session));
+        }
+        for (session, link) in &self.links {
+            let busy = link.waiting || self.records.has_work_of(link.gateway);
+            let interval = if busy { BUSY_HEARTBEAT } else { IDLE_HEARTBEAT };
+            if now.since(link.last_sent) >= interval {
+                effects.push(AgentEffect::Send {
+                    session: *session,
+                    message: FromAgent {
+                        report: self.report(now, link),
+                        body: FromAgentBody::Heartbeat,
+                    },
+                });
+            }
+        }
+        self.mark_sent(now, effects);
+    }
+
+    /// Notes the time of sending for every session that `effects` sends on.
+    fn mark_sent(&mut self, now: Timestamp, effects: &[AgentEffect]) {
+        for effect in effects {
+            if let AgentEffect::Send { session, .. } = effect
+                && let Some(link) = self.links.get_mut(session)
+            {
+                link.last_sent = now;
+            }
+        }
+    }
+
+    fn send_revision(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if let Some(revision) = self.revision.clone() {
+            self.send(now, session, FromAgentBody::Revision(revision), effects);
+        }
+    }
+
+    /// Slots that may be filled now.
+    fn free_slots(&self, now: Timestamp) -> u32 {
+        if self.is_draining() || now < self.backend_down_until {
+            return 0;
+        }
+        self.slots.saturating_sub(self.records.running())
+    }
+
+    fn report(&self, now: Timestamp, link: &Link) -> SlotReport {
+        let contested = self.links.values().any(|link| link.waiting);
+        let free = if contested && !link.offered {
+            0
+        } else {
+            self.free_slots(now)
+        };
+        SlotReport {
+            clock: now,
+            revision: self.revision_number(),
+            free,
+            processed: link.processed,
+            draining: self.is_draining(),
+        }
+    }
+
+    /// Where gateways wait for slots, offers the free ones to the gateway
+    /// that has the fewest tasks here.
+    fn choose_offer(&mut self) {
+        if !self.links.values().any(|link| link.waiting) {
+            return;
+        }
+        let records = &self.records;
+        let chosen = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.waiting)
+            .min_by_key(|(_, link)| records.work_of(link.gateway))
+            .map(|(session, _)| *session);
+        for (session, link) in &mut self.links {
+            link.offered = Some(*session) == chosen;
+        }
+    }
+
+    fn flush_link(&mut self, now: Timestamp, session: SessionId, effects: &mut Vec<AgentEffect>) {
+        let free = self.free_slots(now);
+        let Some(link) = self.links.get_mut(&session) else {
+            return;
+        };
+        let results = std::mem::take(&mut link.results);
+        let refused = std::mem::take(&mut link.refused);
+        let offer = link.waiting && link.offered && free > 0;
+        if offer {
+            link.waiting = false;
+        }
+        let quiet = results.is_empty() && refused.is_empty();
+        if !refused.is_empty() {
+            self.send(now, session, FromAgentBody::NotStarted(refused), effects);
+        }
+        if !results.is_empty() {
+            self.send(now, session, FromAgentBody::Results(results), effects);
+        }
+        if offer && quiet {
+            self.send(now, session, FromAgentBody::Heartbeat, effects);
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        body: FromAgentBody,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(link) = self.links.get(&session) else {
+            return;
+        };
+        let report = self.report(now, link);
+        effects.push(AgentEffect::Send {
+            session,
+            message: FromAgent { report, body },
+        });
+        if let Some(link) = self.links.get_mut(&session) {
+            link.last_sent = now;
+        }
+    }
+
+    fn link_of(&mut self, gateway: Incarnation) -> Option<&mut Link> {
+        self.links.values_mut().find(|link| link.gateway == gateway)
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/agent/record.rs
@@ -0,0 +1,337 @@
+//! What an agent remembers of submissions: which tasks it started, their
+//! outputs until they are released, and fences against old delegations.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::configuration::MAX_DEADLINE_MILLIS;
+use laurelstile_types::id::{DelegationNumber, DispatchId, Incarnation, SubmissionId, TaskIndex};
+use laurelstile_types::time::{Span, Timestamp};
+
+use crate::messages::agent::{Fate, Fence, TaskOutcome};
+
+/// How long a record is kept without a release. It outlasts every deadline,
+/// so that no start or recovery of the submission can come after it.
+pub const RECORD_LIFETIME: Span = Span::from_millis(MAX_DEADLINE_MILLIS + 120_000);
+
+/// Most bytes of outputs that are kept for gateways that may ask again.
+pub const KEPT_OUTPUT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Whether a dispatch may start, as far as the records tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartVerdict {
+    /// It was not started before.
+    New,
+    /// Its delegation is too old, or the submission is over.
+    Fenced,
+    /// Its task was started before.
+    Duplicate,
+}
+
+#[derive(Debug)]
+enum TaskState {
+    Running { since: Timestamp },
+    Finished { run: Span, outcome: TaskOutcome },
+}
+
+#[derive(Debug)]
+struct Task {
+    delegation: DelegationNumber,
+    /// Gateway that gets the result.
+    owner: Incarnation,
+    state: TaskState,
+}
+
+#[derive(Debug)]
+struct Record {
+    /// Least delegation that may start tasks.
+    fence: DelegationNumber,
+    /// Whether the submission is over.
+    closed: bool,
+    /// Whether to forget the submission once nothing of it runs.
+    released: bool,
+    expires: Timestamp,
+    tasks: BTreeMap<TaskIndex, Task>,
+}
+
+/// All records of an agent.
+#[derive(Debug, Default)]
+pub struct Records {
+    records: BTreeMap<SubmissionId, Record>,
+    running: BTreeMap<Incarnation, u32>,
+    kept_bytes: usize,
+}
+
+impl Records {
+    /// Number of submissions remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tasks that run now.
+    pub fn running(&self) -> u32 {
+        self.running.values().sum()
+    }
+
+    /// Running tasks whose results go to `gateway`.
+    pub fn work_of(&self, gateway: Incarnation) -> u32 {
+        self.running.get(&gateway).copied().unwrap_or(0)
+    }
+
+    /// Whether tasks of `gateway` run.
+    pub fn has_work_of(&self, gateway: Incarnation) -> bool {
+        self.work_of(gateway) > 0
+    }
+
+    /// Whether nothing runs and no output waits to be released.
+    pub fn is_idle(&self) -> bool {
+        self.records.values().all(|record| record.tasks.is_empty())
+    }
+
+    /// Whether `dispatch` may start.
+    pub fn verdict(&self, dispatch: DispatchId) -> StartVerdict {
+        let Some(record) = self.records.get(&dispatch.submission) else {
+            return StartVerdict::New;
+        };
+        if record.closed || dispatch.delegation < record.fence {
+            return StartVerdict::Fenced;
+        }
+        if record.tasks.contains_key(&dispatch.task) {
+            return StartVerdict::Duplicate;
+        }
+        StartVerdict::New
+    }
+
+    /// Notes that `dispatch` starts for `gateway`.
+    pub fn start(&mut self, now: Timestamp, gateway: Incarnation, dispatch: DispatchId) {
+        let record = self
+            .records
+            .entry(dispatch.submission)
+            .or_insert_with(|| Record::new(now));
+        let task = Task {
+            delegation: dispatch.delegation,
+            owner: gateway,
+            state: TaskState::Running { since: now },
+        };
+        record.tasks.insert(dispatch.task, task);
+        *self.running.entry(gateway).or_default() += 1;
+    }
+
+    /// The gateway that waits for `dispatch`, if it runs.
+    pub fn owner_of_running(&self, dispatch: DispatchId) -> Option<Incarnation> {
+        let record = self.records.get(&dispatch.submission)?;
+        let task = record.tasks.get(&dispatch.task)?;
+        let running = task.is_running() && task.delegation == dispatch.delegation;
+        running.then_some(task.owner)
+    }
+
+    /// Notes that a running task has ended; gives its run time.
+    pub fn finish(&mut self, now: Timestamp, dispatch: DispatchId, outcome: TaskOutcome) -> Span {
+        let Some(record) = self.records.get_mut(&dispatch.submission) else {
+            return Span::default();
+        };
+        let Some(task) = record.tasks.get_mut(&dispatch.task) else {
+            return Span::default();
+        };
+        let owner = task.owner;
+        let TaskState::Running { since } = task.state else {
+            return Span::default();
+        };
+        let run = now.since(since);
+        let size = output_size(&outcome);
+        let keep = self.kept_bytes + size <= KEPT_OUTPUT_BYTES;
+        let kept = if keep {
+            outcome
+        } else {
+            TaskOutcome::OutputLost
+        };
+        self.kept_bytes += output_size(&kept);
+        task.state = TaskState::Finished { run, outcome: kept };
+        one_less(&mut self.running, owner);
+        self.forget_released(dispatch.submission);
+        run
+    }
+
+    /// Forgets a task that was never started after all.
+    pub fn forget_task(&mut self, dispatch: DispatchId) {
+        let Some(record) = self.records.get_mut(&dispatch.submission) else {
+            return;
+        };
+        if let Some(task) = record.tasks.remove(&dispatch.task) {
+            one_less(&mut self.running, task.owner);
+        }
+    }
+
+    /// What became of `dispatch`; `None` if it was never received.
+    pub fn fate_of(&self, dispatch: DispatchId) -> Option<Fate> {
+        let record = self.records.get(&dispatch.submission)?;
+        let task = record.tasks.get(&dispatch.task)?;
+        (task.delegation == dispatch.delegation).then(|| task.fate())
+    }
+
+    /// Every task that was started of `submission`.
+    pub fn fates_of(&self, submission: SubmissionId) -> Vec<(TaskIndex, Fate)> {
+        self.records
+            .get(&submission)
+            .map_or_else(Vec::new, |record| {
+                record
+                    .tasks
+                    .iter()
+                    .map(|(index, task)| (*index, task.fate()))
+                    .collect()
+            })
+    }
+
+    /// Refuses older delegations from now on and makes `gateway` the owner of
+    /// what was started. Gives the owners before that still had tasks running.
+    pub fn fence(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        fence: Fence,
+    ) -> BTreeSet<Incarnation> {
+        let record = self
+            .records
+            .entry(fence.submission)
+            .or_insert_with(|| Record::new(now));
+        record.fence = record.fence.max(fence.delegation);
+        record.expires = now.after(RECORD_LIFETIME);
+        let mut old_owners = BTreeSet::new();
+        for task in record.tasks.values_mut() {
+            let old_owner = std::mem::replace(&mut task.owner, gateway);
+            if old_owner != gateway && task.is_running() {
+                move_one(&mut self.running, old_owner, gateway);
+                old_owners.insert(old_owner);
+            }
+        }
+        old_owners
+    }
+
+    /// Ends the running tasks of `submission` that `gateway` owns; gives their
+    /// dispatches.
+    pub fn cancel(&mut self, submission: SubmissionId, gateway: Incarnation) -> Vec<DispatchId> {
+        let Some(record) = self.records.get_mut(&submission) else {
+            return Vec::new();
+        };
+        let mut cancelled = Vec::new();
+        for (index, task) in &mut record.tasks {
+            if !task.is_running() || task.owner != gateway {
+                continue;
+            }
+            task.state = TaskState::Finished {
+                run: Span::default(),
+                outcome: TaskOutcome::Cancelled,
+            };
+            one_less(&mut self.running, gateway);
+            cancelled.push(DispatchId {
+                submission,
+                task: *index,
+                delegation: task.delegation,
+            });
+        }
+        self.forget_released(submission);
+        cancelled
+    }
+
+    /// Forgets a submission whose answer is out, at once or when nothing of
+    /// it runs any more. One that was ever fenced stays closed until it
+    /// expires, since an older delegation may still have an unaware holder.
+    pub fn release(&mut self, submission: SubmissionId) {
+        if let Some(record) = self.records.get_mut(&submission) {
+            record.released = true;
+        }
+        self.forget_released(submission);
+    }
+
+    fn forget_released(&mut self, submission: SubmissionId) {
+        let Some(record) = self.records.get_mut(&submission) else {
+            return;
+        };
+        if !record.released || record.running() > 0 {
+            return;
+        }
+        self.kept_bytes -= record.kept_bytes();
+        if record.fence > 0 {
+            record.closed = true;
+            record.tasks.clear();
+        } else {
+            self.records.remove(&submission);
+        }
+    }
+
+    /// Forgets records that have outlived every deadline.
+    pub fn expire(&mut self, now: Timestamp) {
+        let mut freed = 0;
+        self.records.retain(|_, record| {
+            let keep = record.expires > now || record.running() > 0;
+            if !keep {
+                freed += record.kept_bytes();
+            }
+            keep
+        });
+        self.kept_bytes -= freed;
+    }
+}
+
+impl Record {
+    fn new(now: Timestamp) -> Self {
+        Self {
+            fence: 0,
+            closed: false,
+            released: false,
+            expires: now.after(RECORD_LIFETIME),
+            tasks: BTreeMap::new(),
+        }
+    }
+
+    fn running(&self) -> u32 {
+        let running = self.tasks.values().filter(|task| task.is_running()).count();
+        u32::try_from(running).unwrap_or(u32::MAX)
+    }
+
+    fn kept_bytes(&self) -> usize {
+        self.tasks
+            .values()
+            .map(|task| match &task.state {
+                TaskState::Running { .. } => 0,
+                TaskState::Finished { outcome, .. } => output_size(outcome),
+            })
+            .sum()
+    }
+}
+
+impl Task {
+    fn is_running(&self) -> bool {
+        matches!(self.state, TaskState::Running { .. })
+    }
+
+    fn fate(&self) -> Fate {
+        match &self.state {
+            TaskState::Running { .. } => Fate::Running,
+            TaskState::Finished { run, outcome } => Fate::Finished {
+                run_micros: run.0,
+                outcome: outcome.clone(),
+            },
+        }
+    }
+}
+
+fn output_size(outcome: &TaskOutcome) -> usize {
+    match outcome {
+        TaskOutcome::Output(output) => output.size(),
+        _ => 0,
+    }
+}
+
+fn one_less(running: &mut BTreeMap<Incarnation, u32>, owner: Incarnation) {
+    if let Some(count) = running.get_mut(&owner) {
+        *count -= 1;
+        if *count == 0 {
+            running.remove(&owner);
+        }
+    }
+}
+
+fn move_one(running: &mut BTreeMap<Incarnation, u32>, from: Incarnation, to: Incarnation) {
+    one_less(running, from);
+    *running.entry(to).or_default() += 1;
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/agents.rs
@@ -0,0 +1,279 @@
+//! The gateway's dealings with agents.
+
+use std::sync::Arc;
+
+use laurelstile_types::configuration::Configuration;
+use laurelstile_types::id::BackendName;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::links::{LinkIndex, SESSION_SILENCE};
+use super::{Gateway, GatewayEffect};
+use crate::agent::{BUSY_HEARTBEAT, IDLE_HEARTBEAT};
+use crate::messages::agent::{FromAgent, FromAgentBody, ToAgent, ToAgentBody};
+use crate::messages::peer::DelegationKey;
+use crate::session::{Remote, SessionId};
+
+/// Releases are sent on their own after this long.
+const RELEASE_DELAY: Span = Span::from_millis(500);
+/// Releases are sent on their own when there are this many.
+const RELEASE_BATCH: usize = 256;
+
+impl Gateway {
+    pub(super) fn on_agent_opened(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        remote: &Remote,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(index) = self.links.find(&BackendName(remote.name.clone())) else {
+            effects.push(GatewayEffect::Close(session));
+            return;
+        };
+        let before = self.links.get(index).incarnation;
+        let replaced = before.is_some_and(|incarnation| incarnation != remote.incarnation);
+        if replaced {
+            self.on_agent_lost(now, index, effects);
+        }
+        if let Some(old) = self.links.open(now, index, session, remote) {
+            effects.push(GatewayEffect::Close(old));
+        }
+        self.recover_again(index);
+        let unresolved = &self.links.get(index).unresolved;
+        if !unresolved.is_empty() {
+            let dispatches = unresolved.iter().copied().collect();
+            self.send_to_agent(now, index, ToAgentBody::Reconcile(dispatches), effects);
+        }
+        self.tell_leaving(now, index, effects);
+    }
+
+    /// Nothing listens at the agent's address: the process that had our
+    /// tasks has ended, and nobody can tell how they did.
+    pub(super) fn on_agent_refused(
+        &mut self,
+        now: Timestamp,
+        backend: &BackendName,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if let Some(index) = self.links.find(backend)
+            && self.links.get(index).session.is_none()
+        {
+            self.on_agent_lost(now, index, effects);
+        }
+    }
+
+    pub(super) fn on_agent_message(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        message: FromAgent,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(index) = self.links.of_session(session) else {
+            return;
+        };
+        let link = self.links.get_mut(index);
+        link.last_heard = now;
+        link.report = message.report;
+        self.on_agent_body(now, index, message.body, effects);
+        self.push_revision_to(now, index, effects);
+        self.links.refresh(now, index);
+    }
+
+    fn on_agent_body(
+        &mut self,
+        now: Timestamp,
+        index: LinkIndex,
+        body: FromAgentBody,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match body {
+            FromAgentBody::Heartbeat => {}
+            FromAgentBody::Results(results) => {
+                for result in results {
+                    if self.scheduler.runs(result.dispatch) {
+                        self.scheduler.on_end_of_task(
+                            now,
+                            result.dispatch,
+                            Span(result.run_micros),
+                            result.outcome,
+                            &mut self.links,
+                        );
+                    } else {
+                        self.on_direct_result(now, result.dispatch, result.outcome, effects);
+                    }
+                }
+            }
+            FromAgentBody::NotStarted(refusals) => {
+                for refusal in refusals {
+                    self.scheduler.on_not_started(
+                        now,
+                        refusal.dispatch,
+                        refusal.reason,
+                        &mut self.links,
+                    );
+                }
+            }
+            FromAgentBody::Reconciled(answers) => {
+                for answer in answers {
+                    self.scheduler
+                        .on_fate(now, answer.dispatch, answer.fate, &mut self.links);
+                }
+            }
+            FromAgentBody::Recovered(answers) => {
+                for answer in answers {
+                    self.on_recovered(now, index, answer, effects);
+                }
+            }
+            FromAgentBody::Superseded(fences) => {
+                for fence in fences {
+                    let key = DelegationKey {
+                        submission: fence.submission,
+                        delegation: fence.delegation,
+                    };
+                    self.scheduler.supersede(key, &mut self.links);
+                }
+            }
+            FromAgentBody::Revision(revision) => self.adopt(now, revision, effects),
+        }
+    }
+
+    /// Brings the links in line with a new configuration.
+    pub(super) fn configure_links(&mut self, now: Timestamp, configuration: &Configuration) {
+        for index in self.links.indices() {
+            self.links.get_mut(index).configured = false;
+        }
+        for pool in &configuration.pools {
+            for backend in &pool.backends {
+                let index = self.links.ensure(&backend.name, &pool.name, &backend.zone);
+                let link = self.links.get_mut(index);
+                link.configured = true;
+                link.slots = backend.slots;
+            }
+        }
+        for index in self.links.indices() {
+            self.links.refresh(now, index);
+        }
+    }
+
+    pub(super) fn push_revision_to_agents(
+        &mut self,
+        now: Timestamp,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for index in self.links.indices() {
+            self.push_revision_to(now, index, effects);
+        }
+    }
+
+    /// Sends the revision in force to an agent that is behind, once a session.
+    fn push_revision_to(
+        &mut self,
+        now: Timestamp,
+        index: LinkIndex,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(revision) = &self.revision else {
+            return;
+        };
+        let number = revision.number;
+        let revision = Arc::clone(revision);
+        let link = self.links.get_mut(index);
+        let known = link.report.revision.max(link.pushed_revision);
+        if link.session.is_none() || known >= number {
+            return;
+        }
+        link.pushed_revision = number;
+        self.send_to_agent(now, index, ToAgentBody::Revision(revision), effects);
+    }
+
+    pub(super) fn tell_leaving(
+        &mut self,
+        now: Timestamp,
+        index: LinkIndex,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let link = self.links.get_mut(index);
+        if link.listed_leaving && link.session.is_some() && !link.told_leaving {
+            link.told_leaving = true;
+            self.send_to_agent(now, index, ToAgentBody::Leaving, effects);
+        }
+    }
+
+    pub(super) fn flush_agents(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        for index in self.links.indices() {
+            if self.links.get(index).session.is_none() {
+                continue;
+            }
+            let recover = std::mem::take(&mut self.links.get_mut(index).recover);
+            if !recover.is_empty() {
+                self.send_to_agent(now, index, ToAgentBody::Recover(recover), effects);
+            }
+            let cancel = std::mem::take(&mut self.links.get_mut(index).cancel);
+            if !cancel.is_empty() {
+                self.send_to_agent(now, index, ToAgentBody::Cancel(cancel), effects);
+            }
+        }
+        let starts = self.scheduler.dispatch(now, &mut self.links);
+        for (index, tasks) in starts {
+            self.send_to_agent(now, index, ToAgentBody::Start(tasks), effects);
+        }
+    }
+
+    pub(super) fn tick_agents(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        for index in self.links.indices() {
+            self.links.refresh(now, index);
+            let link = self.links.get(index);
+            let Some(session) = link.session else {
+                continue;
+            };
+            if now.since(link.last_heard) > SESSION_SILENCE {
+                effects.push(GatewayEffect::Close(session));
+                self.links.close(now, session);
+                continue;
+            }
+            let quiet = now.since(link.last_sent);
+            let heartbeat_due = if link.unresolved.is_empty() {
+                quiet >= IDLE_HEARTBEAT
+            } else {
+                quiet >= BUSY_HEARTBEAT
+            };
+            let release_due = !link.release.is_empty()
+                && (quiet >= RELEASE_DELAY || link.release.len() >= RELEASE_BATCH);
+            if heartbeat_due || release_due {
+                self.send_to_agent(now, index, ToAgentBody::Heartbeat, effects);
+            }
+        }
+    }
+
+    /// Sends every pending release on its own.
+    pub(super) fn send_releases(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        for index in self.links.indices() {
+            if !self.links.get(index).release.is_empty() {
+                self.send_to_agent(now, index, ToAgentBody::Heartbeat, effects);
+            }
+        }
+    }
+
+    fn send_to_agent(
+        &mut self,
+        now: Timestamp,
+        index: LinkIndex,
+        body: ToAgentBody,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let revision = self.revision_number();
+        let link = self.links.get_mut(index);
+        let Some(session) = link.session else {
+            return;
+        };
+        link.last_sent = now;
+        let message = ToAgent {
+            echo: link.report.clock,
+            revision,
+            release: std::mem::take(&mut link.release),
+            body,
+        };
+        effects.push(GatewayEffect::ToAgent { session, message });
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/entry.rs
@@ -0,0 +1,433 @@
+//! The gateway as the entry of submissions: checks, claims, delegates, and
+//! answers.
+
+use laurelstile_types::id::{DispatchId, Incarnation, SubmissionId};
+use laurelstile_types::outcome::{Failure, Reason, RunState};
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::submission::{Holder, Phase, Submission};
+use super::{Answer, ClaimOutcome, ClaimRequest, Gateway, GatewayEffect, JobRequest};
+use crate::messages::agent::TaskOutcome;
+use crate::messages::peer::{Delegation, DelegationEnd, ToPeerBody};
+use crate::payload::Payload;
+use crate::rendezvous::scheduler_of;
+
+/// How long after its deadline a submission waits for its scheduler's word
+/// on whether it has run.
+const DEADLINE_GRACE: Span = Span::from_millis(500);
+
+impl Gateway {
+    pub(super) fn submit(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        request: JobRequest,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let id = SubmissionId {
+            entry: self.identity.incarnation,
+            number,
+        };
+        let submission = match self.admit(now, id, &request) {
+            Ok(submission) => submission,
+            Err(reason) => {
+                effects.push(GatewayEffect::Answer(Box::new(Answer {
+                    submission: id,
+                    service: request.service,
+                    tenant: request.tenant,
+                    class: request.class,
+                    elapsed: Span::default(),
+                    outcome: Err(Failure::not_run(reason)),
+                })));
+                return;
+            }
+        };
+        let claim = submission.claim.clone();
+        self.submissions.insert(number, submission);
+        match claim {
+            Some(claim) => effects.push(GatewayEffect::Claim(claim)),
+            None => self.delegate(now, number, effects),
+        }
+    }
+
+    fn admit(
+        &self,
+        now: Timestamp,
+        id: SubmissionId,
+        request: &JobRequest,
+    ) -> Result<Submission, Reason> {
+        if self.stopping {
+            return Err(Reason::GatewayStopping);
+        }
+        let revision = self.revision.as_ref().ok_or(Reason::NoConfiguration)?;
+        let configuration = &revision.configuration;
+        let service = configuration
+            .service(&request.service)
+            .ok_or(Reason::UnknownService)?;
+        if revision.stopped.contains(&request.service) {
+            return Err(Reason::ServiceStopped);
+        }
+        let class = service.class(&request.class).ok_or(Reason::UnknownClass)?;
+        configuration
+            .tenant(&request.tenant)
+            .ok_or(Reason::UnknownTenant)?;
+        let most = service.max_tasks_per_job as usize;
+        if request.inputs.is_empty() || request.inputs.len() > most {
+            return Err(Reason::JobSize);
+        }
+        let claim = match (class.repeatable, &request.idempotency_key) {
+            (true, _) => None,
+            (false, None) => return Err(Reason::IdempotencyKeyMissing),
+            (false, Some(key)) => Some(ClaimRequest {
+                service: request.service.clone(),
+                tenant: request.tenant.clone(),
+                key: key.clone(),
+                submission: id,
+            }),
+        };
+        let longest = Span::from_millis(class.deadline_millis);
+        let deadline = request.deadline.map_or(longest, |asked| asked.min(longest));
+        Ok(Submission {
+            id,
+            service: request.service.clone(),
+            pool: service.pool.clone(),
+            tenant: request.tenant.clone(),
+            class: request.class.clone(),
+            accepted: now,
+            deadline: now.after(deadline),
+            inputs: request.inputs.clone(),
+            outputs: vec![None; request.inputs.len()],
+            delegation: 0,
+            phase: Phase::Claiming,
+            running_at: std::collections::BTreeMap::new(),
+            fenced_at: std::collections::BTreeSet::new(),
+            unaccounted: false,
+            claim,
+        })
+    }
+
+    pub(super) fn on_claimed(
+        &mut self,
+        now: Timestamp,
+        id: SubmissionId,
+        outcome: ClaimOutcome,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let waiting = self
+            .submissions
+            .get(&id.number)
+            .is_some_and(|submission| submission.phase == Phase::Claiming);
+        if !waiting {
+            return;
+        }
+        match outcome {
+            ClaimOutcome::Granted => self.delegate(now, id.number, effects),
+            ClaimOutcome::Taken => {
+                // This submission did not run, but the caller's request may
+                // have, under the submission that has the claim.
+                if let Some(submission) = self.submissions.get_mut(&id.number) {
+                    submission.claim = None;
+                }
+                let failure = Failure::may_have_run(Reason::AlreadyClaimed);
+                self.answer(now, id.number, Err(failure), effects);
+            }
+            ClaimOutcome::Unavailable => {
+                let failure = Failure::not_run(Reason::ClaimUnavailable);
+                self.answer(now, id.number, Err(failure), effects);
+            }
+        }
+    }
+
+    /// Hands the missing tasks of a submission to the pool's scheduler.
+    pub(super) fn delegate(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(submission) = self.submissions.get_mut(&number) else {
+            return;
+        };
+        submission.delegation += 1;
+        let key = submission.key();
+        let delegation = Delegation {
+            key,
+            pool: submission.pool.clone(),
+            service: submission.service.clone(),
+            class: submission.class.clone(),
+            tenant: submission.tenant.clone(),
+            time_left: submission.deadline.since(now),
+            tasks: submission.missing(),
+        };
+        let holder = self.choose_scheduler(now, &delegation);
+        if let Some(submission) = self.submissions.get_mut(&number) {
+            submission.phase = Phase::Delegated(holder.clone());
+        }
+        match holder {
+            Holder::Own => self.schedule_own(now, delegation, effects),
+            Holder::Peer(name) => {
+                if let Some(peer) = self.peers.get_mut(&name) {
+                    peer.outstanding.insert(key, now);
+                }
+                let body = ToPeerBody::Delegate(Box::new(delegation));
+                self.send_to_peer(now, &name, body, effects);
+            }
+        }
+    }
+
+    fn choose_scheduler(&self, now: Timestamp, delegation: &Delegation) -> Holder {
+        let own = (!self.stopping).then_some(&self.identity.name);
+        let peers = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.can_schedule(now))
+            .map(|(name, _)| name);
+        match scheduler_of(&delegation.pool, peers.chain(own)) {
+            Some(name) if *name != self.identity.name => Holder::Peer(name.clone()),
+            _ => Holder::Own,
+        }
+    }
+
+    fn schedule_own(
+        &mut self,
+        now: Timestamp,
+        delegation: Delegation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let key = delegation.key;
+        let entry = self.identity.incarnation;
+        if let Err(failure) = self.accept_delegation(now, entry, delegation) {
+            let end = DelegationEnd {
+                key,
+                outcome: Err(failure),
+            };
+            self.on_delegation_end(now, end, effects);
+        }
+    }
+
+    pub(super) fn accept_delegation(
+        &mut self,
+        now: Timestamp,
+        entry: Incarnation,
+        delegation: Delegation,
+    ) -> Result<(), Failure> {
+        let revision = self
+            .revision
+            .as_ref()
+            .ok_or_else(|| Failure::not_run(Reason::NoConfiguration))?;
+        self.scheduler.accept(
+            now,
+            entry,
+            delegation,
+            &revision.configuration,
+            &mut self.links,
+        )
+    }
+
+    /// A scheduler says how a delegation ended.
+    pub(super) fn on_delegation_end(
+        &mut self,
+        now: Timestamp,
+        end: DelegationEnd,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let number = end.key.submission.number;
+        let Some(submission) = self.submissions.get_mut(&number) else {
+            return;
+        };
+        let current =
+            submission.key() == end.key && matches!(submission.phase, Phase::Delegated(_));
+        if !current {
+            return;
+        }
+        match end.outcome {
+            Ok(outputs) => {
+                for output in outputs {
+                    submission.put(output.index, output.output);
+                }
+                submission.phase = Phase::Collecting;
+                self.answer_if_complete(now, number, effects);
+            }
+            Err(failure) if failure.reason == Reason::GatewayStopping => {
+                self.delegate(now, number, effects);
+            }
+            Err(failure) => self.answer(now, number, Err(failure), effects),
+        }
+    }
+
+    /// An agent reports a recovered task's end to this gateway directly.
+    pub(super) fn on_direct_result(
+        &mut self,
+        now: Timestamp,
+        dispatch: DispatchId,
+        outcome: TaskOutcome,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if dispatch.submission.entry != self.identity.incarnation {
+            return;
+        }
+        let number = dispatch.submission.number;
+        let Some(submission) = self.submissions.get_mut(&number) else {
+            return;
+        };
+        if submission.running_at.remove(&dispatch.task).is_none() {
+            return;
+        }
+        match outcome {
+            TaskOutcome::Output(output) => {
+                submission.put(dispatch.task, output);
+                self.answer_if_complete(now, number, effects);
+            }
+            TaskOutcome::Failed => {
+                let failure = Failure::may_have_run(Reason::TaskFailed);
+                self.answer(now, number, Err(failure), effects);
+            }
+            TaskOutcome::Unknown | TaskOutcome::Cancelled | TaskOutcome::OutputLost => {
+                let failure = Failure::may_have_run(Reason::WorkerLost);
+                self.answer(now, number, Err(failure), effects);
+            }
+        }
+    }
+
+    pub(super) fn answer_if_complete(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(submission) = self.submissions.get_mut(&number) else {
+            return;
+        };
+        if !submission.is_complete() {
+            return;
+        }
+        let outputs = submission
+            .outputs
+            .iter_mut()
+            .filter_map(Option::take)
+            .collect();
+        self.answer(now, number, Ok(outputs), effects);
+    }
+
+    /// Gives the final answer and lets everyone forget the submission.
+    pub(super) fn answer(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        outcome: Result<Vec<Payload>, Failure>,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(submission) = self.submissions.remove(&number) else {
+            return;
+        };
+        let outcome = outcome.map_err(|failure| with_run_state(failure, &submission));
+        if let Err(failure) = &outcome {
+            self.stop_work_of(now, &submission, effects);
+            if failure.run_state == RunState::NotRun
+                && let Some(claim) = &submission.claim
+            {
+                effects.push(GatewayEffect::ReleaseClaim(claim.clone()));
+            }
+        }
+        self.release_fenced(&submission);
+        effects.push(GatewayEffect::Answer(Box::new(Answer {
+            submission: submission.id,
+            service: submission.service,
+            tenant: submission.tenant,
+            class: submission.class,
+            elapsed: now.since(submission.accepted),
+            outcome,
+        })));
+    }
+
+    /// Stops what schedulers and agents still do for a submission.
+    fn stop_work_of(
+        &mut self,
+        now: Timestamp,
+        submission: &Submission,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match &submission.phase {
+            Phase::Delegated(Holder::Own) => {
+                self.scheduler.withdraw(submission.key(), &mut self.links);
+            }
+            Phase::Delegated(Holder::Peer(name)) => {
+                let known = self
+                    .peers
+                    .get_mut(name)
+                    .and_then(|peer| peer.outstanding.remove(&submission.key()));
+                if known.is_some() {
+                    let body = ToPeerBody::Withdraw(vec![submission.key()]);
+                    self.send_to_peer(now, name, body, effects);
+                }
+            }
+            Phase::Claiming | Phase::Recovering(_) | Phase::Collecting => {}
+        }
+        for link in submission.running_at.values() {
+            self.links.get_mut(*link).cancel.push(submission.id);
+        }
+    }
+
+    /// Lets the agents that keep a fence for a submission forget its outputs.
+    fn release_fenced(&mut self, submission: &Submission) {
+        for link in &submission.fenced_at {
+            self.links.get_mut(*link).release.push(submission.id);
+        }
+    }
+
+    pub(super) fn on_caller_gone(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let failure = Failure::may_have_run(Reason::CallerGone);
+        self.answer(now, number, Err(failure), effects);
+    }
+
+    pub(super) fn expire_submissions(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let expired: Vec<(u64, RunState)> = self
+            .submissions
+            .iter()
+            .filter(|(_, submission)| now >= submission.answer_by())
+            .map(|(number, submission)| (*number, submission.run_state()))
+            .collect();
+        for (number, run_state) in expired {
+            let failure = Failure {
+                run_state,
+                reason: Reason::DeadlineExceeded,
+                retry_after_millis: None,
+            };
+            self.answer(now, number, Err(failure), effects);
+        }
+    }
+}
+
+impl Submission {
+    /// When the entry gateway answers even without its scheduler's word.
+    fn answer_by(&self) -> Timestamp {
+        match self.phase {
+            Phase::Claiming => self.deadline,
+            _ => self.deadline.after(DEADLINE_GRACE),
+        }
+    }
+
+    /// What is proved of its run state in this phase.
+    fn run_state(&self) -> RunState {
+        match self.phase {
+            Phase::Claiming => RunState::NotRun,
+            _ => RunState::MayHaveRun,
+        }
+    }
+}
+
+/// A scheduler's proof speaks of its own delegation only.
+fn with_run_state(failure: Failure, submission: &Submission) -> Failure {
+    if submission.has_run() {
+        return Failure {
+            run_state: RunState::MayHaveRun,
+            ..failure
+        };
+    }
+    failure
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/links.rs
@@ -0,0 +1,297 @@
+//! What a gateway knows of the agents: sessions, free slots, unresolved
+//! dispatches and recent speed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::id::{
+    BackendName, DispatchId, Incarnation, PoolName, SubmissionId, ZoneName,
+};
+use laurelstile_types::time::{Span, Timestamp};
+
+use crate::messages::agent::{Fence, SlotReport};
+use crate::session::{Remote, SessionId};
+
+/// An agent with unresolved dispatches gets no start after this silence.
+pub const BUSY_SUSPECT: Span = Span::from_secs(2);
+/// An idle agent gets no start after this silence.
+pub const IDLE_SUSPECT: Span = Span::from_secs(9);
+/// A session from which nothing comes for this long is closed.
+pub const SESSION_SILENCE: Span = Span::from_secs(15);
+
+/// Weight of a new run in the running mean of an agent's slowness.
+const SLOWNESS_GAIN: f64 = 0.1;
+/// Steps of slowness within which agents count as equally fast.
+const SLOWNESS_STEPS_PER_UNIT: f64 = 4.0;
+
+/// Index of an agent's link; stable for the life of the gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkIndex(usize);
+
+/// Preference among agents with free slots; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Preference {
+    slowness: u32,
+    occupied_permille: u32,
+    other_zone: bool,
+}
+
+/// What a gateway knows of one agent.
+#[derive(Debug)]
+pub struct Link {
+    /// Name of the back end.
+    pub name: BackendName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Whether the configuration in force names it.
+    pub configured: bool,
+    /// Slots that the configuration gives it.
+    pub slots: u32,
+    /// The open session.
+    pub session: Option<SessionId>,
+    /// The latest incarnation seen.
+    pub incarnation: Option<Incarnation>,
+    /// When that incarnation started, on this gateway's clock.
+    pub incarnation_started: Timestamp,
+    /// The latest report in this session.
+    pub report: SlotReport,
+    /// Whether the machine list says leaving.
+    pub listed_leaving: bool,
+    /// Since when the machine list says gone.
+    pub listed_gone_since: Option<Timestamp>,
+    /// When the latest message came.
+    pub last_heard: Timestamp,
+    /// When the latest message went.
+    pub last_sent: Timestamp,
+    /// Starts sent in this session.
+    pub sent: u64,
+    /// Dispatches whose end is not known.
+    pub unresolved: BTreeSet<DispatchId>,
+    /// Submissions to release with the next message.
+    pub release: Vec<SubmissionId>,
+    /// Submissions to cancel with the next flush.
+    pub cancel: Vec<SubmissionId>,
+    /// Submissions to recover with the next flush.
+    pub recover: Vec<Fence>,
+    /// Revision last pushed in this session.
+    pub pushed_revision: u64,
+    /// Whether the agent was told in this session that it is leaving.
+    pub told_leaving: bool,
+    slowness: f64,
+    available_as: Option<Preference>,
+}
+
+impl Link {
+    /// Whether the agent may get starts.
+    fn is_usable(&self, now: Timestamp) -> bool {
+        let silence = if self.unresolved.is_empty() {
+            IDLE_SUSPECT
+        } else {
+            BUSY_SUSPECT
+        };
+        self.session.is_some()
+            && self.configured
+            && !self.report.draining
+            && !self.listed_leaving
+            && self.listed_gone_since.is_none()
+            && now.since(self.last_heard) <= silence
+    }
+
+    /// Free slots: those reported less the starts that the report does not
+    /// know of yet.
+    pub fn available(&self, now: Timestamp) -> u32 {
+        if !self.is_usable(now) {
+            return 0;
+        }
+        let on_the_way = self.sent.saturating_sub(self.report.processed);
+        u64::from(self.report.free)
+            .saturating_sub(on_the_way)
+            .try_into()
+            .unwrap_or(u32::MAX)
+    }
+
+    /// Whether the link has a session that was heard from lately.
+    pub fn is_live(&self, now: Timestamp) -> bool {
+        self.session.is_some() && now.since(self.last_heard) <= IDLE_SUSPECT
+    }
+
+    /// Notes how long a task ran against its class's mean.
+    pub fn note_run(&mut self, run: Span, mean: Span) {
+        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+        let ratio = run.0 as f64 / mean.0.max(1) as f64;
+        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
+    }
+}
+
+/// All agents that a gateway knows.
+#[derive(Debug)]
+pub struct Links {
+    zone: ZoneName,
+    links: Vec<Link>,
+    by_name: BTreeMap<BackendName, LinkIndex>,
+    by_session: BTreeMap<SessionId, LinkIndex>,
+    available: BTreeMap<PoolName, BTreeSet<(Preference, LinkIndex)>>,
+}
+
+impl Links {
+    /// No agents yet; `zone` is the gateway's own.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            links: Vec::new(),
+            by_name: BTreeMap::new(),
+            by_session: BTreeMap::new(),
+            available: BTreeMap::new(),
+        }
+    }
+
+    /// The link of that name, made if it is not there.
+    pub fn ensure(&mut self, name: &BackendName, pool: &PoolName, zone: &ZoneName) -> LinkIndex {
+        if let Some(index) = self.by_name.get(name) {
+            return *index;
+        }
+        let index = LinkIndex(self.links.len());
+        self.links.push(Link {
+            name: name.clone(),
+            pool: pool.clone(),
+            zone: zone.clone(),
+            configured: true,
+            slots: 0,
+            session: None,
+            incarnation: None,
+            incarnation_started: Timestamp::default(),
+            report: SlotReport::default(),
+            listed_leaving: false,
+            listed_gone_since: None,
+            last_heard: Timestamp::default(),
+            last_sent: Timestamp::default(),
+            sent: 0,
+            unresolved: BTreeSet::new(),
+            release: Vec::new(),
+            cancel: Vec::new(),
+            recover: Vec::new(),
+            pushed_revision: 0,
+            told_leaving: false,
+            slowness: 1.0,
+            available_as: None,
+        });
+        self.by_name.insert(name.clone(), index);
+        index
+    }
+
+    /// The link of that name.
+    pub fn find(&self, name: &BackendName) -> Option<LinkIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The link of that session.
+    pub fn of_session(&self, session: SessionId) -> Option<LinkIndex> {
+        self.by_session.get(&session).copied()
+    }
+
+    /// The link at an index.
+    pub fn get(&self, index: LinkIndex) -> &Link {
+        &self.links[index.0]
+    }
+
+    /// The link at an index. Call [`Links::refresh`] after a change.
+    pub fn get_mut(&mut self, index: LinkIndex) -> &mut Link {
+        &mut self.links[index.0]
+    }
+
+    /// Every index.
+    pub fn indices(&self) -> impl Iterator<Item = LinkIndex> + use<> {
+        (0..self.links.len()).map(LinkIndex)
+    }
+
+    /// Every link.
+    pub fn iter(&self) -> impl Iterator<Item = (LinkIndex, &Link)> {
+        self.links
+            .iter()
+            .enumerate()
+            .map(|(index, link)| (LinkIndex(index), link))
+    }
+
+    /// Notes a new session; the old one of the same link is given back.
+    pub fn open(
+        &mut self,
+        now: Timestamp,
+        index: LinkIndex,
+        session: SessionId,
+        remote: &Remote,
+    ) -> Option<SessionId> {
+        let link = &mut self.links[index.0];
+        let old = link.session.replace(session);
+        if link.incarnation != Some(remote.incarnation) {
+            link.incarnation = Some(remote.incarnation);
+            link.incarnation_started = Timestamp(now.since(Timestamp(remote.uptime.0)).0);
+        }
+        link.report = SlotReport::default();
+        link.last_heard = now;
+        link.sent = 0;
+        link.pushed_revision = 0;
+        link.told_leaving = false;
+        if let Some(old) = old {
+            self.by_session.remove(&old);
+        }
+        self.by_session.insert(session, index);
+        self.refresh(now, index);
+        old
+    }
+
+    /// Notes that a session is closed; gives its link if it was the current.
+    pub fn close(&mut self, now: Timestamp, session: SessionId) -> Option<LinkIndex> {
+        let index = self.by_session.remove(&session)?;
+        self.links[index.0].session = None;
+        self.refresh(now, index);
+        Some(index)
+    }
+
+    /// The preferred agent of `pool` with a free slot.
+    pub fn preferred(&self, pool: &PoolName) -> Option<LinkIndex> {
+        let (_, index) = self.available.get(pool)?.first()?;
+        Some(*index)
+    }
+
+    /// Brings the preference of a link up to date after a change.
+    pub fn refresh(&mut self, now: Timestamp, index: LinkIndex) {
+        let link = &mut self.links[index.0];
+        let preference = preference_of(link, now, &self.zone);
+        if preference == link.available_as {
+            return;
+        }
+        let old = std::mem::replace(&mut link.available_as, preference);
+        if !self.available.contains_key(&link.pool) {
+            self.available.insert(link.pool.clone(), BTreeSet::new());
+        }
+        let Some(available) = self.available.get_mut(&link.pool) else {
+            return;
+        };
+        if let Some(old) = old {
+            available.remove(&(old, index));
+        }
+        if let Some(preference) = preference {
+            available.insert((preference, index));
+        }
+    }
+}
+
+fn preference_of(link: &Link, now: Timestamp, zone: &ZoneName) -> Option<Preference> {
+    let available = link.available(now);
+    if available == 0 {
+        return None;
+    }
+    let slots = link.slots.max(1);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "slowness is a small positive ratio"
+    )]
+    let slowness = (link.slowness * SLOWNESS_STEPS_PER_UNIT) as u32;
+    Some(Preference {
+        slowness,
+        occupied_permille: slots.saturating_sub(available) * 1_000 / slots,
+        other_zone: link.zone != *zone,
+    })
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -0,0 +1,381 @@
+//! The gateway: takes submissions, has them scheduled by the pool's scheduler
+//! (itself or a peer), and gives whole answers.
+
+mod agents;
+mod entry;
+mod links;
+mod peering;
+mod peers;
+mod queue;
+mod recovery;
+mod scheduler;
+mod submission;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use laurelstile_types::api::{NodeStatus, Status};
+use laurelstile_types::id::{
+    BackendName, ClassName, GatewayName, Incarnation, ServiceName, SubmissionId, TenantName,
+    ZoneName,
+};
+use laurelstile_types::outcome::Failure;
+use laurelstile_types::platform::{MachineList, MachineRole, MachineState};
+use laurelstile_types::revision::{Revision, RevisionNumber};
+use laurelstile_types::time::{Span, Timestamp};
+
+use crate::messages::agent::{FromAgent, ToAgent};
+use crate::messages::peer::ToPeer;
+use crate::payload::Payload;
+use crate::session::{Remote, SessionId};
+use links::Links;
+use peers::Peers;
+use scheduler::Scheduler;
+use submission::Submission;
+
+pub use queue::{DEFAULT_ORDER, Order};
+pub use submission::{ClaimRequest, JobRequest};
+
+/// What happens to a gateway.
+#[derive(Debug)]
+pub enum GatewayEvent {
+    /// A caller submits a job; `number` is new in this incarnation.
+    Submit {
+        /// Number of the submission.
+        number: u64,
+        /// The job.
+        request: JobRequest,
+    },
+    /// A caller's connection closed before its answer.
+    CallerGone {
+        /// Number of the submission.
+        number: u64,
+    },
+    /// The platform's table answered a claim.
+    Claimed {
+        /// The submission.
+        submission: SubmissionId,
+        /// The answer.
+        outcome: ClaimOutcome,
+    },
+    /// A session to an agent is open.
+    AgentOpened {
+        /// The session.
+        session: SessionId,
+        /// The agent.
+        remote: Remote,
+    },
+    /// An agent's host refused the connection: no process listens there.
+    AgentRefused {
+        /// Name of the back end.
+        backend: BackendName,
+    },
+    /// A session to an agent is closed.
+    AgentClosed {
+        /// The session.
+        session: SessionId,
+    },
+    /// A message from an agent came.
+    AgentMessage {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: FromAgent,
+    },
+    /// A session to a peer is open.
+    PeerOpened {
+        /// The session.
+        session: SessionId,
+        /// The peer.
+        remote: Remote,
+    },
+    /// A session to a peer is closed.
+    PeerClosed {
+        /// The session.
+        session: SessionId,
+    },
+    /// A message from a peer came.
+    PeerMessage {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToPeer,
+    },
+    /// A revision was read from the platform's table.
+    Revision(Arc<Revision>),
+    /// The platform's machine list was read.
+    Machines(MachineList),
+    /// The process is asked to stop in a planned way.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// The table's answer to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimOutcome {
+    /// The submission has the claim.
+    Granted,
+    /// Another submission has it.
+    Taken,
+    /// The table cannot be reached; the claim may or may not be written.
+    Unavailable,
+}
+
+/// What a gateway wants done.
+#[derive(Debug)]
+pub enum GatewayEffect {
+    /// Send to an agent.
+    ToAgent {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// Send to a peer.
+    ToPeer {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToPeer,
+    },
+    /// Close a session.
+    Close(SessionId),
+    /// Answer a caller.
+    Answer(Box<Answer>),
+    /// Claim an idempotency key in the platform's table.
+    Claim(ClaimRequest),
+    /// Give a claim back: its request was not run and will not be.
+    ReleaseClaim(ClaimRequest),
+    /// A revision is in force here.
+    InForce(Arc<Revision>),
+    /// Nothing is in flight any more; the process may exit.
+    Stopped,
+}
+
+/// The final answer to a submission.
+#[derive(Debug)]
+pub struct Answer {
+    /// The submission.
+    pub submission: SubmissionId,
+    /// Service.
+    pub service: ServiceName,
+    /// Tenant.
+    pub tenant: TenantName,
+    /// Class.
+    pub class: ClassName,
+    /// Time since the submission came.
+    pub elapsed: Span,
+    /// The output of every task, or why there is none.
+    pub outcome: Result<Vec<Payload>, Failure>,
+}
+
+/// What distinguishes one gateway process from another.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the gateway.
+    pub name: GatewayName,
+    /// Incarnation of the process.
+    pub incarnation: Incarnation,
+    /// Zone.
+    pub zone: ZoneName,
+}
+
+/// The gateway's machine.
+#[derive(Debug)]
+pub struct Gateway {
+    identity: Identity,
+    revision: Option<Arc<Revision>>,
+    stopping: bool,
+    stop_reported: bool,
+    links: Links,
+    peers: Peers,
+    scheduler: Scheduler,
+    submissions: BTreeMap<u64, Submission>,
+}
+
+impl Gateway {
+    /// A gateway without a configuration.
+    pub fn new(identity: Identity, order: Order) -> Self {
+        Self {
+            links: Links::new(identity.zone.clone()),
+            identity,
+            revision: None,
+            stopping: false,
+            stop_reported: false,
+            peers: Peers::default(),
+            scheduler: Scheduler::new(order),
+            submissions: BTreeMap::new(),
+        }
+    }
+
+    /// Incarnation of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.identity.incarnation
+    }
+
+    /// The revision in force here; 0 if none.
+    pub fn revision_number(&self) -> RevisionNumber {
+        self.revision.as_ref().map_or(0, |revision| revision.number)
+    }
+
+    /// The revision in force here.
+    pub fn revision(&self) -> Option<&Arc<Revision>> {
+        self.revision.as_ref()
+    }
+
+    /// Whether new jobs are taken.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping && self.revision.is_some()
+    }
+
+    /// Results that came for jobs that were over.
+    pub fn late_results(&self) -> u64 {
+        self.scheduler.late_results()
+    }
+
+    /// Takes in one event. Call [`Gateway::flush`] after a batch of events.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: GatewayEvent,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match event {
+            GatewayEvent::Submit { number, request } => self.submit(now, number, request, effects),
+            GatewayEvent::CallerGone { number } => self.on_caller_gone(now, number, effects),
+            GatewayEvent::Claimed {
+                submission,
+                outcome,
+            } => self.on_claimed(now, submission, outcome, effects),
+            GatewayEvent::AgentOpened { session, remote } => {
+                self.on_agent_opened(now, session, &remote, effects);
+            }
+            GatewayEvent::AgentRefused { backend } => {
+                self.on_agent_refused(now, &backend, effects);
+            }
+            GatewayEvent::AgentClosed { session } => {
+                self.links.close(now, session);
+            }
+            GatewayEvent::AgentMessage { session, message } => {
+                self.on_agent_message(now, session, message, effects);
+            }
+            GatewayEvent::PeerOpened { session, remote } => {
+                self.on_peer_opened(now, session, &remote, effects);
+            }
+            GatewayEvent::PeerClosed { session } => self.peers.close(now, session),
+            GatewayEvent::PeerMessage { session, message } => {
+                self.on_peer_message(now, session, message, effects);
+            }
+            GatewayEvent::Revision(revision) => self.adopt(now, revision, effects),
+            GatewayEvent::Machines(list) => self.on_machines(now, &list, effects),
+            GatewayEvent::Stop => self.stopping = true,
+            GatewayEvent::Tick => self.on_tick(now, effects),
+        }
+    }
+
+    /// Sends what the events since the last flush gave rise to.
+    pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        self.tell_ends(now, effects);
+        self.flush_agents(now, effects);
+        // Choosing tasks may have found jobs past their deadline.
+        self.tell_ends(now, effects);
+        if self.stopping && self.is_idle() && !self.stop_reported {
+            self.stop_reported = true;
+            self.hand_over(now, effects);
+            effects.push(GatewayEffect::Stopped);
+        }
+    }
+
+    /// What this gateway knows, for operators.
+    pub fn status(&self, now: Timestamp) -> Status {
+        let peers = self.peers.iter().map(|(name, peer)| NodeStatus {
+            name: name.to_string(),
+            live: peer.session.is_some() && now.since(peer.last_heard) <= peers::SUSPECT,
+            draining: peer.stopping,
+            revision: peer.revision,
+            free_slots: 0,
+        });
+        let agents = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.configured)
+            .map(|(_, link)| NodeStatus {
+                name: link.name.to_string(),
+                live: link.is_live(now),
+                draining: link.report.draining,
+                revision: link.report.revision,
+                free_slots: link.available(now),
+            });
+        Status {
+            gateway: self.identity.name.to_string(),
+            incarnation: self.identity.incarnation.to_string(),
+            ready: self.is_ready(),
+            revision: self.revision_number(),
+            peers: peers.collect(),
+            agents: agents.collect(),
+            submissions: self.submissions.len() as u64,
+            queued_tasks: self.scheduler.queued_tasks(),
+        }
+    }
+
+    /// Before a planned stop: sends what others wait for, so that agents can
+    /// forget the outputs that they keep for this gateway.
+    fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        for name in self.peers.names() {
+            self.send_acknowledgements(now, &name, effects);
+        }
+        self.send_releases(now, effects);
+    }
+
+    fn is_idle(&self) -> bool {
+        self.submissions.is_empty() && self.scheduler.job_count() == 0
+    }
+
+    /// Puts a newer revision in force; an older one is ignored, so that a
+    /// configuration never reverts.
+    fn adopt(&mut self, now: Timestamp, revision: Arc<Revision>, effects: &mut Vec<GatewayEffect>) {
+        if revision.number <= self.revision_number() {
+            return;
+        }
+        self.scheduler.configure(&revision.configuration);
+        self.configure_links(now, &revision.configuration);
+        self.revision = Some(Arc::clone(&revision));
+        effects.push(GatewayEffect::InForce(revision));
+        self.push_revision_to_agents(now, effects);
+        self.push_revision_to_peers(now, effects);
+    }
+
+    fn on_machines(
+        &mut self,
+        now: Timestamp,
+        list: &MachineList,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for machine in &list.machines {
+            if machine.role != MachineRole::Backend {
+                continue;
+            }
+            let Some(index) = self.links.find(&BackendName(machine.name.clone())) else {
+                continue;
+            };
+            let link = self.links.get_mut(index);
+            link.listed_leaving = machine.state == MachineState::Leaving;
+            let gone = machine.state == MachineState::Gone;
+            link.listed_gone_since = gone.then(|| link.listed_gone_since.unwrap_or(now));
+            let lost = gone && link.session.is_none();
+            self.links.refresh(now, index);
+            self.tell_leaving(now, index, effects);
+            if lost {
+                self.on_agent_lost(now, index, effects);
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        self.scheduler.expire(now, &mut self.links);
+        self.expire_submissions(now, effects);
+        self.tick_agents(now, effects);
+        self.tick_peers(now, effects);
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/peering.rs
@@ -0,0 +1,310 @@
+//! The gateway's dealings with other gateways.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use laurelstile_types::id::{GatewayName, Incarnation};
+use laurelstile_types::outcome::{Failure, Reason};
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::peers::{BUSY_HEARTBEAT, IDLE_HEARTBEAT, LOST};
+use super::{Gateway, GatewayEffect};
+use crate::messages::peer::{Delegation, DelegationEnd, DelegationKey, ToPeer, ToPeerBody};
+use crate::session::{Remote, SessionId};
+
+/// Acknowledgements wait this long for one another.
+const ACKNOWLEDGE_DELAY: Span = Span::from_millis(100);
+
+impl Gateway {
+    pub(super) fn on_peer_opened(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        remote: &Remote,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let reopened = self.peers.open(now, session, remote);
+        if let Some(old) = reopened.old_session {
+            effects.push(GatewayEffect::Close(old));
+        }
+        if let Some(lost) = reopened.lost {
+            self.scheduler.on_entry_lost(lost, &mut self.links);
+            self.recover_from(now, &reopened.name, effects);
+        }
+        let outstanding = self.outstanding_at(&reopened.name);
+        let body = ToPeerBody::Outstanding(outstanding);
+        self.send_to_peer(now, &reopened.name, body, effects);
+        for end in self.scheduler.unacknowledged(remote.incarnation) {
+            let body = ToPeerBody::Done(Box::new(end));
+            self.send_to_peer(now, &reopened.name, body, effects);
+        }
+    }
+
+    pub(super) fn on_peer_message(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        message: ToPeer,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(name) = self.peers.of_session(session) else {
+            return;
+        };
+        let Some(peer) = self.peers.get_mut(&name) else {
+            return;
+        };
+        peer.last_heard = now;
+        peer.stopping = message.stopping;
+        peer.revision = message.revision;
+        peer.dropped = false;
+        let incarnation = peer.incarnation;
+        self.push_revision_to_peer(now, &name, effects);
+        match message.body {
+            ToPeerBody::Heartbeat => {}
+            ToPeerBody::Delegate(delegation) => {
+                self.on_delegate(now, &name, incarnation, *delegation, effects);
+            }
+            ToPeerBody::Done(end) => self.on_done(now, &name, *end, effects),
+            ToPeerBody::Acknowledge(submissions) => {
+                for submission in submissions {
+                    self.scheduler.acknowledge(submission, &mut self.links);
+                }
+            }
+            ToPeerBody::Withdraw(keys) => {
+                for key in keys {
+                    self.scheduler.withdraw(key, &mut self.links);
+                }
+            }
+            ToPeerBody::Outstanding(keys) => {
+                self.on_outstanding(now, &name, incarnation, keys, effects);
+            }
+            ToPeerBody::NotHere(keys) => {
+                for key in keys {
+                    self.recover_outstanding(now, &name, key, effects);
+                }
+            }
+            ToPeerBody::Revision(revision) => self.adopt(now, revision, effects),
+        }
+    }
+
+    fn on_delegate(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        entry: Incarnation,
+        delegation: Delegation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let key = delegation.key;
+        let accepted = if self.stopping {
+            Err(Failure::not_run(Reason::GatewayStopping))
+        } else {
+            self.accept_delegation(now, entry, delegation)
+        };
+        if let Err(failure) = accepted {
+            let end = DelegationEnd {
+                key,
+                outcome: Err(failure),
+            };
+            self.send_to_peer(now, name, ToPeerBody::Done(Box::new(end)), effects);
+        }
+    }
+
+    fn on_done(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        end: DelegationEnd,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        // The end of a delegation that was recovered from this peer proves
+        // nothing to it; agents must keep what they know of the submission.
+        if peer.outstanding.remove(&end.key).is_none() {
+            return;
+        }
+        peer.acknowledge.push(end.key.submission);
+        self.on_delegation_end(now, end, effects);
+    }
+
+    fn on_outstanding(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        entry: Incarnation,
+        keys: Vec<DelegationKey>,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let kept: BTreeSet<DelegationKey> = keys.into_iter().collect();
+        self.scheduler.keep_only(entry, &kept, &mut self.links);
+        let not_here: Vec<DelegationKey> = kept
+            .into_iter()
+            .filter(|key| !self.scheduler.has(*key))
+            .collect();
+        if !not_here.is_empty() {
+            self.send_to_peer(now, name, ToPeerBody::NotHere(not_here), effects);
+        }
+    }
+
+    /// Recovers everything that was delegated to a peer.
+    fn recover_from(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for key in self.outstanding_at(name) {
+            self.recover_outstanding(now, name, key, effects);
+        }
+    }
+
+    fn recover_outstanding(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        key: DelegationKey,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let known = self
+            .peers
+            .get_mut(name)
+            .and_then(|peer| peer.outstanding.remove(&key));
+        if known.is_some() {
+            self.recover(now, key, effects);
+        }
+    }
+
+    fn outstanding_at(&self, name: &GatewayName) -> Vec<DelegationKey> {
+        self.peers
+            .get(name)
+            .map_or_else(Vec::new, |peer| peer.outstanding.keys().copied().collect())
+    }
+
+    /// Tells the entry gateways how delegations ended.
+    pub(super) fn tell_ends(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        loop {
+            let ends = self.scheduler.take_ends();
+            if ends.is_empty() {
+                return;
+            }
+            for end in ends {
+                if end.entry == self.identity.incarnation {
+                    let submission = end.end.key.submission;
+                    self.on_delegation_end(now, end.end, effects);
+                    self.scheduler.acknowledge(submission, &mut self.links);
+                } else if let Some(name) = self.peers.of_incarnation(end.entry) {
+                    let body = ToPeerBody::Done(Box::new(end.end));
+                    self.send_to_peer(now, &name, body, effects);
+                }
+            }
+        }
+    }
+
+    pub(super) fn tick_peers(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        for name in self.peers.names() {
+            let Some(peer) = self.peers.get_mut(&name) else {
+                continue;
+            };
+            let suspect = peer.is_suspect(now);
+            let incarnation = peer.incarnation;
+            let lost = now.since(peer.last_heard) > LOST && !peer.dropped;
+            peer.dropped |= lost;
+            let quiet = now.since(peer.last_sent);
+            let busy = !peer.outstanding.is_empty();
+            if suspect {
+                self.recover_from(now, &name, effects);
+            }
+            if lost {
+                self.scheduler.on_entry_lost(incarnation, &mut self.links);
+            }
+            if quiet >= ACKNOWLEDGE_DELAY {
+                self.send_acknowledgements(now, &name, effects);
+            }
+            let works_for = busy || self.scheduler.job_count() > 0;
+            let interval = if works_for {
+                BUSY_HEARTBEAT
+            } else {
+                IDLE_HEARTBEAT
+            };
+            if quiet >= interval {
+                self.send_to_peer(now, &name, ToPeerBody::Heartbeat, effects);
+            }
+        }
+    }
+
+    pub(super) fn send_acknowledgements(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        if peer.session.is_none() || peer.acknowledge.is_empty() {
+            return;
+        }
+        let acknowledge = std::mem::take(&mut peer.acknowledge);
+        self.send_to_peer(now, name, ToPeerBody::Acknowledge(acknowledge), effects);
+    }
+
+    pub(super) fn push_revision_to_peers(
+        &mut self,
+        now: Timestamp,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for name in self.peers.names() {
+            self.push_revision_to_peer(now, &name, effects);
+        }
+    }
+
+    /// Sends the revision in force to a peer that is behind, once a session.
+    fn push_revision_to_peer(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(revision) = &self.revision else {
+            return;
+        };
+        let revision = Arc::clone(revision);
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        let known = peer.revision.max(peer.pushed_revision);
+        if peer.session.is_none() || known >= revision.number {
+            return;
+        }
+        peer.pushed_revision = revision.number;
+        self.send_to_peer(now, name, ToPeerBody::Revision(revision), effects);
+    }
+
+    pub(super) fn send_to_peer(
+        &mut self,
+        now: Timestamp,
+        name: &GatewayName,
+        body: ToPeerBody,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let revision = self.revision_number();
+        let stopping = self.stopping;
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        let Some(session) = peer.session else {
+            return;
+        };
+        peer.last_sent = now;
+        effects.push(GatewayEffect::ToPeer {
+            session,
+            message: ToPeer {
+                revision,
+                stopping,
+                body,
+            },
+        });
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/queue.rs
@@ -0,0 +1,177 @@
+//! The order of waiting jobs in one pool: least remaining work first, aged so
+//! that nothing starves, within tenants' weights and quotas.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::id::{SubmissionId, TenantName};
+use laurelstile_types::time::{Span, Timestamp};
+
+/// How the queue orders jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Least remaining work per slot and weight first. Each microsecond of
+    /// waiting counts as `ageing_permille` thousandths of one of work.
+    LeastRemaining {
+        /// Strength of ageing, in thousandths.
+        ageing_permille: u64,
+    },
+    /// First come, first served (a baseline).
+    Fifo,
+}
+
+/// Ageing that the measurement in docs/decisions/0002 chose.
+pub const DEFAULT_ORDER: Order = Order::LeastRemaining {
+    ageing_permille: 100,
+};
+
+/// Place of a job in the order; lower goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place(u64);
+
+/// What the place of a job follows from.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// Expected run time of all its unstarted tasks together.
+    pub remaining: Span,
+    /// Weight of its tenant.
+    pub weight: u32,
+    /// When it came.
+    pub arrival: Timestamp,
+}
+
+/// The waiting jobs of one tenant.
+#[derive(Debug, Default)]
+struct Line {
+    jobs: BTreeSet<(Place, SubmissionId)>,
+    queued_tasks: u32,
+    running: u32,
+    quota: u32,
+}
+
+/// The waiting jobs of one pool.
+#[derive(Debug)]
+pub struct Queue {
+    order: Order,
+    slots: u32,
+    lines: BTreeMap<TenantName, Line>,
+    queued_tasks: u32,
+    queued_work: u64,
+}
+
+impl Queue {
+    /// An empty queue for a pool of `slots` slots.
+    pub fn new(order: Order, slots: u32) -> Self {
+        Self {
+            order,
+            slots: slots.max(1),
+            lines: BTreeMap::new(),
+            queued_tasks: 0,
+            queued_work: 0,
+        }
+    }
+
+    /// Sets the number of slots; places of waiting jobs stay as they are.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Sets a tenant's quota of slots.
+    pub fn set_quota(&mut self, tenant: &TenantName, quota: u32) {
+        self.lines.entry(tenant.clone()).or_default().quota = quota;
+    }
+
+    /// Tasks that wait.
+    pub fn queued_tasks(&self) -> u32 {
+        self.queued_tasks
+    }
+
+    /// Tasks of `tenant` that wait.
+    pub fn queued_tasks_of(&self, tenant: &TenantName) -> u32 {
+        self.lines.get(tenant).map_or(0, |line| line.queued_tasks)
+    }
+
+    /// How long the whole pool would work on all that waits.
+    pub fn backlog(&self) -> Span {
+        Span(self.queued_work / u64::from(self.slots))
+    }
+
+    /// How long the pool would work on what goes before `place`.
+    pub fn backlog_before(&self, place: Place, work_of: impl Fn(SubmissionId) -> Span) -> Span {
+        let before: u64 = self
+            .lines
+            .values()
+            .flat_map(|line| line.jobs.range(..(place, FIRST_SUBMISSION)))
+            .map(|(_, submission)| work_of(*submission).0)
+            .sum();
+        Span(before / u64::from(self.slots))
+    }
+
+    /// The place that `claim` gives.
+    pub fn place(&self, claim: Claim) -> Place {
+        match self.order {
+            Order::Fifo => Place(claim.arrival.0),
+            Order::LeastRemaining { ageing_permille } => {
+                let share = u64::from(self.slots) * u64::from(claim.weight.max(1));
+                let aged = claim.arrival.0 / 1_000 * ageing_permille;
+                Place(claim.remaining.0 / share + aged)
+            }
+        }
+    }
+
+    /// Puts a job with waiting tasks in.
+    pub fn insert(&mut self, tenant: &TenantName, place: Place, submission: SubmissionId) {
+        let line = self.lines.entry(tenant.clone()).or_default();
+        line.jobs.insert((place, submission));
+    }
+
+    /// Takes a job out.
+    pub fn remove(&mut self, tenant: &TenantName, place: Place, submission: SubmissionId) {
+        if let Some(line) = self.lines.get_mut(tenant) {
+            line.jobs.remove(&(place, submission));
+        }
+    }
+
+    /// Notes that tasks came into the queue.
+    pub fn add_tasks(&mut self, tenant: &TenantName, tasks: u32, work: Span) {
+        self.lines.entry(tenant.clone()).or_default().queued_tasks += tasks;
+        self.queued_tasks += tasks;
+        self.queued_work += work.0;
+    }
+
+    /// Notes that tasks left the queue.
+    pub fn remove_tasks(&mut self, tenant: &TenantName, tasks: u32, work: Span) {
+        if let Some(line) = self.lines.get_mut(tenant) {
+            line.queued_tasks = line.queued_tasks.saturating_sub(tasks);
+        }
+        self.queued_tasks = self.queued_tasks.saturating_sub(tasks);
+        self.queued_work = self.queued_work.saturating_sub(work.0);
+    }
+
+    /// Notes that a task of `tenant` took a slot.
+    pub fn occupy(&mut self, tenant: &TenantName) {
+        self.lines.entry(tenant.clone()).or_default().running += 1;
+    }
+
+    /// Notes that a task of `tenant` left its slot.
+    pub fn vacate(&mut self, tenant: &TenantName) {
+        if let Some(line) = self.lines.get_mut(tenant) {
+            line.running = line.running.saturating_sub(1);
+        }
+    }
+
+    /// The job whose task goes next, among tenants below their quota.
+    pub fn next(&self) -> Option<SubmissionId> {
+        self.lines
+            .values()
+            .filter(|line| line.running < line.quota)
+            .filter_map(|line| line.jobs.first())
+            .min()
+            .map(|(_, submission)| *submission)
+    }
+}
+
+/// Sorts before every other submission.
+const FIRST_SUBMISSION: SubmissionId = SubmissionId {
+    entry: laurelstile_types::id::Incarnation(0),
+    number: 0,
+};
--- /dev/null
+++ b/laurelstile-core/src/messages/mod.rs
@@ -0,0 +1,4 @@
+//! Messages between laurelstile's own processes.
+
+pub mod agent;
+pub mod peer;
--- /dev/null
+++ b/laurelstile-history/src/lib.rs
@@ -0,0 +1,7 @@
+//! Histories of runs: typed JSON-lines events that callers, operators, back
+//! ends and nodes append, and the checker that judges them.
+#![deny(warnings)]
+#![forbid(unsafe_code)]
+
+pub mod event;
+pub mod file;
--- /dev/null
+++ b/laurelstile-lab/src/standin/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins for the outside systems, met through their protocols.
+
+pub mod backend;
+pub mod platform;
--- /dev/null
+++ b/laurelstile-sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! laurelstile-sim
--- /dev/null
+++ b/laurelstile-types/src/time.rs
@@ -0,0 +1,46 @@
+//! Time as the machines of `laurelstile-core` see it: passed in, never read.
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time on one process's monotonic clock, in microseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Timestamp(pub u64);
+
+/// A span of time, in microseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Span(pub u64);
+
+impl Span {
+    /// A span of whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// A span of whole seconds.
+    pub const fn from_secs(seconds: u64) -> Self {
+        Self(seconds * 1_000_000)
+    }
+
+    /// The span in whole milliseconds, rounded up.
+    pub const fn as_millis(self) -> u64 {
+        self.0.div_ceil(1_000)
+    }
+}
+
+impl Timestamp {
+    /// The point `span` after this one.
+    pub fn after(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+
+    /// The span from `earlier` to this point; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
--- /dev/null
+++ b/laurelstile-wire/src/codec.rs
@@ -0,0 +1,24 @@
+//! CBOR encoding of messages.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::WireError;
+
+/// Encodes a message.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(256);
+    // Our messages have no map with unserializable keys, and a vector takes
+    // every byte; nothing can fail.
+    let written = ciborium::into_writer(message, &mut bytes);
+    debug_assert!(written.is_ok());
+    bytes
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// [`WireError::Garbled`] if the bytes are not such a message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    ciborium::from_reader(bytes).map_err(WireError::Garbled)
+}
--- /dev/null
+++ b/laurelstile-wire/src/hello.rs
@@ -0,0 +1,223 @@
+//! The hello: versions, roles, names, and proofs of the shared secret.
+//!
+//! The dialer sends a challenge; the listener answers with its own challenge
+//! and a proof over both; the dialer proves itself in turn.
+
+use std::fmt;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use hmac::{Hmac, Mac};
+use laurelstile_core::session::Remote;
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::codec::{decode, encode};
+use crate::error::WireError;
+
+/// Version of the protocol between laurelstile's processes.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// Longest time that a hello may take.
+pub const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
+const CHALLENGE_BYTES: usize = 16;
+
+/// A websocket of either side.
+pub type Socket = WebSocketStream<TcpStream>;
+
+/// The secret that all processes of an installation share.
+#[derive(Clone)]
+pub struct SharedSecret(Vec<u8>);
+
+impl SharedSecret {
+    /// A secret of these bytes.
+    pub fn new(bytes: &[u8]) -> Self {
+        Self(bytes.to_owned())
+    }
+}
+
+impl fmt::Debug for SharedSecret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("SharedSecret")
+    }
+}
+
+/// What a process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NodeRole {
+    /// A gateway.
+    Gateway,
+    /// An agent.
+    Agent,
+}
+
+/// Who this process is.
+#[derive(Clone, Debug)]
+pub struct LocalNode {
+    /// Its role.
+    pub role: NodeRole,
+    /// Its name.
+    pub name: String,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// When it started.
+    pub started: std::time::Instant,
+    /// The shared secret.
+    pub secret: SharedSecret,
+}
+
+/// First frame of either side.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    protocol: u32,
+    role: NodeRole,
+    name: String,
+    incarnation: Incarnation,
+    uptime: Span,
+    challenge: [u8; CHALLENGE_BYTES],
+}
+
+/// A proof of the secret over both hellos.
+#[derive(Debug, Serialize, Deserialize)]
+struct Proof(#[serde(with = "serde_bytes")] Vec<u8>);
+
+#[derive(Clone, Copy)]
+enum Prover {
+    Dialer,
+    Listener,
+}
+
+/// Greets as the side that dialed.
+///
+/// # Errors
+/// Any [`WireError`]; the socket must not be used then.
+pub async fn greet_as_dialer(
+    socket: &mut Socket,
+    local: &LocalNode,
+    expected: NodeRole,
+) -> Result<Remote, WireError> {
+    with_timeout(async {
+        let ours = hello_of(local);
+        send(socket, &ours).await?;
+        let theirs: Hello = receive(socket).await?;
+        check(&theirs, expected)?;
+        let proof: Proof = receive(socket).await?;
+        verify(&proof, local, Prover::Listener, &ours, &theirs)?;
+        let answer = prove(local, Prover::Dialer, &ours, &theirs);
+        send(socket, &answer).await?;
+        Ok(remote_of(theirs))
+    })
+    .await
+}
+
+/// Greets as the side that was dialed.
+///
+/// # Errors
+/// Any [`WireError`]; the socket must not be used then.
+pub async fn greet_as_listener(
+    socket: &mut Socket,
+    local: &LocalNode,
+    expected: NodeRole,
+) -> Result<Remote, WireError> {
+    with_timeout(async {
+        let theirs: Hello = receive(socket).await?;
+        check(&theirs, expected)?;
+        let ours = hello_of(local);
+        send(socket, &ours).await?;
+        let proof = prove(local, Prover::Listener, &theirs, &ours);
+        send(socket, &proof).await?;
+        let answer: Proof = receive(socket).await?;
+        verify(&answer, local, Prover::Dialer, &theirs, &ours)?;
+        Ok(remote_of(theirs))
+    })
+    .await
+}
+
+async fn with_timeout(
+    greeting: impl Future<Output = Result<Remote, WireError>>,
+) -> Result<Remote, WireError> {
+    tokio::time::timeout(HELLO_TIMEOUT, greeting)
+        .await
+        .unwrap_or(Err(WireError::Timeout))
+}
+
+fn hello_of(local: &LocalNode) -> Hello {
+    let uptime = local.started.elapsed().as_micros();
+    Hello {
+        protocol: PROTOCOL_VERSION,
+        role: local.role,
+        name: local.name.clone(),
+        incarnation: local.incarnation,
+        uptime: Span(u64::try_from(uptime).unwrap_or(u64::MAX)),
+        challenge: rand::random(),
+    }
+}
+
+fn remote_of(hello: Hello) -> Remote {
+    Remote {
+        name: hello.name,
+        incarnation: hello.incarnation,
+        uptime: hello.uptime,
+    }
+}
+
+fn check(hello: &Hello, expected: NodeRole) -> Result<(), WireError> {
+    if hello.protocol != PROTOCOL_VERSION {
+        return Err(WireError::Version {
+            ours: PROTOCOL_VERSION,
+            theirs: hello.protocol,
+        });
+    }
+    if hello.role != expected {
+        return Err(WireError::Role);
+    }
+    Ok(())
+}
+
+fn mac_of(local: &LocalNode, prover: Prover, dialer: &Hello, listener: &Hello) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(&local.secret.0)
+        .unwrap_or_else(|_| unreachable!("HMAC takes keys of every length"));
+    mac.update(match prover {
+        Prover::Dialer => b"dialer",
+        Prover::Listener => b"listener",
+    });
+    mac.update(&encode(dialer));
+    mac.update(&encode(listener));
+    mac
+}
+
+fn prove(local: &LocalNode, prover: Prover, dialer: &Hello, listener: &Hello) -> Proof {
+    let mac = mac_of(local, prover, dialer, listener);
+    Proof(mac.finalize().into_bytes().to_vec())
+}
+
+fn verify(
+    proof: &Proof,
+    local: &LocalNode,
+    prover: Prover,
+    dialer: &Hello,
+    listener: &Hello,
+) -> Result<(), WireError> {
+    mac_of(local, prover, dialer, listener)
+        .verify_slice(&proof.0)
+        .map_err(|_| WireError::Proof)
+}
+
+async fn send<T: Serialize>(socket: &mut Socket, message: &T) -> Result<(), WireError> {
+    socket.send(Message::binary(encode(message))).await?;
+    Ok(())
+}
+
+async fn receive<T: serde::de::DeserializeOwned>(socket: &mut Socket) -> Result<T, WireError> {
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) => decode(&bytes),
+        Some(Ok(_)) => Err(WireError::UnexpectedFrame),
+        Some(Err(error)) => Err(error.into()),
+        None => Err(WireError::Closed),
+    }
+}
--- /dev/null
+++ b/laurelstile/src/commands.rs
@@ -0,0 +1,225 @@
+//! The commands.
+
+use std::path::Path;
+use std::time::Duration;
+
+use laurelstile::error::OperatorError;
+use laurelstile::operator::{ChangeOrder, Operator, draw_change_id};
+use laurelstile::plan::Plan;
+use laurelstile_types::api::{NodeStatus, Status};
+use laurelstile_types::configuration::Configuration;
+use laurelstile_types::id::ChangeId;
+use laurelstile_types::json::read_json_file;
+use laurelstile_types::revision::Change;
+use serde::Serialize;
+
+use crate::flags::{Laurelstile, LaurelstileCmd};
+
+const DEFAULT_TIMEOUT_SECONDS: u64 = 30;
+const TOKEN_VARIABLE: &str = "LAURELSTILE_TOKEN";
+
+/// Runs the command of the command line.
+pub async fn run(flags: Laurelstile) -> Result<(), OperatorError> {
+    let json = flags.json;
+    match &flags.subcommand {
+        LaurelstileCmd::Check(check) => run_check(&check.file, json),
+        LaurelstileCmd::Apply(apply) => {
+            let configuration = read_configuration(&apply.file)?;
+            let order = order(
+                Change::Apply(configuration),
+                apply.change_id.as_deref(),
+                apply.expect,
+                apply.timeout,
+            );
+            run_change(&flags, &order, apply.wait).await
+        }
+        LaurelstileCmd::Drain(drain) => {
+            let change = Change::Drain(drain.backend.as_str().into());
+            let order = order(change, drain.change_id.as_deref(), None, drain.timeout);
+            run_change(&flags, &order, drain.wait).await
+        }
+        LaurelstileCmd::Stop(stop) => {
+            let change = Change::Stop(stop.service.as_str().into());
+            let order = order(change, stop.change_id.as_deref(), None, stop.timeout);
+            run_change(&flags, &order, stop.wait).await
+        }
+        LaurelstileCmd::Status(_) => run_status(&flags).await,
+        LaurelstileCmd::Plan(plan) => run_plan(&flags, &plan.file).await,
+    }
+}
+
+fn run_check(file: &Path, json: bool) -> Result<(), OperatorError> {
+    let configuration = read_configuration(file)?;
+    let checked = Checked {
+        pools: configuration.pools.len(),
+        backends: configuration.backends().count(),
+        services: configuration.services.len(),
+        tenants: configuration.tenants.len(),
+    };
+    if json {
+        return print_json(&checked);
+    }
+    println!(
+        "{}: {} pools, {} back ends, {} services, {} tenants",
+        file.display(),
+        checked.pools,
+        checked.backends,
+        checked.services,
+        checked.tenants
+    );
+    Ok(())
+}
+
+#[derive(Serialize)]
+struct Checked {
+    pools: usize,
+    backends: usize,
+    services: usize,
+    tenants: usize,
+}
+
+fn read_configuration(file: &Path) -> Result<Configuration, OperatorError> {
+    let configuration: Configuration = read_json_file(file)?;
+    configuration.check()?;
+    Ok(configuration)
+}
+
+fn order(
+    change: Change,
+    id: Option<&str>,
+    expected_head: Option<u64>,
+    timeout_seconds: Option<u64>,
+) -> ChangeOrder {
+    ChangeOrder {
+        id: id.map_or_else(draw_change_id, ChangeId::from),
+        change,
+        expected_head,
+        patience: Duration::from_secs(timeout_seconds.unwrap_or(DEFAULT_TIMEOUT_SECONDS)),
+    }
+}
+
+#[derive(Serialize)]
+struct Accepted {
+    change: ChangeId,
+    revision: u64,
+    in_force_everywhere: bool,
+}
+
+async fn run_change(
+    flags: &Laurelstile,
+    order: &ChangeOrder,
+    wait: bool,
+) -> Result<(), OperatorError> {
+    let operator = operator(flags)?;
+    let revision = operator.change(order).await?;
+    if wait {
+        operator.wait_in_force(revision, order.patience).await?;
+    }
+    if flags.json {
+        return print_json(&Accepted {
+            change: order.id.clone(),
+            revision,
+            in_force_everywhere: wait,
+        });
+    }
+    let state = if wait {
+        "in force everywhere"
+    } else {
+        "accepted"
+    };
+    println!("revision {revision} {state}");
+    Ok(())
+}
+
+#[derive(Serialize)]
+struct GatewayStatus {
+    address: String,
+    status: Option<Status>,
+    error: Option<String>,
+}
+
+async fn run_status(flags: &Laurelstile) -> Result<(), OperatorError> {
+    let mut all = Vec::new();
+    for (address, status) in operator(flags)?.statuses().await {
+        let (status, error) = match status {
+            Ok(status) => (Some(status), None),
+            Err(error) => (None, Some(error.to_string())),
+        };
+        all.push(GatewayStatus {
+            address,
+            status,
+            error,
+        });
+    }
+    if flags.json {
+        print_json(&all)?;
+    } else {
+        all.iter().for_each(print_status);
+    }
+    if all.iter().all(|gateway| gateway.status.is_none()) {
+        return Err(OperatorError::NoGateway(None));
+    }
+    Ok(())
+}
+
+fn print_status(gateway: &GatewayStatus) {
+    let Some(status) = &gateway.status else {
+        let error = gateway.error.as_deref().unwrap_or("no answer");
+        println!("{}: {error}", gateway.address);
+        return;
+    };
+    let state = if status.ready { "ready" } else { "not ready" };
+    println!(
+        "gateway {} at {}: {state}, revision {}, {} submissions, {} queued tasks",
+        status.gateway, gateway.address, status.revision, status.submissions, status.queued_tasks
+    );
+    for peer in &status.peers {
+        print_node("peer", peer);
+    }
+    for agent in &status.agents {
+        print_node("agent", agent);
+    }
+}
+
+fn print_node(kind: &str, node: &NodeStatus) {
+    let state = match (node.live, node.draining) {
+        (false, _) => "no session",
+        (true, true) => "draining",
+        (true, false) => "live",
+    };
+    println!(
+        "  {kind} {}: {state}, revision {}, {} free slots",
+        node.name, node.revision, node.free_slots
+    );
+}
+
+async fn run_plan(flags: &Laurelstile, file: &Path) -> Result<(), OperatorError> {
+    let configuration = read_configuration(file)?;
+    let current = operator(flags)?.configuration().await?;
+    let plan = Plan::of(
+        current.as_ref().map_or(0, |revision| revision.number),
+        current.as_ref().map(|revision| &revision.configuration),
+        &configuration,
+    );
+    if flags.json {
+        return print_json(&plan);
+    }
+    print!("{plan}");
+    Ok(())
+}
+
+fn operator(flags: &Laurelstile) -> Result<Operator, OperatorError> {
+    if flags.gateway.is_empty() {
+        return Err(OperatorError::NoAddress);
+    }
+    let token = match &flags.token_file {
+        Some(path) => std::fs::read_to_string(path).map_err(OperatorError::TokenFile)?,
+        None => std::env::var(TOKEN_VARIABLE).map_err(|_| OperatorError::NoToken)?,
+    };
+    Ok(Operator::new(flags.gateway.clone(), token.trim()))
+}
+
+fn print_json<T: Serialize>(value: &T) -> Result<(), OperatorError> {
+    println!("{}", serde_json::to_string_pretty(value)?);
+    Ok(())
+}
--- /dev/null
+++ b/laurelstile/src/lib.rs
@@ -0,0 +1,7 @@
+//! The operators' side of laurelstile: changes, status and plans.
+#![deny(warnings)]
+#![forbid(unsafe_code)]
+
+pub mod error;
+pub mod operator;
+pub mod plan;
--- /dev/null
+++ b/laurelstiled/src/agent/mod.rs
@@ -0,0 +1,124 @@
+//! The agent role: one task drives the agent's machine; others hold sessions
+//! and run tasks on the back end.
+
+pub mod backend;
+mod driver;
+mod http;
+
+use std::sync::Arc;
+
+use laurelstile_core::agent::Agent;
+use laurelstile_types::id::BackendName;
+use laurelstile_wire::error::WireError;
+use laurelstile_wire::hello::{LocalNode, NodeRole};
+use laurelstile_wire::session;
+use metrics::counter;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use crate::error::DaemonError;
+use crate::gateway::{listen, local_node, open_history};
+use crate::settings::{AgentSettings, Node};
+use crate::telemetry::{self, SESSION_ERRORS};
+use backend::{Backend, HttpBackend};
+use driver::{Driver, Input, next_session};
+
+/// How long the last messages may take to leave.
+const LAST_MESSAGES: std::time::Duration = std::time::Duration::from_millis(300);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// Runs an agent beside an HTTP back end until a planned stop is complete.
+///
+/// # Errors
+/// [`DaemonError`] if it cannot start.
+pub async fn run_with_http_backend(node: Node, settings: AgentSettings) -> Result<(), DaemonError> {
+    let metrics = telemetry::install()?;
+    let server = http::serve(settings.metrics, metrics)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    let backend = HttpBackend::new(&settings.backend);
+    let listener = listen(settings.listen).await?;
+    let stop = async move {
+        terminate.recv().await;
+    };
+    log::info!(backend = node.name.as_str(); "agent started");
+    run(node, listener, Arc::new(backend), stop).await?;
+    let _ = tokio::time::timeout(LAST_MESSAGES, server.close()).await;
+    Ok(())
+}
+
+/// Runs an agent until a planned stop, begun by `stop`, is complete.
+///
+/// # Errors
+/// [`DaemonError`] if it cannot start.
+pub async fn run<B: Backend>(
+    node: Node,
+    listener: TcpListener,
+    backend: Arc<B>,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<(), DaemonError> {
+    let clock = Clock::start();
+    let history = open_history(&node)?;
+    let local = local_node(&node, NodeRole::Agent, clock);
+    let incarnation = local.incarnation;
+    let (input, inputs) = mpsc::unbounded_channel();
+    let accepting = tokio::spawn(accept_gateways(listener, local, input.clone()));
+    let stop_input = input.clone();
+    tokio::spawn(async move {
+        stop.await;
+        let _ = stop_input.send(Input::Stop);
+    });
+    let machine = Agent::new(BackendName(node.name.clone()));
+    Driver::new(clock, machine, incarnation, backend, input, history)
+        .run(inputs)
+        .await;
+    tokio::time::sleep(LAST_MESSAGES).await;
+    accepting.abort();
+    log::info!(backend = node.name.as_str(); "agent stopped");
+    Ok(())
+}
+
+async fn accept_gateways(
+    listener: TcpListener,
+    local: LocalNode,
+    input: mpsc::UnboundedSender<Input>,
+) {
+    loop {
+        let Ok((stream, address)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (local, input) = (local.clone(), input.clone());
+        tokio::spawn(async move {
+            let error = hold_session(stream, &local, &input).await;
+            counter!(SESSION_ERRORS, "kind" => error.kind(), "side" => "gateway").increment(1);
+            log::info!(remote:% = address, error:% = error; "session to gateway ended");
+        });
+    }
+}
+
+async fn hold_session(
+    stream: TcpStream,
+    local: &LocalNode,
+    input: &mpsc::UnboundedSender<Input>,
+) -> WireError {
+    let (socket, remote) = match session::accept(stream, local, NodeRole::Gateway).await {
+        Ok(opened) => opened,
+        Err(error) => return error,
+    };
+    let session = next_session();
+    let (outgoing, messages) = mpsc::unbounded_channel();
+    let _ = input.send(Input::Opened {
+        session,
+        gateway: remote.incarnation,
+        outgoing,
+    });
+    let error = session::run(socket, messages, |message| {
+        let _ = input.send(Input::Message { session, message });
+    })
+    .await;
+    let _ = input.send(Input::Closed { session });
+    error
+}
--- /dev/null
+++ b/laurelstiled/src/gateway/mod.rs
@@ -0,0 +1,121 @@
+//! The gateway role: one task drives the gateway's machine; others serve
+//! callers, hold sessions, and talk to the platform.
+
+pub mod api;
+mod dial;
+mod driver;
+mod mesh;
+mod platform;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use laurelstile_core::gateway::{DEFAULT_ORDER, Gateway, Identity};
+use laurelstile_history::file::HistoryWriter;
+use laurelstile_platform::client::HttpPlatform;
+use laurelstile_types::id::{GatewayName, Incarnation};
+use laurelstile_wire::hello::{LocalNode, NodeRole, SharedSecret};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::Clock;
+use crate::error::DaemonError;
+use crate::settings::{GatewaySettings, Node};
+use crate::telemetry;
+pub use driver::from_agent_kind;
+use driver::{Driver, Input};
+
+/// How long answers may take to leave once nothing is in flight any more.
+const LAST_ANSWERS: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// Runs a gateway until it has stopped in a planned way.
+///
+/// # Errors
+/// [`DaemonError`] if it cannot start.
+pub async fn run(node: Node, settings: GatewaySettings) -> Result<(), DaemonError> {
+    let metrics = telemetry::install()?;
+    let clock = Clock::start();
+    let history = open_history(&node)?;
+    let local = local_node(&node, NodeRole::Gateway, clock);
+    let incarnation = local.incarnation;
+    let platform = HttpPlatform::new(settings.platform.clone());
+    let (input, inputs) = mpsc::unbounded_channel();
+
+    let dialing = dial::Dialing {
+        local: local.clone(),
+        source: settings.source,
+        input: input.clone(),
+    };
+    let listener = listen(settings.mesh).await?;
+    let (machines, machine_list) = watch::channel(Arc::default());
+    tokio::spawn(mesh::accept_peers(listener, local, input.clone()));
+    tokio::spawn(mesh::dial_peers(
+        settings.peers.clone(),
+        machine_list,
+        dialing.clone(),
+    ));
+    let poll = platform::start_polling(&settings, platform.clone(), input.clone(), machines);
+    let claims = platform::start_claims(platform.clone(), input.clone(), history.clone());
+
+    let server = api::serve(
+        &settings,
+        api::Context::new(
+            input.clone(),
+            platform,
+            poll,
+            &settings.operator_token,
+            metrics,
+        ),
+    )?;
+    stop_on_signal(input)?;
+    log::info!(gateway = node.name.as_str(), incarnation:% = incarnation; "gateway started");
+
+    let identity = Identity {
+        name: GatewayName(node.name.clone()),
+        incarnation,
+        zone: node.zone.clone(),
+    };
+    let machine = Gateway::new(identity, DEFAULT_ORDER);
+    let dialer = dial::AgentDialer::new(dialing);
+    Driver::new(clock, machine, dialer, claims, history)
+        .run(inputs)
+        .await;
+    tokio::time::sleep(LAST_ANSWERS).await;
+    // The server may hold idle connections open; every answer has left.
+    let _ = tokio::time::timeout(LAST_ANSWERS, server.close()).await;
+    log::info!(gateway = node.name.as_str(); "gateway stopped");
+    Ok(())
+}
+
+pub(crate) fn local_node(node: &Node, role: NodeRole, clock: Clock) -> LocalNode {
+    LocalNode {
+        role,
+        name: node.name.clone(),
+        incarnation: Incarnation(rand::random()),
+        started: clock.started(),
+        secret: SharedSecret::new(node.secret.as_bytes()),
+    }
+}
+
+pub(crate) fn open_history(node: &Node) -> Result<HistoryWriter, DaemonError> {
+    match &node.history {
+        Some(path) => Ok(HistoryWriter::open(path, &node.name)?),
+        None => Ok(HistoryWriter::none()),
+    }
+}
+
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| DaemonError::Listen { address, source })
+}
+
+fn stop_on_signal(input: mpsc::UnboundedSender<Input>) -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    tokio::spawn(async move {
+        terminate.recv().await;
+        let _ = input.send(Input::Stop);
+    });
+    Ok(())
+}
--- /dev/null
+++ b/laurelstiled/src/lib.rs
@@ -0,0 +1,13 @@
+//! The laurelstile daemon: wires the machines of `laurelstile-core` to
+//! sockets, the platform, back ends and callers.
+#![deny(warnings)]
+#![forbid(unsafe_code)]
+
+pub mod agent;
+pub mod clock;
+pub mod error;
+pub mod gateway;
+pub mod logging;
+pub mod process;
+pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/laurelstiled/src/telemetry.rs
@@ -0,0 +1,46 @@
+//! Metrics: names, buckets and the Prometheus rendering.
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::error::DaemonError;
+
+/// Answers and failures, with their time since the submission came; labels
+/// `service`, `class`, `tenant`, `outcome`.
+pub const RESPONSE_SECONDS: &str = "laurelstile_response_seconds";
+/// Run time of tasks at the back end; labels `service`, `class`.
+pub const TASK_SECONDS: &str = "laurelstile_task_seconds";
+/// Messages sent to other laurelstile processes; label `kind`.
+pub const MESSAGES: &str = "laurelstile_messages_sent_total";
+/// Task starts at this agent.
+pub const STARTS: &str = "laurelstile_task_starts_total";
+/// Dispatches that this agent did not start; label `reason`.
+pub const NOT_STARTED: &str = "laurelstile_not_started_total";
+/// Results that came for jobs that were over.
+pub const LATE_RESULTS: &str = "laurelstile_late_results";
+/// Sessions that failed or were refused; labels `kind`, `side`.
+pub const SESSION_ERRORS: &str = "laurelstile_session_errors_total";
+/// Revision of the configuration in force.
+pub const REVISION: &str = "laurelstile_revision";
+/// Submissions that wait for their answer.
+pub const SUBMISSIONS: &str = "laurelstile_submissions";
+/// Tasks in this gateway's queues.
+pub const QUEUED_TASKS: &str = "laurelstile_queued_tasks";
+/// Failed exchanges with the platform; label `call`.
+pub const PLATFORM_ERRORS: &str = "laurelstile_platform_errors_total";
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
+];
+
+/// Installs the recorder of this process.
+///
+/// # Errors
+/// [`DaemonError::Metrics`].
+pub fn install() -> Result<PrometheusHandle, DaemonError> {
+    PrometheusBuilder::new()
+        .set_buckets(&BUCKETS)
+        .map_err(DaemonError::Metrics)?
+        .install_recorder()
+        .map_err(DaemonError::Metrics)
+}
