Judge histories by the eight points

A gateway that accepts a change now puts it in force itself instead of polling for it, so that an outage of the table right after cannot hold it back.

--- /dev/null
+++ b/laurelstile-history/src/check/configuration.rs
@@ -0,0 +1,154 @@
+//! Configurations in force: point 8.
+
+use std::collections::BTreeMap;
+
+use super::{Bounds, Point, Report, seconds};
+use crate::event::{Event, Record};
+
+/// Target of faults that hit the platform.
+const PLATFORM: &str = "platform";
+
+/// What a history says of one node.
+#[derive(Default)]
+struct Node<'a> {
+    in_force: Vec<(u64, &'a Record)>,
+    /// Times in which the node was not whole, in order.
+    faults: Vec<Fault>,
+    stopped_at: Option<u64>,
+}
+
+struct Fault {
+    from: u64,
+    to: u64,
+}
+
+pub(super) fn check(records: &[Record], bounds: Bounds, report: &mut Report) {
+    check_no_revert(records, report);
+    let end = records.last().map_or(0, |record| record.at_micros);
+    let nodes = nodes_of(records, end);
+    for record in records {
+        let Event::ChangeAccepted { revision, .. } = &record.event else {
+            continue;
+        };
+        for (name, node) in &nodes {
+            check_in_force(record, *revision, name, node, bounds, end, report);
+        }
+    }
+}
+
+fn check_no_revert(records: &[Record], report: &mut Report) {
+    let mut newest: BTreeMap<(&str, &str), (u64, &Record)> = BTreeMap::new();
+    for record in records {
+        let Event::InForce {
+            incarnation,
+            revision,
+        } = &record.event
+        else {
+            continue;
+        };
+        let key = (record.node.as_str(), incarnation.as_str());
+        if let Some((before, earlier)) = newest.get(&key)
+            && revision < before
+        {
+            let message = format!("{} went from revision {before} to {revision}", record.node);
+            report.violate(Point::ConfigurationInForce, message, [*earlier, record]);
+        }
+        newest.insert(key, (*revision, record));
+    }
+}
+
+fn check_in_force(
+    accepted: &Record,
+    revision: u64,
+    name: &str,
+    node: &Node,
+    bounds: Bounds,
+    end: u64,
+    report: &mut Report,
+) {
+    let due_from = node.whole_from(accepted.at_micros, bounds.in_force_micros);
+    let due = due_from.saturating_add(bounds.in_force_micros);
+    if due > end || node.stopped_at.is_some_and(|stopped| stopped < due) {
+        return;
+    }
+    let reached = node
+        .in_force
+        .iter()
+        .find(|(number, _)| *number >= revision)
+        .map(|(_, record)| record.at_micros);
+    match reached {
+        Some(at) if at <= due => {
+            if due_from == accepted.at_micros {
+                let took = seconds(at.saturating_sub(accepted.at_micros));
+                report.config_max_seconds_in_force = report.config_max_seconds_in_force.max(took);
+            }
+        }
+        _ => {
+            let message = format!(
+                "revision {revision} was not in force on {name} within {:.0} s",
+                seconds(bounds.in_force_micros)
+            );
+            report.violate(Point::ConfigurationInForce, message, [accepted]);
+        }
+    }
+}
+
+impl Node<'_> {
+    /// The earliest time from `at` on after which the node is whole for `span`.
+    fn whole_from(&self, at: u64, span: u64) -> u64 {
+        let mut from = at;
+        for fault in &self.faults {
+            let overlaps = fault.from <= from.saturating_add(span) && fault.to >= from;
+            if overlaps {
+                from = from.max(fault.to);
+            }
+        }
+        from
+    }
+}
+
+/// The nodes that ever put a revision in force.
+fn nodes_of(records: &[Record], end: u64) -> BTreeMap<&str, Node<'_>> {
+    let mut nodes: BTreeMap<&str, Node> = BTreeMap::new();
+    for record in records {
+        if let Event::InForce { revision, .. } = &record.event {
+            let node = nodes.entry(&record.node).or_default();
+            node.in_force.push((*revision, record));
+        }
+    }
+    let mut open: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+    for record in records {
+        match &record.event {
+            Event::FaultBegan { target, kind } => {
+                open.insert((target, kind), record.at_micros);
+            }
+            Event::FaultEnded { target, kind } => {
+                if let Some(from) = open.remove(&(target.as_str(), kind.as_str())) {
+                    add_fault(&mut nodes, target, from, record.at_micros);
+                }
+            }
+            Event::StopBegan { target } => {
+                if let Some(node) = nodes.get_mut(target.as_str()) {
+                    node.stopped_at.get_or_insert(record.at_micros);
+                }
+            }
+            _ => {}
+        }
+    }
+    for ((target, _), from) in open {
+        add_fault(&mut nodes, target, from, end);
+    }
+    for node in nodes.values_mut() {
+        node.faults.sort_by_key(|fault| fault.from);
+    }
+    nodes
+}
+
+/// A fault of the platform may keep every node from learning.
+fn add_fault(nodes: &mut BTreeMap<&str, Node>, target: &str, from: u64, to: u64) {
+    for (name, node) in nodes {
+        if *name == target || target == PLATFORM {
+            node.faults.push(Fault { from, to });
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-history/src/check/stopping.rs
@@ -0,0 +1,129 @@
+//! Planned stops: point 7.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::outcome::Reason;
+
+use super::{Point, Report};
+use crate::event::{Event, Record};
+
+/// Kind of fault that ends a process without warning.
+pub const KILL: &str = "kill";
+
+/// A request's life as far as stops matter.
+struct Life<'a> {
+    submitted: &'a Record,
+    gateway: &'a str,
+    end: Option<&'a Record>,
+    /// Nodes where tasks ran, with the times from start to end.
+    runs: Vec<Run<'a>>,
+}
+
+struct Run<'a> {
+    node: &'a str,
+    from: u64,
+    to: u64,
+}
+
+pub(super) fn check(records: &[Record], report: &mut Report) {
+    let lives = lives_of(records);
+    let kills: Vec<&Record> = records
+        .iter()
+        .filter(|record| matches!(&record.event, Event::FaultBegan { kind, .. } if kind == KILL))
+        .collect();
+    for record in records {
+        if let Event::StopBegan { target } = &record.event {
+            for life in lives.values() {
+                check_life(record, target, life, &kills, report);
+            }
+        }
+    }
+}
+
+fn check_life(stop: &Record, target: &str, life: &Life, kills: &[&Record], report: &mut Report) {
+    let Some(end) = life.end else {
+        return;
+    };
+    let in_flight = (life.submitted.at_micros..end.at_micros).contains(&stop.at_micros);
+    if !in_flight || !is_cut_off(stop, target, life, end) {
+        return;
+    }
+    // A kill while the request was in flight is reason enough.
+    let killed = kills
+        .iter()
+        .any(|kill| (life.submitted.at_micros..=end.at_micros).contains(&kill.at_micros));
+    if killed {
+        return;
+    }
+    report.cut_off_by_planned_stop += 1;
+    let message = format!("a request in flight at {target} was cut off by its planned stop");
+    report.violate(Point::StopCutsNothing, message, [life.submitted, stop, end]);
+}
+
+/// Whether the way the request ended may be the stop's doing.
+fn is_cut_off(stop: &Record, target: &str, life: &Life, end: &Record) -> bool {
+    match &end.event {
+        Event::Lost { .. } => life.gateway == target,
+        Event::Failed { reason, .. } => match reason {
+            Reason::GatewayStopping => life.gateway == target,
+            Reason::WorkerLost => life
+                .runs
+                .iter()
+                .any(|run| run.node == target && (run.from..=run.to).contains(&stop.at_micros)),
+            _ => false,
+        },
+        _ => false,
+    }
+}
+
+fn lives_of(records: &[Record]) -> BTreeMap<&str, Life<'_>> {
+    let mut lives: BTreeMap<&str, Life> = BTreeMap::new();
+    let mut ended: BTreeMap<(&str, u32), u64> = BTreeMap::new();
+    let mut seen: BTreeSet<&str> = BTreeSet::new();
+    for record in records {
+        if let Event::TaskEnded { submission, task } = &record.event {
+            ended.insert((submission, *task), record.at_micros);
+        }
+    }
+    for record in records {
+        match &record.event {
+            Event::Submitted {
+                request, gateway, ..
+            } => {
+                let life = Life {
+                    submitted: record,
+                    gateway,
+                    end: None,
+                    runs: Vec::new(),
+                };
+                lives.insert(request, life);
+            }
+            Event::Answered { request, .. }
+            | Event::Failed { request, .. }
+            | Event::Lost { request, .. } => {
+                if let Some(life) = lives.get_mut(request.as_str())
+                    && seen.insert(request)
+                {
+                    life.end = Some(record);
+                }
+            }
+            Event::TaskStarted {
+                request,
+                submission,
+                task,
+                ..
+            } => {
+                let to = ended.get(&(submission.as_str(), *task)).copied();
+                if let Some(life) = lives.get_mut(request.as_str()) {
+                    life.runs.push(Run {
+                        node: &record.node,
+                        from: record.at_micros,
+                        to: to.unwrap_or(u64::MAX),
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    lives
+}
--- a/laurelstile-history/src/event.rs
+++ b/laurelstile-history/src/event.rs
@@ -121,6 +121,20 @@
         /// Whether it has the claim.
         granted: bool,
     },
+    /// A gateway begins to give a claim back.
+    ReleaseRequested {
+        /// Tenant, service and key.
+        claim: String,
+        /// Submission that had or may have the claim.
+        submission: String,
+    },
+    /// A claim is given back.
+    ReleaseDone {
+        /// Tenant, service and key.
+        claim: String,
+        /// Submission that had or may have had the claim.
+        submission: String,
+    },
     /// A planned stop of a node begins.
     StopBegan {
         /// The node.
--- a/laurelstile-history/src/lib.rs
+++ b/laurelstile-history/src/lib.rs
@@ -3,5 +3,6 @@
 #![deny(warnings)]
 #![forbid(unsafe_code)]
 
+pub mod check;
 pub mod event;
 pub mod file;
--- a/laurelstile-platform/src/configuration_log.rs
+++ b/laurelstile-platform/src/configuration_log.rs
@@ -72,7 +72,8 @@
 }
 
 /// Appends a change and gives its revision, the same one however often the
-/// same change is appended.
+/// same change is appended. Whoever appends can put the revision in force at
+/// once, even if the table goes down now.
 ///
 /// # Errors
 /// [`AppendError`].
@@ -81,11 +82,11 @@
     id: &ChangeId,
     change: &Change,
     expected_head: Option<RevisionNumber>,
-) -> Result<RevisionNumber, AppendError> {
+) -> Result<Accepted, AppendError> {
     let mut last_error = None;
     for _ in 0..APPEND_TRIES {
         match try_append(platform, id, change, expected_head).await {
-            Ok(Some(number)) => return Ok(number),
+            Ok(Some(accepted)) => return Ok(accepted),
             Ok(None) => last_error = None,
             Err(TryError::Refused(error)) => return Err(error),
             Err(TryError::Table(error)) => {
@@ -97,6 +98,15 @@
     Err(last_error.map_or(AppendError::Contended, AppendError::Unavailable))
 }
 
+/// An accepted change.
+#[derive(Debug)]
+pub struct Accepted {
+    /// Number of its revision.
+    pub number: RevisionNumber,
+    /// The revision, unless it is too old to be in the table still.
+    pub revision: Option<Revision>,
+}
+
 enum TryError {
     Refused(AppendError),
     Table(HttpError),
@@ -114,11 +124,12 @@
     id: &ChangeId,
     change: &Change,
     expected_head: Option<RevisionNumber>,
-) -> Result<Option<RevisionNumber>, TryError> {
+) -> Result<Option<Accepted>, TryError> {
     let keys = vec![change_key(id), HEAD_KEY.to_owned()];
     let rows = platform.read(keys).await?;
     if let Some(number) = number_in(rows.first()) {
-        return Ok(Some(number));
+        let revision = read_revision(platform, number).await?;
+        return Ok(Some(Accepted { number, revision }));
     }
     let head = number_in(rows.get(1)).unwrap_or(0);
     if let Some(expected) = expected_head.filter(|expected| *expected != head) {
@@ -133,7 +144,10 @@
         .ok_or(TryError::Refused(AppendError::UnknownTarget))?;
     let transaction = transaction_of(platform, head, &next).await?;
     let reply = platform.transact(&transaction).await?;
-    Ok(reply.committed.then_some(next.number))
+    Ok(reply.committed.then_some(Accepted {
+        number: next.number,
+        revision: Some(next),
+    }))
 }
 
 async fn transaction_of<P: Platform>(
--- a/laurelstiled/src/gateway/api.rs
+++ b/laurelstiled/src/gateway/api.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use sha2::{Digest, Sha256};
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 
 use super::driver::Input;
 use crate::error::DaemonError;
@@ -38,7 +38,6 @@
 pub struct Context {
     input: mpsc::UnboundedSender<Input>,
     platform: HttpPlatform,
-    poll: Arc<Notify>,
     operator_token: [u8; 32],
     metrics: PrometheusHandle,
     next_number: AtomicU64,
@@ -49,14 +48,12 @@
     pub fn new(
         input: mpsc::UnboundedSender<Input>,
         platform: HttpPlatform,
-        poll: Arc<Notify>,
         operator_token: &str,
         metrics: PrometheusHandle,
     ) -> Self {
         Self {
             input,
             platform,
-            poll,
             operator_token: Sha256::digest(operator_token).into(),
             metrics,
             next_number: AtomicU64::new(1),
@@ -360,12 +357,18 @@
             HttpError::for_bad_request(Some("bad_configuration".to_owned()), error.to_string())
         })?;
     }
-    let revision = append(&context.platform, &id, &change, expected_head)
+    let accepted = append(&context.platform, &id, &change, expected_head)
         .await
         .map_err(|error| append_error(&error))?;
-    context.poll.notify_one();
-    log::info!(change:% = id, revision = revision; "change accepted");
-    Ok(HttpResponseOk(ChangeAccepted { revision }))
+    let number = accepted.number;
+    log::info!(change:% = id, revision = number; "change accepted");
+    // In force here at once, and from here everywhere, whatever becomes of
+    // the table.
+    if let Some(revision) = accepted.revision {
+        let event = GatewayEvent::Revision(Arc::new(revision));
+        let _ = context.input.send(Input::Event(event));
+    }
+    Ok(HttpResponseOk(ChangeAccepted { revision: number }))
 }
 
 fn append_error(error: &AppendError) -> HttpError {
--- a/laurelstiled/src/gateway/mod.rs
+++ b/laurelstiled/src/gateway/mod.rs
@@ -55,18 +55,12 @@
         machine_list,
         dialing.clone(),
     ));
-    let poll = platform::start_polling(&settings, platform.clone(), input.clone(), machines);
+    platform::start_polling(&settings, platform.clone(), input.clone(), machines);
     let claims = platform::start_claims(platform.clone(), input.clone(), history.clone());
 
     let server = api::serve(
         &settings,
-        api::Context::new(
-            input.clone(),
-            platform,
-            poll,
-            &settings.operator_token,
-            metrics,
-        ),
+        api::Context::new(input.clone(), platform, &settings.operator_token, metrics),
     )?;
     stop_on_signal(input)?;
     log::info!(gateway = node.name.as_str(), incarnation:% = incarnation; "gateway started");
--- a/laurelstiled/src/gateway/platform.rs
+++ b/laurelstiled/src/gateway/platform.rs
@@ -13,7 +13,7 @@
 use laurelstile_platform::http::HttpError;
 use laurelstile_types::platform::MachineList;
 use metrics::counter;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
 use super::driver::Input;
 use crate::settings::GatewaySettings;
@@ -37,30 +37,25 @@
     Release(ClaimRequest),
 }
 
-/// Starts the polls; the notification given back makes the configuration log
-/// be read at once.
+/// Starts the polls.
 pub fn start_polling(
     settings: &GatewaySettings,
     platform: HttpPlatform,
     input: mpsc::UnboundedSender<Input>,
     machines: watch::Sender<Arc<MachineList>>,
-) -> Arc<Notify> {
-    let wake = Arc::new(Notify::new());
+) {
     tokio::spawn(poll_configuration(
         platform.clone(),
         Duration::from_millis(settings.configuration_poll_millis),
-        Arc::clone(&wake),
         input.clone(),
     ));
     let interval = Duration::from_millis(settings.machines_poll_millis);
     tokio::spawn(poll_machines(platform, interval, input, machines));
-    wake
 }
 
 async fn poll_configuration(
     platform: HttpPlatform,
     interval: Duration,
-    wake: Arc<Notify>,
     input: mpsc::UnboundedSender<Input>,
 ) {
     let mut known = 0;
@@ -74,7 +69,7 @@
             Ok(None) => {}
             Err(error) => note_error("configuration", &error),
         }
-        let _ = tokio::time::timeout(interval, wake.notified()).await;
+        tokio::time::sleep(interval).await;
     }
 }
 
@@ -123,7 +118,9 @@
                 match call {
                     ClaimCall::Claim(request) => claims.push(claim_of(request)),
                     ClaimCall::Release(request) => {
-                        tokio::spawn(release_until_done(platform.clone(), claim_of(request)));
+                        let claim = claim_of(request);
+                        let (platform, history) = (platform.clone(), history.clone());
+                        tokio::spawn(release_until_done(platform, claim, history));
                     }
                 }
             }
@@ -171,10 +168,21 @@
     }
 }
 
-async fn release_until_done(platform: HttpPlatform, claim: Claim) {
+async fn release_until_done(platform: HttpPlatform, claim: Claim, history: HistoryWriter) {
+    let submission = claim.submission.to_string();
+    history.record(Event::ReleaseRequested {
+        claim: name_of(&claim),
+        submission: submission.clone(),
+    });
     for _ in 0..RELEASE_TRIES {
         match release(&platform, &claim).await {
-            Ok(()) => return,
+            Ok(()) => {
+                history.record(Event::ReleaseDone {
+                    claim: name_of(&claim),
+                    submission,
+                });
+                return;
+            }
             Err(error) => note_error("release", &error),
         }
         tokio::time::sleep(RELEASE_PAUSE).await;
