--- a/laurelstile-core/src/gateway/entry.rs
+++ b/laurelstile-core/src/gateway/entry.rs
@@ -6,7 +6,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::submission::{Holder, Phase, Submission};
-use super::{Answer, ClaimOutcome, ClaimRequest, Gateway, GatewayEffect, JobRequest};
+use super::{Answer, ClaimOutcome, ClaimRequest, Gateway, GatewayEffect, JobRequest, Routing};
 use crate::messages::agent::TaskOutcome;
 use crate::messages::peer::{Delegation, DelegationEnd, ToPeerBody};
 use crate::payload::Payload;
@@ -176,6 +176,9 @@
     }
 
     fn choose_scheduler(&self, now: Timestamp, delegation: &Delegation) -> Holder {
+        if self.routing == Routing::Entry {
+            return Holder::Own;
+        }
         let own = (!self.stopping).then_some(&self.identity.name);
         let peers = self
             .peers
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -181,10 +181,38 @@
     pub zone: ZoneName,
 }
 
+/// Who schedules a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Routing {
+    /// One gateway for each pool, named by rendezvous hashing.
+    OnePerPool,
+    /// The gateway that took the job (a baseline).
+    Entry,
+}
+
+/// How a gateway schedules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Policy {
+    /// Order of waiting jobs.
+    pub order: Order,
+    /// Who schedules a job.
+    pub routing: Routing,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            order: DEFAULT_ORDER,
+            routing: Routing::OnePerPool,
+        }
+    }
+}
+
 /// The gateway's machine.
 #[derive(Debug)]
 pub struct Gateway {
     identity: Identity,
+    routing: Routing,
     revision: Option<Arc<Revision>>,
     stopping: bool,
     stop_reported: bool,
@@ -196,15 +224,16 @@
 
 impl Gateway {
     /// A gateway without a configuration.
-    pub fn new(identity: Identity, order: Order) -> Self {
+    pub fn new(identity: Identity, policy: Policy) -> Self {
         Self {
+            routing: policy.routing,
             links: Links::new(identity.zone.clone()),
             identity,
             revision: None,
             stopping: false,
             stop_reported: false,
             peers: Peers::default(),
-            scheduler: Scheduler::new(order),
+            scheduler: Scheduler::new(policy.order),
             submissions: BTreeMap::new(),
         }
     }
--- /dev/null
+++ b/laurelstile-sim/src/flags.rs
@@ -0,0 +1,25 @@
+//! The command line.
+
+xflags::xflags! {
+    /// The machines of laurelstile in virtual time.
+    cmd laurelstile-sim {
+        /// Run seeds under faults and judge their histories.
+        cmd prove {
+            /// Seeds to run, A..B.
+            required --seeds seeds: String
+            /// Show every violation with its events.
+            optional --verbose
+            /// Print the histories.
+            optional --history
+            /// Switch a mechanism off: recovery, claims or drains.
+            optional --without mechanism: String
+        }
+        /// Compare ways of scheduling without faults.
+        cmd experiment {
+            /// Seconds of virtual time (default 120).
+            optional --seconds seconds: u64
+            /// Seed (default 1).
+            optional --seed seed: u64
+        }
+    }
+}
--- a/laurelstile-sim/src/lib.rs
+++ b/laurelstile-sim/src/lib.rs
@@ -1,1 +1,10 @@
-//! laurelstile-sim
+//! The emulator: drives the machines of `laurelstile-core` in virtual time,
+//! over a simulated network, platform and back ends, from one seed.
+#![deny(warnings)]
+#![forbid(unsafe_code)]
+
+pub mod experiment;
+pub mod faults;
+pub mod prove;
+pub mod workload;
+pub mod world;
