Refuse tasks that are older than an agent's membership

Cause: a scheduler frozen with a delegated job, or with a Delegate waiting in its socket, wakes up after the entry gateway has recovered the job elsewhere. Ruled out: records expiring (lifetime outlasts every deadline), duplicate delivery (sessions are ordered and fenced).

Change: a delegation carries the scheduler's own clock as its sender last saw it; the scheduler sends back what is too stale or comes from an older revision, and each start carries the delegation's age; an agent refuses what was delegated before it joined its pool.

--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -124,12 +124,21 @@
     offered: bool,
 }
 
+/// What a start tells of its sender.
+#[derive(Clone, Copy, Debug)]
+struct Sender {
+    session: SessionId,
+    echo: Timestamp,
+    revision: RevisionNumber,
+}
+
 /// The agent's machine.
 #[derive(Debug)]
 pub struct Agent {
     name: BackendName,
     revision: Option<Arc<Revision>>,
     slots: u32,
+    member_since: Timestamp,
     drained: bool,
     leaving: bool,
     stopping: bool,
@@ -148,6 +157,7 @@
             name,
             revision: None,
             slots: 0,
+            member_since: Timestamp::default(),
             drained: false,
             leaving: false,
             stopping: false,
@@ -283,9 +293,13 @@
         match message.body {
             ToAgentBody::Heartbeat | ToAgentBody::Revision(_) => {}
             ToAgentBody::Start(tasks) => {
-                let fresh = now.since(message.echo) <= START_FRESHNESS;
+                let sender = Sender {
+                    session,
+                    echo: message.echo,
+                    revision: message.revision,
+                };
                 for task in tasks {
-                    self.start(now, session, fresh, message.revision, task, effects);
+                    self.start(now, sender, task, effects);
                 }
             }
             ToAgentBody::Reconcile(dispatches) => {
@@ -303,14 +317,12 @@
     fn start(
         &mut self,
         now: Timestamp,
-        session: SessionId,
-        fresh: bool,
-        revision: RevisionNumber,
+        sender: Sender,
         task: StartTask,
         effects: &mut Vec<AgentEffect>,
     ) {
-        let refusal = self.refusal_of(now, fresh, revision, &task);
-        let Some(link) = self.links.get_mut(&session) else {
+        let refusal = self.refusal_of(now, sender, &task);
+        let Some(link) = self.links.get_mut(&sender.session) else {
             return;
         };
         link.processed += 1;
@@ -334,8 +346,7 @@
     fn refusal_of(
         &self,
         now: Timestamp,
-        fresh: bool,
-        revision: RevisionNumber,
+        sender: Sender,
         task: &StartTask,
     ) -> Option<NotStartedReason> {
         match self.records.verdict(task.dispatch) {
@@ -343,13 +354,17 @@
             StartVerdict::Duplicate => return Some(NotStartedReason::Duplicate),
             StartVerdict::New => {}
         }
-        if !fresh {
+        if now.since(sender.echo) > START_FRESHNESS {
             return Some(NotStartedReason::StaleSender);
         }
         if self.is_draining() {
             return Some(NotStartedReason::Draining);
         }
-        if revision < self.revision_number() {
+        // The sender measured the age after it had seen the echoed reading.
+        if sender.echo < self.member_since.after(task.age) {
+            return Some(NotStartedReason::OlderThanAgent);
+        }
+        if sender.revision < self.revision_number() {
             return Some(NotStartedReason::StaleRevision);
         }
         if now < self.backend_down_until {
@@ -456,11 +471,15 @@
         if revision.number <= self.revision_number() {
             return;
         }
+        let was_member = self.slots > 0;
         self.slots = revision
             .configuration
             .backends()
             .find(|backend| backend.name == self.name)
             .map_or(0, |backend| backend.slots);
+        if !was_member {
+            self.member_since = now;
+        }
         self.drained = revision.drained.contains(&self.name);
         if !self.is_draining() {
             self.drain_reported = false;
@@ -543,6 +562,7 @@
             free,
             processed: link.processed,
             draining: self.is_draining(),
+            member_since: self.member_since,
         }
     }
 
--- a/laurelstile-core/src/gateway/entry.rs
+++ b/laurelstile-core/src/gateway/entry.rs
@@ -1,14 +1,15 @@
 //! The gateway as the entry of submissions: checks, claims, delegates, and
 //! answers.
 
-use laurelstile_types::id::{DispatchId, Incarnation, SubmissionId};
+use laurelstile_types::id::{DispatchId, SubmissionId};
 use laurelstile_types::outcome::{Failure, Reason, RunState};
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::scheduler::Origin;
 use super::submission::{Holder, Phase, Submission};
 use super::{Answer, ClaimOutcome, ClaimRequest, Gateway, GatewayEffect, JobRequest, Routing};
 use crate::messages::agent::TaskOutcome;
-use crate::messages::peer::{Delegation, DelegationEnd, ToPeerBody};
+use crate::messages::peer::{Delegation, DelegationEnd, DelegationOutcome, ToPeerBody};
 use crate::payload::Payload;
 use crate::rendezvous::scheduler_of;
 
@@ -198,11 +199,14 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let key = delegation.key;
-        let entry = self.identity.incarnation;
-        if let Err(failure) = self.accept_delegation(now, entry, delegation) {
+        let origin = Origin {
+            entry: self.identity.incarnation,
+            delegated: now,
+        };
+        if let Err(failure) = self.accept_delegation(now, origin, delegation) {
             let end = DelegationEnd {
                 key,
-                outcome: Err(failure),
+                outcome: DelegationOutcome::Failed(failure),
             };
             self.on_delegation_end(now, end, effects);
         }
@@ -211,7 +215,7 @@
     pub(super) fn accept_delegation(
         &mut self,
         now: Timestamp,
-        entry: Incarnation,
+        origin: Origin,
         delegation: Delegation,
     ) -> Result<(), Failure> {
         let revision = self
@@ -220,7 +224,7 @@
             .ok_or_else(|| Failure::not_run(Reason::NoConfiguration))?;
         self.scheduler.accept(
             now,
-            entry,
+            origin,
             delegation,
             &revision.configuration,
             &mut self.links,
@@ -244,17 +248,17 @@
             return;
         }
         match end.outcome {
-            Ok(outputs) => {
+            DelegationOutcome::Complete(outputs) => {
                 for output in outputs {
                     submission.put(output.index, output.output);
                 }
                 submission.phase = Phase::Collecting;
                 self.answer_if_complete(now, number, effects);
             }
-            Err(failure) if failure.reason == Reason::GatewayStopping => {
-                self.delegate(now, number, effects);
+            DelegationOutcome::SentBack => self.delegate(now, number, effects),
+            DelegationOutcome::Failed(failure) => {
+                self.answer(now, number, Err(failure), effects);
             }
-            Err(failure) => self.answer(now, number, Err(failure), effects),
         }
     }
 
--- a/laurelstile-core/src/gateway/links.rs
+++ b/laurelstile-core/src/gateway/links.rs
@@ -111,6 +111,12 @@
             .unwrap_or(u32::MAX)
     }
 
+    /// Whether the agent takes a task that was delegated `age` ago: only if it
+    /// was in its pool before.
+    pub fn takes(&self, age: Span) -> bool {
+        self.report.clock >= self.report.member_since.after(age)
+    }
+
     /// Whether the link has a session that was heard from lately.
     pub fn is_live(&self, now: Timestamp) -> bool {
         self.session.is_some() && now.since(self.last_heard) <= IDLE_SUSPECT
@@ -248,10 +254,17 @@
         Some(index)
     }
 
-    /// The preferred agent of `pool` with a free slot.
-    pub fn preferred(&self, pool: &PoolName) -> Option<LinkIndex> {
-        let (_, index) = self.available.get(pool)?.first()?;
-        Some(*index)
+    /// The preferred agent of `pool` with a free slot, besides `passed_over`.
+    pub fn preferred(
+        &self,
+        pool: &PoolName,
+        passed_over: &BTreeSet<LinkIndex>,
+    ) -> Option<LinkIndex> {
+        self.available
+            .get(pool)?
+            .iter()
+            .map(|(_, index)| *index)
+            .find(|index| !passed_over.contains(index))
     }
 
     /// Brings the preference of a link up to date after a change.
--- a/laurelstile-core/src/gateway/peering.rs
+++ b/laurelstile-core/src/gateway/peering.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 
 use laurelstile_types::id::{GatewayName, Incarnation};
-use laurelstile_types::outcome::{Failure, Reason};
+use laurelstile_types::revision::RevisionNumber;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::peers::{BUSY_HEARTBEAT, IDLE_HEARTBEAT, LOST};
+use super::peers::{BUSY_HEARTBEAT, DELEGATION_FRESHNESS, IDLE_HEARTBEAT, LOST};
+use super::scheduler::Origin;
 use super::{Gateway, GatewayEffect};
-use crate::messages::peer::{Delegation, DelegationEnd, DelegationKey, ToPeer, ToPeerBody};
+use crate::messages::peer::{
+    Delegation, DelegationEnd, DelegationKey, DelegationOutcome, ToPeer, ToPeerBody,
+};
 use crate::session::{Remote, SessionId};
 
 /// Acknowledgements wait this long for one another.
@@ -54,6 +57,7 @@
             return;
         };
         peer.last_heard = now;
+        peer.clock = Some(message.clock);
         peer.stopping = message.stopping;
         peer.revision = message.revision;
         peer.dropped = false;
@@ -62,7 +66,11 @@
         match message.body {
             ToPeerBody::Heartbeat => {}
             ToPeerBody::Delegate(delegation) => {
-                self.on_delegate(now, &name, incarnation, *delegation, effects);
+                let origin = Origin {
+                    entry: incarnation,
+                    delegated: message.echo,
+                };
+                self.on_delegate(now, &name, origin, message.revision, *delegation, effects);
             }
             ToPeerBody::Done(end) => self.on_done(now, &name, *end, effects),
             ToPeerBody::Acknowledge(submissions) => {
@@ -91,23 +99,26 @@
         &mut self,
         now: Timestamp,
         name: &GatewayName,
-        entry: Incarnation,
+        origin: Origin,
+        revision: RevisionNumber,
         delegation: Delegation,
         effects: &mut Vec<GatewayEffect>,
     ) {
         let key = delegation.key;
-        let accepted = if self.stopping {
-            Err(Failure::not_run(Reason::GatewayStopping))
+        // An entry gateway that is behind would not know every agent that
+        // may get tasks; it has been sent the newer revision.
+        let is_behind = revision < self.revision_number();
+        let is_stale = now.since(origin.delegated) > DELEGATION_FRESHNESS;
+        let outcome = if self.stopping || is_behind || is_stale {
+            DelegationOutcome::SentBack
         } else {
-            self.accept_delegation(now, entry, delegation)
+            match self.accept_delegation(now, origin, delegation) {
+                Ok(()) => return,
+                Err(failure) => DelegationOutcome::Failed(failure),
+            }
         };
-        if let Err(failure) = accepted {
-            let end = DelegationEnd {
-                key,
-                outcome: Err(failure),
-            };
-            self.send_to_peer(now, name, ToPeerBody::Done(Box::new(end)), effects);
-        }
+        let end = DelegationEnd { key, outcome };
+        self.send_to_peer(now, name, ToPeerBody::Done(Box::new(end)), effects);
     }
 
     fn on_done(
@@ -298,11 +309,14 @@
             return;
         };
         peer.last_sent = now;
+        let echo = peer.clock.unwrap_or_default();
         effects.push(GatewayEffect::ToPeer {
             session,
             message: ToPeer {
                 revision,
                 stopping,
+                clock: now,
+                echo,
                 body,
             },
         });
--- a/laurelstile-core/src/gateway/peers.rs
+++ b/laurelstile-core/src/gateway/peers.rs
@@ -16,6 +16,9 @@
 /// A peer is not chosen as a scheduler after this silence, and delegations
 /// to it are recovered.
 pub const SUSPECT: Span = Span::from_secs(3);
+/// A delegation is sent back if its sender last heard from this gateway
+/// longer ago: it may have been recovered meanwhile.
+pub const DELEGATION_FRESHNESS: Span = Span::from_secs(5);
 /// Delegations are recovered when a session was closed for this long.
 pub const RECONNECT_GRACE: Span = Span::from_secs(1);
 /// A peer's own jobs are dropped after this silence.
@@ -34,6 +37,8 @@
     pub last_heard: Timestamp,
     /// When the latest message went.
     pub last_sent: Timestamp,
+    /// The latest reading of its clock.
+    pub clock: Option<Timestamp>,
     /// Whether it takes no delegations.
     pub stopping: bool,
     /// Revision in force there.
@@ -51,7 +56,10 @@
 impl Peer {
     /// Whether new jobs may be delegated to it.
     pub fn can_schedule(&self, now: Timestamp) -> bool {
-        self.session.is_some() && !self.stopping && now.since(self.last_heard) <= SUSPECT
+        self.session.is_some()
+            && self.clock.is_some()
+            && !self.stopping
+            && now.since(self.last_heard) <= SUSPECT
     }
 
     /// Whether what was delegated to it must be recovered.
@@ -82,6 +90,7 @@
             closed_since: None,
             last_heard: now,
             last_sent: now,
+            clock: None,
             stopping: false,
             revision: 0,
             pushed_revision: 0,
@@ -91,6 +100,10 @@
         });
         let old_session = peer.session.replace(session);
         let old_incarnation = std::mem::replace(&mut peer.incarnation, remote.incarnation);
+        let lost = (old_incarnation != remote.incarnation).then_some(old_incarnation);
+        if lost.is_some() {
+            peer.clock = None;
+        }
         peer.closed_since = None;
         peer.last_heard = now;
         peer.pushed_revision = 0;
@@ -99,7 +112,7 @@
         Reopened {
             name,
             old_session,
-            lost: (old_incarnation != remote.incarnation).then_some(old_incarnation),
+            lost,
         }
     }
 
--- a/laurelstile-core/src/gateway/queue.rs
+++ b/laurelstile-core/src/gateway/queue.rs
@@ -159,12 +159,13 @@
         }
     }
 
-    /// The job whose task goes next, among tenants below their quota.
-    pub fn next(&self) -> Option<SubmissionId> {
+    /// The job whose task goes next, among those that fit and whose tenants
+    /// are below their quota.
+    pub fn next(&self, fits: impl Fn(SubmissionId) -> bool) -> Option<SubmissionId> {
         self.lines
             .values()
             .filter(|line| line.running < line.quota)
-            .filter_map(|line| line.jobs.first())
+            .filter_map(|line| line.jobs.iter().find(|(_, submission)| fits(*submission)))
             .min()
             .map(|(_, submission)| *submission)
     }
--- a/laurelstile-core/src/gateway/scheduler.rs
+++ b/laurelstile-core/src/gateway/scheduler.rs
@@ -10,10 +10,12 @@
 use laurelstile_types::outcome::{Failure, Reason, RunState};
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::links::{LinkIndex, Links};
+use super::links::{Link, LinkIndex, Links};
 use super::queue::{Claim, Order, Place, Queue};
 use crate::messages::agent::{Fate, NotStartedReason, StartTask, TaskOutcome};
-use crate::messages::peer::{DelegatedTask, Delegation, DelegationEnd, DelegationKey, TaskOutput};
+use crate::messages::peer::{
+    DelegatedTask, Delegation, DelegationEnd, DelegationKey, DelegationOutcome, TaskOutput,
+};
 use crate::payload::Payload;
 
 /// Weight of a new run in the learned mean of its class.
@@ -37,6 +39,8 @@
     tenant: TenantName,
     weight: u32,
     arrival: Timestamp,
+    /// Not later than the time of the delegation.
+    delegated: Timestamp,
     deadline: Timestamp,
     task_mean: Span,
     waiting: VecDeque<DelegatedTask>,
@@ -47,6 +51,15 @@
     place: Option<Place>,
 }
 
+/// Where a delegation comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    /// Incarnation of the entry gateway.
+    pub entry: Incarnation,
+    /// A time, on this gateway's clock, not later than that of the delegation.
+    pub delegated: Timestamp,
+}
+
 /// A job whose end the entry gateway has not acknowledged.
 #[derive(Debug)]
 struct Ended {
@@ -147,7 +160,7 @@
     pub fn accept(
         &mut self,
         now: Timestamp,
-        entry: Incarnation,
+        origin: Origin,
         delegation: Delegation,
         configuration: &Configuration,
         links: &mut Links,
@@ -160,13 +173,14 @@
             .map_or(1, |tenant| tenant.weight);
         let job = Job {
             key: delegation.key,
-            entry,
+            entry: origin.entry,
             pool: delegation.pool,
             service: delegation.service,
             class: delegation.class,
             tenant: delegation.tenant,
             weight,
             arrival: now,
+            delegated: origin.delegated,
             deadline: now.after(delegation.time_left),
             task_mean,
             task_count: delegation.tasks.len(),
@@ -241,9 +255,11 @@
             .map(|(pool, _)| pool.clone())
             .collect();
         for pool in pools {
-            while let Some(link) = links.preferred(&pool) {
-                let Some(submission) = self.queues.get(&pool).and_then(Queue::next) else {
-                    break;
+            let mut passed_over = BTreeSet::new();
+            while let Some(link) = links.preferred(&pool, &passed_over) {
+                let Some(submission) = self.next_for(now, &pool, links.get(link)) else {
+                    passed_over.insert(link);
+                    continue;
                 };
                 match self.start_next(now, submission, link, links) {
                     Some(task) => starts.entry(link).or_default().push(task),
@@ -254,6 +270,16 @@
         starts
     }
 
+    /// The job whose task goes next to an agent.
+    fn next_for(&self, now: Timestamp, pool: &PoolName, link: &Link) -> Option<SubmissionId> {
+        let queue = self.queues.get(pool)?;
+        queue.next(|submission| {
+            self.jobs
+                .get(&submission)
+                .is_some_and(|job| link.takes(now.since(job.delegated)))
+        })
+    }
+
     /// Takes the job's next task for a slot of `link`; `None` past the
     /// deadline, after which no task may start.
     fn start_next(
@@ -283,6 +309,7 @@
             dispatch,
             service: job.service.clone(),
             class: job.class.clone(),
+            age: now.since(job.delegated),
             input: task.input,
         };
         if let Some(queue) = self.queues.get_mut(&job.pool) {
@@ -356,6 +383,7 @@
             | NotStartedReason::Draining
             | NotStartedReason::StaleRevision
             | NotStartedReason::StaleSender
+            | NotStartedReason::OlderThanAgent
             | NotStartedReason::BackendUnreachable => self.requeue(now, dispatch, links),
         }
     }
@@ -547,7 +575,7 @@
         self.deadlines.remove(&(job.deadline, submission));
         let end = DelegationEnd {
             key: job.key,
-            outcome: Ok(job.outputs),
+            outcome: DelegationOutcome::Complete(job.outputs),
         };
         self.tell(job.entry, end, job.touched);
     }
@@ -576,7 +604,7 @@
         debug_assert!(failure.run_state == RunState::MayHaveRun || job.outputs.is_empty());
         let end = DelegationEnd {
             key: job.key,
-            outcome: Err(failure),
+            outcome: DelegationOutcome::Failed(failure),
         };
         self.tell(job.entry, end, job.touched);
     }
--- a/laurelstile-core/src/messages/agent.rs
+++ b/laurelstile-core/src/messages/agent.rs
@@ -6,7 +6,7 @@
     ClassName, DelegationNumber, DispatchId, ServiceName, SubmissionId, TaskIndex,
 };
 use laurelstile_types::revision::{Revision, RevisionNumber};
-use laurelstile_types::time::Timestamp;
+use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::payload::Payload;
@@ -54,6 +54,9 @@
     pub service: ServiceName,
     /// Class of the task.
     pub class: ClassName,
+    /// At least the time since the entry gateway delegated the task. An agent
+    /// that joined its pool later refuses it, as it may have missed a fence.
+    pub age: Span,
     /// Input of the task.
     pub input: Payload,
 }
@@ -89,6 +92,8 @@
     pub processed: u64,
     /// Whether the agent takes no new work.
     pub draining: bool,
+    /// Since when, on the agent's clock, its back end is in the configuration.
+    pub member_since: Timestamp,
 }
 
 /// What an agent tells a gateway.
@@ -161,6 +166,8 @@
     Fenced,
     /// The task was started before.
     Duplicate,
+    /// The task was delegated before the agent joined its pool.
+    OlderThanAgent,
     /// The back end refused the connection.
     BackendUnreachable,
 }
--- a/laurelstile-core/src/messages/peer.rs
+++ b/laurelstile-core/src/messages/peer.rs
@@ -7,7 +7,7 @@
 };
 use laurelstile_types::outcome::Failure;
 use laurelstile_types::revision::{Revision, RevisionNumber};
-use laurelstile_types::time::Span;
+use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::payload::Payload;
@@ -19,6 +19,10 @@
     pub revision: RevisionNumber,
     /// Whether the sender takes no new delegations.
     pub stopping: bool,
+    /// The sender's clock.
+    pub clock: Timestamp,
+    /// The latest reading of the receiver's clock that the sender has seen.
+    pub echo: Timestamp,
     /// What the message is about.
     pub body: ToPeerBody,
 }
@@ -87,8 +91,19 @@
 pub struct DelegationEnd {
     /// Identifies the delegation.
     pub key: DelegationKey,
-    /// The outputs of all its tasks, or why there are none.
-    pub outcome: Result<Vec<TaskOutput>, Failure>,
+    /// How it ended.
+    pub outcome: DelegationOutcome,
+}
+
+/// How a delegation ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum DelegationOutcome {
+    /// The outputs of all its tasks.
+    Complete(Vec<TaskOutput>),
+    /// There are none.
+    Failed(Failure),
+    /// The scheduler did not take it and never will: delegate it again.
+    SentBack,
 }
 
 /// Output of one task.
