Keep outputs of a stopping agent until no gateway can need them

Starts now carry the time left until the deadline, and the agent stays until every output is released or past it. Records without a fence expire with their job instead of after 12 minutes.

The emulator accepts changes only through a live gateway, and counts a back end as leaving from the first time a gateway could read so; the checker does not hold a node to a revision while every gateway is down.

--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -31,9 +31,6 @@
 /// How long a back end that refused a connection gets no start.
 pub const BACKEND_BACKOFF: Span = Span::from_millis(500);
 
-/// How long a stopping agent keeps outputs that nobody has released.
-pub const HAND_OVER: Span = Span::from_secs(10);
-
 /// What happens to an agent.
 #[derive(Debug)]
 pub enum AgentEvent {
@@ -143,7 +140,6 @@
     leaving: bool,
     stopping: bool,
     stop_reported: bool,
-    last_run: Timestamp,
     drain_reported: bool,
     links: BTreeMap<SessionId, Link>,
     records: Records,
@@ -162,7 +158,6 @@
             leaving: false,
             stopping: false,
             stop_reported: false,
-            last_run: Timestamp::default(),
             drain_reported: false,
             links: BTreeMap::new(),
             records: Records::default(),
@@ -201,10 +196,7 @@
                 self.on_message(now, session, message, effects);
             }
             AgentEvent::Finished { dispatch, end } => self.on_finished(now, dispatch, end),
-            AgentEvent::Stop => {
-                self.stopping = true;
-                self.last_run = now;
-            }
+            AgentEvent::Stop => self.stopping = true,
             AgentEvent::Tick => self.on_tick(now, effects),
         }
     }
@@ -222,18 +214,10 @@
         self.report_stop(now, effects);
     }
 
-    /// Reports the end of a planned stop: nothing runs, and every output was
-    /// released or had time to be fetched.
+    /// Reports the end of a planned stop: nothing runs, and no gateway may
+    /// still ask for an output.
     fn report_stop(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
-        if !self.stopping || self.stop_reported {
-            return;
-        }
-        if self.records.running() > 0 {
-            self.last_run = now;
-            return;
-        }
-        let handed_over = self.records.is_idle() || now.since(self.last_run) > HAND_OVER;
-        if handed_over {
+        if self.stopping && !self.stop_reported && !self.records.are_needed(now) {
             self.stop_reported = true;
             effects.push(AgentEffect::Stopped);
         }
@@ -334,7 +318,9 @@
             });
             return;
         }
-        self.records.start(now, link.gateway, task.dispatch);
+        let deadline = now.after(task.time_left);
+        self.records
+            .start(now, link.gateway, task.dispatch, deadline);
         effects.push(AgentEffect::Run {
             dispatch: task.dispatch,
             service: task.service,
--- a/laurelstile-core/src/agent/record.rs
+++ b/laurelstile-core/src/agent/record.rs
@@ -9,9 +9,12 @@
 
 use crate::messages::agent::{Fate, Fence, TaskOutcome};
 
-/// How long a record is kept without a release. It outlasts every deadline,
-/// so that no start or recovery of the submission can come after it.
-pub const RECORD_LIFETIME: Span = Span::from_millis(MAX_DEADLINE_MILLIS + 120_000);
+/// How long a fence is kept. It outlasts every deadline, so that no start
+/// under an older delegation can come after it.
+pub const FENCE_LIFETIME: Span = Span::from_millis(MAX_DEADLINE_MILLIS + 120_000);
+/// How long a record without a fence is kept past its job's deadline. No
+/// gateway starts or recovers a task of the job so late.
+pub const RECORD_SLACK: Span = Span::from_secs(60);
 
 /// Most bytes of outputs that are kept for gateways that may ask again.
 pub const KEPT_OUTPUT_BYTES: usize = 64 * 1024 * 1024;
@@ -49,6 +52,8 @@
     closed: bool,
     /// Whether to forget the submission once nothing of it runs.
     released: bool,
+    /// Deadline of the job, as far as starts have told.
+    deadline: Timestamp,
     expires: Timestamp,
     tasks: BTreeMap<TaskIndex, Task>,
 }
@@ -82,9 +87,12 @@
         self.work_of(gateway) > 0
     }
 
-    /// Whether nothing runs and no output waits to be released.
-    pub fn is_idle(&self) -> bool {
-        self.records.values().all(|record| record.tasks.is_empty())
+    /// Whether a task runs, or a gateway may still ask for an output.
+    pub fn are_needed(&self, now: Timestamp) -> bool {
+        self.records.values().any(|record| {
+            let is_kept = !record.tasks.is_empty() && now < record.deadline;
+            is_kept || record.running() > 0
+        })
     }
 
     /// Whether `dispatch` may start.
@@ -102,7 +110,13 @@
     }
 
     /// Notes that `dispatch` starts for `gateway`.
-    pub fn start(&mut self, now: Timestamp, gateway: Incarnation, dispatch: DispatchId) {
+    pub fn start(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        dispatch: DispatchId,
+        deadline: Timestamp,
+    ) {
         let record = self
             .records
             .entry(dispatch.submission)
@@ -113,6 +127,8 @@
             state: TaskState::Running { since: now },
         };
         record.tasks.insert(dispatch.task, task);
+        record.deadline = record.deadline.max(deadline);
+        record.expires = record.expires.max(deadline.after(RECORD_SLACK));
         *self.running.entry(gateway).or_default() += 1;
     }
 
@@ -194,7 +210,7 @@
             .entry(fence.submission)
             .or_insert_with(|| Record::new(now));
         record.fence = record.fence.max(fence.delegation);
-        record.expires = now.after(RECORD_LIFETIME);
+        record.expires = now.after(FENCE_LIFETIME);
         let mut old_owners = BTreeSet::new();
         for task in record.tasks.values_mut() {
             let old_owner = std::mem::replace(&mut task.owner, gateway);
@@ -278,7 +294,8 @@
             fence: 0,
             closed: false,
             released: false,
-            expires: now.after(RECORD_LIFETIME),
+            deadline: now,
+            expires: now,
             tasks: BTreeMap::new(),
         }
     }
--- a/laurelstile-core/src/gateway/scheduler.rs
+++ b/laurelstile-core/src/gateway/scheduler.rs
@@ -310,6 +310,7 @@
             service: job.service.clone(),
             class: job.class.clone(),
             age: now.since(job.delegated),
+            time_left: job.deadline.since(now),
             input: task.input,
         };
         if let Some(queue) = self.queues.get_mut(&job.pool) {
--- a/laurelstile-core/src/messages/agent.rs
+++ b/laurelstile-core/src/messages/agent.rs
@@ -57,6 +57,9 @@
     /// At least the time since the entry gateway delegated the task. An agent
     /// that joined its pool later refuses it, as it may have missed a fence.
     pub age: Span,
+    /// Time left until the job's deadline. The agent keeps the output for so
+    /// long, unless it is released before.
+    pub time_left: Span,
     /// Input of the task.
     pub input: Payload,
 }
--- a/laurelstile-history/src/check/configuration.rs
+++ b/laurelstile-history/src/check/configuration.rs
@@ -1,6 +1,6 @@
 //! Configurations in force: point 8.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Bounds, Point, Report, seconds};
 use crate::event::{Event, Record};
@@ -138,12 +138,53 @@
     for ((target, _), from) in open {
         add_fault(&mut nodes, target, from, end);
     }
+    for (from, to) in times_without_gateway(records, &nodes) {
+        add_fault(&mut nodes, PLATFORM, from, to);
+    }
     for node in nodes.values_mut() {
         node.faults.sort_by_key(|fault| fault.from);
     }
     nodes
 }
 
+/// Times in which every gateway was under a fault: nobody could tell anyone.
+fn times_without_gateway(records: &[Record], nodes: &BTreeMap<&str, Node<'_>>) -> Vec<(u64, u64)> {
+    let gateways: BTreeSet<&str> = records
+        .iter()
+        .filter_map(|record| match &record.event {
+            Event::Submitted { gateway, .. } => Some(gateway.as_str()),
+            _ => None,
+        })
+        .collect();
+    let mut common: Option<Vec<(u64, u64)>> = None;
+    for gateway in gateways {
+        let faults: Vec<(u64, u64)> = nodes.get(gateway).map_or_else(Vec::new, |node| {
+            node.faults
+                .iter()
+                .map(|fault| (fault.from, fault.to))
+                .collect()
+        });
+        common = Some(match common {
+            None => faults,
+            Some(common) => overlaps(&common, &faults),
+        });
+    }
+    common.unwrap_or_default()
+}
+
+fn overlaps(one: &[(u64, u64)], other: &[(u64, u64)]) -> Vec<(u64, u64)> {
+    let mut both = Vec::new();
+    for (from, to) in one {
+        for (other_from, other_to) in other {
+            let overlap = (*from.max(other_from), *to.min(other_to));
+            if overlap.0 < overlap.1 {
+                both.push(overlap);
+            }
+        }
+    }
+    both
+}
+
 /// A fault of the platform may keep every node from learning.
 fn add_fault(nodes: &mut BTreeMap<&str, Node>, target: &str, from: u64, to: u64) {
     for (name, node) in nodes {
--- a/laurelstile-sim/src/world/effects.rs
+++ b/laurelstile-sim/src/world/effects.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use laurelstile_core::agent::{AgentEffect, AgentEvent, RunEnd};
-use laurelstile_core::gateway::GatewayEffect;
+use laurelstile_core::gateway::{GatewayEffect, GatewayEvent};
 use laurelstile_core::messages::agent::TaskOutcome;
 use laurelstile_core::payload::Payload;
 use laurelstile_history::event::Event;
@@ -158,6 +158,11 @@
             laurelstile_types::revision::Change::Drain(backend) => Some(backend.to_string()),
             _ => None,
         };
+        let accepting = (0..self.gateways.len())
+            .find(|index| self.gateways[*index].machine.is_some() && !self.gateways[*index].frozen);
+        let Some(accepting) = accepting else {
+            return;
+        };
         let Some(next) =
             laurelstile_types::revision::Revision::following(previous, id.clone(), change)
         else {
@@ -165,7 +170,9 @@
         };
         self.record("operator", Event::ChangeRequested { change: id.clone() });
         let revision = next.number;
-        self.log.push(Arc::new(next));
+        let next = Arc::new(next);
+        self.log.push(Arc::clone(&next));
+        self.gateway_handles(accepting, GatewayEvent::Revision(next));
         let event = Event::ChangeAccepted {
             change: id,
             revision,
--- a/laurelstile-sim/src/world/mod.rs
+++ b/laurelstile-sim/src/world/mod.rs
@@ -114,6 +114,8 @@
     faults: Vec<ScheduledFault>,
     log: Vec<Arc<Revision>>,
     leaving: Vec<bool>,
+    /// Whether a gateway has read of it.
+    leaving_read: Vec<bool>,
     records: Vec<Record>,
     messages: BTreeMap<&'static str, u64>,
 }
@@ -173,6 +175,7 @@
             faults,
             log: Vec::new(),
             leaving: vec![false; plan.agents],
+            leaving_read: vec![false; plan.agents],
             records: Vec::new(),
             messages: BTreeMap::new(),
             plan,
--- a/laurelstile-sim/src/world/table.rs
+++ b/laurelstile-sim/src/world/table.rs
@@ -169,6 +169,12 @@
         if self.table.down > 0 || node.machine.is_none() || node.frozen {
             return;
         }
+        for agent in 0..self.leaving.len() {
+            if self.leaving[agent] && !std::mem::replace(&mut self.leaving_read[agent], true) {
+                let backend = agent_name(agent);
+                self.record("platform", Event::ListedLeaving { backend });
+            }
+        }
         let machines = self
             .leaving
             .iter()
