--- a/laurelstile-history/src/check/configuration.rs
+++ b/laurelstile-history/src/check/configuration.rs
@@ -116,14 +116,17 @@
             node.in_force.push((*revision, record));
         }
     }
-    let mut open: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+    // Faults of one kind may overlap on a node.
+    let mut open: BTreeMap<(&str, &str), Vec<u64>> = BTreeMap::new();
     for record in records {
         match &record.event {
             Event::FaultBegan { target, kind } => {
-                open.insert((target, kind), record.at_micros);
+                let starts = open.entry((target, kind)).or_default();
+                starts.push(record.at_micros);
             }
             Event::FaultEnded { target, kind } => {
-                if let Some(from) = open.remove(&(target.as_str(), kind.as_str())) {
+                let starts = open.get_mut(&(target.as_str(), kind.as_str()));
+                if let Some(from) = starts.and_then(Vec::pop) {
                     add_fault(&mut nodes, target, from, record.at_micros);
                 }
             }
@@ -135,8 +138,10 @@
             _ => {}
         }
     }
-    for ((target, _), from) in open {
-        add_fault(&mut nodes, target, from, end);
+    for ((target, _), starts) in open {
+        for from in starts {
+            add_fault(&mut nodes, target, from, end);
+        }
     }
     for (from, to) in times_without_gateway(records, &nodes) {
         add_fault(&mut nodes, PLATFORM, from, to);
--- a/laurelstile-sim/src/world/mod.rs
+++ b/laurelstile-sim/src/world/mod.rs
@@ -356,9 +356,7 @@
         Fault::KillGateway(gateway) | Fault::FreezeGateway(gateway) => {
             vec![nodes::gateway_name(gateway)]
         }
-        Fault::KillAgent(agent) | Fault::KillBackend(agent) | Fault::FreezeAgent(agent) => {
-            vec![nodes::agent_name(agent)]
-        }
+        Fault::KillAgent(agent) | Fault::FreezeAgent(agent) => vec![nodes::agent_name(agent)],
         Fault::CutAgentLink(gateway, agent)
         | Fault::CutTowardsAgent(gateway, agent)
         | Fault::CutFromAgent(gateway, agent)
@@ -369,7 +367,9 @@
             vec![nodes::gateway_name(one), nodes::gateway_name(other)]
         }
         Fault::TableDown | Fault::TableLosesReplies => vec!["platform".to_owned()],
-        Fault::Straggler(agent) => vec![format!("{}-backend", nodes::agent_name(agent))],
+        Fault::Straggler(agent) | Fault::KillBackend(agent) => {
+            vec![format!("{}-backend", nodes::agent_name(agent))]
+        }
         _ => vec!["lab".to_owned()],
     }
 }
