Share what the machine list says; rest after standing still

Gateways now tell one another, and one that finds a gap of over 2 s in its own time starts nothing for 1.5 s, time enough to read the list and its peers' messages.

The checker no longer counts the refusal of a request that reached a gateway after its stop began as cut off.

--- a/laurelstile-core/src/gateway/agents.rs
+++ b/laurelstile-core/src/gateway/agents.rs
@@ -214,6 +214,9 @@
                 self.send_to_agent(now, index, ToAgentBody::Cancel(cancel), effects);
             }
         }
+        if now < self.resting_until {
+            return;
+        }
         let starts = self.scheduler.dispatch(now, &mut self.links);
         for (index, tasks) in starts {
             self.send_to_agent(now, index, ToAgentBody::Start(tasks), effects);
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -36,6 +36,11 @@
 pub use queue::{DEFAULT_ORDER, Order};
 pub use submission::{ClaimRequest, JobRequest};
 
+/// A gap between two events that means that the process stood still.
+const SUSPENSION: Span = Span::from_secs(2);
+/// How long nothing is started after such a gap.
+const REST: Span = Span::from_millis(1_500);
+
 /// What happens to a gateway.
 #[derive(Debug)]
 pub enum GatewayEvent {
@@ -216,6 +221,9 @@
     revision: Option<Arc<Revision>>,
     stopping: bool,
     stop_reported: bool,
+    last_handled: Timestamp,
+    /// No task is started before this time.
+    resting_until: Timestamp,
     links: Links,
     peers: Peers,
     scheduler: Scheduler,
@@ -232,6 +240,8 @@
             revision: None,
             stopping: false,
             stop_reported: false,
+            last_handled: Timestamp::default(),
+            resting_until: Timestamp::default(),
             peers: Peers::default(),
             scheduler: Scheduler::new(policy.order),
             submissions: BTreeMap::new(),
@@ -270,6 +280,7 @@
         event: GatewayEvent,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        self.note_suspension(now);
         match event {
             GatewayEvent::Submit { number, request } => self.submit(now, number, request, effects),
             GatewayEvent::CallerGone { number } => self.on_caller_gone(now, number, effects),
@@ -348,6 +359,16 @@
         }
     }
 
+    /// A process that stood still acts on what it knew before. After such a
+    /// gap nothing is started until there was time to read the machine list
+    /// and what the other gateways have sent.
+    fn note_suspension(&mut self, now: Timestamp) {
+        if now.since(self.last_handled) > SUSPENSION {
+            self.resting_until = now.after(REST);
+        }
+        self.last_handled = now;
+    }
+
     /// Before a planned stop: sends what others wait for, so that agents can
     /// forget the outputs that they keep for this gateway.
     fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
@@ -381,6 +402,7 @@
         list: &MachineList,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        let mut news = Vec::new();
         for machine in &list.machines {
             if machine.role != MachineRole::Backend {
                 continue;
@@ -388,8 +410,13 @@
             let Some(index) = self.links.find(&BackendName(machine.name.clone())) else {
                 continue;
             };
+            let is_leaving = machine.state == MachineState::Leaving;
             let link = self.links.get_mut(index);
-            link.listed_leaving = machine.state == MachineState::Leaving;
+            let is_news = is_leaving && !link.listed_leaving;
+            link.listed_leaving = is_leaving;
+            if is_news {
+                news.push(link.name.clone());
+            }
             let gone = machine.state == MachineState::Gone;
             link.listed_gone_since = gone.then(|| link.listed_gone_since.unwrap_or(now));
             let lost = gone && link.session.is_none();
@@ -399,6 +426,7 @@
                 self.on_agent_lost(now, index, effects);
             }
         }
+        self.tell_peers_leaving(now, &news, effects);
     }
 
     fn on_tick(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
--- a/laurelstile-core/src/gateway/peering.rs
+++ b/laurelstile-core/src/gateway/peering.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use laurelstile_types::id::{GatewayName, Incarnation};
+use laurelstile_types::id::{BackendName, GatewayName, Incarnation};
 use laurelstile_types::revision::RevisionNumber;
 use laurelstile_types::time::{Span, Timestamp};
 
@@ -37,6 +37,16 @@
         let outstanding = self.outstanding_at(&reopened.name);
         let body = ToPeerBody::Outstanding(outstanding);
         self.send_to_peer(now, &reopened.name, body, effects);
+        let leaving: Vec<BackendName> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.listed_leaving)
+            .map(|(_, link)| link.name.clone())
+            .collect();
+        if !leaving.is_empty() {
+            let body = ToPeerBody::Leaving(leaving);
+            self.send_to_peer(now, &reopened.name, body, effects);
+        }
         for end in self.scheduler.unacknowledged(remote.incarnation) {
             let body = ToPeerBody::Done(Box::new(end));
             self.send_to_peer(now, &reopened.name, body, effects);
@@ -92,6 +102,38 @@
                 }
             }
             ToPeerBody::Revision(revision) => self.adopt(now, revision, effects),
+            ToPeerBody::Leaving(backends) => self.on_leaving(now, &backends, effects),
+        }
+    }
+
+    /// A peer has read in the machine list that back ends are leaving.
+    fn on_leaving(
+        &mut self,
+        now: Timestamp,
+        backends: &[BackendName],
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for backend in backends {
+            if let Some(index) = self.links.find(backend) {
+                self.links.get_mut(index).listed_leaving = true;
+                self.links.refresh(now, index);
+                self.tell_leaving(now, index, effects);
+            }
+        }
+    }
+
+    pub(super) fn tell_peers_leaving(
+        &mut self,
+        now: Timestamp,
+        backends: &[BackendName],
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if backends.is_empty() {
+            return;
+        }
+        for name in self.peers.names() {
+            let body = ToPeerBody::Leaving(backends.to_vec());
+            self.send_to_peer(now, &name, body, effects);
         }
     }
 
--- a/laurelstile-core/src/messages/peer.rs
+++ b/laurelstile-core/src/messages/peer.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use laurelstile_types::id::{
-    ClassName, DelegationNumber, PoolName, ServiceName, SubmissionId, TaskIndex, TenantName,
+    BackendName, ClassName, DelegationNumber, PoolName, ServiceName, SubmissionId, TaskIndex,
+    TenantName,
 };
 use laurelstile_types::outcome::Failure;
 use laurelstile_types::revision::{Revision, RevisionNumber};
@@ -47,6 +48,9 @@
     NotHere(Vec<DelegationKey>),
     /// A newer revision than the receiver's.
     Revision(Arc<Revision>),
+    /// Back ends that the machine list, as the sender read it, says are
+    /// leaving.
+    Leaving(Vec<BackendName>),
 }
 
 /// One delegation of a submission.
--- a/laurelstile-history/src/check/stopping.rs
+++ b/laurelstile-history/src/check/stopping.rs
@@ -10,6 +10,9 @@
 /// Kind of fault that ends a process without warning.
 pub const KILL: &str = "kill";
 
+/// Longest time that a request may take to its gateway.
+const ARRIVAL_MICROS: u64 = 1_000_000;
+
 /// A request's life as far as stops matter.
 struct Life<'a> {
     submitted: &'a Record,
@@ -65,7 +68,12 @@
     match &end.event {
         Event::Lost { .. } => life.gateway == target,
         Event::Failed { reason, .. } => match reason {
-            Reason::GatewayStopping => life.gateway == target,
+            // A refusal of a request that came to the gateway after its stop
+            // had begun cuts nothing off.
+            Reason::GatewayStopping => {
+                let under_way = stop.at_micros.saturating_sub(life.submitted.at_micros);
+                life.gateway == target && under_way > ARRIVAL_MICROS
+            }
             Reason::WorkerLost => life
                 .runs
                 .iter()
--- a/laurelstile-history/tests/checker.rs
+++ b/laurelstile-history/tests/checker.rs
@@ -205,6 +205,14 @@
     ],
     Point::StopCutsNothing
 )]
+#[case::stop_of_gateway_refuses_what_it_had(
+    vec![
+        submitted(0, "r", 1),
+        stop(2, "gateway-1"),
+        failed(3, "r", RunState::NotRun, Reason::GatewayStopping),
+    ],
+    Point::StopCutsNothing
+)]
 #[case::stop_of_agent_cuts_off(
     vec![
         submitted(0, "r", 1),
--- a/laurelstile-sim/src/main.rs
+++ b/laurelstile-sim/src/main.rs
@@ -41,7 +41,6 @@
             return ExitCode::from(2);
         }
     };
-    // Seeds are independent of one another: one thread for each processor.
     let (mut bad, mut submissions, mut answered, mut failed, mut not_run, mut lost) =
         (0_u64, 0, 0, 0, 0, 0);
     let mut faults = std::collections::BTreeMap::<String, u64>::new();
--- a/laurelstiled/src/gateway/driver.rs
+++ b/laurelstiled/src/gateway/driver.rs
@@ -304,6 +304,7 @@
         ToPeerBody::Outstanding(_) => "outstanding",
         ToPeerBody::NotHere(_) => "not_here",
         ToPeerBody::Revision(_) => "revision",
+        ToPeerBody::Leaving(_) => "leaving",
     }
 }
 
