--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -20,14 +20,15 @@
 use crate::session::SessionId;
 use record::{Records, StartVerdict};
 
-/// A start is refused if its sender last heard from the agent longer ago.
-pub const START_FRESHNESS: Span = Span::from_secs(10);
+/// A start is refused if its sender last heard from the agent longer ago. This
+/// bounds how long a start on its way can be late for a back end that leaves.
+pub const START_FRESHNESS: Span = Span::from_millis(4_500);
 /// A session from which nothing comes for this long is closed.
 pub const SESSION_SILENCE: Span = Span::from_secs(15);
 /// Heartbeat interval towards a gateway with unresolved work.
 pub const BUSY_HEARTBEAT: Span = Span::from_millis(500);
 /// Heartbeat interval towards a gateway without.
-pub const IDLE_HEARTBEAT: Span = Span::from_secs(4);
+pub const IDLE_HEARTBEAT: Span = Span::from_secs(3);
 /// How long a back end that refused a connection gets no start.
 pub const BACKEND_BACKOFF: Span = Span::from_millis(500);
 
