--- a/laurelstile-core/src/gateway/queue.rs
+++ b/laurelstile-core/src/gateway/queue.rs
@@ -21,7 +21,7 @@
 
 /// Ageing that the measurement in docs/decisions/0002 chose.
 pub const DEFAULT_ORDER: Order = Order::LeastRemaining {
-    ageing_permille: 100,
+    ageing_permille: 20,
 };
 
 /// Place of a job in the order; lower goes first.
--- a/laurelstile-lab/src/cell.rs
+++ b/laurelstile-lab/src/cell.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use crate::error::LabError;
+use crate::hollow::{HollowAgent, HollowSettings};
 use crate::net::LoopbackBlock;
 use crate::process::NodeProcess;
 use crate::relay::Relay;
@@ -52,6 +53,8 @@
     pub gateways: usize,
     /// Number of back ends, each with its agent.
     pub backends: usize,
+    /// Run all agents hollow, in one process, without back ends.
+    pub hollow: bool,
     /// Slots of each back end.
     pub slots: u32,
     /// Zones, to which gateways and back ends go in turn.
@@ -101,6 +104,15 @@
     agent: SocketAddr,
 }
 
+/// The process with the hollow agents.
+#[derive(Debug)]
+struct HollowNodes {
+    process: NodeProcess,
+    metrics: String,
+    /// Names and addresses of its agents.
+    agents: Vec<(String, SocketAddr)>,
+}
+
 /// A running cell. Its processes end with it.
 #[derive(Debug)]
 pub struct Cell {
@@ -116,6 +128,7 @@
     pub agents: Vec<AgentNode>,
     /// Relays between gateways: dialer, dialed, relay.
     pub mesh_relays: Vec<(usize, usize, Relay)>,
+    hollow: Option<HollowNodes>,
     block: LoopbackBlock,
     directory: TempDir,
     http: HttpClient,
@@ -141,14 +154,19 @@
             gateways: Vec::new(),
             agents: Vec::new(),
             mesh_relays: Vec::new(),
+            hollow: None,
             block,
             directory,
             http: HttpClient::new(Duration::from_secs(5)),
         };
         cell.await_platform().await?;
-        for index in 0..cell.plan.backends {
-            let agent = cell.start_agent(index).await?;
-            cell.agents.push(agent);
+        if cell.plan.hollow {
+            cell.hollow = Some(cell.start_hollow()?);
+        } else {
+            for index in 0..cell.plan.backends {
+                let agent = cell.start_agent(index).await?;
+                cell.agents.push(agent);
+            }
         }
         cell.start_gateways(platform_address).await?;
         cell.list_machines(&[]).await?;
@@ -186,9 +204,7 @@
             pools: vec![Pool {
                 name: POOL.into(),
                 max_queued_tasks: 50_000,
-                backends: (0..self.agents.len())
-                    .map(|index| self.backend_entry(index))
-                    .collect(),
+                backends: self.backend_entries(),
             }],
             services: vec![Service {
                 name: SERVICE.into(),
@@ -301,17 +317,77 @@
         &self.plan.zones[index % self.plan.zones.len()]
     }
 
-    fn backend_entry(&self, index: usize) -> Backend {
-        let agent = &self.agents[index];
+    fn backend_entries(&self) -> Vec<Backend> {
+        let real = self
+            .agents
+            .iter()
+            .map(|agent| (agent.process.name().to_owned(), agent.dialed));
+        let hollow = self
+            .hollow
+            .iter()
+            .flat_map(|hollow| &hollow.agents)
+            .cloned();
+        real.chain(hollow)
+            .enumerate()
+            .map(|(index, (name, dialed))| self.backend_entry(index, &name, dialed))
+            .collect()
+    }
+
+    fn backend_entry(&self, index: usize, name: &str, dialed: SocketAddr) -> Backend {
         Backend {
-            name: agent.process.name().into(),
-            agent: agent.dialed,
+            name: name.into(),
+            agent: dialed,
             zone: self.zone(index).into(),
             rack: format!("rack-{}", index / WORKERS_PER_RACK).as_str().into(),
             slots: self.plan.slots,
         }
     }
 
+    /// Addresses of the metrics of all processes with agents.
+    pub fn agent_metrics(&self) -> Vec<String> {
+        let real = self.agents.iter().map(|agent| agent.metrics.clone());
+        let hollow = self.hollow.iter().map(|hollow| hollow.metrics.clone());
+        real.chain(hollow).collect()
+    }
+
+    /// The process with the hollow agents, if there is one.
+    pub fn hollow_pid(&self) -> Option<u32> {
+        self.hollow.as_ref().and_then(|hollow| hollow.process.pid())
+    }
+
+    fn start_hollow(&self) -> Result<HollowNodes, LabError> {
+        let metrics = self.block.free_address(FIRST_AGENT_HOST)?;
+        let mut agents = Vec::new();
+        let mut settings = HollowSettings {
+            metrics,
+            agents: Vec::new(),
+        };
+        for index in 0..self.plan.backends {
+            let name = format!("hollow-{}", index + 1);
+            let listen = self
+                .block
+                .free_address(host(FIRST_AGENT_HOST, index % 200))?;
+            settings.agents.push(HollowAgent {
+                node: self.node(&name, self.zone(index)),
+                listen,
+            });
+            agents.push((name, listen));
+        }
+        let path = self.directory.path().join("hollow.json");
+        let text = serde_json::to_vec_pretty(&settings)?;
+        std::fs::write(&path, text).map_err(|source| LabError::Write {
+            path: path.clone(),
+            source,
+        })?;
+        let arguments = vec!["hollow".into(), "--settings".into(), path.into()];
+        let process = NodeProcess::start("hollow", self.directory.path(), arguments)?;
+        Ok(HollowNodes {
+            process,
+            metrics: format!("http://{metrics}"),
+            agents,
+        })
+    }
+
     async fn start_agent(&self, index: usize) -> Result<AgentNode, LabError> {
         let name = format!("worker-{}", index + 1);
         let host = host(FIRST_AGENT_HOST, index);
--- a/laurelstile-lab/src/demo.rs
+++ b/laurelstile-lab/src/demo.rs
@@ -48,6 +48,7 @@
     CellPlan {
         gateways: 2,
         backends: 3,
+        hollow: false,
         slots: 8,
         zones: ["rennes", "vannes", "brest"].map(str::to_owned).to_vec(),
         tenants: vec![Tenant {
--- a/laurelstile-lab/src/error.rs
+++ b/laurelstile-lab/src/error.rs
@@ -53,6 +53,22 @@
     /// A stand-in's API is described wrongly.
     #[error("cannot register the stand-in's API")]
     Register(#[from] dropshot::ApiDescriptionRegisterError),
+    /// The daemon's code failed in the lab's process.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Daemon(#[from] laurelstiled::error::DaemonError),
+    /// A settings file could not be read.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    File(#[from] Box<laurelstile_types::json::JsonFileError>),
+    /// A flag has a value that means nothing.
+    #[error("--{flag} cannot be {value:?}")]
+    Flag {
+        /// The flag.
+        flag: &'static str,
+        /// Its value.
+        value: String,
+    },
     /// A condition was not met in time.
     #[error("in vain waited for: {what}")]
     TimedOut {
--- a/laurelstile-lab/src/flags.rs
+++ b/laurelstile-lab/src/flags.rs
@@ -9,6 +9,27 @@
     cmd laurelstile-lab {
         /// Show the whole path: start a cell, apply, run jobs, drain, stop.
         cmd demo { }
+        /// Load a cell and report what it costs and how it answers.
+        cmd load {
+            /// Sizes: rennes, krystalon, or hollow (one gateway, hollow
+            /// agents, as many starts as it can do).
+            required --preset preset: String
+            /// Share of the slots that the load keeps busy (default 0.5).
+            optional --load load: f64
+            /// Seconds of load (default 20).
+            optional --seconds seconds: u64
+            /// Factor on all task times (default 1).
+            optional --scale scale: f64
+            /// Seed of the workload (default 1).
+            optional --seed seed: u64
+            /// Print JSON.
+            optional --json
+        }
+        /// Run many hollow agents in one process (used by load).
+        cmd hollow {
+            /// Settings file.
+            required --settings settings: PathBuf
+        }
         /// Run the daemon (used by the other commands to start processes).
         cmd daemon {
             /// Settings file.
--- a/laurelstile-lab/src/main.rs
+++ b/laurelstile-lab/src/main.rs
@@ -9,6 +9,9 @@
 mod demo;
 mod error;
 mod flags;
+mod hollow;
+mod load;
+mod measure;
 mod net;
 mod process;
 mod relay;
@@ -36,6 +39,8 @@
         LaurelstileLabCmd::Backend(backend) => {
             standin::backend::run(backend.listen, &backend.name, backend.history.as_deref()).await
         }
+        LaurelstileLabCmd::Hollow(hollow) => hollow::run(&hollow.settings).await,
         LaurelstileLabCmd::Demo(_) => demo::run().await,
+        LaurelstileLabCmd::Load(load) => load::run(load).await,
     }
 }
--- a/laurelstile-sim/src/experiment.rs
+++ b/laurelstile-sim/src/experiment.rs
@@ -15,6 +15,8 @@
 const AGENTS: usize = 11;
 const SLOTS: u32 = 8;
 const DEADLINE: u64 = 300_000_000;
+/// Largest ratio that is told apart, in thousandths.
+const LARGEST_RATIO: u64 = 1_000_000;
 const THOUSAND: f64 = 1_000.0;
 
 /// What an experiment gave.
@@ -66,7 +68,7 @@
     };
     let ideals: Vec<u64> = jobs.iter().map(|job| job.ideal(slots)).collect();
     let result = World::new(plan, jobs, Vec::new()).run(length + DEADLINE);
-    let mut ratios = Histogram::<u64>::new(3)
+    let mut ratios = Histogram::<u64>::new_with_max(LARGEST_RATIO, 3)
         .unwrap_or_else(|_| unreachable!("three digits are within the histogram's range"));
     for (job, response) in &result.responses {
         let ratio = response * 1_000 / ideals[*job].max(1);
--- a/laurelstile-sim/src/main.rs
+++ b/laurelstile-sim/src/main.rs
@@ -86,28 +86,16 @@
 
 fn run_experiments(seconds: u64, seed: u64) {
     let least_remaining = |ageing_permille| Order::LeastRemaining { ageing_permille };
+    let one = Routing::OnePerPool;
     let ways = [
-        ("fifo, one scheduler", Order::Fifo, Routing::OnePerPool),
-        (
-            "least remaining, each entry gateway",
-            least_remaining(100),
-            Routing::Entry,
-        ),
-        (
-            "least remaining, one scheduler, no ageing",
-            least_remaining(0),
-            Routing::OnePerPool,
-        ),
-        (
-            "least remaining, one scheduler, ageing 0.1",
-            least_remaining(100),
-            Routing::OnePerPool,
-        ),
-        (
-            "least remaining, one scheduler, ageing 0.5",
-            least_remaining(500),
-            Routing::OnePerPool,
-        ),
+        ("fifo, one scheduler", Order::Fifo, one),
+        ("each entry gateway", least_remaining(20), Routing::Entry),
+        ("one scheduler, no ageing", least_remaining(0), one),
+        ("one scheduler, ageing 0.01", least_remaining(10), one),
+        ("one scheduler, ageing 0.02", least_remaining(20), one),
+        ("one scheduler, ageing 0.05", least_remaining(50), one),
+        ("one scheduler, ageing 0.1", least_remaining(100), one),
+        ("one scheduler, ageing 0.5", least_remaining(500), one),
     ];
     println!("way | load | answered | mean | p50 | p99 | messages per task");
     for (name, order, routing) in ways {
--- a/laurelstiled/src/agent/mod.rs
+++ b/laurelstiled/src/agent/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod backend;
 mod driver;
-mod http;
+pub mod http;
 
 use std::sync::Arc;
 
