Send back jobs that are older than every agent; one thread without wake-ups

Cause: with the age rule a job delegated before all agents of its pool joined (a cold start, a pool restarted) waited in vain until its deadline; found by a load run whose first probe hung. Ruled out: lost wake-ups (the thread change came in the same run, and the job hung on two threads as well). A scheduler now sends such a job back, and the entry gateway delegates it anew; jobs of the scheduler's own need no age; young agents report twice a second.

A daemon with one thread now runs on a current-thread runtime.

--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -29,6 +29,8 @@
 pub const BUSY_HEARTBEAT: Span = Span::from_millis(500);
 /// Heartbeat interval towards a gateway without.
 pub const IDLE_HEARTBEAT: Span = Span::from_secs(3);
+/// How long after joining its pool an agent reports as often as a busy one.
+pub const YOUTH: Span = Span::from_secs(5);
 /// How long a back end that refused a connection gets no start.
 pub const BACKEND_BACKOFF: Span = Span::from_millis(500);
 
@@ -491,7 +493,9 @@
             effects.push(AgentEffect::Close(session));
         }
         for (session, link) in &self.links {
-            let busy = link.waiting || self.records.has_work_of(link.gateway);
+            // Whether a young agent may take a job hangs on a fresh report.
+            let is_young = now.since(self.member_since) < YOUTH;
+            let busy = is_young || link.waiting || self.records.has_work_of(link.gateway);
             let interval = if busy { BUSY_HEARTBEAT } else { IDLE_HEARTBEAT };
             if now.since(link.last_sent) >= interval {
                 effects.push(AgentEffect::Send {
--- a/laurelstile-core/src/gateway/entry.rs
+++ b/laurelstile-core/src/gateway/entry.rs
@@ -201,7 +201,7 @@
         let key = delegation.key;
         let origin = Origin {
             entry: self.identity.incarnation,
-            delegated: now,
+            delegated: None,
         };
         if let Err(failure) = self.accept_delegation(now, origin, delegation) {
             let end = DelegationEnd {
--- a/laurelstile-core/src/gateway/links.rs
+++ b/laurelstile-core/src/gateway/links.rs
@@ -219,6 +219,25 @@
             .map(|(index, link)| (LinkIndex(index), link))
     }
 
+    /// Whether agents of `pool` have reported, and every one of them joined the
+    /// pool after `delegated`, a time on this gateway's clock.
+    pub fn all_younger(&self, pool: &PoolName, delegated: Timestamp) -> bool {
+        let mut any = false;
+        for link in self.links.iter().filter(|link| link.pool == *pool) {
+            if link.session.is_none() || link.report.clock == Timestamp::default() {
+                continue;
+            }
+            any = true;
+            // Membership as the report gives it, moved to this clock.
+            let member_for = link.report.clock.since(link.report.member_since);
+            let joined = Timestamp(link.last_heard.since(Timestamp(member_for.0)).0);
+            if joined <= delegated {
+                return false;
+            }
+        }
+        any
+    }
+
     /// Notes a new session; the old one of the same link is given back.
     pub fn open(
         &mut self,
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -431,6 +431,7 @@
 
     fn on_tick(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         self.scheduler.expire(now, &mut self.links);
+        self.scheduler.send_back_too_old(now, &mut self.links);
         self.expire_submissions(now, effects);
         self.tick_agents(now, effects);
         self.tick_peers(now, effects);
--- a/laurelstile-core/src/gateway/peering.rs
+++ b/laurelstile-core/src/gateway/peering.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use laurelstile_types::id::{BackendName, GatewayName, Incarnation};
-use laurelstile_types::revision::RevisionNumber;
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::peers::{BUSY_HEARTBEAT, DELEGATION_FRESHNESS, IDLE_HEARTBEAT, LOST};
@@ -78,9 +77,14 @@
             ToPeerBody::Delegate(delegation) => {
                 let origin = Origin {
                     entry: incarnation,
-                    delegated: message.echo,
+                    delegated: Some(message.echo),
                 };
-                self.on_delegate(now, &name, origin, message.revision, *delegation, effects);
+                // An entry gateway that is behind would not know every agent
+                // that may get tasks; it has been sent the newer revision.
+                let is_behind = message.revision < self.revision_number();
+                let is_stale = now.since(message.echo) > DELEGATION_FRESHNESS;
+                let is_refused = self.stopping || is_behind || is_stale;
+                self.on_delegate(now, &name, origin, is_refused, *delegation, effects);
             }
             ToPeerBody::Done(end) => self.on_done(now, &name, *end, effects),
             ToPeerBody::Acknowledge(submissions) => {
@@ -142,16 +146,12 @@
         now: Timestamp,
         name: &GatewayName,
         origin: Origin,
-        revision: RevisionNumber,
+        is_refused: bool,
         delegation: Delegation,
         effects: &mut Vec<GatewayEffect>,
     ) {
         let key = delegation.key;
-        // An entry gateway that is behind would not know every agent that
-        // may get tasks; it has been sent the newer revision.
-        let is_behind = revision < self.revision_number();
-        let is_stale = now.since(origin.delegated) > DELEGATION_FRESHNESS;
-        let outcome = if self.stopping || is_behind || is_stale {
+        let outcome = if is_refused {
             DelegationOutcome::SentBack
         } else {
             match self.accept_delegation(now, origin, delegation) {
--- a/laurelstile-core/src/gateway/scheduler.rs
+++ b/laurelstile-core/src/gateway/scheduler.rs
@@ -21,6 +21,9 @@
 /// Weight of a new run in the learned mean of its class.
 const MEAN_GAIN: f64 = 0.05;
 
+/// How long a job waits before it is sent back as too old for every agent.
+const SEND_BACK_AFTER: Span = Span::from_millis(200);
+
 /// A task that was sent to an agent and whose end is not known.
 #[derive(Debug)]
 struct Running {
@@ -39,8 +42,9 @@
     tenant: TenantName,
     weight: u32,
     arrival: Timestamp,
-    /// Not later than the time of the delegation.
-    delegated: Timestamp,
+    /// Not later than the time of the delegation; `None` for a job of this
+    /// gateway's own, which no other gateway can ever recover.
+    delegated: Option<Timestamp>,
     deadline: Timestamp,
     task_mean: Span,
     waiting: VecDeque<DelegatedTask>,
@@ -56,8 +60,9 @@
 pub struct Origin {
     /// Incarnation of the entry gateway.
     pub entry: Incarnation,
-    /// A time, on this gateway's clock, not later than that of the delegation.
-    pub delegated: Timestamp,
+    /// A time, on this gateway's clock, not later than that of the delegation;
+    /// `None` for a job of this gateway's own.
+    pub delegated: Option<Timestamp>,
 }
 
 /// A job whose end the entry gateway has not acknowledged.
@@ -276,7 +281,7 @@
         queue.next(|submission| {
             self.jobs
                 .get(&submission)
-                .is_some_and(|job| link.takes(now.since(job.delegated)))
+                .is_some_and(|job| link.takes(job.age(now)))
         })
     }
 
@@ -309,7 +314,7 @@
             dispatch,
             service: job.service.clone(),
             class: job.class.clone(),
-            age: now.since(job.delegated),
+            age: job.age(now),
             time_left: job.deadline.since(now),
             input: task.input,
         };
@@ -424,6 +429,29 @@
         }
     }
 
+    /// Sends back the jobs of which nothing was sent out and that no agent
+    /// takes, since all joined the pool after the delegation. A new delegation
+    /// of them is younger than those agents.
+    pub fn send_back_too_old(&mut self, now: Timestamp, links: &mut Links) {
+        let too_old: Vec<SubmissionId> = self
+            .jobs
+            .values()
+            .filter(|job| job.touched.is_empty() && job.delegated.is_some())
+            .filter(|job| links.all_younger(&job.pool, job.delegated.unwrap_or_default()))
+            .filter(|job| now.since(job.arrival) > SEND_BACK_AFTER)
+            .map(|job| job.key.submission)
+            .collect();
+        for submission in too_old {
+            if let Some(job) = self.remove(submission, links) {
+                let end = DelegationEnd {
+                    key: job.key,
+                    outcome: DelegationOutcome::SentBack,
+                };
+                self.tell(job.entry, end, job.touched);
+            }
+        }
+    }
+
     /// The entry gateway has given a delegation up: stop it.
     pub fn withdraw(&mut self, key: DelegationKey, links: &mut Links) {
         if self.jobs.get(&key.submission).map(|job| job.key) == Some(key) {
@@ -703,6 +731,12 @@
         self.key.delegation == dispatch.delegation && self.running.contains_key(&dispatch.task)
     }
 
+    /// At least the time since the delegation, as far as it matters.
+    fn age(&self, now: Timestamp) -> Span {
+        self.delegated
+            .map_or(Span::default(), |delegated| now.since(delegated))
+    }
+
     fn remaining(&self) -> Span {
         Span(self.task_mean.0 * self.waiting.len() as u64)
     }
--- a/laurelstile-lab/src/cell.rs
+++ b/laurelstile-lab/src/cell.rs
@@ -461,7 +461,7 @@
             let settings = Settings {
                 node: self.node(&name, self.zone(index)),
                 log_level: self.plan.log_level,
-                threads: 2,
+                threads: 1,
                 role: Role::Gateway(GatewaySettings {
                     api,
                     mesh,
--- a/laurelstile-lab/src/load.rs
+++ b/laurelstile-lab/src/load.rs
@@ -35,6 +35,7 @@
 const PROBE_RUN: Duration = Duration::from_millis(5);
 /// Jobs in flight at saturation, as a multiple of what fills the slots.
 const SATURATION: usize = 3;
+const STEADY_SECONDS: u64 = 8;
 const SATURATION_SECONDS: u64 = 6;
 /// Time for caches and means to settle before anything is counted.
 const WARM_UP: Duration = Duration::from_secs(1);
@@ -150,7 +151,14 @@
     let mixed = if preset.hollow {
         None
     } else {
-        Some(run_mixed(&cell, &mut workload, load, seconds).await?)
+        let (job_overhead, direct_overhead) = run_steady(&cell, &mut workload, load).await?;
+        let (ratios, unanswered) = run_mixed(&cell, &mut workload, load, seconds).await;
+        Some(Mixed {
+            ratios,
+            job_overhead,
+            direct_overhead,
+            unanswered,
+        })
     };
     let saturation = run_saturated(&cell, &mut workload).await?;
     let report = report_of(preset, load, scale, seconds, mixed, saturation);
@@ -258,7 +266,7 @@
     }
 }
 
-/// What the mixed phase gave.
+/// What the phases before saturation gave.
 struct Mixed {
     ratios: Histogram<u64>,
     job_overhead: Histogram<u64>,
@@ -266,16 +274,44 @@
     unanswered: u64,
 }
 
-/// Jobs in a Poisson stream, with probes beside them.
+/// One-task jobs that keep a share of the slots busy all the time, with probes
+/// beside them: what they find is never a full pool.
+async fn run_steady(
+    cell: &Arc<Cell>,
+    workload: &mut Workload,
+    load: f64,
+) -> Result<(Histogram<u64>, Histogram<u64>), LabError> {
+    let caller = Caller::new(PATIENCE, HistoryWriter::none());
+    let end = Instant::now() + WARM_UP + Duration::from_secs(STEADY_SECONDS);
+    let probes = tokio::spawn(run_probes(Arc::clone(cell), caller.clone(), end));
+    let mut running = JoinSet::new();
+    let mut index = 0;
+    while Instant::now() < end {
+        while float(running.len() as u64) < workload.slots * load {
+            index += 1;
+            let run = workload.draw_run();
+            let job = workload.job(vec![run]);
+            let (name, api) = gateway_address(cell, index % cell.gateways.len());
+            let caller = caller.clone();
+            running.spawn(async move { caller.submit(&name, &api, &job).await });
+        }
+        running.join_next().await;
+    }
+    while running.join_next().await.is_some() {}
+    probes.await.map_err(|_| LabError::Unexpected {
+        what: "the probes broke off".to_owned(),
+    })
+}
+
+/// Jobs in a Poisson stream.
 async fn run_mixed(
     cell: &Arc<Cell>,
     workload: &mut Workload,
     load: f64,
     seconds: u64,
-) -> Result<Mixed, LabError> {
+) -> (Histogram<u64>, u64) {
     let caller = Caller::new(PATIENCE, HistoryWriter::none());
     let end = Instant::now() + Duration::from_secs(seconds);
-    let probes = tokio::spawn(run_probes(Arc::clone(cell), caller.clone(), end));
     let ratios = Arc::new(Mutex::new(measure::times()));
     let unanswered = Arc::new(Mutex::new(0));
     let mut running = JoinSet::new();
@@ -299,17 +335,9 @@
         });
     }
     while running.join_next().await.is_some() {}
-    let (job_overhead, direct_overhead) = probes.await.map_err(|_| LabError::Unexpected {
-        what: "the probes broke off".to_owned(),
-    })?;
     let ratios = ratios.lock().await.clone();
     let unanswered = *unanswered.lock().await;
-    Ok(Mixed {
-        ratios,
-        job_overhead,
-        direct_overhead,
-        unanswered,
-    })
+    (ratios, unanswered)
 }
 
 /// One-task jobs and direct calls of a back end in turn.
--- a/laurelstiled/src/process.rs
+++ b/laurelstiled/src/process.rs
@@ -34,15 +34,24 @@
     let settings: Settings = read_json_file(settings)?;
     settings.check()?;
     logging::start(settings.log_level)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.threads)
-        .enable_all()
-        .build()
-        .map_err(DaemonError::Runtime)?;
+    let runtime = build_runtime(settings.threads).map_err(DaemonError::Runtime)?;
     runtime.block_on(run_role(settings))?;
     Ok(())
 }
 
+/// One thread runs everything without waking another, which is what keeps the
+/// latency of the many hops between a node's tasks low.
+fn build_runtime(threads: usize) -> std::io::Result<tokio::runtime::Runtime> {
+    let mut builder = if threads == 1 {
+        tokio::runtime::Builder::new_current_thread()
+    } else {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        builder.worker_threads(threads);
+        builder
+    };
+    builder.enable_all().build()
+}
+
 async fn run_role(settings: Settings) -> Result<(), DaemonError> {
     let Settings { node, role, .. } = settings;
     match role {
