--- a/laurelstile-lab/src/caller.rs
+++ b/laurelstile-lab/src/caller.rs
@@ -34,11 +34,8 @@
     Answered,
     /// A refusal or failure.
     Failed(JobFailure),
-    /// No answer: the connection was refused (`unsent`), broke, or timed out.
-    Lost {
-        /// Whether nothing was sent.
-        unsent: bool,
-    },
+    /// No answer: the connection was refused, broke, or timed out.
+    Lost,
 }
 
 /// A caller.
@@ -119,7 +116,7 @@
             request: job.request.clone(),
             unsent,
         });
-        Outcome::Lost { unsent }
+        Outcome::Lost
     }
 }
 
--- a/laurelstile-lab/src/cell.rs
+++ b/laurelstile-lab/src/cell.rs
@@ -25,6 +25,7 @@
 use crate::net::LoopbackBlock;
 use crate::process::NodeProcess;
 use crate::relay::Relay;
+use crate::standin::backend::BackendFaults;
 use crate::standin::platform::PlatformFaults;
 
 /// Token of the cell's operators.
@@ -82,8 +83,6 @@
     pub api: String,
     /// Address that it dials from.
     pub source: IpAddr,
-    /// The relay to the platform.
-    pub platform_relay: Option<Relay>,
     mesh: SocketAddr,
 }
 
@@ -128,6 +127,7 @@
     pub agents: Vec<AgentNode>,
     /// Relays between gateways: dialer, dialed, relay.
     pub mesh_relays: Vec<(usize, usize, Relay)>,
+    platform_faults: PlatformFaults,
     hollow: Option<HollowNodes>,
     block: LoopbackBlock,
     directory: TempDir,
@@ -154,6 +154,7 @@
             gateways: Vec::new(),
             agents: Vec::new(),
             mesh_relays: Vec::new(),
+            platform_faults: PlatformFaults::default(),
             hollow: None,
             block,
             directory,
@@ -174,9 +175,21 @@
         Ok(cell)
     }
 
-    /// The directory with settings, logs and histories.
-    pub fn directory(&self) -> &Path {
-        self.directory.path()
+    /// Copies settings, logs and histories into a directory.
+    ///
+    /// # Errors
+    /// [`LabError::Write`].
+    pub fn keep(&self, directory: &Path) -> Result<(), LabError> {
+        let error = |source| LabError::Write {
+            path: directory.to_owned(),
+            source,
+        };
+        std::fs::create_dir_all(directory).map_err(error)?;
+        for entry in std::fs::read_dir(self.directory.path()).map_err(error)? {
+            let entry = entry.map_err(error)?;
+            std::fs::copy(entry.path(), directory.join(entry.file_name())).map_err(error)?;
+        }
+        Ok(())
     }
 
     /// An operator of this cell.
@@ -237,9 +250,28 @@
     ///
     /// # Errors
     /// [`LabError::Http`].
-    pub async fn set_platform_faults(&self, faults: PlatformFaults) -> Result<(), LabError> {
+    pub async fn set_platform_faults(&mut self, faults: PlatformFaults) -> Result<(), LabError> {
+        self.platform_faults = faults;
         let body = serde_json::to_vec(&faults)?;
-        self.control("/control/faults", body).await
+        let uri = format!("{}/control/faults", self.platform_address);
+        self.control(&uri, body).await
+    }
+
+    /// Whether the platform has no fault now.
+    pub fn platform_faults_free(&self) -> bool {
+        self.platform_faults == PlatformFaults::default()
+    }
+
+    /// Sets the speed of a back end, in thousandths of the usual run times.
+    ///
+    /// # Errors
+    /// [`LabError::Http`].
+    pub async fn set_slowness(&self, index: usize, permille: u64) -> Result<(), LabError> {
+        let body = serde_json::to_vec(&BackendFaults {
+            slowness_permille: permille,
+        })?;
+        let uri = format!("{}/control/faults", self.agents[index].backend_address);
+        self.control(&uri, body).await
     }
 
     /// Publishes the machine list, with the named back ends leaving.
@@ -277,8 +309,8 @@
         let list = MachineList {
             machines: agents.chain(gateways).collect(),
         };
-        self.control("/control/machines", serde_json::to_vec(&list)?)
-            .await
+        let uri = format!("{}/control/machines", self.platform_address);
+        self.control(&uri, serde_json::to_vec(&list)?).await
     }
 
     /// Every history that the cell's processes write.
@@ -298,13 +330,9 @@
         self.directory.path().join(format!("{name}.history"))
     }
 
-    async fn control(&self, path: &str, body: Vec<u8>) -> Result<(), LabError> {
-        let uri = format!("{}{path}", self.platform_address);
+    async fn control(&self, uri: &str, body: Vec<u8>) -> Result<(), LabError> {
         let headers = [("content-type", "application/json")];
-        let response = self
-            .http
-            .exchange(Method::PUT, &uri, &headers, body)
-            .await?;
+        let response = self.http.exchange(Method::PUT, uri, &headers, body).await?;
         if response.status.is_success() {
             return Ok(());
         }
@@ -450,7 +478,6 @@
             let name = gateway_name(index);
             let source = self.block.ip(host(FIRST_GATEWAY_HOST, index));
             let (api, mesh) = addresses[index];
-            let (platform_address, platform_relay) = self.platform_link(index, platform).await?;
             let mut peers = Vec::new();
             for (other, (_, mesh)) in addresses.iter().enumerate().skip(index + 1) {
                 peers.push(PeerSettings {
@@ -467,7 +494,7 @@
                     mesh,
                     source: Some(source),
                     peers,
-                    platform: format!("http://{platform_address}"),
+                    platform: format!("http://{platform}"),
                     operator_token: OPERATOR_TOKEN.to_owned(),
                     max_body_bytes: 16 * 1024 * 1024,
                     configuration_poll_millis: 300,
@@ -479,26 +506,12 @@
                 process,
                 api: format!("http://{api}"),
                 source,
-                platform_relay,
                 mesh,
             });
         }
         Ok(())
     }
 
-    async fn platform_link(
-        &self,
-        gateway: usize,
-        platform: SocketAddr,
-    ) -> Result<(SocketAddr, Option<Relay>), LabError> {
-        if !self.plan.relays {
-            return Ok((platform, None));
-        }
-        let listen = self.block.free_address(host(FIRST_GATEWAY_HOST, gateway))?;
-        let relay = Relay::start(listen, platform).await?;
-        Ok((listen, Some(relay)))
-    }
-
     async fn mesh_link(
         &mut self,
         dialer: usize,
--- a/laurelstile-lab/src/flags.rs
+++ b/laurelstile-lab/src/flags.rs
@@ -25,6 +25,17 @@
             /// Print JSON.
             optional --json
         }
+        /// Run a cell under a seeded schedule of faults and judge its history.
+        cmd prove {
+            /// Seed of the faults and the load.
+            required --seed seed: u64
+            /// Seconds of faults and load (default 60).
+            optional --seconds seconds: u64
+            /// Copy logs and histories into this directory.
+            optional --keep directory: PathBuf
+            /// Print JSON.
+            optional --json
+        }
         /// Run many hollow agents in one process (used by load).
         cmd hollow {
             /// Settings file.
--- a/laurelstile-lab/src/main.rs
+++ b/laurelstile-lab/src/main.rs
@@ -2,7 +2,6 @@
 //! whole cells of processes on loopback. Only the lab starts processes.
 #![deny(warnings)]
 #![forbid(unsafe_code)]
-#![allow(dead_code, reason = "the fault runs, which follow, use the rest")]
 
 mod caller;
 mod cell;
@@ -14,6 +13,7 @@
 mod measure;
 mod net;
 mod process;
+mod prove;
 mod relay;
 mod standin;
 
@@ -42,5 +42,6 @@
         LaurelstileLabCmd::Hollow(hollow) => hollow::run(&hollow.settings).await,
         LaurelstileLabCmd::Demo(_) => demo::run().await,
         LaurelstileLabCmd::Load(load) => load::run(load).await,
+        LaurelstileLabCmd::Prove(prove) => prove::run(prove).await,
     }
 }
--- a/laurelstile-lab/src/process.rs
+++ b/laurelstile-lab/src/process.rs
@@ -70,14 +70,6 @@
         Ok(())
     }
 
-    /// Whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        let Some(child) = &mut self.child else {
-            return false;
-        };
-        matches!(child.try_wait(), Ok(None))
-    }
-
     /// Process identifier, while it runs.
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().and_then(Child::id)
--- a/laurelstile-lab/src/relay.rs
+++ b/laurelstile-lab/src/relay.rs
@@ -28,6 +28,16 @@
     pub severed: u32,
 }
 
+impl LinkState {
+    /// Ends every fault of the link.
+    pub fn heal(&mut self) {
+        *self = Self {
+            severed: self.severed,
+            ..Self::default()
+        };
+    }
+}
+
 /// A relay in front of one address.
 #[derive(Clone, Debug)]
 pub struct Relay {
--- a/laurelstile-lab/src/standin/platform.rs
+++ b/laurelstile-lab/src/standin/platform.rs
@@ -26,7 +26,7 @@
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Faults of the platform, on demand.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct PlatformFaults {
     /// Every call fails without effect.
     pub down: bool,
