--- a/laurelstile-platform/src/claims.rs
+++ b/laurelstile-platform/src/claims.rs
@@ -114,22 +114,32 @@
     Ok(())
 }
 
-/// Gives a claim back whose request was not run, if it is still this
-/// submission's.
+/// Gives claims back whose requests were not run, those that are still their
+/// submissions', in one transaction.
 ///
 /// # Errors
 /// [`HttpError`] if the table cannot be reached; try again.
-pub async fn release<P: Platform>(platform: &P, claim: &Claim) -> Result<(), HttpError> {
-    let transaction = Transaction {
-        conditions: vec![Row {
-            key: claim.row_key(),
-            value: Some(claim.row_value()),
-        }],
-        writes: vec![Row {
-            key: claim.row_key(),
+pub async fn release_all<P: Platform>(platform: &P, claims: &[Claim]) -> Result<(), HttpError> {
+    let keys = claims.iter().map(Claim::row_key).collect();
+    let rows = platform.read(keys).await?;
+    let conditions: Vec<Row> = claims
+        .iter()
+        .zip(rows)
+        .filter(|(claim, row)| row.value == Some(claim.row_value()))
+        .map(|(_, row)| row)
+        .collect();
+    if conditions.is_empty() {
+        return Ok(());
+    }
+    let writes = conditions
+        .iter()
+        .map(|row| Row {
+            key: row.key.clone(),
             value: None,
-        }],
-    };
+        })
+        .collect();
+    let transaction = Transaction { conditions, writes };
+    // Nobody else writes a row that is ours: the conditions hold.
     platform.transact(&transaction).await?;
     Ok(())
 }
--- a/laurelstile-sim/src/experiment.rs
+++ b/laurelstile-sim/src/experiment.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use crate::workload::{self, WorkloadPlan};
-use crate::world::{World, WorldPlan};
+use crate::world::{RunResult, World, WorldPlan};
 
 const GATEWAYS: usize = 3;
 const AGENTS: usize = 11;
@@ -68,6 +68,11 @@
     };
     let ideals: Vec<u64> = jobs.iter().map(|job| job.ideal(slots)).collect();
     let result = World::new(plan, jobs, Vec::new()).run(length + DEADLINE);
+    outcome_of(&ideals, result)
+}
+
+/// The figures of a run whose jobs have these ideal times.
+pub fn outcome_of(ideals: &[u64], result: RunResult) -> Outcome {
     let mut ratios = Histogram::<u64>::new_with_max(LARGEST_RATIO, 3)
         .unwrap_or_else(|_| unreachable!("three digits are within the histogram's range"));
     for (job, response) in &result.responses {
--- a/laurelstile-sim/src/lib.rs
+++ b/laurelstile-sim/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod experiment;
 pub mod faults;
 pub mod prove;
+pub mod replay;
 pub mod workload;
 pub mod world;
--- a/laurelstile/src/commands.rs
+++ b/laurelstile/src/commands.rs
@@ -1,11 +1,14 @@
 //! The commands.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use laurelstile::error::OperatorError;
 use laurelstile::operator::{ChangeOrder, Operator, draw_change_id};
 use laurelstile::plan::Plan;
+use laurelstile_history::check::{Bounds, check};
+use laurelstile_history::file::read_histories;
+use laurelstile_sim::replay::{jobs_of, replay};
 use laurelstile_types::api::{NodeStatus, Status};
 use laurelstile_types::configuration::Configuration;
 use laurelstile_types::id::ChangeId;
@@ -22,7 +25,7 @@
 pub async fn run(flags: Laurelstile) -> Result<(), OperatorError> {
     let json = flags.json;
     match &flags.subcommand {
-        LaurelstileCmd::Check(check) => run_check(&check.file, json),
+        LaurelstileCmd::Check(flags) => run_check(&flags.file, json),
         LaurelstileCmd::Apply(apply) => {
             let configuration = read_configuration(&apply.file)?;
             let order = order(
@@ -45,6 +48,8 @@
         }
         LaurelstileCmd::Status(_) => run_status(&flags).await,
         LaurelstileCmd::Plan(plan) => run_plan(&flags, &plan.file).await,
+        LaurelstileCmd::Replay(flags) => run_replay(&flags.file, &flags.histories, json),
+        LaurelstileCmd::CheckHistory(flags) => run_check_history(&flags.histories, json),
     }
 }
 
@@ -208,6 +213,51 @@
     Ok(())
 }
 
+fn run_replay(file: &Path, histories: &[PathBuf], json: bool) -> Result<(), OperatorError> {
+    let configuration = read_configuration(file)?;
+    let jobs = jobs_of(&read_histories(histories)?);
+    let count = jobs.len();
+    let outcome = replay(&configuration, jobs);
+    if json {
+        return print_json(&outcome);
+    }
+    println!(
+        "{count} jobs: response over ideal mean {:.3}, p50 {:.3}, p99 {:.3}; \
+         {:.2} messages per task",
+        outcome.mean, outcome.p50, outcome.p99, outcome.messages_per_task
+    );
+    Ok(())
+}
+
+fn run_check_history(histories: &[PathBuf], json: bool) -> Result<(), OperatorError> {
+    let report = check(&read_histories(histories)?, Bounds::default());
+    if json {
+        print_json(&report)?;
+    } else {
+        println!(
+            "{} submissions: {} answered, {} refused as not run, {} failed, {} lost; {} starts",
+            report.submissions,
+            report.answered,
+            report.refused_not_run,
+            report.failed,
+            report.lost,
+            report.starts
+        );
+        for violation in &report.violations {
+            println!("broken: {:?}: {}", violation.point, violation.message);
+            for event in &violation.events {
+                println!("  {}", serde_json::to_string(event)?);
+            }
+        }
+    }
+    if report.violations.is_empty() {
+        return Ok(());
+    }
+    Err(OperatorError::Violations {
+        violations: report.violations.len(),
+    })
+}
+
 fn operator(flags: &Laurelstile) -> Result<Operator, OperatorError> {
     if flags.gateway.is_empty() {
         return Err(OperatorError::NoAddress);
--- a/laurelstile/src/flags.rs
+++ b/laurelstile/src/flags.rs
@@ -59,6 +59,19 @@
         }
         /// Show what the gateways know.
         cmd status { }
+        /// Run the jobs of a recorded history through the emulator, on the
+        /// capacity of a configuration file.
+        cmd replay {
+            /// The configuration file.
+            required file: PathBuf
+            /// The histories.
+            repeated histories: PathBuf
+        }
+        /// Judge histories by what must always hold.
+        cmd check-history {
+            /// The histories.
+            repeated histories: PathBuf
+        }
         /// Show what applying a file would change.
         cmd plan {
             /// The file.
--- a/laurelstiled/src/gateway/platform.rs
+++ b/laurelstiled/src/gateway/platform.rs
@@ -7,7 +7,7 @@
 use laurelstile_core::gateway::{ClaimOutcome, ClaimRequest, GatewayEvent};
 use laurelstile_history::event::Event;
 use laurelstile_history::file::HistoryWriter;
-use laurelstile_platform::claims::{Claim, ClaimFate, claim_all, release};
+use laurelstile_platform::claims::{Claim, ClaimFate, claim_all, release_all};
 use laurelstile_platform::client::{HttpPlatform, Platform};
 use laurelstile_platform::configuration_log::{read_head, read_revision};
 use laurelstile_platform::http::HttpError;
@@ -114,21 +114,22 @@
         let mut batch = Vec::new();
         while receiver.recv_many(&mut batch, CLAIM_GROUP).await > 0 {
             let mut claims = Vec::new();
+            let mut releases = Vec::new();
             for call in batch.drain(..) {
                 match call {
                     ClaimCall::Claim(request) => claims.push(claim_of(request)),
-                    ClaimCall::Release(request) => {
-                        let claim = claim_of(request);
-                        let (platform, history) = (platform.clone(), history.clone());
-                        tokio::spawn(release_until_done(platform, claim, history));
-                    }
+                    ClaimCall::Release(request) => releases.push(claim_of(request)),
                 }
             }
+            if !releases.is_empty() {
+                let (platform, history) = (platform.clone(), history.clone());
+                tokio::spawn(release_until_done(platform, releases, history));
+            }
             if !claims.is_empty() {
                 let group = claim_group(platform.clone(), claims, input.clone(), history.clone());
                 tokio::spawn(group);
-                tokio::time::sleep(CLAIM_GATHERING).await;
             }
+            tokio::time::sleep(CLAIM_GATHERING).await;
         }
     });
     calls
@@ -168,19 +169,22 @@
     }
 }
 
-async fn release_until_done(platform: HttpPlatform, claim: Claim, history: HistoryWriter) {
-    let submission = claim.submission.to_string();
-    history.record(Event::ReleaseRequested {
-        claim: name_of(&claim),
-        submission: submission.clone(),
-    });
+async fn release_until_done(platform: HttpPlatform, claims: Vec<Claim>, history: HistoryWriter) {
+    for claim in &claims {
+        history.record(Event::ReleaseRequested {
+            claim: name_of(claim),
+            submission: claim.submission.to_string(),
+        });
+    }
     for _ in 0..RELEASE_TRIES {
-        match release(&platform, &claim).await {
+        match release_all(&platform, &claims).await {
             Ok(()) => {
-                history.record(Event::ReleaseDone {
-                    claim: name_of(&claim),
-                    submission,
-                });
+                for claim in &claims {
+                    history.record(Event::ReleaseDone {
+                        claim: name_of(claim),
+                        submission: claim.submission.to_string(),
+                    });
+                }
                 return;
             }
             Err(error) => note_error("release", &error),
