--- /dev/null
+++ b/laurelstile-wire/tests/sessions.rs
@@ -0,0 +1,138 @@
+//! Sessions: the secret is proved, and whoever sends something else is refused
+//! without harm to anybody else.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::SinkExt;
+use laurelstile_core::messages::agent::{FromAgent, FromAgentBody, SlotReport};
+use laurelstile_types::id::Incarnation;
+use laurelstile_wire::error::WireError;
+use laurelstile_wire::hello::{LocalNode, NodeRole, SharedSecret};
+use laurelstile_wire::session::{MAX_MESSAGE_BYTES, accept, dial, run};
+use rstest::rstest;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_tungstenite::tungstenite::Message;
+
+const SECRET: &[u8] = b"a secret of the installation";
+const BOUND: Duration = Duration::from_secs(60);
+
+fn node(role: NodeRole, secret: &[u8]) -> LocalNode {
+    LocalNode {
+        role,
+        name: "node".to_owned(),
+        incarnation: Incarnation(7),
+        started: Instant::now(),
+        secret: SharedSecret::new(secret),
+    }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Accepts one connection as an agent would, and says how it ended.
+async fn accept_one(listener: TcpListener) -> WireError {
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let local = node(NodeRole::Agent, SECRET);
+    match accept(stream, &local, NodeRole::Gateway).await {
+        Ok((socket, _)) => {
+            let (_outgoing, messages) = mpsc::unbounded_channel::<FromAgent>();
+            run(socket, messages, |_: FromAgent| {}).await
+        }
+        Err(error) => error,
+    }
+}
+
+fn message() -> FromAgent {
+    FromAgent {
+        report: SlotReport::default(),
+        body: FromAgentBody::Heartbeat,
+    }
+}
+
+#[tokio::test]
+async fn messages_pass_between_those_who_know_the_secret() {
+    let (listener, address) = listener().await;
+    let (received, mut got) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let local = node(NodeRole::Agent, SECRET);
+        let (socket, remote) = accept(stream, &local, NodeRole::Gateway)
+            .await
+            .expect("the secret is the same");
+        assert_eq!(remote.incarnation, Incarnation(7));
+        let (_outgoing, messages) = mpsc::unbounded_channel::<FromAgent>();
+        run(socket, messages, |message: FromAgent| {
+            let _ = received.send(message);
+        })
+        .await;
+    });
+    let local = node(NodeRole::Gateway, SECRET);
+    let (socket, _) = dial(address, None, &local, NodeRole::Agent)
+        .await
+        .expect("the secret is the same");
+    let (outgoing, messages) = mpsc::unbounded_channel();
+    tokio::spawn(run(socket, messages, |_: FromAgent| {}));
+    outgoing.send(message()).expect("the session is open");
+    let came = tokio::time::timeout(BOUND, got.recv()).await;
+    assert!(matches!(came, Ok(Some(_))));
+}
+
+#[rstest]
+#[case::wrong_secret(NodeRole::Gateway, b"another secret, just as long")]
+#[case::wrong_role(NodeRole::Agent, SECRET)]
+#[tokio::test]
+async fn a_stranger_is_refused(#[case] role: NodeRole, #[case] secret: &'static [u8]) {
+    let (listener, address) = listener().await;
+    let accepting = tokio::spawn(accept_one(listener));
+    let dialed = dial(address, None, &node(role, secret), NodeRole::Agent).await;
+    assert!(dialed.is_err());
+    let error = accepting.await.expect("the task ends");
+    assert!(
+        matches!(
+            error,
+            WireError::Role | WireError::Closed | WireError::Websocket(_)
+        ),
+        "{error:?}"
+    );
+}
+
+#[rstest]
+#[case::garbled(vec![0xff; 64])]
+#[case::empty(Vec::new())]
+#[case::oversized(vec![0; MAX_MESSAGE_BYTES + 1])]
+#[tokio::test]
+async fn a_bad_first_frame_is_refused(#[case] frame: Vec<u8>) {
+    let (listener, address) = listener().await;
+    let accepting = tokio::spawn(accept_one(listener));
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let (mut socket, _) = tokio_tungstenite::client_async("ws://node/", stream)
+        .await
+        .expect("it speaks websocket");
+    let _ = socket.send(Message::binary(frame)).await;
+    let error = accepting.await.expect("the task ends");
+    assert!(
+        matches!(error, WireError::Garbled(_) | WireError::Websocket(_)),
+        "{error:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_garbled_frame_ends_an_open_session() {
+    let (listener, address) = listener().await;
+    let accepting = tokio::spawn(accept_one(listener));
+    let local = node(NodeRole::Gateway, SECRET);
+    let (mut socket, _) = dial(address, None, &local, NodeRole::Agent)
+        .await
+        .expect("the secret is the same");
+    socket
+        .send(Message::binary(vec![0xff; 8]))
+        .await
+        .expect("it is sent");
+    let error = accepting.await.expect("the task ends");
+    assert!(matches!(error, WireError::Garbled(_)), "{error:?}");
+}
