--- /dev/null
+++ b/laurelstile-core/tests/agent.rs
@@ -0,0 +1,381 @@
+//! The agent's machine: what it starts, and what it refuses and remembers.
+
+use std::sync::Arc;
+
+use laurelstile_core::agent::{Agent, AgentEffect, AgentEvent, BACKEND_BACKOFF, RunEnd};
+use laurelstile_core::messages::agent::{
+    Fate, Fence, FromAgentBody, NotStartedReason, StartTask, TaskOutcome, ToAgent, ToAgentBody,
+};
+use laurelstile_core::payload::Payload;
+use laurelstile_core::session::SessionId;
+use laurelstile_types::configuration::{Backend, Configuration, Pool};
+use laurelstile_types::id::{DispatchId, Incarnation, SubmissionId};
+use laurelstile_types::revision::{Change, Revision};
+use laurelstile_types::time::{Span, Timestamp};
+use rstest::rstest;
+
+const SCHEDULER: Incarnation = Incarnation(1);
+const ENTRY: Incarnation = Incarnation(2);
+const SESSION: SessionId = SessionId(1);
+const ENTRY_SESSION: SessionId = SessionId(2);
+const SLOTS: u32 = 2;
+
+/// An agent in its pool, with sessions of a scheduler and an entry gateway.
+struct Bench {
+    agent: Agent,
+    now: Timestamp,
+    effects: Vec<AgentEffect>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut bench = Self {
+            agent: Agent::new("w1".into()),
+            now: Timestamp(1_000_000),
+            effects: Vec::new(),
+        };
+        for (session, gateway) in [(SESSION, SCHEDULER), (ENTRY_SESSION, ENTRY)] {
+            bench.handle(AgentEvent::Opened { session, gateway });
+        }
+        bench.tell(SESSION, ToAgentBody::Revision(revision(None)));
+        bench.pass(Span::from_secs(20));
+        bench.effects.clear();
+        bench
+    }
+
+    fn handle(&mut self, event: AgentEvent) {
+        self.agent.handle(self.now, event, &mut self.effects);
+        self.agent.flush(self.now, &mut self.effects);
+    }
+
+    fn pass(&mut self, span: Span) {
+        self.now = self.now.after(span);
+    }
+
+    fn tell(&mut self, session: SessionId, body: ToAgentBody) {
+        self.tell_with(session, self.now, 9, Vec::new(), body);
+    }
+
+    fn tell_with(
+        &mut self,
+        session: SessionId,
+        echo: Timestamp,
+        revision: u64,
+        release: Vec<SubmissionId>,
+        body: ToAgentBody,
+    ) {
+        let message = ToAgent {
+            echo,
+            revision,
+            release,
+            body,
+        };
+        self.handle(AgentEvent::Message { session, message });
+    }
+
+    fn start(&mut self, session: SessionId, task: u32, delegation: u32) {
+        let tasks = vec![start_task(task, delegation, Span::from_millis(10))];
+        self.tell(session, ToAgentBody::Start(tasks));
+    }
+
+    fn finish(&mut self, task: u32, end: RunEnd) {
+        let dispatch = dispatch(task, 1);
+        self.handle(AgentEvent::Finished { dispatch, end });
+    }
+
+    /// The dispatches run since the last look.
+    fn runs(&mut self) -> Vec<u32> {
+        let runs = self.effects.iter().filter_map(|effect| match effect {
+            AgentEffect::Run { dispatch, .. } => Some(dispatch.task),
+            _ => None,
+        });
+        runs.collect()
+    }
+
+    /// The refusals sent since the last look.
+    fn refusals(&mut self) -> Vec<NotStartedReason> {
+        let mut reasons = Vec::new();
+        for effect in &self.effects {
+            if let AgentEffect::Send { message, .. } = effect
+                && let FromAgentBody::NotStarted(refused) = &message.body
+            {
+                reasons.extend(refused.iter().map(|refusal| refusal.reason));
+            }
+        }
+        reasons
+    }
+
+    /// The sessions that got a result since the last look.
+    fn result_sessions(&mut self) -> Vec<SessionId> {
+        let sessions = self.effects.iter().filter_map(|effect| match effect {
+            AgentEffect::Send { session, message } => {
+                matches!(message.body, FromAgentBody::Results(_)).then_some(*session)
+            }
+            _ => None,
+        });
+        sessions.collect()
+    }
+
+    /// What the agent said it had started, at the last recovery.
+    fn recovered(&mut self) -> Vec<(u32, Fate)> {
+        let mut tasks = Vec::new();
+        for effect in &self.effects {
+            if let AgentEffect::Send { message, .. } = effect
+                && let FromAgentBody::Recovered(answers) = &message.body
+            {
+                tasks.extend(answers.iter().flat_map(|answer| answer.tasks.clone()));
+            }
+        }
+        tasks
+    }
+}
+
+fn revision(drained: Option<&str>) -> Arc<Revision> {
+    let configuration = Configuration {
+        version: 1,
+        pools: vec![Pool {
+            name: "pool".into(),
+            max_queued_tasks: 10,
+            backends: vec![Backend {
+                name: "w1".into(),
+                agent: "127.0.0.1:1".parse().expect("an address"),
+                zone: "a".into(),
+                rack: "r".into(),
+                slots: SLOTS,
+            }],
+        }],
+        services: Vec::new(),
+        tenants: Vec::new(),
+    };
+    let first = Revision::following(None, "a".into(), Change::Apply(configuration));
+    let revision = match drained {
+        None => first,
+        Some(name) => Revision::following(first.as_ref(), "b".into(), Change::Drain(name.into())),
+    };
+    Arc::new(revision.expect("the change is possible"))
+}
+
+fn submission() -> SubmissionId {
+    SubmissionId {
+        entry: ENTRY,
+        number: 5,
+    }
+}
+
+fn dispatch(task: u32, delegation: u32) -> DispatchId {
+    DispatchId {
+        submission: submission(),
+        task,
+        delegation,
+    }
+}
+
+fn start_task(task: u32, delegation: u32, age: Span) -> StartTask {
+    StartTask {
+        dispatch: dispatch(task, delegation),
+        service: "service".into(),
+        class: "class".into(),
+        age,
+        time_left: Span::from_secs(20),
+        input: Payload::from(Vec::new()),
+    }
+}
+
+fn output() -> RunEnd {
+    RunEnd::Ended(TaskOutcome::Output(Payload::from(vec![1])))
+}
+
+fn recover(delegation: u32) -> ToAgentBody {
+    ToAgentBody::Recover(vec![Fence {
+        submission: submission(),
+        delegation,
+    }])
+}
+
+#[test]
+fn it_starts_what_fits_and_offers_a_freed_slot_to_who_waits() {
+    let mut bench = Bench::new();
+    for task in 0..3 {
+        bench.start(SESSION, task, 1);
+    }
+    assert_eq!(bench.runs(), [0, 1]);
+    assert_eq!(bench.refusals(), [NotStartedReason::Full]);
+    bench.effects.clear();
+    bench.finish(0, output());
+    assert_eq!(bench.result_sessions(), [SESSION]);
+    let free = bench.effects.iter().find_map(|effect| match effect {
+        AgentEffect::Send { message, .. } => Some(message.report.free),
+        _ => None,
+    });
+    assert_eq!(free, Some(1));
+}
+
+#[test]
+fn a_task_is_never_started_twice() {
+    let mut bench = Bench::new();
+    bench.start(SESSION, 0, 1);
+    bench.start(SESSION, 0, 1);
+    bench.finish(0, output());
+    bench.start(SESSION, 0, 1);
+    assert_eq!(bench.runs(), [0]);
+    let duplicate = NotStartedReason::Duplicate;
+    assert_eq!(bench.refusals(), [duplicate, duplicate]);
+}
+
+#[test]
+fn a_fence_refuses_the_lost_scheduler_and_redirects_its_results() {
+    let mut bench = Bench::new();
+    bench.start(SESSION, 0, 1);
+    bench.tell(ENTRY_SESSION, recover(2));
+    assert_eq!(bench.recovered(), [(0, Fate::Running)]);
+    bench.start(SESSION, 1, 1);
+    assert_eq!(bench.refusals(), [NotStartedReason::Fenced]);
+    bench.finish(0, output());
+    assert_eq!(bench.result_sessions(), [ENTRY_SESSION]);
+    bench.start(ENTRY_SESSION, 1, 2);
+    assert_eq!(bench.runs(), [0, 1]);
+}
+
+#[test]
+fn a_released_submission_that_was_fenced_stays_closed() {
+    let mut bench = Bench::new();
+    bench.tell(ENTRY_SESSION, recover(2));
+    let release = vec![submission()];
+    bench.tell_with(ENTRY_SESSION, bench.now, 9, release, ToAgentBody::Heartbeat);
+    bench.start(SESSION, 0, 1);
+    bench.start(SESSION, 1, 2);
+    assert!(bench.runs().is_empty());
+    let fenced = NotStartedReason::Fenced;
+    assert_eq!(bench.refusals(), [fenced, fenced]);
+}
+
+#[test]
+fn an_output_is_kept_until_it_is_released() {
+    let mut bench = Bench::new();
+    bench.start(SESSION, 0, 1);
+    bench.finish(0, output());
+    bench.tell(ENTRY_SESSION, recover(2));
+    assert!(matches!(
+        bench.recovered().as_slice(),
+        [(
+            0,
+            Fate::Finished {
+                outcome: TaskOutcome::Output(_),
+                ..
+            }
+        )]
+    ));
+}
+
+#[test]
+fn memory_of_released_submissions_is_freed() {
+    let mut bench = Bench::new();
+    bench.start(SESSION, 0, 1);
+    bench.finish(0, output());
+    assert_eq!(bench.agent.remembered(), 1);
+    let release = vec![submission()];
+    bench.tell_with(SESSION, bench.now, 9, release, ToAgentBody::Heartbeat);
+    assert_eq!(bench.agent.remembered(), 0);
+}
+
+#[rstest]
+#[case::sender_not_heard_for_long(5_000, 9, 10, NotStartedReason::StaleSender)]
+#[case::sender_behind(0, 0, 10, NotStartedReason::StaleRevision)]
+#[case::delegated_before_it_joined(0, 9, 30_000, NotStartedReason::OlderThanAgent)]
+fn a_stale_start_is_refused(
+    #[case] echo_millis_ago: u64,
+    #[case] revision: u64,
+    #[case] age_millis: u64,
+    #[case] reason: NotStartedReason,
+) {
+    let mut bench = Bench::new();
+    let echo = Timestamp(bench.now.0 - echo_millis_ago * 1_000);
+    let tasks = vec![start_task(0, 1, Span::from_millis(age_millis))];
+    bench.tell_with(
+        SESSION,
+        echo,
+        revision,
+        Vec::new(),
+        ToAgentBody::Start(tasks),
+    );
+    assert!(bench.runs().is_empty());
+    assert_eq!(bench.refusals(), [reason]);
+}
+
+#[rstest]
+#[case::drained(ToAgentBody::Revision(revision(Some("w1"))))]
+#[case::leaving(ToAgentBody::Leaving)]
+fn a_leaving_agent_finishes_but_starts_nothing(#[case] order: ToAgentBody) {
+    let mut bench = Bench::new();
+    bench.start(SESSION, 0, 1);
+    bench.tell(ENTRY_SESSION, order);
+    bench.start(SESSION, 1, 1);
+    assert_eq!(bench.runs(), [0]);
+    assert_eq!(bench.refusals(), [NotStartedReason::Draining]);
+    bench.finish(0, output());
+    assert_eq!(bench.result_sessions(), [SESSION]);
+}
+
+#[test]
+fn a_planned_stop_waits_for_runs_and_for_outputs_to_be_released() {
+    let mut bench = Bench::new();
+    let is_stopped = |bench: &Bench| {
+        let effects = bench.effects.iter();
+        effects
+            .filter(|effect| matches!(effect, AgentEffect::Stopped))
+            .count()
+            == 1
+    };
+    bench.start(SESSION, 0, 1);
+    bench.handle(AgentEvent::Stop);
+    assert!(!is_stopped(&bench));
+    bench.finish(0, output());
+    assert!(!is_stopped(&bench));
+    let release = vec![submission()];
+    bench.tell_with(SESSION, bench.now, 9, release, ToAgentBody::Heartbeat);
+    assert!(is_stopped(&bench));
+}
+
+#[test]
+fn a_back_end_that_refuses_connections_gets_a_pause() {
+    let mut bench = Bench::new();
+    bench.start(SESSION, 0, 1);
+    bench.finish(0, RunEnd::NotStarted);
+    bench.start(SESSION, 0, 1);
+    let unreachable = NotStartedReason::BackendUnreachable;
+    assert_eq!(bench.refusals(), [unreachable, unreachable]);
+    bench.pass(BACKEND_BACKOFF);
+    bench.start(SESSION, 0, 1);
+    assert_eq!(bench.runs(), [0, 0]);
+}
+
+#[test]
+fn a_new_session_fences_the_old_one() {
+    let mut bench = Bench::new();
+    let session = SessionId(3);
+    bench.handle(AgentEvent::Opened {
+        session,
+        gateway: SCHEDULER,
+    });
+    bench.start(SESSION, 0, 1);
+    assert!(bench.runs().is_empty());
+    let reconcile = ToAgentBody::Reconcile(vec![dispatch(0, 1)]);
+    bench.tell(session, reconcile);
+    let fates = bench.effects.iter().find_map(|effect| match effect {
+        AgentEffect::Send { message, .. } => match &message.body {
+            FromAgentBody::Reconciled(answers) => Some(answers[0].fate.clone()),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(fates, Some(Fate::NeverReceived));
+}
+
+#[test]
+fn an_older_revision_never_replaces_a_newer_one() {
+    let mut bench = Bench::new();
+    bench.tell(SESSION, ToAgentBody::Revision(revision(Some("w1"))));
+    bench.tell(SESSION, ToAgentBody::Revision(revision(None)));
+    assert_eq!(bench.agent.revision_number(), 2);
+    assert!(bench.agent.is_draining());
+}
