--- a/laurelstile-core/src/gateway/links.rs
+++ b/laurelstile-core/src/gateway/links.rs
@@ -251,6 +251,9 @@
         if link.incarnation != Some(remote.incarnation) {
             link.incarnation = Some(remote.incarnation);
             link.incarnation_started = Timestamp(now.since(Timestamp(remote.uptime.0)).0);
+            // What was to be told to the incarnation before is void.
+            link.release.clear();
+            link.cancel.clear();
         }
         link.report = SlotReport::default();
         link.last_heard = now;
--- a/laurelstile-history/src/check/configuration.rs
+++ b/laurelstile-history/src/check/configuration.rs
@@ -78,8 +78,9 @@
         .map(|(_, record)| record.at_micros);
     match reached {
         Some(at) if at <= due => {
-            if due_from == accepted.at_micros {
-                let took = seconds(at.saturating_sub(accepted.at_micros));
+            let micros = at.saturating_sub(accepted.at_micros);
+            if node.whole_from(accepted.at_micros, micros) == accepted.at_micros {
+                let took = seconds(micros);
                 report.config_max_seconds_in_force = report.config_max_seconds_in_force.max(took);
             }
         }
--- a/laurelstile-lab/src/flags.rs
+++ b/laurelstile-lab/src/flags.rs
@@ -11,8 +11,8 @@
         cmd demo { }
         /// Load a cell and report what it costs and how it answers.
         cmd load {
-            /// Sizes: rennes, krystalon, or hollow (one gateway, hollow
-            /// agents, as many starts as it can do).
+            /// Sizes: rennes, krystalon, hollow (one gateway, hollow agents,
+            /// as many starts as it can do), or scale (780 hollow agents).
             required --preset preset: String
             /// Share of the slots that the load keeps busy (default 0.5).
             optional --load load: f64
--- a/laurelstile-lab/src/load.rs
+++ b/laurelstile-lab/src/load.rs
@@ -9,6 +9,7 @@
 use laurelstile_history::file::HistoryWriter;
 use laurelstile_platform::http::HttpClient;
 use laurelstile_types::configuration::Tenant;
+use laurelstile_wire::session::SENT_BYTES;
 use laurelstiled::settings::LogLevel;
 use laurelstiled::telemetry::{MESSAGES, STARTS};
 use rand::distr::{Distribution, Uniform};
@@ -35,10 +36,13 @@
 const PROBE_RUN: Duration = Duration::from_millis(5);
 /// Jobs in flight at saturation, as a multiple of what fills the slots.
 const SATURATION: usize = 3;
+const IDLE_SETTLING_SECONDS: u64 = 6;
+const IDLE_SECONDS: u64 = 9;
 const STEADY_SECONDS: u64 = 8;
 const SATURATION_SECONDS: u64 = 6;
 /// Time for caches and means to settle before anything is counted.
 const WARM_UP: Duration = Duration::from_secs(1);
+const PERCENT: f64 = 100.0;
 const THOUSAND: f64 = 1_000.0;
 
 /// Sizes of a preset.
@@ -48,16 +52,19 @@
     backends: usize,
     /// Back ends that are hollow agents of one process.
     hollow: bool,
+    /// Tasks take time; otherwise they end at once.
+    timed: bool,
     slots: u32,
     max_tasks: usize,
 }
 
-const PRESETS: [Preset; 3] = [
+const PRESETS: [Preset; 4] = [
     Preset {
         name: "rennes",
         gateways: 3,
         backends: 11,
         hollow: false,
+        timed: true,
         slots: 8,
         max_tasks: 24,
     },
@@ -66,6 +73,7 @@
         gateways: 3,
         backends: 11,
         hollow: false,
+        timed: true,
         slots: 8,
         max_tasks: 120,
     },
@@ -74,6 +82,16 @@
         gateways: 1,
         backends: 40,
         hollow: true,
+        timed: false,
+        slots: 16,
+        max_tasks: 820,
+    },
+    Preset {
+        name: "scale",
+        gateways: 3,
+        backends: 780,
+        hollow: true,
+        timed: true,
         slots: 16,
         max_tasks: 820,
     },
@@ -96,11 +114,13 @@
     added_latency_p99_ms: Option<f64>,
     /// Jobs that got no answer.
     unanswered: u64,
+    /// Nothing to do, after all sessions are open.
+    idle: Phase,
     saturation: Phase,
 }
 
 /// What a phase cost.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Default, Serialize)]
 struct Phase {
     seconds: f64,
     task_starts: u64,
@@ -109,11 +129,17 @@
     /// Messages that moved no work: refused starts and superseded work.
     wasted_messages: u64,
     messages: Counts,
+    /// Bytes of messages that all nodes sent, a second.
+    bytes_per_second: f64,
+    /// Share of a core that the gateways used together, in percent.
+    gateways_core_percent: f64,
+    /// Share of a core that the agents used together, in percent.
+    agents_core_percent: f64,
     processor_seconds_per_1000_tasks: Processors,
     gateway_mebibytes: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug, Default, Serialize)]
 struct Processors {
     gateways: f64,
     agents: f64,
@@ -124,6 +150,7 @@
 struct Reading {
     at: Instant,
     messages: Counts,
+    bytes: u64,
     starts: u64,
     gateways: f64,
     agents: f64,
@@ -160,8 +187,12 @@
             unanswered,
         })
     };
+    let idle = run_idle(&cell).await?;
     let saturation = run_saturated(&cell, &mut workload).await?;
-    let report = report_of(preset, load, scale, seconds, mixed, saturation);
+    let report = Report {
+        idle,
+        ..report_of(preset, load, scale, seconds, mixed, saturation)
+    };
     if flags.json {
         println!("{}", serde_json::to_string_pretty(&report)?);
     } else {
@@ -200,7 +231,7 @@
     max_tasks: usize,
     slots: f64,
     next: u64,
-    hollow: bool,
+    timed: bool,
 }
 
 impl Workload {
@@ -215,22 +246,22 @@
             max_tasks: preset.max_tasks,
             slots: f64::from(preset.slots * backends),
             next: 0,
-            hollow: preset.hollow,
+            timed: preset.timed,
         }
     }
 
     fn draw(&mut self) -> Job {
-        let tasks = if self.hollow {
-            self.max_tasks
-        } else {
+        let tasks = if self.timed {
             self.random.random_range(1..=self.max_tasks)
+        } else {
+            self.max_tasks
         };
         let runs = (0..tasks).map(|_| self.draw_run()).collect();
         self.job(runs)
     }
 
     fn draw_run(&mut self) -> Duration {
-        if self.hollow {
+        if !self.timed {
             return Duration::ZERO;
         }
         let millis = self.millis.sample(&mut self.random) * self.scale;
@@ -393,6 +424,15 @@
     response.ok().map(|_| started.elapsed())
 }
 
+/// Nothing to do.
+async fn run_idle(cell: &Cell) -> Result<Phase, LabError> {
+    tokio::time::sleep(Duration::from_secs(IDLE_SETTLING_SECONDS)).await;
+    let before = read(cell).await?;
+    tokio::time::sleep(Duration::from_secs(IDLE_SECONDS)).await;
+    let after = read(cell).await?;
+    Ok(phase_of(cell, &before, &after))
+}
+
 /// More jobs than the slots can hold, in a closed loop.
 async fn run_saturated(cell: &Arc<Cell>, workload: &mut Workload) -> Result<Phase, LabError> {
     let caller = Caller::new(PATIENCE, HistoryWriter::none());
@@ -433,18 +473,19 @@
 async fn read(cell: &Cell) -> Result<Reading, LabError> {
     let http = HttpClient::new(PATIENCE);
     let mut messages = Counts::new();
-    let mut starts = 0;
+    let (mut starts, mut bytes) = (0, 0);
     for gateway in &cell.gateways {
         let counts = measure::scrape(&http, &gateway.api, MESSAGES).await?;
         measure::add(&mut messages, counts);
+        bytes += total(&measure::scrape(&http, &gateway.api, SENT_BYTES).await?);
     }
     for node in cell.agent_metrics() {
         measure::add(
             &mut messages,
             measure::scrape(&http, &node, MESSAGES).await?,
         );
-        let counts = measure::scrape(&http, &node, STARTS).await?;
-        starts += counts.values().sum::<u64>();
+        bytes += total(&measure::scrape(&http, &node, SENT_BYTES).await?);
+        starts += total(&measure::scrape(&http, &node, STARTS).await?);
     }
     let gateways = cell.gateways.iter().map(|gateway| gateway.process.pid());
     let agents = cell.agents.iter().map(|agent| agent.process.pid());
@@ -452,6 +493,7 @@
     Ok(Reading {
         at: Instant::now(),
         messages,
+        bytes,
         starts,
         gateways: gateways.map(measure::processor_seconds).sum(),
         agents: agents
@@ -466,12 +508,13 @@
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     let messages = measure::since(&before.messages, &after.messages);
     let starts = after.starts - before.starts;
-    let total: u64 = messages.values().sum();
+    let sent = total(&messages);
     let wasted = ["not_started", "superseded", "not_here"]
         .iter()
         .filter_map(|kind| messages.get(*kind))
         .sum();
     let per_thousand = |used: f64| used * THOUSAND / float(starts.max(1));
+    let percent = |used: f64| used / seconds * PERCENT;
     let memory = cell
         .gateways
         .iter()
@@ -481,9 +524,12 @@
         seconds,
         task_starts: starts,
         starts_per_second: float(starts) / seconds,
-        messages_per_task: float(total) / float(starts.max(1)),
+        messages_per_task: float(sent) / float(starts.max(1)),
         wasted_messages: wasted,
         messages,
+        bytes_per_second: float(after.bytes - before.bytes) / seconds,
+        gateways_core_percent: percent(after.gateways - before.gateways),
+        agents_core_percent: percent(after.agents - before.agents),
         processor_seconds_per_1000_tasks: Processors {
             gateways: per_thousand(after.gateways - before.gateways),
             agents: per_thousand(after.agents - before.agents),
@@ -518,6 +564,7 @@
         added_latency_p50_ms: job.zip(direct).map(|(job, direct)| job.p50 - direct.p50),
         added_latency_p99_ms: job.zip(direct).map(|(job, direct)| job.p99 - direct.p99),
         unanswered: mixed.map_or(0, |mixed| mixed.unanswered),
+        idle: Phase::default(),
         saturation,
     }
 }
@@ -536,6 +583,11 @@
     if let (Some(p50), Some(p99)) = (report.added_latency_p50_ms, report.added_latency_p99_ms) {
         println!("added latency per task: p50 {p50:.3} ms, p99 {p99:.3} ms");
     }
+    let idle = &report.idle;
+    println!(
+        "idle: {:.0} bytes/s, gateways {:.2}% and agents {:.2}% of a core; {:?}",
+        idle.bytes_per_second, idle.gateways_core_percent, idle.agents_core_percent, idle.messages
+    );
     let phase = &report.saturation;
     println!(
         "saturation: {:.0} starts/s, {:.3} messages per task, {} wasted; {:?}",
@@ -547,6 +599,10 @@
     );
 }
 
+fn total(counts: &Counts) -> u64 {
+    counts.values().sum()
+}
+
 fn gateway_address(cell: &Cell, index: usize) -> (String, String) {
     let gateway = &cell.gateways[index];
     (gateway.process.name().to_owned(), gateway.api.clone())
--- a/laurelstile-wire/src/session.rs
+++ b/laurelstile-wire/src/session.rs
@@ -5,6 +5,7 @@
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use laurelstile_core::session::Remote;
+use metrics::counter;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpSocket, TcpStream};
@@ -22,6 +23,9 @@
 /// Largest message that is taken, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Metric: bytes of messages sent, without the frames around them.
+pub const SENT_BYTES: &str = "laurelstile_sent_bytes_total";
+
 /// Most messages that go out with one flush.
 const WRITE_BATCH: usize = 64;
 
@@ -112,7 +116,9 @@
             return closed.map_or_else(WireError::from, |()| WireError::Closed);
         }
         for message in batch.drain(..) {
-            if let Err(error) = sink.feed(Message::binary(encode(&message))).await {
+            let bytes = encode(&message);
+            counter!(SENT_BYTES).increment(bytes.len() as u64);
+            if let Err(error) = sink.feed(Message::binary(bytes)).await {
                 return error.into();
             }
         }
