Ask idle agents for reports instead of having all of them report

Change: an idle agent speaks only when asked; a gateway asks every 8 s, or when tasks wait and only agents with old reports have slots. A flush looks for orders to agents without touching each link.

--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -24,11 +24,12 @@
 /// bounds how long a start on its way can be late for a back end that leaves.
 pub const START_FRESHNESS: Span = Span::from_millis(4_500);
 /// A session from which nothing comes for this long is closed.
-pub const SESSION_SILENCE: Span = Span::from_secs(15);
+pub const SESSION_SILENCE: Span = Span::from_secs(25);
 /// Heartbeat interval towards a gateway with unresolved work.
 pub const BUSY_HEARTBEAT: Span = Span::from_millis(500);
-/// Heartbeat interval towards a gateway without.
-pub const IDLE_HEARTBEAT: Span = Span::from_secs(3);
+/// A gateway's heartbeat is answered unless something was sent to it within
+/// this time.
+pub const ANSWER_PAUSE: Span = Span::from_millis(400);
 /// How long after joining its pool an agent reports as often as a busy one.
 pub const YOUTH: Span = Span::from_secs(5);
 /// How long a back end that refused a connection gets no start.
@@ -278,7 +279,8 @@
             self.send_revision(now, session, effects);
         }
         match message.body {
-            ToAgentBody::Heartbeat | ToAgentBody::Revision(_) => {}
+            ToAgentBody::Heartbeat => self.answer_heartbeat(now, session, effects),
+            ToAgentBody::Revision(_) => {}
             ToAgentBody::Start(tasks) => {
                 let sender = Sender {
                     session,
@@ -301,6 +303,23 @@
         }
     }
 
+    /// An idle agent says nothing by itself: it is asked when a gateway needs a
+    /// fresh report, or wants to know whether the session lives.
+    fn answer_heartbeat(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let is_due = self
+            .links
+            .get(&session)
+            .is_some_and(|link| now.since(link.last_sent) >= ANSWER_PAUSE);
+        if is_due {
+            self.send(now, session, FromAgentBody::Heartbeat, effects);
+        }
+    }
+
     fn start(
         &mut self,
         now: Timestamp,
@@ -495,9 +514,8 @@
         for (session, link) in &self.links {
             // Whether a young agent may take a job hangs on a fresh report.
             let is_young = now.since(self.member_since) < YOUTH;
-            let busy = is_young || link.waiting || self.records.has_work_of(link.gateway);
-            let interval = if busy { BUSY_HEARTBEAT } else { IDLE_HEARTBEAT };
-            if now.since(link.last_sent) >= interval {
+            let is_busy = is_young || link.waiting || self.records.has_work_of(link.gateway);
+            if is_busy && now.since(link.last_sent) >= BUSY_HEARTBEAT {
                 effects.push(AgentEffect::Send {
                     session: *session,
                     message: FromAgent {
--- a/laurelstile-core/src/gateway/agents.rs
+++ b/laurelstile-core/src/gateway/agents.rs
@@ -6,9 +6,9 @@
 use laurelstile_types::id::BackendName;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::links::{LinkIndex, SESSION_SILENCE};
+use super::links::{IDLE_HEARTBEAT, LinkIndex, SESSION_SILENCE};
 use super::{Gateway, GatewayEffect};
-use crate::agent::{BUSY_HEARTBEAT, IDLE_HEARTBEAT};
+use crate::agent::BUSY_HEARTBEAT;
 use crate::messages::agent::{FromAgent, FromAgentBody, ToAgent, ToAgentBody};
 use crate::messages::peer::DelegationKey;
 use crate::session::{Remote, SessionId};
@@ -201,10 +201,7 @@
     }
 
     pub(super) fn flush_agents(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
-        for index in self.links.indices() {
-            if self.links.get(index).session.is_none() {
-                continue;
-            }
+        for index in self.links.with_orders() {
             let recover = std::mem::take(&mut self.links.get_mut(index).recover);
             if !recover.is_empty() {
                 self.send_to_agent(now, index, ToAgentBody::Recover(recover), effects);
@@ -221,6 +218,16 @@
         for (index, tasks) in starts {
             self.send_to_agent(now, index, ToAgentBody::Start(tasks), effects);
         }
+        self.probe_idle_agents(now, effects);
+    }
+
+    /// Asks idle agents for fresh reports if tasks are left waiting.
+    fn probe_idle_agents(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        for (pool, tasks) in self.scheduler.waiting() {
+            for index in self.links.choose_probes(now, &pool, tasks) {
+                self.send_to_agent(now, index, ToAgentBody::Heartbeat, effects);
+            }
+        }
     }
 
     pub(super) fn tick_agents(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
@@ -237,7 +244,7 @@
             }
             let quiet = now.since(link.last_sent);
             let heartbeat_due = if link.unresolved.is_empty() {
-                quiet >= IDLE_HEARTBEAT
+                quiet >= IDLE_HEARTBEAT && now.since(link.last_heard) >= IDLE_HEARTBEAT
             } else {
                 quiet >= BUSY_HEARTBEAT
             };
--- a/laurelstile-core/src/gateway/links.rs
+++ b/laurelstile-core/src/gateway/links.rs
@@ -13,10 +13,15 @@
 
 /// An agent with unresolved dispatches gets no start after this silence.
 pub const BUSY_SUSPECT: Span = Span::from_secs(2);
-/// An idle agent gets no start after this silence.
-pub const IDLE_SUSPECT: Span = Span::from_secs(9);
+/// An idle agent is asked for a fresh report before it gets a start after this
+/// silence.
+pub const REPORT_FRESHNESS: Span = Span::from_secs(3);
+/// An idle agent is asked for a sign of life after this silence.
+pub const IDLE_HEARTBEAT: Span = Span::from_secs(8);
+/// Pause between two requests for a fresh report.
+const PROBE_PAUSE: Span = Span::from_secs(1);
 /// A session from which nothing comes for this long is closed.
-pub const SESSION_SILENCE: Span = Span::from_secs(15);
+pub const SESSION_SILENCE: Span = Span::from_secs(25);
 
 /// Weight of a new run in the running mean of an agent's slowness.
 const SLOWNESS_GAIN: f64 = 0.1;
@@ -64,6 +69,8 @@
     pub last_heard: Timestamp,
     /// When the latest message went.
     pub last_sent: Timestamp,
+    /// When the agent was last asked for a fresh report.
+    pub probed_at: Timestamp,
     /// Starts sent in this session.
     pub sent: u64,
     /// Dispatches whose end is not known.
@@ -83,25 +90,39 @@
 }
 
 impl Link {
-    /// Whether the agent may get starts.
-    fn is_usable(&self, now: Timestamp) -> bool {
-        let silence = if self.unresolved.is_empty() {
-            IDLE_SUSPECT
-        } else {
-            BUSY_SUSPECT
-        };
+    /// Whether the agent may get starts, as far as the last report tells.
+    fn is_in_service(&self) -> bool {
         self.session.is_some()
             && self.configured
             && !self.report.draining
             && !self.listed_leaving
             && self.listed_gone_since.is_none()
-            && now.since(self.last_heard) <= silence
+    }
+
+    /// Whether the last report is young enough to send starts by it.
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        let silence = if self.unresolved.is_empty() {
+            REPORT_FRESHNESS
+        } else {
+            BUSY_SUSPECT
+        };
+        now.since(self.last_heard) <= silence
+    }
+
+    /// Slots that a fresh report would probably give; 0 if the last report is
+    /// fresh, or the agent was asked just now.
+    fn expected_slots(&self, now: Timestamp) -> u32 {
+        let is_worth_asking = self.is_in_service()
+            && !self.is_fresh(now)
+            && self.unresolved.is_empty()
+            && now.since(self.probed_at) >= PROBE_PAUSE;
+        if is_worth_asking { self.report.free } else { 0 }
     }
 
     /// Free slots: those reported less the starts that the report does not
     /// know of yet.
     pub fn available(&self, now: Timestamp) -> u32 {
-        if !self.is_usable(now) {
+        if !self.is_in_service() || !self.is_fresh(now) {
             return 0;
         }
         let on_the_way = self.sent.saturating_sub(self.report.processed);
@@ -119,7 +140,7 @@
 
     /// Whether the link has a session that was heard from lately.
     pub fn is_live(&self, now: Timestamp) -> bool {
-        self.session.is_some() && now.since(self.last_heard) <= IDLE_SUSPECT
+        self.session.is_some() && now.since(self.last_heard) <= SESSION_SILENCE
     }
 
     /// Notes how long a task ran against its class's mean.
@@ -172,6 +193,7 @@
             listed_gone_since: None,
             last_heard: Timestamp::default(),
             last_sent: Timestamp::default(),
+            probed_at: Timestamp::default(),
             sent: 0,
             unresolved: BTreeSet::new(),
             release: Vec::new(),
@@ -206,6 +228,15 @@
         &mut self.links[index.0]
     }
 
+    /// Links with an open session and something to recover or cancel.
+    pub fn with_orders(&self) -> Vec<LinkIndex> {
+        self.iter()
+            .filter(|(_, link)| !link.recover.is_empty() || !link.cancel.is_empty())
+            .filter(|(_, link)| link.session.is_some())
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     /// Every index.
     pub fn indices(&self) -> impl Iterator<Item = LinkIndex> + use<> {
         (0..self.links.len()).map(LinkIndex)
@@ -219,6 +250,24 @@
             .map(|(index, link)| (LinkIndex(index), link))
     }
 
+    /// Idle agents of `pool` to ask for a fresh report, enough for `tasks`.
+    pub fn choose_probes(&mut self, now: Timestamp, pool: &PoolName, tasks: u32) -> Vec<LinkIndex> {
+        let mut chosen = Vec::new();
+        let mut slots = 0;
+        for (index, link) in self.links.iter_mut().enumerate() {
+            if slots >= tasks {
+                break;
+            }
+            let expected = link.expected_slots(now);
+            if link.pool == *pool && expected > 0 {
+                link.probed_at = now;
+                slots += expected;
+                chosen.push(LinkIndex(index));
+            }
+        }
+        chosen
+    }
+
     /// Whether agents of `pool` have reported, and every one of them joined the
     /// pool after `delegated`, a time on this gateway's clock.
     pub fn all_younger(&self, pool: &PoolName, delegated: Timestamp) -> bool {
--- a/laurelstile-core/src/gateway/scheduler.rs
+++ b/laurelstile-core/src/gateway/scheduler.rs
@@ -139,6 +139,15 @@
             .sum()
     }
 
+    /// Tasks that wait, by pool.
+    pub fn waiting(&self) -> Vec<(PoolName, u32)> {
+        self.queues
+            .iter()
+            .filter(|(_, queue)| queue.queued_tasks() > 0)
+            .map(|(pool, queue)| (pool.clone(), queue.queued_tasks()))
+            .collect()
+    }
+
     /// Results that came for jobs that were over.
     pub fn late_results(&self) -> u64 {
         self.late_results
@@ -253,13 +262,7 @@
         links: &mut Links,
     ) -> BTreeMap<LinkIndex, Vec<StartTask>> {
         let mut starts: BTreeMap<LinkIndex, Vec<StartTask>> = BTreeMap::new();
-        let pools: Vec<PoolName> = self
-            .queues
-            .iter()
-            .filter(|(_, queue)| queue.queued_tasks() > 0)
-            .map(|(pool, _)| pool.clone())
-            .collect();
-        for pool in pools {
+        for (pool, _) in self.waiting() {
             let mut passed_over = BTreeSet::new();
             while let Some(link) = links.preferred(&pool, &passed_over) {
                 let Some(submission) = self.next_for(now, &pool, links.get(link)) else {
