Whole revisions to a few agents; acknowledgements ride on other messages

Whole revisions to all agents would have been some 57 MB from each gateway for one change at 780 back ends (computed); now about eight agents get them, the others what concerns them. Read buffers of sessions shrink from 128 to 8 KiB.

--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -13,8 +13,8 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use crate::messages::agent::{
-    Fate, Fence, FromAgent, FromAgentBody, NotStarted, NotStartedReason, Reconciled, Recovered,
-    SlotReport, StartTask, TaskOutcome, TaskResult, ToAgent, ToAgentBody,
+    Fate, Fence, FromAgent, FromAgentBody, Membership, NotStarted, NotStartedReason, Reconciled,
+    Recovered, SlotReport, StartTask, TaskOutcome, TaskResult, ToAgent, ToAgentBody,
 };
 use crate::payload::Payload;
 use crate::session::SessionId;
@@ -105,7 +105,7 @@
     /// Close a session.
     Close(SessionId),
     /// A revision is in force here.
-    InForce(Arc<Revision>),
+    InForce(RevisionNumber),
     /// The agent refuses all new work from now on.
     Draining,
     /// Everything is handed over; the process may exit.
@@ -137,7 +137,9 @@
 #[derive(Debug)]
 pub struct Agent {
     name: BackendName,
+    /// The revision in force, where this agent was given the whole of it.
     revision: Option<Arc<Revision>>,
+    revision_number: RevisionNumber,
     slots: u32,
     member_since: Timestamp,
     drained: bool,
@@ -156,6 +158,7 @@
         Self {
             name,
             revision: None,
+            revision_number: 0,
             slots: 0,
             member_since: Timestamp::default(),
             drained: false,
@@ -171,7 +174,7 @@
 
     /// The revision in force here; 0 if none.
     pub fn revision_number(&self) -> RevisionNumber {
-        self.revision.as_ref().map_or(0, |revision| revision.number)
+        self.revision_number
     }
 
     /// Tasks that run now.
@@ -273,14 +276,16 @@
         for submission in &message.release {
             self.records.release(*submission);
         }
-        if let ToAgentBody::Revision(revision) = &message.body {
-            self.adopt(now, Arc::clone(revision), effects);
-        } else if message.revision < self.revision_number() {
+        if message.revision < self.revision_number() {
             self.send_revision(now, session, effects);
         }
         match message.body {
             ToAgentBody::Heartbeat => self.answer_heartbeat(now, session, effects),
-            ToAgentBody::Revision(_) => {}
+            ToAgentBody::Revision(revision) => {
+                let membership = Membership::of(&revision, &self.name);
+                self.adopt(now, membership, Some(revision), effects);
+            }
+            ToAgentBody::Membership(membership) => self.adopt(now, membership, None, effects),
             ToAgentBody::Start(tasks) => {
                 let sender = Sender {
                     session,
@@ -475,25 +480,29 @@
         }
     }
 
-    fn adopt(&mut self, now: Timestamp, revision: Arc<Revision>, effects: &mut Vec<AgentEffect>) {
-        if revision.number <= self.revision_number() {
+    /// Puts a newer revision in force; an older one is ignored.
+    fn adopt(
+        &mut self,
+        now: Timestamp,
+        membership: Membership,
+        revision: Option<Arc<Revision>>,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if membership.revision <= self.revision_number() {
             return;
         }
         let was_member = self.slots > 0;
-        self.slots = revision
-            .configuration
-            .backends()
-            .find(|backend| backend.name == self.name)
-            .map_or(0, |backend| backend.slots);
+        self.slots = membership.slots;
         if !was_member {
             self.member_since = now;
         }
-        self.drained = revision.drained.contains(&self.name);
+        self.drained = membership.drained;
         if !self.is_draining() {
             self.drain_reported = false;
         }
-        self.revision = Some(Arc::clone(&revision));
-        effects.push(AgentEffect::InForce(revision));
+        self.revision = revision;
+        self.revision_number = membership.revision;
+        effects.push(AgentEffect::InForce(membership.revision));
         for session in self.links.keys().copied().collect::<Vec<_>>() {
             self.send(now, session, FromAgentBody::Heartbeat, effects);
         }
--- a/laurelstile-core/src/gateway/agents.rs
+++ b/laurelstile-core/src/gateway/agents.rs
@@ -9,7 +9,7 @@
 use super::links::{IDLE_HEARTBEAT, LinkIndex, SESSION_SILENCE};
 use super::{Gateway, GatewayEffect};
 use crate::agent::BUSY_HEARTBEAT;
-use crate::messages::agent::{FromAgent, FromAgentBody, ToAgent, ToAgentBody};
+use crate::messages::agent::{FromAgent, FromAgentBody, Membership, ToAgent, ToAgentBody};
 use crate::messages::peer::DelegationKey;
 use crate::session::{Remote, SessionId};
 
@@ -178,13 +178,19 @@
         };
         let number = revision.number;
         let revision = Arc::clone(revision);
+        let holds = self.links.holds_revisions(index);
         let link = self.links.get_mut(index);
         let known = link.report.revision.max(link.pushed_revision);
         if link.session.is_none() || known >= number {
             return;
         }
         link.pushed_revision = number;
-        self.send_to_agent(now, index, ToAgentBody::Revision(revision), effects);
+        let body = if holds {
+            ToAgentBody::Revision(revision)
+        } else {
+            ToAgentBody::Membership(Membership::of(&revision, &link.name))
+        };
+        self.send_to_agent(now, index, body, effects);
     }
 
     pub(super) fn tell_leaving(
--- a/laurelstile-core/src/gateway/links.rs
+++ b/laurelstile-core/src/gateway/links.rs
@@ -18,6 +18,8 @@
 pub const REPORT_FRESHNESS: Span = Span::from_secs(3);
 /// An idle agent is asked for a sign of life after this silence.
 pub const IDLE_HEARTBEAT: Span = Span::from_secs(8);
+/// How many agents, at least, are given whole revisions, if there are so many.
+const HOLDERS: usize = 8;
 /// Pause between two requests for a fresh report.
 const PROBE_PAUSE: Span = Span::from_secs(1);
 /// A session from which nothing comes for this long is closed.
@@ -228,6 +230,14 @@
         &mut self.links[index.0]
     }
 
+    /// Whether an agent is given whole revisions, which it can teach to
+    /// gateways that cannot read them in the table. Some [`HOLDERS`] agents
+    /// are, spread over the configuration.
+    pub fn holds_revisions(&self, index: LinkIndex) -> bool {
+        let stride = (self.links.len() / HOLDERS).max(1);
+        index.0.is_multiple_of(stride)
+    }
+
     /// Links with an open session and something to recover or cancel.
     pub fn with_orders(&self) -> Vec<LinkIndex> {
         self.iter()
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -372,9 +372,7 @@
     /// Before a planned stop: sends what others wait for, so that agents can
     /// forget the outputs that they keep for this gateway.
     fn hand_over(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
-        for name in self.peers.names() {
-            self.send_acknowledgements(now, &name, effects);
-        }
+        self.send_acknowledgements(now, effects);
         self.send_releases(now, effects);
     }
 
--- a/laurelstile-core/src/gateway/peering.rs
+++ b/laurelstile-core/src/gateway/peering.rs
@@ -14,8 +14,8 @@
 };
 use crate::session::{Remote, SessionId};
 
-/// Acknowledgements wait this long for one another.
-const ACKNOWLEDGE_DELAY: Span = Span::from_millis(100);
+/// Acknowledgements wait this long for a message to ride on.
+const ACKNOWLEDGE_DELAY: Span = Span::from_millis(250);
 
 impl Gateway {
     pub(super) fn on_peer_opened(
@@ -71,6 +71,9 @@
         peer.revision = message.revision;
         peer.dropped = false;
         let incarnation = peer.incarnation;
+        for submission in message.acknowledge {
+            self.scheduler.acknowledge(submission, &mut self.links);
+        }
         self.push_revision_to_peer(now, &name, effects);
         match message.body {
             ToPeerBody::Heartbeat => {}
@@ -87,11 +90,6 @@
                 self.on_delegate(now, &name, origin, is_refused, *delegation, effects);
             }
             ToPeerBody::Done(end) => self.on_done(now, &name, *end, effects),
-            ToPeerBody::Acknowledge(submissions) => {
-                for submission in submissions {
-                    self.scheduler.acknowledge(submission, &mut self.links);
-                }
-            }
             ToPeerBody::Withdraw(keys) => {
                 for key in keys {
                     self.scheduler.withdraw(key, &mut self.links);
@@ -265,6 +263,7 @@
             let lost = now.since(peer.last_heard) > LOST && !peer.dropped;
             peer.dropped |= lost;
             let quiet = now.since(peer.last_sent);
+            let has_acknowledgements = !peer.acknowledge.is_empty();
             let busy = !peer.outstanding.is_empty();
             if suspect {
                 self.recover_from(now, &name, effects);
@@ -272,11 +271,10 @@
             if lost {
                 self.scheduler.on_entry_lost(incarnation, &mut self.links);
             }
-            if quiet >= ACKNOWLEDGE_DELAY {
-                self.send_acknowledgements(now, &name, effects);
-            }
             let works_for = busy || self.scheduler.job_count() > 0;
-            let interval = if works_for {
+            let interval = if has_acknowledgements {
+                ACKNOWLEDGE_DELAY
+            } else if works_for {
                 BUSY_HEARTBEAT
             } else {
                 IDLE_HEARTBEAT
@@ -287,20 +285,21 @@
         }
     }
 
+    /// Sends every pending acknowledgement on its own.
     pub(super) fn send_acknowledgements(
         &mut self,
         now: Timestamp,
-        name: &GatewayName,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let Some(peer) = self.peers.get_mut(name) else {
-            return;
-        };
-        if peer.session.is_none() || peer.acknowledge.is_empty() {
-            return;
+        for name in self.peers.names() {
+            let is_pending = self
+                .peers
+                .get(&name)
+                .is_some_and(|peer| !peer.acknowledge.is_empty());
+            if is_pending {
+                self.send_to_peer(now, &name, ToPeerBody::Heartbeat, effects);
+            }
         }
-        let acknowledge = std::mem::take(&mut peer.acknowledge);
-        self.send_to_peer(now, name, ToPeerBody::Acknowledge(acknowledge), effects);
     }
 
     pub(super) fn push_revision_to_peers(
@@ -352,6 +351,7 @@
         };
         peer.last_sent = now;
         let echo = peer.clock.unwrap_or_default();
+        let acknowledge = std::mem::take(&mut peer.acknowledge);
         effects.push(GatewayEffect::ToPeer {
             session,
             message: ToPeer {
@@ -359,6 +359,7 @@
                 stopping,
                 clock: now,
                 echo,
+                acknowledge,
                 body,
             },
         });
--- a/laurelstile-core/src/messages/agent.rs
+++ b/laurelstile-core/src/messages/agent.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use laurelstile_types::id::{
-    ClassName, DelegationNumber, DispatchId, ServiceName, SubmissionId, TaskIndex,
+    BackendName, ClassName, DelegationNumber, DispatchId, ServiceName, SubmissionId, TaskIndex,
 };
 use laurelstile_types::revision::{Revision, RevisionNumber};
 use laurelstile_types::time::{Span, Timestamp};
@@ -39,12 +39,41 @@
     Recover(Vec<Fence>),
     /// Stop the tasks of these submissions.
     Cancel(Vec<SubmissionId>),
-    /// A newer revision than the agent's.
+    /// A newer revision than the agent's, whole: the agent can teach it to
+    /// gateways.
     Revision(Arc<Revision>),
+    /// A newer revision than the agent's, as far as it concerns the agent.
+    Membership(Membership),
     /// The machine list says that the agent's machine is leaving.
     Leaving,
 }
 
+/// What a revision says of one back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Number of the revision.
+    pub revision: RevisionNumber,
+    /// Slots of the back end; 0 if the revision does not name it.
+    pub slots: u32,
+    /// Whether it is drained.
+    pub drained: bool,
+}
+
+impl Membership {
+    /// What `revision` says of the back end `name`.
+    pub fn of(revision: &Revision, name: &BackendName) -> Self {
+        let backend = revision
+            .configuration
+            .backends()
+            .find(|backend| backend.name == *name);
+        Self {
+            revision: revision.number,
+            slots: backend.map_or(0, |backend| backend.slots),
+            drained: revision.drained.contains(name),
+        }
+    }
+}
+
 /// One task to start.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StartTask {
--- a/laurelstile-core/src/messages/peer.rs
+++ b/laurelstile-core/src/messages/peer.rs
@@ -24,6 +24,9 @@
     pub clock: Timestamp,
     /// The latest reading of the receiver's clock that the sender has seen.
     pub echo: Timestamp,
+    /// Submissions whose ends the sender, their entry gateway, has; the
+    /// receiver may forget them.
+    pub acknowledge: Vec<SubmissionId>,
     /// What the message is about.
     pub body: ToPeerBody,
 }
@@ -37,8 +40,6 @@
     Delegate(Box<Delegation>),
     /// The end of a delegation.
     Done(Box<DelegationEnd>),
-    /// The entry gateway has the ends of these; forget them.
-    Acknowledge(Vec<SubmissionId>),
     /// The entry gateway no longer wants these delegations.
     Withdraw(Vec<DelegationKey>),
     /// After a new session: the delegations that the entry gateway believes
--- a/laurelstile-sim/src/world/effects.rs
+++ b/laurelstile-sim/src/world/effects.rs
@@ -65,7 +65,7 @@
                     let incarnation = self.agents[index].incarnation.to_string();
                     let event = Event::InForce {
                         incarnation,
-                        revision: revision.number,
+                        revision,
                     };
                     self.record(&agent_name(index), event);
                 }
--- a/laurelstile-wire/src/session.rs
+++ b/laurelstile-wire/src/session.rs
@@ -23,6 +23,10 @@
 /// Largest message that is taken, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Read buffer of each session, in bytes: most messages are far smaller, and
+/// a gateway has a session to each agent.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Metric: bytes of messages sent, without the frames around them.
 pub const SENT_BYTES: &str = "laurelstile_sent_bytes_total";
 
@@ -148,6 +152,7 @@
 
 fn config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
--- a/laurelstiled/src/agent/driver.rs
+++ b/laurelstiled/src/agent/driver.rs
@@ -183,12 +183,12 @@
                     self.gateways.remove(&session);
                 }
                 AgentEffect::InForce(revision) => {
-                    log::info!(revision = revision.number; "configuration in force");
+                    log::info!(revision = revision; "configuration in force");
                     #[expect(clippy::cast_precision_loss, reason = "gauges are floating point")]
-                    gauge!(REVISION).set(revision.number as f64);
+                    gauge!(REVISION).set(revision as f64);
                     self.history.record(Event::InForce {
                         incarnation: self.incarnation.to_string(),
-                        revision: revision.number,
+                        revision,
                     });
                 }
                 AgentEffect::Draining => log::info!("draining: refusing new work"),
--- a/laurelstiled/src/gateway/driver.rs
+++ b/laurelstiled/src/gateway/driver.rs
@@ -290,6 +290,7 @@
         ToAgentBody::Recover(_) => "recover",
         ToAgentBody::Cancel(_) => "cancel",
         ToAgentBody::Revision(_) => "revision",
+        ToAgentBody::Membership(_) => "membership",
         ToAgentBody::Leaving => "leaving",
     }
 }
@@ -299,7 +300,6 @@
         ToPeerBody::Heartbeat => "peer_heartbeat",
         ToPeerBody::Delegate(_) => "delegate",
         ToPeerBody::Done(_) => "done",
-        ToPeerBody::Acknowledge(_) => "acknowledge",
         ToPeerBody::Withdraw(_) => "withdraw",
         ToPeerBody::Outstanding(_) => "outstanding",
         ToPeerBody::NotHere(_) => "not_here",
