--- a/laurelstile-core/src/gateway/agents.rs
+++ b/laurelstile-core/src/gateway/agents.rs
@@ -146,7 +146,9 @@
         for pool in &configuration.pools {
             for backend in &pool.backends {
                 let index = self.links.ensure(&backend.name, &pool.name, &backend.zone);
+                let is_leaving = self.leaving.contains(&backend.name);
                 let link = self.links.get_mut(index);
+                link.listed_leaving |= is_leaving;
                 link.configured = true;
                 link.slots = backend.slots;
             }
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 mod scheduler;
 mod submission;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use laurelstile_types::api::{NodeStatus, Status};
@@ -38,7 +38,8 @@
 
 /// A gap between two events that means that the process stood still.
 const SUSPENSION: Span = Span::from_secs(2);
-/// How long nothing is started after such a gap.
+/// How long nothing is started after such a gap, or in a new process that
+/// cannot read the machine list.
 const REST: Span = Span::from_millis(1_500);
 
 /// What happens to a gateway.
@@ -224,6 +225,9 @@
     last_handled: Timestamp,
     /// No task is started before this time.
     resting_until: Timestamp,
+    has_read_machines: bool,
+    /// Back ends that the machine list says are leaving, configured or not.
+    leaving: BTreeSet<BackendName>,
     links: Links,
     peers: Peers,
     scheduler: Scheduler,
@@ -241,7 +245,11 @@
             stopping: false,
             stop_reported: false,
             last_handled: Timestamp::default(),
-            resting_until: Timestamp::default(),
+            // A new process knows nothing of the machine list; its clock starts
+            // at zero.
+            resting_until: Timestamp(REST.0),
+            has_read_machines: false,
+            leaving: BTreeSet::new(),
             peers: Peers::default(),
             scheduler: Scheduler::new(policy.order),
             submissions: BTreeMap::new(),
@@ -400,15 +408,25 @@
         list: &MachineList,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        if !self.has_read_machines {
+            self.has_read_machines = true;
+            self.resting_until = now;
+        }
         let mut news = Vec::new();
         for machine in &list.machines {
             if machine.role != MachineRole::Backend {
                 continue;
             }
-            let Some(index) = self.links.find(&BackendName(machine.name.clone())) else {
+            let name = BackendName(machine.name.clone());
+            let is_leaving = machine.state == MachineState::Leaving;
+            if is_leaving {
+                self.leaving.insert(name.clone());
+            } else {
+                self.leaving.remove(&name);
+            }
+            let Some(index) = self.links.find(&name) else {
                 continue;
             };
-            let is_leaving = machine.state == MachineState::Leaving;
             let link = self.links.get_mut(index);
             let is_news = is_leaving && !link.listed_leaving;
             link.listed_leaving = is_leaving;
--- a/laurelstile-core/src/gateway/peering.rs
+++ b/laurelstile-core/src/gateway/peering.rs
@@ -116,6 +116,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         for backend in backends {
+            self.leaving.insert(backend.clone());
             if let Some(index) = self.links.find(backend) {
                 self.links.get_mut(index).listed_leaving = true;
                 self.links.refresh(now, index);
--- a/laurelstile-core/tests/gateway.rs
+++ b/laurelstile-core/tests/gateway.rs
@@ -16,6 +16,7 @@
 use laurelstile_types::configuration::{Backend, Class, Configuration, Pool, Service, Tenant};
 use laurelstile_types::id::{Incarnation, SubmissionId};
 use laurelstile_types::outcome::{Reason, RunState};
+use laurelstile_types::platform::MachineList;
 use laurelstile_types::revision::{Change, Revision};
 use laurelstile_types::time::{Span, Timestamp};
 use rstest::rstest;
@@ -52,6 +53,7 @@
             released_claims: 0,
             answers: BTreeMap::new(),
         };
+        bench.handle(GatewayEvent::Machines(MachineList::default()));
         bench.handle(GatewayEvent::Revision(revision()));
         let remote = Remote {
             name: "w1".to_owned(),
--- a/laurelstile-sim/tests/seeds.rs
+++ b/laurelstile-sim/tests/seeds.rs
@@ -25,6 +25,7 @@
 #[case::gateway_thawed_with_delegations_waiting(6922)]
 #[case::start_stuck_in_a_frozen_agent(6404)]
 #[case::start_stuck_in_a_cut_link(9504)]
+#[case::leaving_heard_before_the_configuration(36217)]
 fn mended_seed_holds_every_point(#[case] seed: u64) {
     let (report, _) = run_seed(seed, None);
     let broken = report.violations_by_point();
