--- /dev/null
+++ b/laurelstile-core/src/gateway/job.rs
@@ -0,0 +1,99 @@
+//! A delegated job as its scheduler holds it, and how long tasks of a class run.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use laurelstile_types::id::{
+    ClassName, DispatchId, Incarnation, PoolName, ServiceName, TaskIndex, TenantName,
+};
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::links::LinkIndex;
+use super::queue::{Claim, Place};
+use crate::messages::peer::{DelegatedTask, DelegationKey, TaskOutput};
+use crate::payload::Payload;
+
+/// Weight of a new run in the learned mean of its class.
+const MEAN_GAIN: f64 = 0.05;
+
+/// A task that was sent to an agent and whose end is not known.
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) link: LinkIndex,
+    pub(super) input: Payload,
+}
+
+/// A delegated job.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) key: DelegationKey,
+    pub(super) entry: Incarnation,
+    pub(super) pool: PoolName,
+    pub(super) service: ServiceName,
+    pub(super) class: ClassName,
+    pub(super) tenant: TenantName,
+    pub(super) weight: u32,
+    pub(super) arrival: Timestamp,
+    /// Not later than the time of the delegation; `None` for a job of this
+    /// gateway's own, which no other gateway can ever recover.
+    pub(super) delegated: Option<Timestamp>,
+    pub(super) deadline: Timestamp,
+    pub(super) task_mean: Span,
+    pub(super) waiting: VecDeque<DelegatedTask>,
+    pub(super) running: BTreeMap<TaskIndex, Running>,
+    pub(super) outputs: Vec<TaskOutput>,
+    pub(super) task_count: usize,
+    pub(super) touched: BTreeSet<LinkIndex>,
+    pub(super) place: Option<Place>,
+}
+
+/// How long tasks of a class run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClassMean(f64);
+
+impl Job {
+    pub(super) fn runs(&self, dispatch: DispatchId) -> bool {
+        self.key.delegation == dispatch.delegation && self.running.contains_key(&dispatch.task)
+    }
+
+    /// At least the time since the delegation, as far as it matters.
+    pub(super) fn age(&self, now: Timestamp) -> Span {
+        self.delegated
+            .map_or(Span::default(), |delegated| now.since(delegated))
+    }
+
+    pub(super) fn remaining(&self) -> Span {
+        Span(self.task_mean.0 * self.waiting.len() as u64)
+    }
+
+    pub(super) fn claim(&self) -> Claim {
+        Claim {
+            remaining: self.remaining(),
+            weight: self.weight,
+            arrival: self.arrival,
+        }
+    }
+}
+
+impl From<Span> for ClassMean {
+    fn from(span: Span) -> Self {
+        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+        let micros = span.0 as f64;
+        Self(micros)
+    }
+}
+
+impl ClassMean {
+    pub(super) fn learn(&mut self, run: Span) {
+        self.0 += MEAN_GAIN * (Self::from(run).0 - self.0);
+    }
+
+    pub(super) fn span(self) -> Span {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a mean of spans is a span"
+        )]
+        let micros = self.0 as u64;
+        Span(micros.max(1))
+    }
+}
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod agents;
 mod entry;
+mod job;
 mod links;
 mod peering;
 mod peers;
--- a/laurelstile-core/src/gateway/scheduler.rs
+++ b/laurelstile-core/src/gateway/scheduler.rs
@@ -1,60 +1,26 @@
 //! The scheduler of a pool: holds delegated jobs, sends their tasks to free
 //! slots in the order of the queue, and gathers whole answers.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use laurelstile_types::configuration::Configuration;
 use laurelstile_types::id::{
-    ClassName, DispatchId, Incarnation, PoolName, ServiceName, SubmissionId, TaskIndex, TenantName,
+    ClassName, DispatchId, Incarnation, PoolName, ServiceName, SubmissionId, TenantName,
 };
 use laurelstile_types::outcome::{Failure, Reason, RunState};
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::job::{ClassMean, Job, Running};
 use super::links::{Link, LinkIndex, Links};
-use super::queue::{Claim, Order, Place, Queue};
+use super::queue::{Order, Queue};
 use crate::messages::agent::{Fate, NotStartedReason, StartTask, TaskOutcome};
 use crate::messages::peer::{
     DelegatedTask, Delegation, DelegationEnd, DelegationKey, DelegationOutcome, TaskOutput,
 };
-use crate::payload::Payload;
-
-/// Weight of a new run in the learned mean of its class.
-const MEAN_GAIN: f64 = 0.05;
 
 /// How long a job waits before it is sent back as too old for every agent.
 const SEND_BACK_AFTER: Span = Span::from_millis(200);
 
-/// A task that was sent to an agent and whose end is not known.
-#[derive(Debug)]
-struct Running {
-    link: LinkIndex,
-    input: Payload,
-}
-
-/// A delegated job.
-#[derive(Debug)]
-struct Job {
-    key: DelegationKey,
-    entry: Incarnation,
-    pool: PoolName,
-    service: ServiceName,
-    class: ClassName,
-    tenant: TenantName,
-    weight: u32,
-    arrival: Timestamp,
-    /// Not later than the time of the delegation; `None` for a job of this
-    /// gateway's own, which no other gateway can ever recover.
-    delegated: Option<Timestamp>,
-    deadline: Timestamp,
-    task_mean: Span,
-    waiting: VecDeque<DelegatedTask>,
-    running: BTreeMap<TaskIndex, Running>,
-    outputs: Vec<TaskOutput>,
-    task_count: usize,
-    touched: BTreeSet<LinkIndex>,
-    place: Option<Place>,
-}
-
 /// Where a delegation comes from.
 #[derive(Clone, Copy, Debug)]
 pub struct Origin {
@@ -73,10 +39,6 @@
     touched: BTreeSet<LinkIndex>,
 }
 
-/// How long tasks of a class run.
-#[derive(Clone, Copy, Debug)]
-struct ClassMean(f64);
-
 /// An end that is to be told to an entry gateway.
 #[derive(Debug)]
 pub struct EndFor {
@@ -729,54 +691,6 @@
 /// Number of the first delegation of every submission.
 pub const FIRST_DELEGATION: u32 = 1;
 
-impl Job {
-    fn runs(&self, dispatch: DispatchId) -> bool {
-        self.key.delegation == dispatch.delegation && self.running.contains_key(&dispatch.task)
-    }
-
-    /// At least the time since the delegation, as far as it matters.
-    fn age(&self, now: Timestamp) -> Span {
-        self.delegated
-            .map_or(Span::default(), |delegated| now.since(delegated))
-    }
-
-    fn remaining(&self) -> Span {
-        Span(self.task_mean.0 * self.waiting.len() as u64)
-    }
-
-    fn claim(&self) -> Claim {
-        Claim {
-            remaining: self.remaining(),
-            weight: self.weight,
-            arrival: self.arrival,
-        }
-    }
-}
-
-impl From<Span> for ClassMean {
-    fn from(span: Span) -> Self {
-        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
-        let micros = span.0 as f64;
-        Self(micros)
-    }
-}
-
-impl ClassMean {
-    fn learn(&mut self, run: Span) {
-        self.0 += MEAN_GAIN * (Self::from(run).0 - self.0);
-    }
-
-    fn span(self) -> Span {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a mean of spans is a span"
-        )]
-        let micros = self.0 as u64;
-        Span(micros.max(1))
-    }
-}
-
 fn release(submission: SubmissionId, touched: &BTreeSet<LinkIndex>, links: &mut Links) {
     for link in touched {
         links.get_mut(*link).release.push(submission);
