Judge deadlines by the slots in service

Ruled out: wrong means, tasks run as long as drawn. Change: the scheduler goes by the slots of agents in service. A test failed first.

--- a/laurelstile-core/src/gateway/links.rs
+++ b/laurelstile-core/src/gateway/links.rs
@@ -260,6 +260,15 @@
             .map(|(index, link)| (LinkIndex(index), link))
     }
 
+    /// Slots of each pool whose agents are in service now.
+    pub fn slots_in_service(&self) -> BTreeMap<PoolName, u32> {
+        let mut slots = BTreeMap::new();
+        for link in self.links.iter().filter(|link| link.is_in_service()) {
+            *slots.entry(link.pool.clone()).or_default() += link.slots;
+        }
+        slots
+    }
+
     /// Idle agents of `pool` to ask for a fresh report, enough for `tasks`.
     pub fn choose_probes(&mut self, now: Timestamp, pool: &PoolName, tasks: u32) -> Vec<LinkIndex> {
         let mut chosen = Vec::new();
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -448,6 +448,8 @@
 
     fn on_tick(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         self.scheduler.expire(now, &mut self.links);
+        let slots = self.links.slots_in_service();
+        self.scheduler.set_slots_in_service(&slots);
         self.scheduler.send_back_too_old(now, &mut self.links);
         self.expire_submissions(now, effects);
         self.tick_agents(now, effects);
--- a/laurelstile-core/src/gateway/queue.rs
+++ b/laurelstile-core/src/gateway/queue.rs
@@ -80,6 +80,11 @@
         self.lines.entry(tenant.clone()).or_default().quota = quota;
     }
 
+    /// The number of slots that estimates go by.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Tasks that wait.
     pub fn queued_tasks(&self) -> u32 {
         self.queued_tasks
--- a/laurelstile-core/src/gateway/scheduler.rs
+++ b/laurelstile-core/src/gateway/scheduler.rs
@@ -88,6 +88,16 @@
         }
     }
 
+    /// Takes over the slots that are in service, by which waiting times are
+    /// estimated. A pool without any keeps the number that it had.
+    pub fn set_slots_in_service(&mut self, slots: &BTreeMap<PoolName, u32>) {
+        for (pool, slots) in slots {
+            if let Some(queue) = self.queues.get_mut(pool) {
+                queue.set_slots(*slots);
+            }
+        }
+    }
+
     /// Jobs that are not ended.
     pub fn job_count(&self) -> usize {
         self.jobs.len()
@@ -210,7 +220,7 @@
                 .get(&submission)
                 .map_or(Span::default(), Job::remaining)
         });
-        let own = Span(job.remaining().0 / u64::from(pool.slots().max(1))).max(job.task_mean);
+        let own = Span(job.remaining().0 / u64::from(queue.slots())).max(job.task_mean);
         if before.0 + own.0 > time_left.0 {
             return refuse(Reason::DeadlineUnreachable);
         }
--- a/laurelstile-core/tests/gateway.rs
+++ b/laurelstile-core/tests/gateway.rs
@@ -159,6 +159,17 @@
 }
 
 fn revision() -> Arc<Revision> {
+    revision_of(&["w1"], 1)
+}
+
+fn revision_of(backends: &[&str], number: u64) -> Arc<Revision> {
+    let backend = |name: &&str| Backend {
+        name: (*name).into(),
+        agent: "127.0.0.1:1".parse().expect("an address"),
+        zone: "a".into(),
+        rack: "r".into(),
+        slots: SLOTS,
+    };
     let class = |name: &str, repeatable| Class {
         name: name.into(),
         expected_millis: 100,
@@ -176,13 +187,7 @@
         pools: vec![Pool {
             name: "pool".into(),
             max_queued_tasks: 300,
-            backends: vec![Backend {
-                name: "w1".into(),
-                agent: "127.0.0.1:1".parse().expect("an address"),
-                zone: "a".into(),
-                rack: "r".into(),
-                slots: SLOTS,
-            }],
+            backends: backends.iter().map(backend).collect(),
         }],
         services: vec![Service {
             name: "service".into(),
@@ -197,7 +202,9 @@
         ],
     };
     let change = Change::Apply(configuration);
-    Arc::new(Revision::following(None, "a".into(), change).expect("it applies"))
+    let mut revision = Revision::following(None, "a".into(), change).expect("it applies");
+    revision.number = number;
+    Arc::new(revision)
 }
 
 fn job(tenant: &str, tasks: usize) -> JobRequest {
@@ -261,6 +268,24 @@
     assert!(bench.running.is_empty());
 }
 
+#[test]
+fn a_deadline_is_judged_by_the_slots_in_service() {
+    let mut bench = Bench::new();
+    bench.handle(GatewayEvent::Tick);
+    let in_time = |number| JobRequest {
+        deadline: Some(Span::from_millis(400)),
+        ..job("one", number)
+    };
+    bench.submit(1, in_time(12));
+    assert_eq!(bench.failure(1), None);
+    // The second agent, with four of the eight slots, has no session.
+    bench.handle(GatewayEvent::Revision(revision_of(&["w1", "w2"], 2)));
+    bench.handle(GatewayEvent::Tick);
+    bench.submit(2, in_time(12));
+    let unreachable = Some((RunState::NotRun, Reason::DeadlineUnreachable));
+    assert_eq!(bench.failure(2), unreachable);
+}
+
 #[test]
 fn least_remaining_work_goes_first() {
     let mut bench = Bench::new();
--- a/laurelstile-wire/src/error.rs
+++ b/laurelstile-wire/src/error.rs
@@ -9,16 +9,16 @@
     #[error("connection refused")]
     Refused,
     /// The connection could not be made.
-    #[error("cannot connect")]
+    #[error("cannot connect: {0}")]
     Connect(#[source] std::io::Error),
     /// The websocket failed, or a frame was too large.
-    #[error("websocket")]
+    #[error("websocket: {0}")]
     Websocket(#[from] Box<tokio_tungstenite::tungstenite::Error>),
     /// The other side closed the connection.
     #[error("closed by the other side")]
     Closed,
     /// A frame is not a message of the expected type.
-    #[error("garbled frame")]
+    #[error("garbled frame: {0}")]
     Garbled(#[source] ciborium::de::Error<std::io::Error>),
     /// A frame is not binary.
     #[error("unexpected kind of frame")]
