--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -11,7 +11,8 @@
             optional --verbose
             /// Print the histories.
             optional --history
-            /// Switch a mechanism off: recovery, claims or drains.
+            /// Switch a mechanism off: recovery, claims, drains, push,
+            /// hand-over, submission-ids, wholeness or proof.
             optional --without mechanism: String
         }
         /// Compare ways of scheduling without faults.
--- a/laurelstile-sim/src/main.rs
+++ b/laurelstile-sim/src/main.rs
@@ -36,8 +36,16 @@
         Some("recovery") => Some(Sabotage::NoRecovery),
         Some("claims") => Some(Sabotage::NoClaims),
         Some("drains") => Some(Sabotage::NoDrains),
+        Some("push") => Some(Sabotage::NoPush),
+        Some("hand-over") => Some(Sabotage::NoHandOver),
+        Some("submission-ids") => Some(Sabotage::NoSubmissionIds),
+        Some("wholeness") => Some(Sabotage::NoWholeness),
+        Some("proof") => Some(Sabotage::NoProof),
         Some(_) => {
-            eprintln!("--without takes recovery, claims or drains");
+            eprintln!(
+                "--without takes recovery, claims, drains, push, hand-over, submission-ids, \
+                 wholeness or proof"
+            );
             return ExitCode::from(2);
         }
     };
--- a/laurelstile-sim/src/world/callers.rs
+++ b/laurelstile-sim/src/world/callers.rs
@@ -6,11 +6,11 @@
 use laurelstile_core::payload::Payload;
 use laurelstile_history::event::{Event, ResultTag};
 use laurelstile_types::id::Incarnation;
-use laurelstile_types::outcome::Failure;
+use laurelstile_types::outcome::{Failure, Reason};
 use rand::Rng;
 
 use super::nodes::gateway_name;
-use super::{SimEvent, World};
+use super::{Sabotage, SimEvent, World};
 
 /// Most submissions of one job.
 const MOST_TRIES: u32 = 3;
@@ -166,17 +166,40 @@
 
     pub(super) fn answer_leaves(&mut self, gateway: usize, answer: Answer) {
         let key = (self.gateways[gateway].incarnation, answer.submission.number);
-        let Some(request) = self.callers.waiting.remove(&key) else {
+        let Some(request) = self.request_of(key) else {
             return;
         };
         let outcome = match answer.outcome {
             Ok(outputs) => CallerOutcome::Answer(outputs),
-            Err(failure) => CallerOutcome::Failure(failure),
+            Err(failure) => self.failure_at_caller(failure),
         };
         let event = SimEvent::AnswerAtCaller(request, Box::new(outcome));
         self.schedule(self.now + self.plan.caller_latency, event);
     }
 
+    fn failure_at_caller(&self, failure: Failure) -> CallerOutcome {
+        let is_late = failure.reason == Reason::DeadlineExceeded;
+        match self.plan.sabotage {
+            Some(Sabotage::NoWholeness) if is_late => CallerOutcome::Answer(Vec::new()),
+            Some(Sabotage::NoProof) if is_late => {
+                CallerOutcome::Failure(Failure::not_run(failure.reason))
+            }
+            _ => CallerOutcome::Failure(failure),
+        }
+    }
+
+    /// The waiting request that an answer goes to.
+    fn request_of(&mut self, key: (Incarnation, u64)) -> Option<String> {
+        if self.plan.sabotage == Some(Sabotage::NoSubmissionIds) {
+            let waiting = self.callers.waiting.keys();
+            let oldest = waiting
+                .copied()
+                .find(|(incarnation, _)| *incarnation == key.0)?;
+            return self.callers.waiting.remove(&oldest);
+        }
+        self.callers.waiting.remove(&key)
+    }
+
     pub(super) fn answer_at_caller(&mut self, request: &str, outcome: CallerOutcome) {
         let Some(open) = self.callers.open.remove(request) else {
             return;
--- a/laurelstile-sim/src/world/faulting.rs
+++ b/laurelstile-sim/src/world/faulting.rs
@@ -66,6 +66,9 @@
             Fault::StopGateway(gateway) => {
                 let target = gateway_name(gateway);
                 self.record("lab", Event::StopBegan { target });
+                if self.plan.sabotage == Some(Sabotage::NoHandOver) {
+                    self.end_gateway(gateway);
+                }
                 self.gateways[gateway].stopping = true;
                 let incarnation = self.gateways[gateway].incarnation;
                 self.tell_gateway(gateway, incarnation, GatewayEvent::Stop);
--- a/laurelstile-sim/src/world/mod.rs
+++ b/laurelstile-sim/src/world/mod.rs
@@ -76,6 +76,16 @@
     NoClaims,
     /// Drains are not told to agents and gateways.
     NoDrains,
+    /// Revisions are not pushed to agents.
+    NoPush,
+    /// A planned stop ends the process at once.
+    NoHandOver,
+    /// Answers go to callers in the order of their submissions, not by id.
+    NoSubmissionIds,
+    /// A job past its deadline is answered with what is there.
+    NoWholeness,
+    /// A deadline counts as proof that nothing ran.
+    NoProof,
 }
 
 /// Something that happens at a time.
--- a/laurelstile-sim/src/world/network.rs
+++ b/laurelstile-sim/src/world/network.rs
@@ -261,7 +261,9 @@
         let session = SessionId(number);
         match (link, message) {
             (LinkKey::Agent(gateway, agent), SimMessage::ToAgent(message)) => {
-                if self.answers_for_agent(gateway, dialer, session, &message) {
+                if self.answers_for_agent(gateway, dialer, session, &message)
+                    || self.withholds(agent, &message)
+                {
                     return;
                 }
                 self.tell_agent(agent, dialed, AgentEvent::Message { session, message });
@@ -282,6 +284,17 @@
         }
     }
 
+    /// Without pushes an agent keeps the first revision that it was given.
+    fn withholds(&self, agent: usize, message: &ToAgent) -> bool {
+        let is_push = matches!(
+            message.body,
+            ToAgentBody::Revision(_) | ToAgentBody::Membership(_)
+        );
+        let machine = self.agents[agent].machine.as_ref();
+        let has_one = machine.is_some_and(|machine| machine.revision_number() > 0);
+        is_push && has_one && self.plan.sabotage == Some(Sabotage::NoPush)
+    }
+
     /// Without recovery an agent's memory is never asked: everything counts
     /// as not started.
     fn answers_for_agent(
--- a/laurelstile-sim/tests/seeds.rs
+++ b/laurelstile-sim/tests/seeds.rs
@@ -36,6 +36,11 @@
 #[case(Sabotage::NoRecovery, Point::StartsOnce)]
 #[case(Sabotage::NoClaims, Point::AtMostOnce)]
 #[case(Sabotage::NoDrains, Point::LeavingGetsNothing)]
+#[case(Sabotage::NoPush, Point::ConfigurationInForce)]
+#[case(Sabotage::NoHandOver, Point::StopCutsNothing)]
+#[case(Sabotage::NoSubmissionIds, Point::OwnAnswer)]
+#[case(Sabotage::NoWholeness, Point::WholeOrFailed)]
+#[case(Sabotage::NoProof, Point::NotRunIsTrue)]
 fn without_its_mechanism_a_point_breaks(#[case] sabotage: Sabotage, #[case] point: Point) {
     let breaks = (0..10).any(|seed| {
         let (report, _) = run_seed(seed, Some(sabotage));
