--- a/laurelstiled/src/settings.rs
+++ b/laurelstiled/src/settings.rs
@@ -209,8 +209,9 @@
     })
 }
 
+/// One thread gave the lowest latency (docs/BENCH.md).
 fn default_threads() -> usize {
-    2
+    1
 }
 
 fn default_max_body_bytes() -> usize {
