Give back claims that are decided after their submission was answered

Cause: a caller that left, or a deadline that passed, while a claim was being written left the key claimed for good though nothing ran; the release was sent before the write, or not at all. Found by reading. The release now waits for the claim's outcome. A test failed first.

--- a/laurelstile-core/src/gateway/entry.rs
+++ b/laurelstile-core/src/gateway/entry.rs
@@ -119,6 +119,7 @@
             .get(&id.number)
             .is_some_and(|submission| submission.phase == Phase::Claiming);
         if !waiting {
+            self.settle_late_claim(id, outcome, effects);
             return;
         }
         match outcome {
@@ -133,12 +134,30 @@
                 self.answer(now, id.number, Err(failure), effects);
             }
             ClaimOutcome::Unavailable => {
+                if let Some(submission) = self.submissions.get_mut(&id.number) {
+                    submission.phase = Phase::Collecting;
+                }
                 let failure = Failure::not_run(Reason::ClaimUnavailable);
                 self.answer(now, id.number, Err(failure), effects);
             }
         }
     }
 
+    /// The submission was answered as not run before its claim was decided.
+    fn settle_late_claim(
+        &mut self,
+        id: SubmissionId,
+        outcome: ClaimOutcome,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let claim = self.unsettled_claims.remove(&id.number);
+        if let Some(claim) = claim
+            && outcome != ClaimOutcome::Taken
+        {
+            effects.push(GatewayEffect::ReleaseClaim(claim));
+        }
+    }
+
     /// Hands the missing tasks of a submission to the pool's scheduler.
     pub(super) fn delegate(
         &mut self,
@@ -333,7 +352,12 @@
             if failure.run_state == RunState::NotRun
                 && let Some(claim) = &submission.claim
             {
-                effects.push(GatewayEffect::ReleaseClaim(claim.clone()));
+                // A claim whose write is under way is released after it.
+                if submission.phase == Phase::Claiming {
+                    self.unsettled_claims.insert(number, claim.clone());
+                } else {
+                    effects.push(GatewayEffect::ReleaseClaim(claim.clone()));
+                }
             }
         }
         self.release_fenced(&submission);
@@ -388,7 +412,14 @@
         number: u64,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let failure = Failure::may_have_run(Reason::CallerGone);
+        let Some(submission) = self.submissions.get(&number) else {
+            return;
+        };
+        let failure = Failure {
+            run_state: submission.run_state(),
+            reason: Reason::CallerGone,
+            retry_after_millis: None,
+        };
         self.answer(now, number, Err(failure), effects);
     }
 
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -233,6 +233,8 @@
     peers: Peers,
     scheduler: Scheduler,
     submissions: BTreeMap<u64, Submission>,
+    /// Claims of submissions that were answered before these were decided.
+    unsettled_claims: BTreeMap<u64, ClaimRequest>,
 }
 
 impl Gateway {
@@ -254,6 +256,7 @@
             peers: Peers::default(),
             scheduler: Scheduler::new(policy.order),
             submissions: BTreeMap::new(),
+            unsettled_claims: BTreeMap::new(),
         }
     }
 
@@ -386,7 +389,9 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.submissions.is_empty() && self.scheduler.job_count() == 0
+        self.submissions.is_empty()
+            && self.unsettled_claims.is_empty()
+            && self.scheduler.job_count() == 0
     }
 
     /// Puts a newer revision in force; an older one is ignored, so that a
--- a/laurelstile-core/tests/gateway.rs
+++ b/laurelstile-core/tests/gateway.rs
@@ -387,6 +387,26 @@
     assert_eq!(bench.released_claims, 1);
 }
 
+#[test]
+fn a_claim_that_comes_too_late_is_given_back() {
+    let mut bench = Bench::new();
+    let once = JobRequest {
+        class: "once".into(),
+        idempotency_key: Some("key".into()),
+        ..job("one", 1)
+    };
+    bench.submit(1, once);
+    bench.handle(GatewayEvent::CallerGone { number: 1 });
+    assert_eq!(bench.released_claims, 0);
+    let submission = bench.claims[0];
+    bench.handle(GatewayEvent::Claimed {
+        submission,
+        outcome: ClaimOutcome::Granted,
+    });
+    assert!(bench.running.is_empty());
+    assert_eq!(bench.released_claims, 1);
+}
+
 #[test]
 fn a_lost_agent_fails_what_it_may_have_run() {
     let mut bench = Bench::new();
