Read the change once more: one place for what stood twice

- session identifiers were drawn by the same code in gateway and agent: one module, laurelstiled::session;
- the name of the platform as a target of faults stood in four places: an event constant;
- the agent's tick built heartbeats by hand and then marked them as sent: it calls send, which does both; mark_sent is gone;
- each tick of a gateway copied the pool's name once for each agent (work that came with slots_in_service): once for each pool.

--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -520,32 +520,22 @@
             self.links.remove(&session);
             effects.push(AgentEffect::Close(session));
         }
-        for (session, link) in &self.links {
-            // Whether a young agent may take a job hangs on a fresh report.
-            let is_young = now.since(self.member_since) < YOUTH;
-            let is_busy = is_young || link.waiting || self.records.has_work_of(link.gateway);
-            if is_busy && now.since(link.last_sent) >= BUSY_HEARTBEAT {
-                effects.push(AgentEffect::Send {
-                    session: *session,
-                    message: FromAgent {
-                        report: self.report(now, link),
-                        body: FromAgentBody::Heartbeat,
-                    },
-                });
-            }
+        for session in self.heartbeats_due(now) {
+            self.send(now, session, FromAgentBody::Heartbeat, effects);
         }
-        self.mark_sent(now, effects);
     }
 
-    /// Notes the time of sending for every session that `effects` sends on.
-    fn mark_sent(&mut self, now: Timestamp, effects: &[AgentEffect]) {
-        for effect in effects {
-            if let AgentEffect::Send { session, .. } = effect
-                && let Some(link) = self.links.get_mut(session)
-            {
-                link.last_sent = now;
-            }
-        }
+    /// Sessions of gateways that wait for reports and got none lately.
+    fn heartbeats_due(&self, now: Timestamp) -> Vec<SessionId> {
+        // Whether a young agent may take a job hangs on a fresh report.
+        let is_young = now.since(self.member_since) < YOUTH;
+        let is_busy =
+            |link: &Link| is_young || link.waiting || self.records.has_work_of(link.gateway);
+        self.links
+            .iter()
+            .filter(|(_, link)| is_busy(link) && now.since(link.last_sent) >= BUSY_HEARTBEAT)
+            .map(|(session, _)| *session)
+            .collect()
     }
 
     fn send_revision(
--- a/laurelstile-core/src/gateway/links.rs
+++ b/laurelstile-core/src/gateway/links.rs
@@ -262,9 +262,15 @@
 
     /// Slots of each pool whose agents are in service now.
     pub fn slots_in_service(&self) -> BTreeMap<PoolName, u32> {
-        let mut slots = BTreeMap::new();
+        let mut slots: BTreeMap<PoolName, u32> = BTreeMap::new();
         for link in self.links.iter().filter(|link| link.is_in_service()) {
-            *slots.entry(link.pool.clone()).or_default() += link.slots;
+            // The name is copied once a pool, not once a link at every tick.
+            match slots.get_mut(&link.pool) {
+                Some(total) => *total += link.slots,
+                None => {
+                    slots.insert(link.pool.clone(), link.slots);
+                }
+            }
         }
         slots
     }
--- a/laurelstile-history/src/check/configuration.rs
+++ b/laurelstile-history/src/check/configuration.rs
@@ -3,10 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Bounds, Point, Report, seconds};
-use crate::event::{Event, Record};
-
-/// Target of faults that hit the platform.
-const PLATFORM: &str = "platform";
+use crate::event::{Event, PLATFORM, Record};
 
 /// What a history says of one node.
 #[derive(Default)]
--- a/laurelstile-history/src/check/leaving.rs
+++ b/laurelstile-history/src/check/leaving.rs
@@ -4,10 +4,7 @@
 
 use super::stopping::KILL;
 use super::{Bounds, Point, Report, seconds};
-use crate::event::{Event, Record};
-
-/// Target of faults that hit the platform.
-const PLATFORM: &str = "platform";
+use crate::event::{Event, PLATFORM, Record};
 
 /// A back end that is known to leave.
 struct Leaver<'a> {
--- a/laurelstile-history/src/event.rs
+++ b/laurelstile-history/src/event.rs
@@ -21,6 +21,9 @@
 /// Identifies one HTTP request of one caller, unique in the run.
 pub type RequestId = String;
 
+/// Target of faults that hit the platform.
+pub const PLATFORM: &str = "platform";
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
--- a/laurelstile-lab/src/prove/schedule.rs
+++ b/laurelstile-lab/src/prove/schedule.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use laurelstile_history::event::Event;
+use laurelstile_history::event::{Event, PLATFORM};
 use laurelstile_history::file::HistoryWriter;
 use laurelstile_types::revision::Change;
 use rand::seq::SliceRandom;
@@ -47,8 +47,6 @@
 const USUAL: u64 = 1_000;
 /// Longest time of a planned stop.
 const STOP_PATIENCE: Duration = Duration::from_secs(30);
-/// Name of the platform as the target of faults.
-const PLATFORM: &str = "platform";
 
 /// A fault to be mended.
 struct Open {
--- a/laurelstile-platform/src/claims.rs
+++ b/laurelstile-platform/src/claims.rs
@@ -98,13 +98,7 @@
     if writes.is_empty() {
         return Ok(());
     }
-    let conditions = writes
-        .iter()
-        .map(|row| Row {
-            key: row.key.clone(),
-            value: None,
-        })
-        .collect();
+    let conditions = absent(&writes);
     let transaction = Transaction { conditions, writes };
     if platform.transact(&transaction).await?.committed {
         for index in written {
@@ -114,6 +108,15 @@
     Ok(())
 }
 
+/// The same rows without their values.
+fn absent(rows: &[Row]) -> Vec<Row> {
+    let without_value = |row: &Row| Row {
+        key: row.key.clone(),
+        value: None,
+    };
+    rows.iter().map(without_value).collect()
+}
+
 /// Gives claims back whose requests were not run, those that are still their
 /// submissions', in one transaction.
 ///
@@ -131,13 +134,7 @@
     if conditions.is_empty() {
         return Ok(());
     }
-    let writes = conditions
-        .iter()
-        .map(|row| Row {
-            key: row.key.clone(),
-            value: None,
-        })
-        .collect();
+    let writes = absent(&conditions);
     let transaction = Transaction { conditions, writes };
     // Nobody else writes a row that is ours: the conditions hold.
     platform.transact(&transaction).await?;
--- a/laurelstile-sim/src/world/mod.rs
+++ b/laurelstile-sim/src/world/mod.rs
@@ -16,7 +16,7 @@
 use laurelstile_core::gateway::{GatewayEvent, Policy};
 use laurelstile_core::messages::agent::{FromAgent, ToAgent};
 use laurelstile_core::messages::peer::ToPeer;
-use laurelstile_history::event::{Event, Record};
+use laurelstile_history::event::{Event, PLATFORM, Record};
 use laurelstile_types::configuration::{
     Backend, Class, Configuration, FORMAT_VERSION, Pool, Service, Tenant,
 };
@@ -376,7 +376,7 @@
         Fault::CutPeerLink(one, other) | Fault::SeverPeerLink(one, other) => {
             vec![nodes::gateway_name(one), nodes::gateway_name(other)]
         }
-        Fault::TableDown | Fault::TableLosesReplies => vec!["platform".to_owned()],
+        Fault::TableDown | Fault::TableLosesReplies => vec![PLATFORM.to_owned()],
         Fault::Straggler(agent) | Fault::KillBackend(agent) => {
             vec![format!("{}-backend", nodes::agent_name(agent))]
         }
--- a/laurelstiled/src/agent/driver.rs
+++ b/laurelstiled/src/agent/driver.rs
@@ -3,7 +3,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use laurelstile_core::agent::{Agent, AgentEffect, AgentEvent, RunEnd};
@@ -27,13 +26,6 @@
 /// Most inputs that are handled before the machine is flushed.
 const INPUT_BATCH: usize = 256;
 
-static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
-
-/// A session identifier that is new in this process.
-pub fn next_session() -> SessionId {
-    SessionId(NEXT_SESSION.fetch_add(1, Ordering::Relaxed))
-}
-
 /// What the driver's task is told.
 #[derive(Debug)]
 pub enum Input {
--- a/laurelstiled/src/agent/mod.rs
+++ b/laurelstiled/src/agent/mod.rs
@@ -20,10 +20,11 @@
 use crate::clock::Clock;
 use crate::error::DaemonError;
 use crate::gateway::{listen, local_node, open_history};
+use crate::session::next_session;
 use crate::settings::{AgentSettings, Node};
 use crate::telemetry::{self, SESSION_ERRORS};
 use backend::{Backend, HttpBackend};
-use driver::{Driver, Input, next_session};
+use driver::{Driver, Input};
 
 /// How long the last messages may take to leave.
 const LAST_MESSAGES: std::time::Duration = std::time::Duration::from_millis(300);
--- a/laurelstiled/src/gateway/dial.rs
+++ b/laurelstiled/src/gateway/dial.rs
@@ -2,11 +2,9 @@
 
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use laurelstile_core::gateway::GatewayEvent;
-use laurelstile_core::session::SessionId;
 use laurelstile_types::configuration::Configuration;
 use laurelstile_types::id::BackendName;
 use laurelstile_wire::error::WireError;
@@ -16,6 +14,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::driver::Input;
+use crate::session::next_session;
 use crate::telemetry::SESSION_ERRORS;
 
 /// Pause before the first redial, doubled up to the longest.
@@ -23,13 +22,6 @@
 /// Longest pause between two dials.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-static NEXT_SESSION: AtomicU64 = AtomicU64::new(1);
-
-/// A session identifier that is new in this process.
-pub fn next_session() -> SessionId {
-    SessionId(NEXT_SESSION.fetch_add(1, Ordering::Relaxed))
-}
-
 /// An agent to dial.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Target {
--- a/laurelstiled/src/gateway/mesh.rs
+++ b/laurelstiled/src/gateway/mesh.rs
@@ -16,8 +16,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use super::dial::{Dialing, next_session};
+use super::dial::Dialing;
 use super::driver::Input;
+use crate::session::next_session;
 use crate::settings::PeerSettings;
 use crate::telemetry::SESSION_ERRORS;
 
--- a/laurelstiled/src/lib.rs
+++ b/laurelstiled/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod gateway;
 pub mod logging;
 pub mod process;
+pub mod session;
 pub mod settings;
 pub mod telemetry;
