--- /dev/null
+++ b/laurelstile-core/src/leased/agent/ledger.rs
@@ -0,0 +1,197 @@
+//! The runs that an agent answers for, and the room that they take.
+//!
+//! A run takes room from before its start is sent until its end is proved.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::room::Room;
+use super::super::task::{RunId, RunNumber, TaskId};
+use super::worker::WorkerClock;
+
+/// Why a run is being stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReason {
+    /// Its gateway asked.
+    Asked,
+    /// Its gateway is silent, or gone.
+    OwnerSilent,
+    /// It makes no progress, or far too little.
+    Stalled,
+    /// Its start had no answer.
+    Unanswered,
+    /// The agent stops.
+    AgentStops,
+}
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunState {
+    /// It waits here for room.
+    Waiting,
+    /// Its start is on its way.
+    Starting,
+    /// It runs.
+    Running {
+        /// When its start was answered.
+        since: Timestamp,
+    },
+    /// Its stop is on its way or carried out; its end is not listed yet.
+    Stopping {
+        /// Why.
+        reason: StopReason,
+        /// When the stop was answered.
+        answered: Option<Timestamp>,
+    },
+}
+
+/// A run at the worker, or on its way there.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Its number.
+    pub number: RunNumber,
+    /// The gateway that it is for.
+    pub owner: Incarnation,
+    /// What it needs.
+    pub room: Room,
+    /// A rough guess of how long it takes.
+    pub estimate: Span,
+    /// Input of its job.
+    pub input: Arc<str>,
+    /// Until when it may wait for room.
+    pub wait_until: Timestamp,
+    /// When its start was sent.
+    pub sent: Timestamp,
+    /// Where it stands.
+    pub state: RunState,
+    /// Its progress, in percent.
+    pub percent: u32,
+    /// When it was started, by the worker's clock.
+    pub started: WorkerClock,
+    /// When its progress last grew, by the worker's clock.
+    pub progressed: WorkerClock,
+}
+
+impl Run {
+    /// Whether it takes room at the worker.
+    pub fn takes_room(&self) -> bool {
+        self.state != RunState::Waiting
+    }
+}
+
+/// All runs of one worker's life.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    runs: BTreeMap<TaskId, Run>,
+    taken: Room,
+    waiting_room: Room,
+    waiting: usize,
+}
+
+impl Ledger {
+    /// Adds a run. The task must not be here yet.
+    pub fn insert(&mut self, task: TaskId, run: Run) {
+        self.count(&run, true);
+        let replaced = self.runs.insert(task, run);
+        debug_assert!(replaced.is_none());
+    }
+
+    /// The run of a task.
+    pub fn get(&self, task: TaskId) -> Option<&Run> {
+        self.runs.get(&task)
+    }
+
+    /// The run `id`, if that very run is here.
+    pub fn run(&self, id: RunId) -> Option<&Run> {
+        self.runs.get(&id.task).filter(|run| run.number == id.run)
+    }
+
+    /// Changes the state of a run.
+    pub fn set_state(&mut self, task: TaskId, state: RunState) {
+        let Some(mut run) = self.runs.remove(&task) else {
+            return;
+        };
+        self.count(&run, false);
+        run.state = state;
+        self.count(&run, true);
+        self.runs.insert(task, run);
+    }
+
+    /// Changes what does not touch the room.
+    pub fn note(&mut self, task: TaskId, change: impl FnOnce(&mut Run)) {
+        if let Some(run) = self.runs.get_mut(&task) {
+            change(run);
+        }
+    }
+
+    /// Takes a run out.
+    pub fn remove(&mut self, task: TaskId) -> Option<Run> {
+        let run = self.runs.remove(&task)?;
+        self.count(&run, false);
+        Some(run)
+    }
+
+    /// All runs.
+    pub fn iter(&self) -> impl Iterator<Item = (TaskId, &Run)> {
+        self.runs.iter().map(|(task, run)| (*task, run))
+    }
+
+    /// Tasks whose run fulfils `condition`.
+    pub fn tasks_where(&self, condition: impl Fn(&Run) -> bool) -> Vec<TaskId> {
+        self.iter()
+            .filter(|(_, run)| condition(run))
+            .map(|(task, _)| task)
+            .collect()
+    }
+
+    /// Number of runs.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Whether there is no run.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Room that runs take at the worker.
+    pub fn taken(&self) -> Room {
+        self.taken
+    }
+
+    /// Room that waiting runs will take.
+    pub fn waiting_room(&self) -> Room {
+        self.waiting_room
+    }
+
+    /// Number of waiting runs.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Runs that take room.
+    pub fn active(&self) -> usize {
+        self.runs.len() - self.waiting
+    }
+
+    fn count(&mut self, run: &Run, is_added: bool) {
+        let sum = if run.takes_room() {
+            &mut self.taken
+        } else {
+            self.waiting = if is_added {
+                self.waiting + 1
+            } else {
+                self.waiting - 1
+            };
+            &mut self.waiting_room
+        };
+        *sum = if is_added {
+            sum.plus(run.room)
+        } else {
+            sum.minus(run.room)
+        };
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -0,0 +1,622 @@
+//! The agent beside a leased worker. It alone gives the worker orders, so it
+//! alone decides what starts; it renews the leases of what runs, and ends what
+//! nobody answers for.
+
+mod health;
+mod ledger;
+mod outgoing;
+mod owner;
+mod starting;
+mod watching;
+pub mod worker;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::messages::{EndKind, FromAgent, Member, NotStartedReason, ToAgent, ToAgentBody};
+use super::room::Room;
+use super::task::{RunId, TaskId};
+use super::timing::LEASE;
+use crate::session::SessionId;
+use health::Health;
+use ledger::{Ledger, RunState, StopReason};
+use owner::Owner;
+use worker::{
+    ClockEstimate, FenceToken, OrderFailure, Registration, Rejection, WorkerClock, WorkerLists,
+};
+
+/// What happens to an agent.
+#[derive(Debug)]
+pub enum AgentEvent {
+    /// A session to a gateway is open.
+    Opened {
+        /// The session.
+        session: SessionId,
+        /// Incarnation of the gateway.
+        gateway: Incarnation,
+    },
+    /// A session is closed.
+    Closed {
+        /// The session.
+        session: SessionId,
+    },
+    /// The process that `gateway` was has ended: its host refused a connection.
+    GatewayEnded {
+        /// Incarnation of the gateway.
+        gateway: Incarnation,
+    },
+    /// A message came.
+    Message {
+        /// Session on which it came.
+        session: SessionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// The worker has registered, or sent a heartbeat.
+    Registered(Registration),
+    /// A life of the worker has ended in an orderly way.
+    Deregistered {
+        /// The life.
+        life: String,
+    },
+    /// A start was answered, or not.
+    StartAnswered {
+        /// The run.
+        run: RunId,
+        /// Life that the order was for.
+        life: Arc<str>,
+        /// The answer.
+        answer: Result<OrderAnswer, OrderFailure>,
+    },
+    /// A stop was answered, or not.
+    StopAnswered {
+        /// The run.
+        run: RunId,
+        /// Life that the order was for.
+        life: Arc<str>,
+        /// The answer.
+        answer: Result<OrderAnswer, OrderFailure>,
+    },
+    /// The worker's lists came, or did not.
+    Watched {
+        /// Life that was asked.
+        life: Arc<str>,
+        /// The answer.
+        answer: Result<WatchAnswer, OrderFailure>,
+    },
+    /// The process is asked to stop in a planned way.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// A worker's answer to a start or stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderAnswer {
+    /// The worker's clock, if the answer tells it.
+    pub clock: Option<WorkerClock>,
+    /// Why nothing was done; `None` if it was done.
+    pub rejection: Option<Rejection>,
+}
+
+/// A worker's answer to a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchAnswer {
+    /// The worker's clock, if the answer tells it.
+    pub clock: Option<WorkerClock>,
+    /// Its lists, or why there are none.
+    pub lists: Result<WorkerLists, Rejection>,
+}
+
+/// Orders for the worker, all of one life and with one token.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Life of the worker that is meant.
+    pub life: Arc<str>,
+    /// The agent's token.
+    pub token: FenceToken,
+    /// What is ordered.
+    pub kind: OrderKind,
+}
+
+/// An order for the worker.
+#[derive(Clone, Debug)]
+pub enum OrderKind {
+    /// Start a run.
+    Start {
+        /// The run.
+        run: RunId,
+        /// Input of its job.
+        input: Arc<str>,
+        /// End of the lease, on the worker's clock.
+        lease_until: WorkerClock,
+    },
+    /// Stop a run, and never start it.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+    /// Renew the lease of everything, and wait for an end.
+    Watch {
+        /// Highest number of an end that was taken in.
+        last_seen: u64,
+        /// End of the lease on the worker's clock, if it is to be renewed.
+        lease_until: Option<WorkerClock>,
+        /// How long the worker may wait for an end.
+        wait: Span,
+    },
+}
+
+/// What an agent wants done.
+#[derive(Debug)]
+pub enum AgentEffect {
+    /// Send a message.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: FromAgent,
+    },
+    /// Close a session.
+    Close(SessionId),
+    /// Give the worker an order; an event with its answer must follow.
+    Order(Order),
+    /// A gateway told of the gateways that it knows.
+    Members(Vec<Member>),
+    /// Something was decided that operators may want to know.
+    Decided(AgentDecision),
+    /// Nothing runs any more; the process may exit.
+    Stopped,
+}
+
+/// A decision of the agent, for the logs.
+#[derive(Clone, Debug)]
+pub enum AgentDecision {
+    /// A worker's life is under this agent's control.
+    InControl {
+        /// The life.
+        life: Arc<str>,
+        /// The token.
+        token: FenceToken,
+    },
+    /// A worker's life is over.
+    LifeOver {
+        /// The life.
+        life: Arc<str>,
+        /// Runs that ended with it.
+        runs: usize,
+    },
+    /// The worker drains.
+    Draining {
+        /// The life.
+        life: Arc<str>,
+    },
+    /// The worker does not answer.
+    WorkerSilent {
+        /// The life.
+        life: Arc<str>,
+    },
+    /// A run is being stopped for a reason of the agent's own.
+    Stopping {
+        /// The run.
+        run: RunId,
+        /// Why.
+        reason: &'static str,
+        /// Age of the owner's echo.
+        echo_age: Span,
+        /// The run's progress in percent.
+        percent: u32,
+    },
+    /// A task did not start, or ended in another way than done.
+    Ended {
+        /// The run.
+        run: RunId,
+        /// How.
+        how: EndKind,
+    },
+}
+
+/// The worker's present life.
+#[derive(Debug)]
+struct Life {
+    name: Arc<str>,
+    service: String,
+    capacity: Room,
+    labels: Vec<String>,
+    token: FenceToken,
+    draining: bool,
+    clock: ClockEstimate,
+    last_seen: u64,
+    /// Lists have come in this life.
+    has_synced: bool,
+    told_in_control: bool,
+    /// Watches in a row without an answer.
+    unanswered_watches: u32,
+    /// When the watch that is under way was sent.
+    watching: Option<Timestamp>,
+    /// Last order that renewed the leases.
+    renewed: Timestamp,
+    /// Runs at the worker that this agent did not start, with the time of the
+    /// last stop that was sent.
+    foreign: BTreeMap<RunId, Timestamp>,
+    /// Ends to be acknowledged to the worker.
+    has_news: bool,
+}
+
+/// Settings of an agent's machine.
+#[derive(Clone, Debug)]
+pub struct AgentOptions {
+    /// Zone of the worker.
+    pub zone: String,
+    /// How long a planned stop may wait for runs.
+    pub stop_patience: Span,
+}
+
+/// The agent's machine.
+#[derive(Debug)]
+pub struct LeasedAgent {
+    options: AgentOptions,
+    life: Option<Life>,
+    /// Lives that have ended; late words of theirs are ignored.
+    ended_lives: BTreeSet<String>,
+    ledger: Ledger,
+    health: Health,
+    owners: BTreeMap<Incarnation, Owner>,
+    sessions: BTreeMap<SessionId, Incarnation>,
+    stopping_since: Option<Timestamp>,
+    stop_reported: bool,
+}
+
+impl LeasedAgent {
+    /// An agent that has not heard of its worker.
+    pub fn new(options: AgentOptions) -> Self {
+        Self {
+            options,
+            life: None,
+            ended_lives: BTreeSet::new(),
+            ledger: Ledger::default(),
+            health: Health::default(),
+            owners: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            stopping_since: None,
+            stop_reported: false,
+        }
+    }
+
+    /// Takes in one event. Call [`LeasedAgent::flush`] after a batch of events.
+    pub fn handle(&mut self, now: Timestamp, event: AgentEvent, effects: &mut Vec<AgentEffect>) {
+        match event {
+            AgentEvent::Opened { session, gateway } => {
+                self.on_opened(now, session, gateway, effects)
+            }
+            AgentEvent::Closed { session } => self.on_closed(session),
+            AgentEvent::GatewayEnded { gateway } => self.on_gateway_ended(now, gateway, effects),
+            AgentEvent::Message { session, message } => {
+                self.on_message(now, session, message, effects);
+            }
+            AgentEvent::Registered(registration) => self.on_registered(now, registration, effects),
+            AgentEvent::Deregistered { life } => self.on_life_over(now, &life, effects),
+            AgentEvent::StartAnswered { run, life, answer } => {
+                self.on_start_answered(now, run, &life, answer, effects);
+            }
+            AgentEvent::StopAnswered { run, life, answer } => {
+                self.on_stop_answered(now, run, &life, answer, effects);
+            }
+            AgentEvent::Watched { life, answer } => self.on_watched(now, &life, answer, effects),
+            AgentEvent::Stop => {
+                self.stopping_since.get_or_insert(now);
+            }
+            AgentEvent::Tick => {}
+        }
+    }
+
+    /// Does what the events since the last flush, or time, gave rise to.
+    pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        self.end_silent_owners(now, effects);
+        self.end_lapsed(now, effects);
+        self.start_waiting(now, effects);
+        self.end_waits(now, effects);
+        self.watch(now, effects);
+        self.finish_stop(now, effects);
+        self.send_all(now, effects);
+    }
+
+    /// Runs that have not ended.
+    pub fn run_count(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Room that runs take at the worker.
+    pub fn taken_room(&self) -> Room {
+        self.ledger.taken()
+    }
+
+    /// Whether the worker may be given tasks, apart from its room.
+    pub fn is_available(&self) -> bool {
+        let Some(life) = &self.life else {
+            return false;
+        };
+        self.stopping_since.is_none()
+            && !life.draining
+            && life.has_synced
+            && life.foreign.is_empty()
+            && life.unanswered_watches == 0
+    }
+
+    fn on_opened(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        gateway: Incarnation,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let owner = self
+            .owners
+            .entry(gateway)
+            .or_insert_with(|| Owner::new(now));
+        // A new session of the same incarnation fences the old one.
+        if let Some(old) = owner.session {
+            self.sessions.remove(&old);
+            effects.push(AgentEffect::Close(old));
+        }
+        owner.open(now, session);
+        self.sessions.insert(session, gateway);
+    }
+
+    fn on_closed(&mut self, session: SessionId) {
+        let Some(gateway) = self.sessions.remove(&session) else {
+            return;
+        };
+        if let Some(owner) = self.owners.get_mut(&gateway) {
+            owner.session = None;
+        }
+    }
+
+    fn on_gateway_ended(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        self.stop_runs_of(now, gateway, effects);
+        self.owners.remove(&gateway);
+    }
+
+    fn on_message(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        message: ToAgent,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(gateway) = self.sessions.get(&session).copied() else {
+            return;
+        };
+        let Some(owner) = self.owners.get_mut(&gateway) else {
+            return;
+        };
+        owner.echo = owner.echo.max(message.echo);
+        owner.acknowledge(message.seen);
+        match message.body {
+            ToAgentBody::Heartbeat => {}
+            ToAgentBody::Start(batch) => self.on_start(now, gateway, message.echo, &batch, effects),
+            ToAgentBody::Stop(tasks) => {
+                for task in tasks {
+                    self.on_stop_asked(now, gateway, task, effects);
+                }
+            }
+            ToAgentBody::Members(members) => effects.push(AgentEffect::Members(members)),
+        }
+    }
+
+    fn on_stop_asked(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        task: TaskId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let is_owner = self
+            .ledger
+            .get(task)
+            .is_some_and(|run| run.owner == gateway);
+        if is_owner {
+            self.stop_run(now, task, StopReason::Asked, effects);
+        }
+    }
+
+    /// Begins to stop a run, or ends it if it only waits here.
+    fn stop_run(
+        &mut self,
+        now: Timestamp,
+        task: TaskId,
+        reason: StopReason,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(run) = self.ledger.get(task) else {
+            return;
+        };
+        let id = RunId {
+            task,
+            run: run.number,
+        };
+        match run.state {
+            RunState::Waiting => {
+                let how = EndKind::NotStarted(NotStartedReason::Withdrawn);
+                self.end_run(now, task, how, effects);
+            }
+            RunState::Starting | RunState::Running { .. } => {
+                if reason != StopReason::Asked {
+                    let decision = AgentDecision::Stopping {
+                        run: id,
+                        reason: reason.name(),
+                        echo_age: self
+                            .owners
+                            .get(&run.owner)
+                            .map_or(Span::default(), |owner| owner.echo_age(now)),
+                        percent: run.percent,
+                    };
+                    effects.push(AgentEffect::Decided(decision));
+                }
+                let state = RunState::Stopping {
+                    reason,
+                    answered: None,
+                };
+                self.ledger.set_state(task, state);
+                self.order(OrderKind::Stop { run: id }, effects);
+            }
+            RunState::Stopping { .. } => {}
+        }
+    }
+
+    /// Takes a run out: nothing of it runs any more.
+    fn end_run(
+        &mut self,
+        now: Timestamp,
+        task: TaskId,
+        how: EndKind,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(run) = self.ledger.remove(task) else {
+            return;
+        };
+        let id = RunId {
+            task,
+            run: run.number,
+        };
+        if how != EndKind::Done {
+            effects.push(AgentEffect::Decided(AgentDecision::Ended { run: id, how }));
+        }
+        if let Some(owner) = self.owners.get_mut(&run.owner) {
+            owner.push_end(id, how);
+        }
+        if let (EndKind::Done, RunState::Running { .. }, Some(life)) = (how, run.state, &self.life)
+        {
+            let elapsed = life.clock.at(now).since(run.started);
+            self.health.on_done(now, elapsed, run.estimate);
+        }
+    }
+
+    fn stop_runs_of(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        for task in self.ledger.tasks_where(|run| run.owner == gateway) {
+            self.stop_run(now, task, StopReason::OwnerSilent, effects);
+        }
+    }
+
+    fn order(&mut self, kind: OrderKind, effects: &mut Vec<AgentEffect>) {
+        let Some(life) = &self.life else {
+            return;
+        };
+        effects.push(AgentEffect::Order(Order {
+            life: Arc::clone(&life.name),
+            token: life.token,
+            kind,
+        }));
+    }
+
+    fn on_registered(
+        &mut self,
+        now: Timestamp,
+        registration: Registration,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if self.ended_lives.contains(&registration.life) {
+            return;
+        }
+        if let Some(life) = &mut self.life
+            && *life.name == *registration.life
+        {
+            life.clock.update(now, registration.clock);
+            if registration.draining && !life.draining {
+                life.draining = true;
+                let name = Arc::clone(&life.name);
+                effects.push(AgentEffect::Decided(AgentDecision::Draining { life: name }));
+            }
+            return;
+        }
+        if let Some(old) = self.life.as_ref().map(|life| Arc::clone(&life.name)) {
+            self.on_life_over(now, &old, effects);
+        }
+        let mut clock = ClockEstimate::default();
+        clock.update(now, registration.clock);
+        self.life = Some(Life {
+            name: registration.life.into(),
+            service: registration.service,
+            capacity: registration.capacity,
+            labels: registration.labels,
+            // A worker whose clock reads 0 has seen no token; 1 is above it.
+            token: FenceToken(registration.clock.0.max(1)),
+            draining: registration.draining,
+            clock,
+            last_seen: 0,
+            has_synced: false,
+            told_in_control: false,
+            unanswered_watches: 0,
+            watching: None,
+            renewed: now,
+            foreign: BTreeMap::new(),
+            has_news: false,
+        });
+        self.health = Health::default();
+        for owner in self.owners.values_mut() {
+            owner.has_snapshot = false;
+        }
+    }
+
+    /// A life of the worker is over: all that it ran has ended.
+    fn on_life_over(&mut self, now: Timestamp, life: &str, effects: &mut Vec<AgentEffect>) {
+        if self
+            .life
+            .as_ref()
+            .is_none_or(|present| *present.name != *life)
+        {
+            return;
+        }
+        let Some(present) = self.life.take() else {
+            return;
+        };
+        let tasks = self.ledger.tasks_where(|_| true);
+        effects.push(AgentEffect::Decided(AgentDecision::LifeOver {
+            life: present.name,
+            runs: tasks.len(),
+        }));
+        for task in tasks {
+            self.end_run(now, task, EndKind::Lost, effects);
+        }
+        self.ended_lives.insert(life.to_owned());
+    }
+
+    fn is_present(&self, life: &str) -> bool {
+        self.life
+            .as_ref()
+            .is_some_and(|present| *present.name == *life)
+    }
+
+    fn lease_until(&self, now: Timestamp) -> WorkerClock {
+        let clock = self
+            .life
+            .as_ref()
+            .map_or(WorkerClock::default(), |life| life.clock.at(now));
+        WorkerClock(clock.0 + LEASE.0 / 1_000)
+    }
+}
+
+impl StopReason {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Asked => "asked",
+            Self::OwnerSilent => "owner_silent",
+            Self::Stalled => "stalled",
+            Self::Unanswered => "unanswered",
+            Self::AgentStops => "agent_stops",
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -0,0 +1,212 @@
+//! What an agent sends to its gateways, when it stops what a silent one left,
+//! and when time alone makes it act.
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::messages::{FromAgent, FromAgentBody, Report, Snapshot};
+use super::super::task::TaskId;
+use super::super::timing::{BUSY_HEARTBEAT, IDLE_HEARTBEAT};
+use super::ledger::{RunState, StopReason};
+use super::owner::Owner;
+use super::{AgentEffect, LeasedAgent};
+
+/// Pause between two reports that have no other reason than a change of room.
+const REPORT_PAUSE: Span = Span::from_millis(40);
+/// How long a gateway without a session is remembered.
+const OWNER_MEMORY: Span = Span::from_secs(4);
+/// How long a planned stop waits for the last ends to be acknowledged.
+const LAST_ENDS: Span = Span::from_millis(400);
+
+impl LeasedAgent {
+    /// Stops what gateways that are silent have left here.
+    pub(super) fn end_silent_owners(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let silent: Vec<Incarnation> = self
+            .owners
+            .iter()
+            .filter(|(_, owner)| now > owner.silent_at())
+            .map(|(gateway, _)| *gateway)
+            .collect();
+        for gateway in &silent {
+            self.stop_runs_of(now, *gateway, effects);
+        }
+        for gateway in silent {
+            let is_over = self
+                .owners
+                .get(&gateway)
+                .is_some_and(|owner| owner.session.is_none() && owner.echo_age(now) > OWNER_MEMORY);
+            if is_over && !self.owns_runs(gateway) {
+                self.owners.remove(&gateway);
+            }
+        }
+    }
+
+    fn owns_runs(&self, gateway: Incarnation) -> bool {
+        self.ledger.iter().any(|(_, run)| run.owner == gateway)
+    }
+
+    /// Sends ends, reports and heartbeats that are due.
+    pub(super) fn send_all(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let is_in_control = self
+            .life
+            .as_ref()
+            .is_some_and(|life| life.has_synced && life.foreign.is_empty());
+        let gateways: Vec<Incarnation> = self.sessions.values().copied().collect();
+        for gateway in gateways {
+            self.send_to(now, gateway, is_in_control, effects);
+        }
+    }
+
+    fn send_to(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        is_in_control: bool,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(owner) = self.owners.get(&gateway) else {
+            return;
+        };
+        let Some(session) = owner.session else {
+            return;
+        };
+        let report = self.report(now, owner);
+        let is_new = owner.last_report != Some(report);
+        // Ends go before the snapshot, which tells what is left.
+        let body = if owner.has_unsent() {
+            None
+        } else if is_in_control && !owner.has_snapshot {
+            Some(FromAgentBody::Snapshot(self.snapshot(gateway)))
+        } else {
+            let is_report_due =
+                is_new && owner.has_snapshot && now >= owner.reported.after(REPORT_PAUSE);
+            let is_beat_due = now >= owner.last_sent.after(self.beat_interval(gateway, owner));
+            if !is_report_due && !is_beat_due {
+                return;
+            }
+            Some(FromAgentBody::Heartbeat)
+        };
+        let Some(owner) = self.owners.get_mut(&gateway) else {
+            return;
+        };
+        owner.has_snapshot |= matches!(body, Some(FromAgentBody::Snapshot(_)));
+        let body = body.unwrap_or_else(|| FromAgentBody::Ends(owner.take_unsent()));
+        owner.last_sent = now;
+        if is_new {
+            owner.reported = now;
+            owner.last_report = Some(report);
+        }
+        let message = FromAgent {
+            clock: now,
+            report: is_new.then_some(report),
+            body,
+        };
+        effects.push(AgentEffect::Send { session, message });
+        let lacks_snapshot = is_in_control
+            && self
+                .owners
+                .get(&gateway)
+                .is_some_and(|owner| !owner.has_snapshot);
+        if lacks_snapshot {
+            self.send_to(now, gateway, is_in_control, effects);
+        }
+    }
+
+    fn beat_interval(&self, gateway: Incarnation, owner: &Owner) -> Span {
+        let is_busy = owner.has_unacknowledged() || self.owns_runs(gateway);
+        if is_busy {
+            BUSY_HEARTBEAT
+        } else {
+            IDLE_HEARTBEAT
+        }
+    }
+
+    fn report(&self, now: Timestamp, owner: &Owner) -> Report {
+        let is_available = self.is_available();
+        Report {
+            processed: owner.processed,
+            free: if is_available {
+                self.free_room()
+            } else {
+                super::Room::default()
+            },
+            limit: if is_available {
+                self.limit_left(now)
+            } else {
+                0
+            },
+            pace_percent: self.health.pace_percent(now),
+        }
+    }
+
+    fn snapshot(&self, gateway: Incarnation) -> Snapshot {
+        let held = self
+            .ledger
+            .iter()
+            .filter(|(_, run)| run.owner == gateway)
+            .map(|(task, run)| (task, run.number))
+            .collect();
+        let life = self.life.as_ref();
+        Snapshot {
+            service: life.map(|life| life.service.clone()).unwrap_or_default(),
+            zone: self.options.zone.clone(),
+            capacity: life.map(|life| life.capacity).unwrap_or_default(),
+            labels: life.map(|life| life.labels.clone()).unwrap_or_default(),
+            held,
+        }
+    }
+
+    /// Ends a planned stop once nothing runs, or once patience is over.
+    pub(super) fn finish_stop(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let Some(since) = self.stopping_since else {
+            return;
+        };
+        let patience_ends = since.after(self.options.stop_patience);
+        if now >= patience_ends {
+            let tasks: Vec<TaskId> = self.ledger.iter().map(|(task, _)| task).collect();
+            for task in tasks {
+                self.stop_run(now, task, StopReason::AgentStops, effects);
+            }
+        }
+        let is_acknowledged = !self.owners.values().any(Owner::has_unacknowledged);
+        let is_over = now >= patience_ends.after(LAST_ENDS);
+        let is_done = self.ledger.is_empty() && is_acknowledged;
+        if (is_done || is_over) && !self.stop_reported {
+            self.stop_reported = true;
+            effects.push(AgentEffect::Stopped);
+        }
+    }
+
+    /// When time alone makes the agent act, if nothing happens before.
+    pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
+        let mut wakeups = Vec::new();
+        wakeups.extend(self.health.next_change(now));
+        wakeups.extend(self.lapse_at());
+        if let Some(since) = self.stopping_since {
+            let patience_ends = since.after(self.options.stop_patience);
+            wakeups.push(if now < patience_ends {
+                patience_ends
+            } else {
+                patience_ends.after(LAST_ENDS)
+            });
+        }
+        let waits = self
+            .ledger
+            .iter()
+            .filter(|(_, run)| run.state == RunState::Waiting)
+            .map(|(_, run)| run.wait_until);
+        wakeups.extend(waits);
+        for (gateway, owner) in &self.owners {
+            if self.owns_runs(*gateway) && now <= owner.silent_at() {
+                wakeups.push(owner.silent_at().after(Span(1)));
+            }
+            if owner.session.is_some() {
+                wakeups.push(owner.last_sent.after(self.beat_interval(*gateway, owner)));
+                if owner.has_snapshot && owner.last_report != Some(self.report(now, owner)) {
+                    wakeups.push(owner.reported.after(REPORT_PAUSE));
+                }
+            }
+        }
+        wakeups.into_iter().min()
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -0,0 +1,117 @@
+//! A gateway, as the agent sees it: its session, its echo, and the ends that
+//! it has not acknowledged.
+
+use std::collections::VecDeque;
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::messages::{EndKind, Report, TaskEnd};
+use super::super::task::RunId;
+use super::super::timing::OWNER_SILENCE;
+use crate::session::SessionId;
+
+/// Ends that are kept for a gateway that does not acknowledge them; above
+/// this the oldest are dropped.
+const MOST_ENDS: usize = 4_096;
+
+/// A gateway with a session, or with runs or ends here.
+#[derive(Debug)]
+pub struct Owner {
+    /// Its session, if one is open.
+    pub session: Option<SessionId>,
+    /// The latest reading of this agent's clock that it has sent back.
+    pub echo: Timestamp,
+    /// Batches of the session that were taken in.
+    pub processed: u64,
+    /// When something was last sent to it.
+    pub last_sent: Timestamp,
+    /// The report that it was last sent.
+    pub last_report: Option<Report>,
+    /// When that was.
+    pub reported: Timestamp,
+    /// Whether it was told what the worker is.
+    pub has_snapshot: bool,
+    ends: VecDeque<TaskEnd>,
+    unsent: usize,
+    last_number: u64,
+}
+
+impl Owner {
+    /// A gateway whose session was opened at `now`.
+    pub fn new(now: Timestamp) -> Self {
+        Self {
+            session: None,
+            echo: now,
+            processed: 0,
+            last_sent: now,
+            last_report: None,
+            reported: Timestamp::default(),
+            has_snapshot: false,
+            ends: VecDeque::new(),
+            unsent: 0,
+            last_number: 0,
+        }
+    }
+
+    /// A new session is open: everything that is not acknowledged goes out
+    /// again.
+    pub fn open(&mut self, now: Timestamp, session: SessionId) {
+        self.session = Some(session);
+        self.echo = now;
+        self.processed = 0;
+        self.last_report = None;
+        self.has_snapshot = false;
+        self.unsent = self.ends.len();
+    }
+
+    /// Adds an end.
+    pub fn push_end(&mut self, run: RunId, how: EndKind) {
+        self.last_number += 1;
+        self.ends.push_back(TaskEnd {
+            number: self.last_number,
+            task: run.task,
+            run: run.run,
+            how,
+        });
+        self.unsent += 1;
+        if self.ends.len() > MOST_ENDS {
+            self.ends.pop_front();
+            self.unsent = self.unsent.min(self.ends.len());
+        }
+    }
+
+    /// Forgets the ends up to `seen`.
+    pub fn acknowledge(&mut self, seen: u64) {
+        while self.ends.front().is_some_and(|end| end.number <= seen) {
+            self.ends.pop_front();
+        }
+        self.unsent = self.unsent.min(self.ends.len());
+    }
+
+    /// The ends that were not sent on this session.
+    pub fn take_unsent(&mut self) -> Vec<TaskEnd> {
+        let sent = self.ends.len() - self.unsent;
+        self.unsent = 0;
+        self.ends.range(sent..).cloned().collect()
+    }
+
+    /// Whether ends wait to be sent.
+    pub fn has_unsent(&self) -> bool {
+        self.unsent > 0
+    }
+
+    /// Whether ends wait to be acknowledged.
+    pub fn has_unacknowledged(&self) -> bool {
+        !self.ends.is_empty()
+    }
+
+    /// Age of its latest echo.
+    pub fn echo_age(&self, now: Timestamp) -> Span {
+        now.since(self.echo)
+    }
+
+    /// When it counts as silent.
+    pub fn silent_at(&self) -> Timestamp {
+        self.echo.after(OWNER_SILENCE)
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -0,0 +1,310 @@
+//! Starts: which tasks may start, which wait for room, and what becomes of
+//! orders without an answer.
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::messages::{EndKind, NotStartedReason, StartBatch};
+use super::super::task::{RunId, TaskId};
+use super::super::timing::START_FRESHNESS;
+use super::ledger::{Run, RunState, StopReason};
+use super::worker::{FenceToken, OrderFailure, Rejection, WorkerClock};
+use super::{AgentEffect, LeasedAgent, OrderAnswer, OrderKind};
+
+/// Most tasks that wait here for room.
+const MOST_WAITING: usize = 64;
+
+impl LeasedAgent {
+    pub(super) fn on_start(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        echo: Timestamp,
+        batch: &StartBatch,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if let Some(owner) = self.owners.get_mut(&gateway) {
+            owner.processed = owner.processed.max(batch.number);
+        }
+        for (index, number) in &batch.tasks {
+            let task = TaskId {
+                job: batch.job,
+                repetition: 0,
+                step: batch.step,
+                index: *index,
+            };
+            let run = Run {
+                number: *number,
+                owner: gateway,
+                room: batch.room,
+                estimate: Span::from_millis(u64::from(batch.estimate_millis)),
+                input: batch.input.clone(),
+                wait_until: now.after(Span::from_millis(u64::from(batch.patience_millis))),
+                sent: now,
+                state: RunState::Waiting,
+                percent: 0,
+                started: WorkerClock::default(),
+                progressed: WorkerClock::default(),
+            };
+            if let Some(reason) = self.refusal_of(now, echo, task, &run, effects) {
+                self.refuse(gateway, RunId { task, run: *number }, reason, effects);
+                continue;
+            }
+            self.ledger.insert(task, run);
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        gateway: Incarnation,
+        run: RunId,
+        reason: NotStartedReason,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let how = EndKind::NotStarted(reason);
+        effects.push(AgentEffect::Decided(super::AgentDecision::Ended {
+            run,
+            how,
+        }));
+        if let Some(owner) = self.owners.get_mut(&gateway) {
+            owner.push_end(run, how);
+        }
+    }
+
+    fn refusal_of(
+        &mut self,
+        now: Timestamp,
+        echo: Timestamp,
+        task: TaskId,
+        run: &Run,
+        effects: &mut Vec<AgentEffect>,
+    ) -> Option<NotStartedReason> {
+        if self.ledger.get(task).is_some() {
+            // Whoever asks last has the job now; the earlier run ends first.
+            self.stop_run(now, task, StopReason::OwnerSilent, effects);
+            return Some(NotStartedReason::Duplicate);
+        }
+        if now.since(echo) > START_FRESHNESS {
+            return Some(NotStartedReason::StaleSender);
+        }
+        if !self.is_available() || self.limit_left(now) == 0 {
+            return Some(NotStartedReason::Unavailable);
+        }
+        let fits_at_once = run.room.fits(self.free_room());
+        let may_wait = run.wait_until > now && self.ledger.waiting() < MOST_WAITING;
+        (!fits_at_once && !may_wait).then_some(NotStartedReason::Full)
+    }
+
+    /// Room that is neither taken nor spoken for.
+    pub(super) fn free_room(&self) -> super::Room {
+        let capacity = self
+            .life
+            .as_ref()
+            .map(|life| life.capacity)
+            .unwrap_or_default();
+        capacity
+            .minus(self.ledger.taken())
+            .minus(self.ledger.waiting_room())
+    }
+
+    /// Tasks that may still be taken in, by the worker's health.
+    pub(super) fn limit_left(&self, now: Timestamp) -> u32 {
+        let count = self.ledger.len();
+        self.health.limit(now, count)
+    }
+
+    /// Starts what waits and fits, the least patient first.
+    pub(super) fn start_waiting(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        if self.ledger.waiting() == 0 || !self.is_available() {
+            return;
+        }
+        let mut waiting: Vec<(Timestamp, TaskId)> = self
+            .ledger
+            .iter()
+            .filter(|(_, run)| run.state == RunState::Waiting)
+            .map(|(task, run)| (run.wait_until, task))
+            .collect();
+        waiting.sort_unstable();
+        for (_, task) in waiting {
+            self.start_if_fits(now, task, effects);
+        }
+    }
+
+    fn start_if_fits(&mut self, now: Timestamp, task: TaskId, effects: &mut Vec<AgentEffect>) {
+        let capacity = self
+            .life
+            .as_ref()
+            .map(|life| life.capacity)
+            .unwrap_or_default();
+        let free = capacity.minus(self.ledger.taken());
+        let Some(run) = self.ledger.get(task) else {
+            return;
+        };
+        if !run.room.fits(free) {
+            return;
+        }
+        let kind = OrderKind::Start {
+            run: RunId {
+                task,
+                run: run.number,
+            },
+            input: run.input.clone(),
+            lease_until: self.lease_until(now),
+        };
+        self.ledger.set_state(task, RunState::Starting);
+        self.ledger.note(task, |run| run.sent = now);
+        if let Some(life) = &mut self.life {
+            life.renewed = now;
+        }
+        self.order(kind, effects);
+    }
+
+    /// Gives back what has waited for too long, or cannot start any more.
+    pub(super) fn end_waits(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        if self.ledger.waiting() == 0 {
+            return;
+        }
+        let is_available = self.is_available();
+        let reason = if is_available {
+            NotStartedReason::Full
+        } else {
+            NotStartedReason::Unavailable
+        };
+        let over = self.ledger.tasks_where(|run| {
+            run.state == RunState::Waiting && (!is_available || now >= run.wait_until)
+        });
+        for task in over {
+            self.end_run(now, task, EndKind::NotStarted(reason), effects);
+        }
+    }
+
+    pub(super) fn on_start_answered(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        life: &str,
+        answer: Result<OrderAnswer, OrderFailure>,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if !self.is_present(life) {
+            return;
+        }
+        let state = self.ledger.run(id).map(|run| run.state);
+        match answer {
+            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, effects),
+            Err(OrderFailure::NoAnswer) => {
+                if state == Some(RunState::Starting) {
+                    self.stop_run(now, id.task, StopReason::Unanswered, effects);
+                }
+            }
+            Ok(OrderAnswer { clock, rejection }) => {
+                self.note_clock(now, clock);
+                match rejection {
+                    None if state == Some(RunState::Starting) => {
+                        self.note_running(now, id.task);
+                    }
+                    None => {}
+                    Some(rejection) => self.on_start_rejected(now, id, rejection, effects),
+                }
+            }
+        }
+    }
+
+    /// A start is proved to have been carried out.
+    pub(super) fn note_running(&mut self, now: Timestamp, task: TaskId) {
+        let clock = self
+            .life
+            .as_ref()
+            .map_or(WorkerClock::default(), |life| life.clock.at(now));
+        self.ledger
+            .set_state(task, RunState::Running { since: now });
+        self.ledger.note(task, |run| {
+            run.started = clock;
+            run.progressed = clock;
+        });
+    }
+
+    fn on_start_rejected(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        rejection: Rejection,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if self.ledger.run(id).is_none() {
+            return;
+        }
+        let how = match rejection {
+            Rejection::OldRun => EndKind::NotStarted(NotStartedReason::OldRun),
+            Rejection::Full => EndKind::NotStarted(NotStartedReason::Full),
+            Rejection::Late => EndKind::NotStarted(NotStartedReason::Refused),
+            Rejection::Fenced => {
+                self.raise_token(now);
+                EndKind::NotStarted(NotStartedReason::Refused)
+            }
+            Rejection::Unhealthy => {
+                self.health.on_failed(now);
+                EndKind::NotStarted(NotStartedReason::Refused)
+            }
+            Rejection::Invalid => EndKind::Failed,
+        };
+        self.end_run(now, id.task, how, effects);
+    }
+
+    pub(super) fn on_stop_answered(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        life: &str,
+        answer: Result<OrderAnswer, OrderFailure>,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if !self.is_present(life) {
+            return;
+        }
+        match answer {
+            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, effects),
+            Err(OrderFailure::NoAnswer) => {
+                let is_stopping = self
+                    .ledger
+                    .run(id)
+                    .is_some_and(|run| matches!(run.state, RunState::Stopping { .. }));
+                if is_stopping {
+                    self.order(OrderKind::Stop { run: id }, effects);
+                }
+            }
+            Ok(OrderAnswer { clock, rejection }) => {
+                self.note_clock(now, clock);
+                if rejection == Some(Rejection::Fenced) {
+                    self.raise_token(now);
+                    self.order(OrderKind::Stop { run: id }, effects);
+                    return;
+                }
+                let Some(RunState::Stopping { reason, .. }) =
+                    self.ledger.run(id).map(|run| run.state)
+                else {
+                    return;
+                };
+                let state = RunState::Stopping {
+                    reason,
+                    answered: Some(now),
+                };
+                self.ledger.set_state(id.task, state);
+            }
+        }
+    }
+
+    pub(super) fn note_clock(&mut self, now: Timestamp, clock: Option<WorkerClock>) {
+        if let (Some(life), Some(clock)) = (&mut self.life, clock) {
+            life.clock.update(now, clock);
+        }
+    }
+
+    /// The worker has seen a higher token than ours: take a higher one still.
+    pub(super) fn raise_token(&mut self, now: Timestamp) {
+        if let Some(life) = &mut self.life {
+            let clock = life.clock.at(now).0;
+            life.token = FenceToken(clock.max(life.token.0 + 1));
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -0,0 +1,316 @@
+//! The watch: renews the leases, takes in the worker's lists, and proves which
+//! runs have ended.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::messages::EndKind;
+use super::super::task::{RunId, TaskId};
+use super::super::timing::{LEASE_AT_MOST, STOP_AT_MOST};
+use super::ledger::{Run, RunState, StopReason};
+use super::worker::{OrderFailure, Rejection, WorkerClock, WorkerEnd, WorkerEndKind, WorkerLists};
+use super::{AgentDecision, AgentEffect, LeasedAgent, OrderKind, WatchAnswer};
+
+/// How long the worker may wait for an end before it answers.
+const WATCH_WAIT: Span = Span::from_millis(100);
+/// Watches without an answer after which the leases are left to lapse.
+const UNANSWERED_WATCHES: u32 = 2;
+/// Pause before a stop is sent again to a run that this agent did not start.
+const FOREIGN_STOP_PAUSE: Span = Span::from_millis(100);
+/// A task that stands still for less is not called stalled, however short its
+/// estimate.
+const SHORTEST_STALL: Span = Span::from_millis(90);
+/// A task that stands still for longer is called stalled unless its estimate
+/// is so long that its progress shows only in larger steps.
+const LONGEST_STALL: Span = Span::from_millis(250);
+/// Share of the estimate that is one visible step of progress, with a margin.
+const VISIBLE_STEP: u64 = 25;
+/// A task that would take this many times its estimate is called stalled.
+const SLOW_FACTOR: u64 = 4;
+/// A slow task is left alone from this progress on.
+const NEARLY_DONE_PERCENT: u32 = 60;
+
+impl LeasedAgent {
+    /// Sends the next watch if one is wanted and none is under way.
+    pub(super) fn watch(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let active = self.ledger.active();
+        let lease_until = self.lease_until(now);
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let is_wanted = active > 0 || !life.foreign.is_empty() || life.has_news || !life.has_synced;
+        if life.watching.is_some() || !is_wanted {
+            return;
+        }
+        let is_renewing = active > 0 && life.unanswered_watches < UNANSWERED_WATCHES;
+        let may_wait = active > 0 && life.has_synced && life.unanswered_watches == 0;
+        life.watching = Some(now);
+        life.has_news = false;
+        if is_renewing {
+            life.renewed = now;
+        }
+        let kind = OrderKind::Watch {
+            last_seen: life.last_seen,
+            lease_until: is_renewing.then_some(lease_until),
+            wait: if may_wait {
+                WATCH_WAIT
+            } else {
+                Span::default()
+            },
+        };
+        self.order(kind, effects);
+    }
+
+    pub(super) fn on_watched(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        answer: Result<WatchAnswer, OrderFailure>,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if !self.is_present(name) {
+            return;
+        }
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let asked = life.watching.take().unwrap_or(now);
+        match answer {
+            Err(OrderFailure::LifeOver) => self.on_life_over(now, name, effects),
+            Err(OrderFailure::NoAnswer) => {
+                life.unanswered_watches += 1;
+                if life.unanswered_watches == 1 {
+                    let life = Arc::clone(&life.name);
+                    effects.push(AgentEffect::Decided(AgentDecision::WorkerSilent { life }));
+                }
+            }
+            Ok(WatchAnswer { clock, lists }) => {
+                life.unanswered_watches = 0;
+                self.note_clock(now, clock);
+                match lists {
+                    Ok(lists) => self.on_lists(now, asked, &lists, effects),
+                    Err(Rejection::Fenced) => self.raise_token(now),
+                    Err(_) => {}
+                }
+            }
+        }
+    }
+
+    fn on_lists(
+        &mut self,
+        now: Timestamp,
+        asked: Timestamp,
+        lists: &WorkerLists,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        for end in &lists.ended {
+            self.on_listed_end(now, end, effects);
+        }
+        for (run, percent) in &lists.running {
+            self.on_listed_run(now, *run, *percent, effects);
+        }
+        let running: BTreeSet<RunId> = lists.running.iter().map(|(run, _)| *run).collect();
+        self.end_unlisted(now, asked, &running, effects);
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        life.foreign.retain(|run, _| running.contains(run));
+        life.has_synced = true;
+        if life.foreign.is_empty() && !life.told_in_control {
+            life.told_in_control = true;
+            let decision = AgentDecision::InControl {
+                life: Arc::clone(&life.name),
+                token: life.token,
+            };
+            effects.push(AgentEffect::Decided(decision));
+        }
+    }
+
+    fn on_listed_end(&mut self, now: Timestamp, end: &WorkerEnd, effects: &mut Vec<AgentEffect>) {
+        if let Some(life) = &mut self.life {
+            life.has_news |= end.number > life.last_seen;
+            life.last_seen = life.last_seen.max(end.number);
+        }
+        let Some(run) = self.ledger.run(end.run) else {
+            return;
+        };
+        let how = self.judge_end(now, run.state, end.how);
+        self.end_run(now, end.run.task, how, effects);
+    }
+
+    fn judge_end(&mut self, now: Timestamp, state: RunState, how: WorkerEndKind) -> EndKind {
+        match (how, state) {
+            (WorkerEndKind::Done, _) => EndKind::Done,
+            (WorkerEndKind::Failed, _) => {
+                self.health.on_failed(now);
+                if self.health.is_suspect() {
+                    EndKind::FailedOnSuspect
+                } else {
+                    EndKind::Failed
+                }
+            }
+            (WorkerEndKind::Stopped, RunState::Stopping { reason, .. }) => end_of_stop(reason),
+            (WorkerEndKind::Stopped | WorkerEndKind::Lapsed, _) => EndKind::Lost,
+        }
+    }
+
+    fn on_listed_run(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        percent: u32,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(run) = self.ledger.run(id) else {
+            self.stop_foreign(now, id, effects);
+            return;
+        };
+        let (state, old_percent) = (run.state, run.percent);
+        if state == RunState::Starting {
+            // The answer to its start is late or lost; the list proves it.
+            self.note_running(now, id.task);
+        }
+        let clock = self
+            .life
+            .as_ref()
+            .map_or(WorkerClock::default(), |life| life.clock.at(now));
+        if percent > old_percent {
+            self.ledger.note(id.task, |run| {
+                run.percent = percent;
+                run.progressed = clock;
+            });
+        }
+        self.judge_progress(now, clock, id.task, effects);
+    }
+
+    /// Stops a run that makes no progress, or far too little, by the worker's
+    /// own clock: an agent that was slow itself must not blame the worker.
+    fn judge_progress(
+        &mut self,
+        now: Timestamp,
+        clock: WorkerClock,
+        task: TaskId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(run) = self.ledger.get(task) else {
+            return;
+        };
+        if !matches!(run.state, RunState::Running { .. }) {
+            return;
+        }
+        if clock.since(run.progressed) > stall_after(run) {
+            self.health.on_stalled(now);
+            self.stop_run(now, task, StopReason::Stalled, effects);
+            return;
+        }
+        let elapsed = clock.since(run.started);
+        if run.percent == 0 || run.percent >= NEARLY_DONE_PERCENT || elapsed < run.estimate {
+            return;
+        }
+        let projected = Span(elapsed.0 * 100 / u64::from(run.percent));
+        if projected.0 > run.estimate.0 * SLOW_FACTOR {
+            self.health.on_slow(now, projected, run.estimate);
+            self.stop_run(now, task, StopReason::Stalled, effects);
+        }
+    }
+
+    /// A run at the worker that is not in the ledger: nobody answers for it,
+    /// and its room is unknown. It is stopped, and nothing starts until then.
+    fn stop_foreign(&mut self, now: Timestamp, id: RunId, effects: &mut Vec<AgentEffect>) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let is_due = life
+            .foreign
+            .get(&id)
+            .is_none_or(|sent| now.since(*sent) >= FOREIGN_STOP_PAUSE);
+        if is_due {
+            life.foreign.insert(id, now);
+            self.order(OrderKind::Stop { run: id }, effects);
+        }
+    }
+
+    /// Ends the runs that the worker, asked after their last change, lists
+    /// neither as running nor as ended.
+    fn end_unlisted(
+        &mut self,
+        now: Timestamp,
+        asked: Timestamp,
+        running: &BTreeSet<RunId>,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let over: Vec<(TaskId, EndKind)> = self
+            .ledger
+            .iter()
+            .filter(|(task, run)| {
+                !running.contains(&RunId {
+                    task: *task,
+                    run: run.number,
+                })
+            })
+            .filter_map(|(task, run)| Some((task, end_if_unlisted(asked, run)?)))
+            .collect();
+        for (task, how) in over {
+            self.end_run(now, task, how, effects);
+        }
+    }
+
+    /// A silent worker has let everything lapse once the last renewal is old
+    /// enough; gateways may repeat it. Its room stays unknown, so nothing
+    /// starts there until its lists have come.
+    pub(super) fn end_lapsed(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let lapsed = now.since(life.renewed).0 > LEASE_AT_MOST.0 + STOP_AT_MOST.0;
+        if life.unanswered_watches < UNANSWERED_WATCHES || !lapsed {
+            return;
+        }
+        life.has_synced = false;
+        for task in self.ledger.tasks_where(Run::takes_room) {
+            self.end_run(now, task, EndKind::Lost, effects);
+        }
+    }
+
+    /// When [`Self::end_lapsed`] has something to do.
+    pub(super) fn lapse_at(&self) -> Option<Timestamp> {
+        let life = self.life.as_ref()?;
+        let is_silent = life.unanswered_watches >= UNANSWERED_WATCHES;
+        (is_silent && self.ledger.active() > 0).then(|| {
+            let bound = Span(LEASE_AT_MOST.0 + STOP_AT_MOST.0 + 1);
+            life.renewed.after(bound)
+        })
+    }
+}
+
+/// How a run has ended that the worker, asked at `asked`, does not list;
+/// `None` if it may yet be listed.
+fn end_if_unlisted(asked: Timestamp, run: &Run) -> Option<EndKind> {
+    match run.state {
+        RunState::Waiting | RunState::Starting => None,
+        RunState::Running { since } => (since < asked).then_some(EndKind::Lost),
+        RunState::Stopping { reason, answered } => {
+            // After its stop was answered a run is never started; without an
+            // answer its start is void once the lease in it is over.
+            let is_void = asked.since(run.sent).0 > LEASE_AT_MOST.0 + STOP_AT_MOST.0;
+            let is_stopped = answered.is_some_and(|answered| answered < asked);
+            (is_void || is_stopped).then(|| end_of_stop(reason))
+        }
+    }
+}
+
+fn end_of_stop(reason: StopReason) -> EndKind {
+    match reason {
+        StopReason::Asked | StopReason::OwnerSilent | StopReason::AgentStops => EndKind::Stopped,
+        StopReason::Stalled => EndKind::Stalled,
+        StopReason::Unanswered => EndKind::NotStarted(super::NotStartedReason::Refused),
+    }
+}
+
+fn stall_after(run: &Run) -> Span {
+    let short = Span(run.estimate.0 / 2);
+    let bounded = short.0.clamp(SHORTEST_STALL.0, LONGEST_STALL.0);
+    Span(bounded.max(run.estimate.0 / VISIBLE_STEP))
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/worker.rs
@@ -0,0 +1,128 @@
+//! What an agent knows of its worker: its life, its clock, its state.
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::room::Room;
+use super::super::task::RunId;
+
+/// A reading of the worker's own steady clock, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkerClock(pub u64);
+
+impl WorkerClock {
+    /// The span from `earlier` to this reading; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Span {
+        Span::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// Token that every order carries; the worker does nothing for a lower one
+/// than it has seen.
+///
+/// One agent stands beside a worker at a time, so the worker's clock at an
+/// agent's first contact rises from agent to agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FenceToken(pub u64);
+
+/// What a worker tells of itself when it registers and with each heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// Which life of the worker speaks.
+    pub life: String,
+    /// The service that it serves.
+    pub service: String,
+    /// Its room.
+    pub capacity: Room,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// Its clock.
+    pub clock: WorkerClock,
+    /// Whether it is to be given no more work.
+    pub draining: bool,
+}
+
+/// How a worker says that a run has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerEndKind {
+    /// Done.
+    Done,
+    /// Failed.
+    Failed,
+    /// Stopped by an order.
+    Stopped,
+    /// Not renewed in time, or broken off for another reason.
+    Lapsed,
+}
+
+/// An entry of the worker's list of ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerEnd {
+    /// Number of the entry in this life.
+    pub number: u64,
+    /// The run.
+    pub run: RunId,
+    /// How it ended.
+    pub how: WorkerEndKind,
+}
+
+/// A worker's lists of what runs and what has ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WorkerLists {
+    /// What runs, with its progress in percent.
+    pub running: Vec<(RunId, u32)>,
+    /// What has ended and is not yet known to have been seen.
+    pub ended: Vec<WorkerEnd>,
+}
+
+/// Why an order had no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// The worker has seen a higher token.
+    Fenced,
+    /// It has seen this run or a later one.
+    OldRun,
+    /// The lease in the order is over.
+    Late,
+    /// There is no room.
+    Full,
+    /// The worker holds itself to be unwell.
+    Unhealthy,
+    /// The order is not understood, or not allowed.
+    Invalid,
+}
+
+/// Why there is no answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderFailure {
+    /// Nothing came in time: it may have been carried out, or may be later.
+    NoAnswer,
+    /// That life of the worker is over.
+    LifeOver,
+}
+
+/// An estimate of the worker's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClockEstimate {
+    reading: WorkerClock,
+    taken: Timestamp,
+}
+
+/// Age at which a reading is replaced even by one that lags behind it.
+const READING_AGE_MICROS: u64 = 1_000_000;
+
+impl ClockEstimate {
+    /// Takes a reading in that came at `now`. A reading that took long to come
+    /// lags; it replaces a better one only once that is old.
+    pub fn update(&mut self, now: Timestamp, reading: WorkerClock) {
+        let is_old = now.since(self.taken).0 > READING_AGE_MICROS;
+        if is_old || reading >= self.at(now) {
+            self.reading = reading;
+            self.taken = now;
+        }
+    }
+
+    /// The worker's clock at `now`, at the latest known rate.
+    pub fn at(&self, now: Timestamp) -> WorkerClock {
+        WorkerClock(self.reading.0 + now.since(self.taken).0 / 1_000)
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -0,0 +1,247 @@
+//! What becomes of tasks at agents: done, failed, come back, or lost with
+//! their agent.
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::job::TaskState;
+use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
+use crate::leased::messages::{EndKind, NotStartedReason, Snapshot, TaskEnd};
+use crate::leased::task::{JobId, RunId, RunNumber, TaskId};
+
+/// Runs that workers may spoil before the job is given up.
+const MOST_DISTURBANCES: u32 = 8;
+/// Placements that may come back at once before the job pauses.
+const BOUNCES_BEFORE_PAUSE: u32 = 4;
+/// That pause.
+const BOUNCE_PAUSE: Span = Span::from_millis(20);
+/// Pause before a task is placed again whose earlier run is being stopped.
+const DUPLICATE_PAUSE: Span = Span::from_millis(100);
+/// How far run numbers jump past those of an earlier gateway.
+const RUN_JUMP: u32 = 16;
+
+impl LeasedGateway {
+    pub(super) fn on_task_end(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        end: &TaskEnd,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(worker) = self.workers.get_mut(&agent) else {
+            return;
+        };
+        if end.number <= worker.seen {
+            return;
+        }
+        worker.seen = end.number;
+        if worker.tasks.get(&end.task) != Some(&end.run) {
+            return;
+        }
+        worker.tasks.remove(&end.task);
+        let name = worker.name.clone();
+        self.on_end(now, &name, end.task, end.run, end.how, effects);
+    }
+
+    fn on_end(
+        &mut self,
+        now: Timestamp,
+        agent: &str,
+        id: TaskId,
+        run: RunNumber,
+        how: EndKind,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let is_current = job
+            .task_mut(id)
+            .is_some_and(|task| task.run == run && task.state == TaskState::Placed);
+        if !is_current {
+            return;
+        }
+        job.placed -= 1;
+        let is_proved_idle = matches!(
+            how,
+            EndKind::NotStarted(reason) if reason != NotStartedReason::Refused
+        );
+        job.may_have_started |= !is_proved_idle;
+        if how == EndKind::Done {
+            self.on_task_done(now, id, effects);
+            return;
+        }
+        effects.push(GatewayEffect::Decided(GatewayDecision::CameBack {
+            run: RunId { task: id, run },
+            agent: agent.to_owned(),
+            how,
+        }));
+        self.place_again(now, id, how, effects);
+    }
+
+    fn on_task_done(&mut self, now: Timestamp, id: TaskId, effects: &mut Vec<GatewayEffect>) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(id) {
+            task.state = TaskState::Done;
+        }
+        let step = &mut job.steps[id.step as usize];
+        step.done += 1;
+        let is_step_done = step.is_done();
+        if job.is_done() {
+            self.finish(now, id.job, Answer::Completed, effects);
+        } else if is_step_done {
+            self.wait_for_room(id.job);
+        }
+    }
+
+    /// Puts a task that did not end well back among those that wait.
+    fn place_again(
+        &mut self,
+        now: Timestamp,
+        id: TaskId,
+        how: EndKind,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let most_failures = job.queue.max_attempts.max(1);
+        let Some(task) = job.task_mut(id) else {
+            return;
+        };
+        task.state = TaskState::Waiting;
+        match how {
+            EndKind::Done => {}
+            EndKind::Failed => task.failures += 1,
+            EndKind::FailedOnSuspect | EndKind::Stalled | EndKind::Lost | EndKind::Stopped => {
+                task.disturbances += 1;
+            }
+            EndKind::NotStarted(NotStartedReason::OldRun) => task.run.0 += RUN_JUMP,
+            EndKind::NotStarted(_) => {}
+        }
+        let has_failed = task.failures >= most_failures || task.disturbances > MOST_DISTURBANCES;
+        if has_failed {
+            self.finish(now, id.job, Answer::Failed, effects);
+            return;
+        }
+        job.steps[id.step as usize].waiting.insert(id.index);
+        if let EndKind::NotStarted(reason) = how {
+            job.bounces += 1;
+            if reason == NotStartedReason::Duplicate {
+                self.pause(id.job, now.after(DUPLICATE_PAUSE));
+            } else if job.bounces > BOUNCES_BEFORE_PAUSE {
+                self.pause(id.job, now.after(BOUNCE_PAUSE));
+            }
+        }
+        self.wait_for_room(id.job);
+        self.refuse_or_give_up(now, id.job, effects);
+    }
+
+    fn pause(&mut self, id: JobId, until: Timestamp) {
+        if let Some(job) = self.jobs.get_mut(&id)
+            && until > job.not_before
+        {
+            self.timers.remove(&(job.not_before, id));
+            job.not_before = until;
+            self.timers.insert((until, id));
+        }
+    }
+
+    fn wait_for_room(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get(&id)
+            && job.has_placeable()
+        {
+            self.waiting.insert((job.latest_start, id));
+        }
+    }
+
+    /// An agent tells what its worker is and which of our tasks it holds. What
+    /// it does not hold has ended, and so has all that an earlier process of
+    /// the same name held.
+    pub(super) fn on_snapshot(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        snapshot: Snapshot,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(worker) = self.workers.get_mut(&agent) else {
+            return;
+        };
+        let name = worker.name.clone();
+        let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
+        let is_first = worker.snapshot.is_none();
+        worker.snapshot = Some(snapshot);
+        if is_first {
+            let lost: Vec<TaskId> = worker
+                .tasks
+                .iter()
+                .filter(|(task, run)| !held.contains(&(**task, **run)))
+                .map(|(task, _)| *task)
+                .collect();
+            self.lose(now, agent, &lost, effects);
+        }
+        let predecessors: Vec<Incarnation> = self
+            .workers
+            .iter()
+            .filter(|(other, worker)| **other != agent && worker.name == name)
+            .map(|(other, _)| *other)
+            .collect();
+        for old in predecessors {
+            self.lose_all(now, old, effects);
+            self.workers.remove(&old);
+        }
+    }
+
+    /// Ends the tasks of agents that were silent for so long that their
+    /// workers have let everything lapse.
+    pub(super) fn end_lapsed_agents(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let lapsed: Vec<Incarnation> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.tasks.is_empty() && now >= worker.lapses_at())
+            .map(|(agent, _)| *agent)
+            .collect();
+        for agent in lapsed {
+            if let Some(worker) = self.workers.get(&agent) {
+                effects.push(GatewayEffect::Decided(GatewayDecision::AgentLapsed {
+                    agent: worker.name.clone(),
+                    tasks: worker.tasks.len(),
+                    silence: now.since(worker.heard),
+                }));
+            }
+            self.lose_all(now, agent, effects);
+        }
+        self.workers
+            .retain(|_, worker| worker.session.is_some() || !worker.tasks.is_empty());
+    }
+
+    fn lose_all(&mut self, now: Timestamp, agent: Incarnation, effects: &mut Vec<GatewayEffect>) {
+        let Some(worker) = self.workers.get(&agent) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = worker.tasks.keys().copied().collect();
+        self.lose(now, agent, &tasks, effects);
+    }
+
+    fn lose(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        tasks: &[TaskId],
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for task in tasks {
+            let Some(worker) = self.workers.get_mut(&agent) else {
+                return;
+            };
+            let name = worker.name.clone();
+            let Some(run) = worker.tasks.remove(task) else {
+                continue;
+            };
+            self.on_end(now, &name, *task, run, EndKind::Lost, effects);
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -0,0 +1,198 @@
+//! Jobs in, answers out.
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::job::{CallNumber, Job, JobRequest};
+use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway, Refusal};
+use crate::leased::task::JobId;
+
+/// When to come back after a refusal that time alone mends.
+const RETRY_SOON: Span = Span::from_millis(1_000);
+/// When to come back after a refusal for want of room.
+const RETRY_AFTER_OVERLOAD: Span = Span::from_millis(500);
+
+impl LeasedGateway {
+    pub(super) fn on_submit(
+        &mut self,
+        now: Timestamp,
+        call: CallNumber,
+        request: JobRequest,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&request.id) {
+            // The same job again: it stays one job.
+            job.calls.push(call);
+            self.calls.insert(call, request.id);
+            return;
+        }
+        let id = request.id;
+        let queue = request.queue.clone();
+        if let Some(reason) = self.refusal_of(now, &request) {
+            let answer = Answer::Refused {
+                reason,
+                retry_after: RETRY_SOON,
+            };
+            effects.push(GatewayEffect::Answer { call, answer });
+            effects.push(GatewayEffect::Decided(GatewayDecision::Answered {
+                job: id,
+                queue,
+                answer,
+                age: Span::default(),
+                objective: Span::default(),
+            }));
+            return;
+        }
+        let job = Job::new(now, call, request);
+        effects.push(GatewayEffect::Decided(GatewayDecision::Taken {
+            job: id,
+            queue,
+            tasks: job.steps.iter().map(|step| step.request.count).sum(),
+            objective: job.objective,
+            version: self.configuration.as_ref().map_or(0, |known| known.version),
+        }));
+        self.calls.insert(call, id);
+        self.waiting.insert((job.latest_start, id));
+        self.timers.insert((job.refuse_at, id));
+        self.timers.insert((job.deadline, id));
+        self.jobs.insert(id, job);
+    }
+
+    fn refusal_of(&self, now: Timestamp, request: &JobRequest) -> Option<Refusal> {
+        if self.configuration.is_none() {
+            return Some(Refusal::NotConfigured);
+        }
+        if !request.is_well_formed() {
+            return Some(Refusal::Malformed);
+        }
+        if let Some(feature) = request.unsupported.first() {
+            return Some(Refusal::Unsupported(*feature));
+        }
+        if request.time_left == Span::default() {
+            return Some(Refusal::DeadlineOver);
+        }
+        if self.stop_reported {
+            return Some(Refusal::Stopping);
+        }
+        let has_worker = self
+            .workers
+            .values()
+            .any(|worker| worker.is_present(now) && worker.snapshot.is_some());
+        (!has_worker).then_some(Refusal::NoWorker)
+    }
+
+    pub(super) fn on_caller_gone(
+        &mut self,
+        now: Timestamp,
+        call: CallNumber,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(id) = self.calls.remove(&call) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.calls.retain(|other| *other != call);
+        if !job.calls.is_empty() {
+            return;
+        }
+        let age = now.since(job.arrival);
+        effects.push(GatewayEffect::Decided(GatewayDecision::Abandoned {
+            job: id,
+            age,
+        }));
+        self.remove_job(now, id, effects);
+    }
+
+    pub(super) fn on_cancel(
+        &mut self,
+        now: Timestamp,
+        call: CallNumber,
+        job: JobId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let answer = if self.jobs.contains_key(&job) {
+            self.finish(now, job, Answer::Cancelled, effects);
+            Answer::Cancelled
+        } else {
+            Answer::Unknown
+        };
+        effects.push(GatewayEffect::Answer { call, answer });
+    }
+
+    /// Answers a job's callers, and stops what is left of it.
+    pub(super) fn finish(
+        &mut self,
+        now: Timestamp,
+        id: JobId,
+        answer: Answer,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        for call in &job.calls {
+            effects.push(GatewayEffect::Answer {
+                call: *call,
+                answer,
+            });
+        }
+        effects.push(GatewayEffect::Decided(GatewayDecision::Answered {
+            job: id,
+            queue: job.queue.clone(),
+            answer,
+            age: now.since(job.arrival),
+            objective: job.objective,
+        }));
+        self.remove_job(now, id, effects);
+    }
+
+    fn remove_job(&mut self, now: Timestamp, id: JobId, effects: &mut Vec<GatewayEffect>) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        for call in &job.calls {
+            self.calls.remove(call);
+        }
+        self.waiting.remove(&(job.latest_start, id));
+        self.timers.remove(&(job.refuse_at, id));
+        self.timers.remove(&(job.deadline, id));
+        self.timers.remove(&(job.not_before, id));
+        if job.placed > 0 {
+            self.stop_tasks(now, id, effects);
+        }
+    }
+
+    /// Refuses or gives up the jobs whose time has come.
+    pub(super) fn run_timers(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        while let Some((at, id)) = self.timers.first().copied() {
+            if at > now {
+                return;
+            }
+            self.timers.pop_first();
+            self.refuse_or_give_up(now, id, effects);
+        }
+    }
+
+    /// Ends a job that has had its time.
+    pub(super) fn refuse_or_give_up(
+        &mut self,
+        now: Timestamp,
+        id: JobId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let is_over = now >= job.deadline;
+        if job.is_untouched() && (now >= job.refuse_at || is_over) {
+            let answer = Answer::Refused {
+                reason: Refusal::Overloaded,
+                retry_after: RETRY_AFTER_OVERLOAD,
+            };
+            self.finish(now, id, answer, effects);
+        } else if is_over {
+            self.finish(now, id, Answer::Failed, effects);
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -0,0 +1,284 @@
+//! A job as its gateway keeps it: steps, tasks, attempts.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::room::Room;
+use super::super::task::{JobId, RunNumber, TaskId};
+use super::queues::QueueSettings;
+
+/// Number of a caller's request, new in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallNumber(pub u64);
+
+/// A job as its caller hands it in.
+#[derive(Clone, Debug)]
+pub struct JobRequest {
+    /// Its id, chosen by the caller.
+    pub id: JobId,
+    /// Its queue.
+    pub queue: Arc<QueueSettings>,
+    /// Its input, as it came.
+    pub input: Arc<str>,
+    /// Its steps.
+    pub steps: Vec<StepRequest>,
+    /// How long the caller waits for an answer.
+    pub time_left: Span,
+    /// What it asks for that is not built.
+    pub unsupported: Vec<Feature>,
+}
+
+/// A step of a job.
+#[derive(Clone, Debug)]
+pub struct StepRequest {
+    /// Number of tasks.
+    pub count: u32,
+    /// What each needs.
+    pub room: Room,
+    /// A rough guess of how long each takes.
+    pub estimate: Span,
+    /// Steps that must be done before.
+    pub after: Vec<usize>,
+    /// Label that the worker must have.
+    pub label: Option<String>,
+    /// Label of the workers near the step's data.
+    pub near: Option<String>,
+}
+
+/// Something that a job may ask for and that is not built yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Feature {
+    /// The job is to be kept until it is done.
+    Kept,
+    /// Tasks that work only jointly.
+    Gang,
+    /// A bound on the tasks of a step on one worker.
+    Spread,
+    /// Tasks that last until the job is cancelled.
+    Lasting,
+    /// A job that runs at set times.
+    Repeated,
+    /// Tasks that use what others leave.
+    Filling,
+    /// Workers that an advisor names.
+    Advised,
+}
+
+/// Most steps of a job.
+pub const MOST_STEPS: usize = 64;
+/// Most tasks of a job.
+pub const MOST_TASKS: u32 = 10_000;
+
+impl JobRequest {
+    /// Whether the steps are in order: each comes after earlier ones only, and
+    /// there are neither too many nor none.
+    pub fn is_well_formed(&self) -> bool {
+        let has_order = self
+            .steps
+            .iter()
+            .enumerate()
+            .all(|(index, step)| step.after.iter().all(|before| *before < index));
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        has_order
+            && !self.steps.is_empty()
+            && self.steps.len() <= MOST_STEPS
+            && self.steps.iter().all(|step| step.count > 0)
+            && tasks <= u64::from(MOST_TASKS)
+    }
+
+    /// The longest chain of steps, by the estimates.
+    pub fn chain(&self) -> Span {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let begin = step
+                .after
+                .iter()
+                .map(|before| ends[*before])
+                .max()
+                .unwrap_or(0);
+            ends.push(begin + step.estimate.0);
+        }
+        Span(ends.into_iter().max().unwrap_or(0))
+    }
+}
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskState {
+    /// It waits to be placed, or for earlier steps.
+    Waiting,
+    /// It is at an agent.
+    Placed,
+    /// It is done.
+    Done,
+}
+
+/// A task of a job.
+#[derive(Clone, Copy, Debug)]
+pub struct Task {
+    /// Where it stands.
+    pub state: TaskState,
+    /// Number of its latest run.
+    pub run: RunNumber,
+    /// Runs that failed by its own fault, as far as can be told.
+    pub failures: u32,
+    /// Runs that ended through the fault of a worker.
+    pub disturbances: u32,
+}
+
+/// A step under way.
+#[derive(Debug)]
+pub struct Step {
+    /// What was asked for.
+    pub request: StepRequest,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that wait, by index.
+    pub waiting: BTreeSet<u32>,
+    /// Tasks that are done.
+    pub done: u32,
+}
+
+impl Step {
+    fn new(request: StepRequest) -> Self {
+        let task = Task {
+            state: TaskState::Waiting,
+            run: RunNumber(0),
+            failures: 0,
+            disturbances: 0,
+        };
+        Self {
+            tasks: vec![task; request.count as usize],
+            waiting: (0..request.count).collect(),
+            done: 0,
+            request,
+        }
+    }
+
+    /// Whether all its tasks are done.
+    pub fn is_done(&self) -> bool {
+        self.done == self.request.count
+    }
+}
+
+/// A job that has not ended.
+#[derive(Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: JobId,
+    /// The callers that wait for its end.
+    pub calls: Vec<CallNumber>,
+    /// Its queue.
+    pub queue: Arc<QueueSettings>,
+    /// Its input.
+    pub input: Arc<str>,
+    /// When it came.
+    pub arrival: Timestamp,
+    /// Response time at which it is aimed, by the estimates.
+    pub objective: Span,
+    /// When the tasks of a ready step must start to meet the objective.
+    pub latest_start: Timestamp,
+    /// Until when it may be refused for want of room.
+    pub refuse_at: Timestamp,
+    /// When it is given up.
+    pub deadline: Timestamp,
+    /// No task is placed before this time.
+    pub not_before: Timestamp,
+    /// Whether a task may have been started.
+    pub may_have_started: bool,
+    /// Tasks at agents.
+    pub placed: u32,
+    /// Placements that came back without a start.
+    pub bounces: u32,
+    /// Its steps.
+    pub steps: Vec<Step>,
+}
+
+/// The share of the objective within which a job is started or refused.
+const DECISION_SHARE: u64 = 4;
+/// Time on the way to and from the caller, which counts too.
+const CALLER_DISTANCE: Span = Span::from_millis(8);
+/// How long before the caller's deadline the last answer leaves.
+const ANSWER_MARGIN: Span = Span::from_millis(20);
+
+impl Job {
+    /// A job that has just come.
+    pub fn new(now: Timestamp, call: CallNumber, request: JobRequest) -> Self {
+        let chain = request.chain();
+        let objective = request.queue.objective(chain);
+        let slack = Span(objective.0.saturating_sub(chain.0 + CALLER_DISTANCE.0));
+        let decision = Span((objective.0 / DECISION_SHARE).saturating_sub(CALLER_DISTANCE.0));
+        let timeout = match request.queue.timeout_millis {
+            0 => request.time_left,
+            millis => request.time_left.min(Span::from_millis(millis)),
+        };
+        Self {
+            id: request.id,
+            calls: vec![call],
+            queue: request.queue,
+            input: request.input,
+            arrival: now,
+            objective,
+            latest_start: now.after(slack),
+            refuse_at: now.after(decision),
+            deadline: now.after(Span(timeout.0.saturating_sub(ANSWER_MARGIN.0))),
+            not_before: now,
+            may_have_started: false,
+            placed: 0,
+            bounces: 0,
+            steps: request.steps.into_iter().map(Step::new).collect(),
+        }
+    }
+
+    /// Whether all steps are done.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(Step::is_done)
+    }
+
+    /// Whether the steps before `step` are done.
+    pub fn is_ready(&self, step: usize) -> bool {
+        self.steps[step]
+            .request
+            .after
+            .iter()
+            .all(|before| self.steps[*before].is_done())
+    }
+
+    /// Steps with tasks that may be placed now.
+    pub fn placeable(&self) -> Vec<usize> {
+        (0..self.steps.len())
+            .filter(|step| !self.steps[*step].waiting.is_empty() && self.is_ready(*step))
+            .collect()
+    }
+
+    /// Whether a task may be placed now.
+    pub fn has_placeable(&self) -> bool {
+        (0..self.steps.len())
+            .any(|step| !self.steps[step].waiting.is_empty() && self.is_ready(step))
+    }
+
+    /// Whether it can still be refused as not run: nothing is at an agent, and
+    /// nothing may have been started.
+    pub fn is_untouched(&self) -> bool {
+        self.placed == 0 && !self.may_have_started
+    }
+
+    /// The task `id`.
+    pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let step = self.steps.get_mut(id.step as usize)?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
+    /// Room that its waiting tasks need, those of later steps left out.
+    pub fn waiting_room(&self) -> Room {
+        self.placeable()
+            .into_iter()
+            .fold(Room::default(), |sum, step| {
+                let step = &self.steps[step];
+                let count = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+                sum.plus(step.request.room.times(count))
+            })
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -0,0 +1,518 @@
+//! The gateway to leased workers: takes jobs, places their tasks on workers
+//! with room, and answers each caller once.
+//!
+//! Every gateway places its own callers' tasks. Agents alone decide what
+//! starts, so gateways need no agreement; what one of them leaves behind its
+//! agents stop, and its callers hand in again.
+
+mod ends;
+mod intake;
+pub mod job;
+mod peers;
+mod placement;
+pub mod queues;
+mod workers;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::messages::{FromAgent, FromAgentBody, Member, ToAgent, ToAgentBody, ToPeer};
+use super::task::{JobId, RunId, TaskId};
+use super::timing::BUSY_HEARTBEAT;
+use crate::session::{Remote, SessionId};
+use job::{CallNumber, Feature, Job, JobRequest};
+use queues::QueueConfiguration;
+use workers::Worker;
+
+/// What happens to a gateway.
+#[derive(Debug)]
+pub enum GatewayEvent {
+    /// A caller hands in a job.
+    Submit {
+        /// The call.
+        call: CallNumber,
+        /// The job.
+        request: JobRequest,
+    },
+    /// A caller's connection closed before its answer.
+    CallerGone {
+        /// The call.
+        call: CallNumber,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        /// The call.
+        call: CallNumber,
+        /// The job.
+        job: JobId,
+    },
+    /// A session to an agent is open.
+    AgentOpened {
+        /// The session.
+        session: SessionId,
+        /// The agent.
+        remote: Remote,
+    },
+    /// A session to an agent is closed.
+    AgentClosed {
+        /// The session.
+        session: SessionId,
+    },
+    /// A message from an agent came.
+    AgentMessage {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: FromAgent,
+    },
+    /// A session to a peer is open.
+    PeerOpened {
+        /// The session.
+        session: SessionId,
+    },
+    /// A session to a peer is closed.
+    PeerClosed {
+        /// The session.
+        session: SessionId,
+    },
+    /// A message from a peer came.
+    PeerMessage {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToPeer,
+    },
+    /// A configuration was read.
+    Configuration(QueueConfiguration),
+    /// The list of members was read from the store.
+    Listed(Vec<Member>),
+    /// The process is asked to stop in a planned way.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// What a gateway wants done.
+#[derive(Debug)]
+pub enum GatewayEffect {
+    /// Send to an agent.
+    ToAgent {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// Send to a peer.
+    ToPeer {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToPeer,
+    },
+    /// Close a session.
+    Close(SessionId),
+    /// Answer a caller.
+    Answer {
+        /// The call.
+        call: CallNumber,
+        /// The answer.
+        answer: Answer,
+    },
+    /// A configuration is in force here.
+    InForce(Arc<QueueConfiguration>),
+    /// Gateways that are known; those without a session are to be dialed.
+    Members(Vec<Member>),
+    /// Something was decided that operators may want to know.
+    Decided(GatewayDecision),
+    /// No job is left; the process may exit.
+    Stopped,
+}
+
+/// The final answer to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The job is done.
+    Completed,
+    /// The job has failed, or was given up after a task had been started.
+    Failed,
+    /// Nothing of the job was started, and nothing of this call will be.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When to come back.
+        retry_after: Span,
+    },
+    /// The job was cancelled.
+    Cancelled,
+    /// There is no such job here.
+    Unknown,
+}
+
+/// Why a job was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// There is no configuration yet.
+    NotConfigured,
+    /// No worker of its service can be reached.
+    NoWorker,
+    /// There was no room in time.
+    Overloaded,
+    /// The process stops.
+    Stopping,
+    /// It asks for something that is not built.
+    Unsupported(Feature),
+    /// Its steps are not in order.
+    Malformed,
+    /// Its caller's deadline was over.
+    DeadlineOver,
+}
+
+/// A decision of the gateway, for the logs.
+#[derive(Clone, Debug)]
+pub enum GatewayDecision {
+    /// A job was taken in.
+    Taken {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Arc<queues::QueueSettings>,
+        /// Tasks in all.
+        tasks: u32,
+        /// Objective by the estimates.
+        objective: Span,
+        /// Version of the configuration that named the queue.
+        version: u64,
+    },
+    /// Tasks were placed.
+    Placed {
+        /// The job.
+        job: JobId,
+        /// Name of the agent.
+        agent: String,
+        /// Number of tasks.
+        tasks: u32,
+        /// Age of the report that the choice rests on.
+        report_age: Span,
+        /// Time since the job came.
+        age: Span,
+    },
+    /// A task came back and will be placed again.
+    CameBack {
+        /// The run.
+        run: RunId,
+        /// Name of the agent.
+        agent: String,
+        /// How its time there ended.
+        how: super::messages::EndKind,
+    },
+    /// A job was answered.
+    Answered {
+        /// The job.
+        job: JobId,
+        /// Name of its queue.
+        queue: Arc<queues::QueueSettings>,
+        /// The answer.
+        answer: Answer,
+        /// Time since the job came.
+        age: Span,
+        /// Objective by the estimates.
+        objective: Span,
+    },
+    /// A job's callers have gone.
+    Abandoned {
+        /// The job.
+        job: JobId,
+        /// Time since the job came.
+        age: Span,
+    },
+    /// An agent's tasks are over because nothing was heard of it.
+    AgentLapsed {
+        /// Name of the agent.
+        agent: String,
+        /// Tasks that were there.
+        tasks: usize,
+        /// Time since it was heard.
+        silence: Span,
+    },
+}
+
+/// What distinguishes one gateway process from another.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its name and the address at which its sessions are accepted.
+    pub member: Member,
+    /// Its zone.
+    pub zone: String,
+    /// How long a planned stop goes on taking jobs, for callers that have not
+    /// moved on.
+    pub stop_overlap: Span,
+}
+
+/// The gateway's machine.
+#[derive(Debug)]
+pub struct LeasedGateway {
+    identity: Identity,
+    configuration: Option<Arc<QueueConfiguration>>,
+    workers: BTreeMap<Incarnation, Worker>,
+    agent_sessions: BTreeMap<SessionId, Incarnation>,
+    /// Sessions to peers, and who they are once they have said so.
+    peers: BTreeMap<SessionId, Option<Member>>,
+    listed: Vec<Member>,
+    told_members: Vec<Member>,
+    jobs: BTreeMap<JobId, Job>,
+    calls: BTreeMap<CallNumber, JobId>,
+    /// Jobs with tasks to be placed, the most urgent first.
+    waiting: BTreeSet<(Timestamp, JobId)>,
+    /// When to look at a job again: it is refused, given up, or tried again.
+    timers: BTreeSet<(Timestamp, JobId)>,
+    stopping_since: Option<Timestamp>,
+    stop_reported: bool,
+}
+
+impl LeasedGateway {
+    /// A gateway without a configuration.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            configuration: None,
+            workers: BTreeMap::new(),
+            agent_sessions: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            listed: Vec::new(),
+            told_members: Vec::new(),
+            jobs: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            stopping_since: None,
+            stop_reported: false,
+        }
+    }
+
+    /// The configuration in force here.
+    pub fn configuration(&self) -> Option<&Arc<QueueConfiguration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Whether new connections are wanted.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        let has_worker = self
+            .workers
+            .values()
+            .any(|worker| worker.is_present(now) && worker.snapshot.is_some());
+        self.stopping_since.is_none() && self.configuration.is_some() && has_worker
+    }
+
+    /// Whether a job is here and has not ended.
+    pub fn has_job(&self, job: JobId) -> bool {
+        self.jobs.contains_key(&job)
+    }
+
+    /// Jobs that have not ended.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether the process is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping_since.is_some()
+    }
+
+    /// Takes in one event. Call [`LeasedGateway::flush`] after a batch.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: GatewayEvent,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match event {
+            GatewayEvent::Submit { call, request } => self.on_submit(now, call, request, effects),
+            GatewayEvent::CallerGone { call } => self.on_caller_gone(now, call, effects),
+            GatewayEvent::Cancel { call, job } => self.on_cancel(now, call, job, effects),
+            GatewayEvent::AgentOpened { session, remote } => {
+                self.on_agent_opened(now, session, remote, effects);
+            }
+            GatewayEvent::AgentClosed { session } => self.on_agent_closed(session),
+            GatewayEvent::AgentMessage { session, message } => {
+                self.on_agent_message(now, session, message, effects);
+            }
+            GatewayEvent::PeerOpened { session } => self.on_peer_opened(session, effects),
+            GatewayEvent::PeerClosed { session } => {
+                self.peers.remove(&session);
+            }
+            GatewayEvent::PeerMessage { session, message } => {
+                self.on_peer_message(session, message, effects);
+            }
+            GatewayEvent::Configuration(configuration) => {
+                self.adopt(None, configuration, effects);
+            }
+            GatewayEvent::Listed(members) => self.listed = members,
+            GatewayEvent::Stop => {
+                self.stopping_since.get_or_insert(now);
+            }
+            GatewayEvent::Tick => {}
+        }
+    }
+
+    /// Does what the events since the last flush, or time, gave rise to.
+    pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        self.end_lapsed_agents(now, effects);
+        self.place_waiting(now, effects);
+        self.run_timers(now, effects);
+        self.tell_members(now, effects);
+        self.send_heartbeats(now, effects);
+        self.finish_stop(now, effects);
+    }
+
+    /// When time alone makes the gateway act, if nothing happens before.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        let workers = self.workers.values().flat_map(|worker| {
+            let lapse = (!worker.tasks.is_empty()).then(|| worker.lapses_at());
+            let beat = (worker.session.is_some() && worker.owes_answer())
+                .then(|| worker.last_sent.after(BUSY_HEARTBEAT));
+            [lapse, beat]
+        });
+        let stop = self
+            .stopping_since
+            .filter(|_| !self.stop_reported)
+            .map(|since| since.after(self.identity.stop_overlap));
+        workers.flatten().chain(timer).chain(stop).min()
+    }
+
+    fn on_agent_opened(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        remote: Remote,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let worker = self
+            .workers
+            .entry(remote.incarnation)
+            .or_insert_with(|| Worker::new(now, remote.name));
+        if let Some(old) = worker.session {
+            self.agent_sessions.remove(&old);
+            effects.push(GatewayEffect::Close(old));
+        }
+        worker.open(now, session);
+        self.agent_sessions.insert(session, remote.incarnation);
+        let members = self.members();
+        self.send(
+            now,
+            remote.incarnation,
+            ToAgentBody::Members(members),
+            effects,
+        );
+    }
+
+    fn on_agent_closed(&mut self, session: SessionId) {
+        let Some(agent) = self.agent_sessions.remove(&session) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(&agent) {
+            worker.session = None;
+        }
+    }
+
+    fn on_agent_message(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        message: FromAgent,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(agent) = self.agent_sessions.get(&session).copied() else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(&agent) else {
+            return;
+        };
+        worker.heard = now;
+        worker.clock = worker.clock.max(message.clock);
+        if let Some(report) = message.report {
+            worker.on_report(report);
+        }
+        match message.body {
+            FromAgentBody::Heartbeat => {}
+            FromAgentBody::Ends(ends) => {
+                for end in ends {
+                    self.on_task_end(now, agent, &end, effects);
+                }
+            }
+            FromAgentBody::Snapshot(snapshot) => {
+                self.on_snapshot(now, agent, snapshot, effects);
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        body: ToAgentBody,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(worker) = self.workers.get_mut(&agent) else {
+            return;
+        };
+        let Some(session) = worker.session else {
+            return;
+        };
+        worker.last_sent = now;
+        worker.echoed = worker.clock;
+        worker.acknowledged = worker.seen;
+        let message = ToAgent {
+            echo: worker.clock,
+            seen: worker.seen,
+            body,
+        };
+        effects.push(GatewayEffect::ToAgent { session, message });
+    }
+
+    /// Echoes and acknowledges where nothing else was sent for a while.
+    fn send_heartbeats(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let due: Vec<Incarnation> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.session.is_some() && worker.owes_answer())
+            .filter(|(_, worker)| now >= worker.last_sent.after(BUSY_HEARTBEAT))
+            .map(|(agent, _)| *agent)
+            .collect();
+        for agent in due {
+            self.send(now, agent, ToAgentBody::Heartbeat, effects);
+        }
+    }
+
+    fn stop_tasks(&mut self, now: Timestamp, job: JobId, effects: &mut Vec<GatewayEffect>) {
+        let mut stops: Vec<(Incarnation, Vec<TaskId>)> = Vec::new();
+        for (agent, worker) in &self.workers {
+            let tasks: Vec<TaskId> = worker
+                .tasks
+                .keys()
+                .filter(|task| task.job == job)
+                .copied()
+                .collect();
+            if !tasks.is_empty() {
+                stops.push((*agent, tasks));
+            }
+        }
+        for (agent, tasks) in stops {
+            self.send(now, agent, ToAgentBody::Stop(tasks), effects);
+        }
+    }
+
+    fn finish_stop(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let Some(since) = self.stopping_since else {
+            return;
+        };
+        let is_overlap_over = now >= since.after(self.identity.stop_overlap);
+        if is_overlap_over && self.jobs.is_empty() && !self.stop_reported {
+            self.stop_reported = true;
+            effects.push(GatewayEffect::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -0,0 +1,207 @@
+//! Placement: which worker gets which tasks.
+//!
+//! The most urgent job goes first. A job's tasks are kept together as far as
+//! one worker has room for them: one message and one copy of the input serve
+//! them all, and a bad worker harms fewer jobs. Between workers with room the
+//! expected run time decides, then the zone, then what is left free.
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::job::{Job, StepRequest, TaskState};
+use super::workers::Worker;
+use super::{GatewayDecision, GatewayEffect, LeasedGateway};
+use crate::leased::messages::{StartBatch, ToAgentBody};
+use crate::leased::task::{JobId, RunNumber, TaskId};
+
+/// What a worker of another zone costs more, in microseconds of run time.
+const OTHER_ZONE_MICROS: u64 = 10_000;
+/// What a worker without free room would cost more than an empty one.
+const FULLNESS_MICROS: u64 = 20_000;
+/// What a worker far from the data costs more, in percent of the run time.
+const FAR_PERCENT: u64 = 50;
+/// Longest that tasks of a job that has begun may wait at an agent.
+const LONGEST_PATIENCE: Span = Span::from_millis(100);
+
+/// A worker that could take tasks of a step.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    agent: Incarnation,
+    /// Tasks that it has room for, no more than are wanted.
+    tasks: u32,
+    cost: u64,
+}
+
+impl LeasedGateway {
+    /// Places what waits, the most urgent first, until a job finds no room.
+    pub(super) fn place_waiting(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let order: Vec<(Timestamp, JobId)> = self.waiting.iter().copied().collect();
+        for (key, id) in order {
+            let Some(job) = self.jobs.get(&id) else {
+                self.waiting.remove(&(key, id));
+                continue;
+            };
+            if now < job.not_before {
+                continue;
+            }
+            if !self.place_job(now, id, effects) {
+                return;
+            }
+            self.waiting.remove(&(key, id));
+        }
+    }
+
+    /// Places the job's tasks; `false` if some found no room.
+    fn place_job(&mut self, now: Timestamp, id: JobId, effects: &mut Vec<GatewayEffect>) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return true;
+        };
+        for step in job.placeable() {
+            while self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| !job.steps[step].waiting.is_empty())
+            {
+                let Some(candidate) = self.best_worker(now, id, step) else {
+                    return false;
+                };
+                self.place(now, id, step, candidate, effects);
+            }
+        }
+        true
+    }
+
+    fn best_worker(&self, now: Timestamp, id: JobId, step: usize) -> Option<Candidate> {
+        let job = self.jobs.get(&id)?;
+        let wanted = u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX);
+        self.workers
+            .iter()
+            .filter(|(_, worker)| worker.is_usable(now, &job.queue.service))
+            .filter_map(|(agent, worker)| {
+                self.candidate(job, &job.steps[step].request, wanted, *agent, worker)
+            })
+            .max_by_key(|candidate| (candidate.tasks, std::cmp::Reverse(candidate.cost)))
+    }
+
+    fn candidate(
+        &self,
+        job: &Job,
+        request: &StepRequest,
+        wanted: u32,
+        agent: Incarnation,
+        worker: &Worker,
+    ) -> Option<Candidate> {
+        if request
+            .label
+            .as_ref()
+            .is_some_and(|label| !worker.has_label(label))
+        {
+            return None;
+        }
+        let free = worker.free_room();
+        let tasks = request.room.times_in(free).min(worker.limit()).min(wanted);
+        if tasks == 0 {
+            return None;
+        }
+        let snapshot = worker.snapshot.as_ref()?;
+        let pace = u64::from(worker.report.pace_percent);
+        let is_far = request
+            .near
+            .as_ref()
+            .is_some_and(|near| !worker.has_label(near));
+        let pace = if is_far {
+            pace + pace * FAR_PERCENT / 100
+        } else {
+            pace
+        };
+        let run_time = request.estimate.0 * pace / 100;
+        let zone = if snapshot.zone == self.identity.zone {
+            0
+        } else {
+            OTHER_ZONE_MICROS
+        };
+        let capacity = u64::from(snapshot.capacity.cpu_millis.max(1));
+        let taken = capacity.saturating_sub(u64::from(free.cpu_millis));
+        // A worker so slow that the job would miss its objective comes last.
+        let is_too_slow = run_time > job.objective.0;
+        let tasks = if is_too_slow { 1 } else { tasks };
+        Some(Candidate {
+            agent,
+            tasks,
+            cost: run_time + zone + FULLNESS_MICROS * taken / capacity,
+        })
+    }
+
+    fn place(
+        &mut self,
+        now: Timestamp,
+        id: JobId,
+        step: usize,
+        candidate: Candidate,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let (Some(job), Some(worker)) = (
+            self.jobs.get_mut(&id),
+            self.workers.get_mut(&candidate.agent),
+        ) else {
+            return;
+        };
+        let tasks = take_tasks(job, step, candidate.tasks);
+        let request = &job.steps[step].request;
+        let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        let number = worker.next_batch(request.room.times(count), count);
+        for (index, run) in &tasks {
+            let task = task_id(id, step, *index);
+            worker.tasks.insert(task, *run);
+        }
+        let patience = if job.may_have_started || job.placed > count {
+            LONGEST_PATIENCE
+        } else {
+            job.refuse_at.since(now).min(LONGEST_PATIENCE)
+        };
+        let batch = StartBatch {
+            number,
+            job: id,
+            step: u32::try_from(step).unwrap_or(u32::MAX),
+            input: job.input.clone(),
+            room: request.room,
+            estimate_millis: u32::try_from(request.estimate.as_millis()).unwrap_or(u32::MAX),
+            patience_millis: u32::try_from(patience.as_millis()).unwrap_or(u32::MAX),
+            tasks,
+        };
+        effects.push(GatewayEffect::Decided(GatewayDecision::Placed {
+            job: id,
+            agent: worker.name.clone(),
+            tasks: count,
+            report_age: now.since(worker.heard),
+            age: now.since(job.arrival),
+        }));
+        self.send(now, candidate.agent, ToAgentBody::Start(batch), effects);
+    }
+}
+
+/// The name of a task of a job that runs once.
+pub(super) fn task_id(job: JobId, step: usize, index: u32) -> TaskId {
+    TaskId {
+        job,
+        repetition: 0,
+        step: u32::try_from(step).unwrap_or(u32::MAX),
+        index,
+    }
+}
+
+fn take_tasks(job: &mut Job, step: usize, count: u32) -> Vec<(u32, RunNumber)> {
+    let step = &mut job.steps[step];
+    let mut taken = Vec::with_capacity(count as usize);
+    while taken.len() < count as usize {
+        let Some(index) = step.waiting.pop_first() else {
+            break;
+        };
+        let task = &mut step.tasks[index as usize];
+        task.state = TaskState::Placed;
+        task.run = RunNumber(task.run.0 + 1);
+        taken.push((index, task.run));
+    }
+    job.placed += u32::try_from(taken.len()).unwrap_or(u32::MAX);
+    taken
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -0,0 +1,165 @@
+//! The workers as a gateway sees them, through their agents' reports.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::messages::{Report, Snapshot};
+use super::super::room::Room;
+use super::super::task::{RunNumber, TaskId};
+use super::super::timing::{BUSY_SUSPICION, IDLE_SUSPICION, LAPSE_AFTER_SILENCE};
+use crate::session::SessionId;
+
+/// A batch of starts that no report has taken into account yet.
+#[derive(Clone, Copy, Debug)]
+struct Unreported {
+    number: u64,
+    room: Room,
+    tasks: u32,
+}
+
+/// A worker, by the incarnation of the agent beside it.
+#[derive(Debug)]
+pub struct Worker {
+    /// Name of the agent.
+    pub name: String,
+    /// Its session, if one is open.
+    pub session: Option<SessionId>,
+    /// What the worker is; `None` before its agent has it under control.
+    pub snapshot: Option<Snapshot>,
+    /// The latest report.
+    pub report: Report,
+    /// The latest reading of the agent's clock.
+    pub clock: Timestamp,
+    /// The reading that was last echoed.
+    pub echoed: Timestamp,
+    /// When the agent was last heard.
+    pub heard: Timestamp,
+    /// When something was last sent to it.
+    pub last_sent: Timestamp,
+    /// The highest number of an end that was taken in.
+    pub seen: u64,
+    /// The highest number that was acknowledged.
+    pub acknowledged: u64,
+    /// This gateway's tasks there.
+    pub tasks: BTreeMap<TaskId, RunNumber>,
+    batches: u64,
+    unreported: VecDeque<Unreported>,
+}
+
+impl Worker {
+    /// A worker whose agent has just been met.
+    pub fn new(now: Timestamp, name: String) -> Self {
+        Self {
+            name,
+            session: None,
+            snapshot: None,
+            report: Report {
+                processed: 0,
+                free: Room::default(),
+                limit: 0,
+                pace_percent: 100,
+            },
+            clock: Timestamp::default(),
+            echoed: Timestamp::default(),
+            heard: now,
+            last_sent: now,
+            seen: 0,
+            acknowledged: 0,
+            tasks: BTreeMap::new(),
+            batches: 0,
+            unreported: VecDeque::new(),
+        }
+    }
+
+    /// A new session is open.
+    pub fn open(&mut self, now: Timestamp, session: SessionId) {
+        self.session = Some(session);
+        self.snapshot = None;
+        self.report.limit = 0;
+        self.heard = now;
+        self.last_sent = now;
+        self.batches = 0;
+        self.unreported.clear();
+    }
+
+    /// Takes a report in.
+    pub fn on_report(&mut self, report: Report) {
+        self.report = report;
+        while self
+            .unreported
+            .front()
+            .is_some_and(|batch| batch.number <= report.processed)
+        {
+            self.unreported.pop_front();
+        }
+    }
+
+    /// Number of the next batch, which has `tasks` tasks that need `room`
+    /// together.
+    pub fn next_batch(&mut self, room: Room, tasks: u32) -> u64 {
+        self.batches += 1;
+        self.unreported.push_back(Unreported {
+            number: self.batches,
+            room,
+            tasks,
+        });
+        self.batches
+    }
+
+    /// Room that is free, as far as this gateway knows.
+    pub fn free_room(&self) -> Room {
+        self.unreported
+            .iter()
+            .fold(self.report.free, |free, batch| free.minus(batch.room))
+    }
+
+    /// Tasks that it may still be given.
+    pub fn limit(&self) -> u32 {
+        self.unreported
+            .iter()
+            .fold(self.report.limit, |limit, batch| {
+                limit.saturating_sub(batch.tasks)
+            })
+    }
+
+    /// Whether it may be given tasks of `service` now.
+    pub fn is_usable(&self, now: Timestamp, service: &str) -> bool {
+        let silence = now.since(self.heard);
+        let bound = if self.tasks.is_empty() {
+            IDLE_SUSPICION
+        } else {
+            BUSY_SUSPICION
+        };
+        self.session.is_some()
+            && silence <= bound
+            && self.report.limit > 0
+            && self
+                .snapshot
+                .as_ref()
+                .is_some_and(|snapshot| snapshot.service == service)
+    }
+
+    /// Whether its agent is there, whatever its worker does.
+    pub fn is_present(&self, now: Timestamp) -> bool {
+        self.session.is_some() && now.since(self.heard) <= IDLE_SUSPICION
+    }
+
+    /// When its runs are over for certain, if nothing is heard of its agent.
+    pub fn lapses_at(&self) -> Timestamp {
+        self.heard.after(Span(LAPSE_AFTER_SILENCE.0 + 1))
+    }
+
+    /// Whether it has a label.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.snapshot
+            .as_ref()
+            .is_some_and(|snapshot| snapshot.labels.iter().any(|own| own == label))
+    }
+
+    /// Whether an end or echo is to be acknowledged.
+    pub fn owes_answer(&self) -> bool {
+        let has_work = !self.tasks.is_empty() && self.clock > self.echoed;
+        has_work || self.seen > self.acknowledged
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/messages.rs
@@ -0,0 +1,226 @@
+//! Messages between gateways and the agents of leased workers, and between
+//! gateways. Field names are short on the wire: bytes between zones cost.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use laurelstile_types::time::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use super::gateway::queues::QueueConfiguration;
+use super::room::Room;
+use super::task::{JobId, RunNumber, TaskId};
+
+/// From a gateway to an agent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ToAgent {
+    /// The latest reading of the agent's clock that the gateway has seen.
+    #[serde(rename = "e")]
+    pub echo: Timestamp,
+    /// The highest number of an end that the gateway has taken in.
+    #[serde(rename = "s")]
+    pub seen: u64,
+    /// What it is about.
+    #[serde(rename = "b")]
+    pub body: ToAgentBody,
+}
+
+/// What a gateway tells an agent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToAgentBody {
+    /// Only the echo.
+    #[serde(rename = "h")]
+    Heartbeat,
+    /// Tasks to be started.
+    #[serde(rename = "r")]
+    Start(StartBatch),
+    /// Tasks to be stopped; each is answered by its end.
+    #[serde(rename = "x")]
+    Stop(Vec<TaskId>),
+    /// The gateways that the sender knows.
+    #[serde(rename = "m")]
+    Members(Vec<Member>),
+}
+
+/// Tasks of one step of a job, for one worker.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StartBatch {
+    /// Number of this batch in its session, rising from 1.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The job.
+    #[serde(rename = "j")]
+    pub job: JobId,
+    /// The step.
+    #[serde(rename = "t")]
+    pub step: u32,
+    /// The job's input, as its caller sent it.
+    #[serde(rename = "i")]
+    pub input: Arc<str>,
+    /// What each task needs.
+    #[serde(rename = "o")]
+    pub room: Room,
+    /// A rough guess of how long each task takes, in milliseconds.
+    #[serde(rename = "d")]
+    pub estimate_millis: u32,
+    /// How long the tasks may wait for room at the agent, in milliseconds.
+    #[serde(rename = "w")]
+    pub patience_millis: u32,
+    /// Index and run of each task.
+    #[serde(rename = "k")]
+    pub tasks: Vec<(u32, RunNumber)>,
+}
+
+/// From an agent to a gateway.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FromAgent {
+    /// The agent's clock.
+    #[serde(rename = "c")]
+    pub clock: Timestamp,
+    /// The worker's state, if it has changed since it was last told.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub report: Option<Report>,
+    /// What it is about.
+    #[serde(rename = "b")]
+    pub body: FromAgentBody,
+}
+
+/// What an agent tells a gateway.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum FromAgentBody {
+    /// Only clock and report.
+    #[serde(rename = "h")]
+    Heartbeat,
+    /// First message of a session, once the worker is under control; repeated
+    /// when the worker's description changes.
+    #[serde(rename = "s")]
+    Snapshot(Snapshot),
+    /// Tasks that have ended or were not started.
+    #[serde(rename = "x")]
+    Ends(Vec<TaskEnd>),
+}
+
+/// What the worker is, and which of the gateway's tasks the agent holds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The service that the worker serves.
+    pub service: String,
+    /// Zone of the worker.
+    pub zone: String,
+    /// All the room that the worker has.
+    pub capacity: Room,
+    /// Labels of the worker.
+    pub labels: Vec<String>,
+    /// The gateway's tasks that are here and have not ended.
+    pub held: Vec<(TaskId, RunNumber)>,
+}
+
+/// How a worker does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Batches of this session that the agent has taken in.
+    #[serde(rename = "p")]
+    pub processed: u64,
+    /// Room that is neither taken nor spoken for.
+    #[serde(rename = "f")]
+    pub free: Room,
+    /// Most tasks that the worker may be given now.
+    #[serde(rename = "l")]
+    pub limit: u32,
+    /// Run time by the estimates, in percent: 100 for a worker that takes as
+    /// long as estimated.
+    #[serde(rename = "a")]
+    pub pace_percent: u32,
+}
+
+/// No limit but the room.
+pub const UNLIMITED: u32 = u32::MAX;
+
+/// The end of a task at an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskEnd {
+    /// Number of this end for its gateway, rising from 1.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The task.
+    #[serde(rename = "t")]
+    pub task: TaskId,
+    /// The run.
+    #[serde(rename = "r")]
+    pub run: RunNumber,
+    /// How it ended.
+    #[serde(rename = "h")]
+    pub how: EndKind,
+}
+
+/// How a task's time at an agent ended. In every case nothing of it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndKind {
+    /// It is done.
+    #[serde(rename = "d")]
+    Done,
+    /// It failed, by its own fault or by the worker's.
+    #[serde(rename = "f")]
+    Failed,
+    /// It failed on a worker that has failed others too.
+    #[serde(rename = "s")]
+    FailedOnSuspect,
+    /// It was stopped as its gateway asked.
+    #[serde(rename = "x")]
+    Stopped,
+    /// It stood still or was far too slow and was stopped.
+    #[serde(rename = "t")]
+    Stalled,
+    /// Its worker died, or its lease lapsed.
+    #[serde(rename = "l")]
+    Lost,
+    /// It never started.
+    #[serde(rename = "n")]
+    NotStarted(NotStartedReason),
+}
+
+/// Why an agent did not start a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotStartedReason {
+    /// The sender's echo is too old.
+    #[serde(rename = "e")]
+    StaleSender,
+    /// The worker is draining, dead, not yet under control, or on probation.
+    #[serde(rename = "u")]
+    Unavailable,
+    /// There was no room in time.
+    #[serde(rename = "f")]
+    Full,
+    /// The worker has seen this run or a later one.
+    #[serde(rename = "o")]
+    OldRun,
+    /// An earlier run of the task is still here; it is being stopped.
+    #[serde(rename = "d")]
+    Duplicate,
+    /// The worker did not answer, or refused; the run is stopped for good.
+    #[serde(rename = "r")]
+    Refused,
+    /// The task has waited for longer than it was to.
+    #[serde(rename = "x")]
+    Withdrawn,
+}
+
+/// A gateway, as members know each other.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where its sessions are accepted.
+    pub address: SocketAddr,
+}
+
+/// From a gateway to a gateway.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToPeer {
+    /// First message of a session: who the sender is.
+    Introduction(Member),
+    /// The gateways that the sender knows.
+    Members(Vec<Member>),
+    /// The configuration that is in force at the sender.
+    Configuration(QueueConfiguration),
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/room.rs
@@ -0,0 +1,69 @@
+//! Room: what a worker offers and a task needs.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of processor, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Room {
+    /// Processor, in thousandths of a core.
+    #[serde(rename = "c")]
+    pub cpu_millis: u32,
+    /// Memory, in MiB.
+    #[serde(rename = "m", default, skip_serializing_if = "is_zero")]
+    pub memory_mib: u32,
+    /// Accelerators.
+    #[serde(rename = "g", default, skip_serializing_if = "is_zero")]
+    pub gpus: u32,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+fn is_zero(amount: &u32) -> bool {
+    *amount == 0
+}
+
+impl Room {
+    /// Whether this much fits into `free`.
+    pub fn fits(self, free: Self) -> bool {
+        self.cpu_millis <= free.cpu_millis
+            && self.memory_mib <= free.memory_mib
+            && self.gpus <= free.gpus
+    }
+
+    /// How many times this much fits into `free`; `u32::MAX` if it is nothing.
+    pub fn times_in(self, free: Self) -> u32 {
+        let times = |need: u32, free: u32| free.checked_div(need).unwrap_or(u32::MAX);
+        times(self.cpu_millis, free.cpu_millis)
+            .min(times(self.memory_mib, free.memory_mib))
+            .min(times(self.gpus, free.gpus))
+    }
+
+    /// This much `count` times.
+    pub fn times(self, count: u32) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mib: self.memory_mib.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
+    /// Both together.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            gpus: self.gpus.saturating_add(other.gpus),
+        }
+    }
+
+    /// What is left without `other`; nothing where `other` is more.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+}
--- a/laurelstile-core/src/lib.rs
+++ b/laurelstile-core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 pub mod gateway;
+pub mod leased;
 pub mod messages;
 pub mod payload;
 pub mod rendezvous;
--- a/laurelstile-wire/src/hello.rs
+++ b/laurelstile-wire/src/hello.rs
@@ -105,7 +105,7 @@
         let ours = hello_of(local);
         send(socket, &ours).await?;
         let theirs: Hello = receive(socket).await?;
-        check(&theirs, expected)?;
+        check(&theirs, &[expected])?;
         let proof: Proof = receive(socket).await?;
         verify(&proof, local, Prover::Listener, &ours, &theirs)?;
         let answer = prove(local, Prover::Dialer, &ours, &theirs);
@@ -115,15 +115,16 @@
     .await
 }
 
-/// Greets as the side that was dialed.
+/// Greets as the side that was dialed; the other side has one of the roles
+/// `expected`.
 ///
 /// # Errors
 /// Any [`WireError`]; the socket must not be used then.
 pub async fn greet_as_listener(
     socket: &mut Socket,
     local: &LocalNode,
-    expected: NodeRole,
-) -> Result<Remote, WireError> {
+    expected: &[NodeRole],
+) -> Result<(NodeRole, Remote), WireError> {
     with_timeout(async {
         let theirs: Hello = receive(socket).await?;
         check(&theirs, expected)?;
@@ -133,14 +134,14 @@
         send(socket, &proof).await?;
         let answer: Proof = receive(socket).await?;
         verify(&answer, local, Prover::Dialer, &theirs, &ours)?;
-        Ok(remote_of(theirs))
+        Ok((theirs.role, remote_of(theirs)))
     })
     .await
 }
 
-async fn with_timeout(
-    greeting: impl Future<Output = Result<Remote, WireError>>,
-) -> Result<Remote, WireError> {
+async fn with_timeout<T>(
+    greeting: impl Future<Output = Result<T, WireError>>,
+) -> Result<T, WireError> {
     tokio::time::timeout(HELLO_TIMEOUT, greeting)
         .await
         .unwrap_or(Err(WireError::Timeout))
@@ -166,14 +167,14 @@
     }
 }
 
-fn check(hello: &Hello, expected: NodeRole) -> Result<(), WireError> {
+fn check(hello: &Hello, expected: &[NodeRole]) -> Result<(), WireError> {
     if hello.protocol != PROTOCOL_VERSION {
         return Err(WireError::Version {
             ours: PROTOCOL_VERSION,
             theirs: hello.protocol,
         });
     }
-    if hello.role != expected {
+    if !expected.contains(&hello.role) {
         return Err(WireError::Role);
     }
     Ok(())
--- a/laurelstile-wire/src/lib.rs
+++ b/laurelstile-wire/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod codec;
 pub mod error;
 pub mod hello;
+pub mod liveness;
 pub mod session;
--- a/laurelstile-wire/src/session.rs
+++ b/laurelstile-wire/src/session.rs
@@ -19,6 +19,7 @@
 use crate::hello::{
     HELLO_TIMEOUT, LocalNode, NodeRole, Socket, greet_as_dialer, greet_as_listener,
 };
+use crate::liveness;
 
 /// Largest message that is taken, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
@@ -49,7 +50,7 @@
         .await
         .map_err(|_| WireError::Timeout)?
         .map_err(connect_error)?;
-    stream.set_nodelay(true).map_err(WireError::Connect)?;
+    liveness::configure(&stream).map_err(WireError::Connect)?;
     let uri = format!("ws://{address}/");
     let upgrading = client_async_with_config(uri, stream, Some(config()));
     let (mut socket, _) = tokio::time::timeout(HELLO_TIMEOUT, upgrading)
@@ -79,13 +80,27 @@
     local: &LocalNode,
     expected: NodeRole,
 ) -> Result<(Socket, Remote), WireError> {
-    stream.set_nodelay(true).map_err(WireError::Connect)?;
+    let (socket, _, remote) = accept_any(stream, local, &[expected]).await?;
+    Ok((socket, remote))
+}
+
+/// Takes in a connection of a process of any of the roles `expected`, and
+/// greets.
+///
+/// # Errors
+/// Any [`WireError`].
+pub async fn accept_any(
+    stream: TcpStream,
+    local: &LocalNode,
+    expected: &[NodeRole],
+) -> Result<(Socket, NodeRole, Remote), WireError> {
+    liveness::configure(&stream).map_err(WireError::Connect)?;
     let upgrading = accept_async_with_config(stream, Some(config()));
     let mut socket = tokio::time::timeout(HELLO_TIMEOUT, upgrading)
         .await
         .map_err(|_| WireError::Timeout)??;
-    let remote = greet_as_listener(&mut socket, local, expected).await?;
-    Ok((socket, remote))
+    let (role, remote) = greet_as_listener(&mut socket, local, expected).await?;
+    Ok((socket, role, remote))
 }
 
 /// Moves messages until either side closes: `outgoing` to the other side,
--- /dev/null
+++ b/laurelstiled/src/leased/agent.rs
@@ -0,0 +1,263 @@
+//! The agent role for leased workers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laurelstile_core::leased::agent::{
+    AgentEffect, AgentEvent, AgentOptions, LeasedAgent, Order, OrderKind,
+};
+use laurelstile_core::leased::messages::FromAgent;
+use laurelstile_core::session::{Remote, SessionId};
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
+use laurelstile_wire::error::WireError;
+use laurelstile_wire::hello::{NodeRole, Socket};
+use laurelstile_wire::session;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use super::decisions::DecisionLog;
+use super::gateway::sleep_until;
+use super::membership;
+use super::ports::{RecordStore, WorkerNews, WorkerPort};
+use super::sessions::{Dialed, Dialer};
+use super::settings::{LeasedAgentSettings, LeasedSettings};
+use crate::clock::Clock;
+use crate::error::DaemonError;
+use crate::gateway::local_node;
+use crate::session::next_session;
+
+/// Most inputs that are handled before the machine is flushed.
+const INPUT_BATCH: usize = 64;
+/// How long the worker may take to answer a start or stop.
+const ORDER_LIMIT: Duration = Duration::from_millis(70);
+/// How long it may take to answer a watch, beyond the wait in it.
+const WATCH_LIMIT: Duration = Duration::from_millis(100);
+/// How long messages may take to leave at the end.
+const LAST_MESSAGES: Duration = Duration::from_millis(100);
+/// How long an agent looks for a gateway by its seeds before it reads the
+/// store's list, and how often it reads it again.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(2_000);
+
+/// What the driver's task is told.
+#[derive(Debug)]
+pub enum Input {
+    /// Something for the machine.
+    Event(AgentEvent),
+    /// A session to a gateway is open.
+    Opened {
+        /// The session.
+        session: SessionId,
+        /// Incarnation of the gateway.
+        gateway: Incarnation,
+        /// Where its messages go.
+        outgoing: mpsc::UnboundedSender<FromAgent>,
+    },
+    /// Gateways that the store lists.
+    Listed(Vec<laurelstile_core::leased::messages::Member>),
+}
+
+/// Runs an agent until it has stopped in a planned way.
+///
+/// # Errors
+/// [`DaemonError`] if it cannot start.
+pub async fn run<W, S>(
+    settings: LeasedSettings,
+    role: LeasedAgentSettings,
+    worker: Arc<W>,
+    mut news: mpsc::UnboundedReceiver<WorkerNews>,
+    store: Arc<S>,
+) -> Result<(), DaemonError>
+where
+    W: WorkerPort,
+    S: RecordStore,
+{
+    let clock = Clock::start();
+    let local = local_node(&settings.node, NodeRole::Agent, clock);
+    let (input, mut inputs) = mpsc::unbounded_channel();
+    let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    log::info!(event = "started", node = settings.node.name.as_str(), incarnation:% = local.incarnation; "agent started");
+    let gateways = GatewaySessions {
+        input: input.clone(),
+    };
+    let options = AgentOptions {
+        zone: settings.node.zone.0.clone(),
+        stop_patience: Span::from_millis(role.stop_patience_millis),
+    };
+    let mut driver = Driver {
+        clock,
+        machine: LeasedAgent::new(options),
+        dialer: Dialer::new(local, settings.seeds.clone(), gateways),
+        worker,
+        input,
+        sessions: HashMap::new(),
+        decisions: DecisionLog::default(),
+        is_stopped: false,
+    };
+    let mut lookup =
+        tokio::time::interval_at(tokio::time::Instant::now() + LOOKUP_PAUSE, LOOKUP_PAUSE);
+    let mut batch = Vec::with_capacity(INPUT_BATCH);
+    let mut effects = Vec::new();
+    while !driver.is_stopped {
+        let sleep = sleep_until(&clock, driver.machine.next_wakeup(clock.now()));
+        tokio::select! {
+            _ = inputs.recv_many(&mut batch, INPUT_BATCH) => {}
+            Some(news) = news.recv() => batch.push(Input::Event(event_of(news))),
+            _ = terminate.recv() => {
+                log::info!(event = "stopping"; "planned stop");
+                batch.push(Input::Event(AgentEvent::Stop));
+            }
+            _ = lookup.tick(), if driver.sessions.is_empty() => driver.look_up(&store),
+            () = tokio::time::sleep(sleep) => {}
+        }
+        for input in batch.drain(..) {
+            driver.take(input, &mut effects);
+        }
+        driver.machine.flush(clock.now(), &mut effects);
+        for effect in effects.drain(..) {
+            driver.carry_out(effect);
+        }
+    }
+    tokio::time::sleep(LAST_MESSAGES).await;
+    log::info!(event = "stopped"; "agent stopped");
+    Ok(())
+}
+
+fn event_of(news: WorkerNews) -> AgentEvent {
+    match news {
+        WorkerNews::Registered(registration) => AgentEvent::Registered(registration),
+        WorkerNews::Deregistered(life) => AgentEvent::Deregistered {
+            life: life.to_string(),
+        },
+    }
+}
+
+/// Sessions to gateways.
+struct GatewaySessions {
+    input: mpsc::UnboundedSender<Input>,
+}
+
+impl Dialed for GatewaySessions {
+    async fn hold(&self, socket: Socket, remote: Remote) -> WireError {
+        let session = next_session();
+        let (outgoing, messages) = mpsc::unbounded_channel();
+        let _ = self.input.send(Input::Opened {
+            session,
+            gateway: remote.incarnation,
+            outgoing,
+        });
+        let error = session::run(socket, messages, |message| {
+            let _ = self
+                .input
+                .send(Input::Event(AgentEvent::Message { session, message }));
+        })
+        .await;
+        let _ = self
+            .input
+            .send(Input::Event(AgentEvent::Closed { session }));
+        error
+    }
+
+    fn on_refused(&self, gateway: Incarnation) {
+        let _ = self
+            .input
+            .send(Input::Event(AgentEvent::GatewayEnded { gateway }));
+    }
+}
+
+/// Drives one agent's machine.
+struct Driver<W> {
+    clock: Clock,
+    machine: LeasedAgent,
+    dialer: Dialer<GatewaySessions>,
+    worker: Arc<W>,
+    input: mpsc::UnboundedSender<Input>,
+    sessions: HashMap<SessionId, mpsc::UnboundedSender<FromAgent>>,
+    decisions: DecisionLog,
+    is_stopped: bool,
+}
+
+impl<W: WorkerPort> Driver<W> {
+    fn take(&mut self, input: Input, effects: &mut Vec<AgentEffect>) {
+        let event = match input {
+            Input::Event(event) => event,
+            Input::Opened {
+                session,
+                gateway,
+                outgoing,
+            } => {
+                self.sessions.insert(session, outgoing);
+                AgentEvent::Opened { session, gateway }
+            }
+            Input::Listed(members) => {
+                self.dialer.learn(&members);
+                return;
+            }
+        };
+        if let AgentEvent::Closed { session } = &event {
+            self.sessions.remove(session);
+        }
+        self.machine.handle(self.clock.now(), event, effects);
+    }
+
+    fn carry_out(&mut self, effect: AgentEffect) {
+        match effect {
+            AgentEffect::Send { session, message } => {
+                if let Some(outgoing) = self.sessions.get(&session) {
+                    let _ = outgoing.send(message);
+                }
+            }
+            AgentEffect::Close(session) => {
+                self.sessions.remove(&session);
+            }
+            AgentEffect::Order(order) => self.give(order),
+            AgentEffect::Members(members) => self.dialer.learn(&members),
+            AgentEffect::Decided(decision) => self.decisions.agent(&decision),
+            AgentEffect::Stopped => self.is_stopped = true,
+        }
+    }
+
+    /// Carries an order to the worker, and its answer back to the machine.
+    fn give(&self, order: Order) {
+        let (worker, input) = (Arc::clone(&self.worker), self.input.clone());
+        tokio::spawn(async move {
+            let event = give(worker.as_ref(), order).await;
+            let _ = input.send(Input::Event(event));
+        });
+    }
+
+    /// Asks the store which gateways there are.
+    fn look_up<S: RecordStore>(&self, store: &Arc<S>) {
+        let (store, input) = (Arc::clone(store), self.input.clone());
+        tokio::spawn(async move {
+            if let Ok(members) = membership::read(store.as_ref()).await {
+                log::info!(event = "looked_up", members = members.len(); "gateways read from the store");
+                let _ = input.send(Input::Listed(members));
+            }
+        });
+    }
+}
+
+async fn give<W: WorkerPort>(worker: &W, order: Order) -> AgentEvent {
+    let life = Arc::clone(&order.life);
+    match &order.kind {
+        OrderKind::Start { run, .. } => AgentEvent::StartAnswered {
+            run: *run,
+            life,
+            answer: worker.order(&order, ORDER_LIMIT).await,
+        },
+        OrderKind::Stop { run } => AgentEvent::StopAnswered {
+            run: *run,
+            life,
+            answer: worker.order(&order, ORDER_LIMIT).await,
+        },
+        OrderKind::Watch { wait, .. } => {
+            let limit = Duration::from_micros(wait.0) + WATCH_LIMIT;
+            AgentEvent::Watched {
+                life,
+                answer: worker.watch(&order, limit).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/laurelstiled/src/leased/decisions.rs
@@ -0,0 +1,131 @@
+//! Decisions as log lines, at a bounded rate.
+//!
+//! A line for each decision that touches a request or changes what the process
+//! believes. Lines beyond the bound are dropped and counted; the next line
+//! that is written tells how many.
+
+use std::time::{Duration, Instant};
+
+use laurelstile_core::leased::agent::AgentDecision;
+use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
+
+/// Most lines in a period.
+const LINES: u32 = 400;
+/// That period.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Writes decisions to the log.
+#[derive(Debug, Default)]
+pub struct DecisionLog {
+    began: Option<Instant>,
+    written: u32,
+    dropped: u64,
+}
+
+impl DecisionLog {
+    /// A decision of a gateway.
+    pub fn gateway(&mut self, decision: &GatewayDecision) {
+        if !self.admits() {
+            return;
+        }
+        match decision {
+            GatewayDecision::Taken {
+                job,
+                queue,
+                tasks,
+                objective,
+                version,
+            } => {
+                log::info!(event = "taken", job:% = job, queue = queue.name.as_str(), tasks = tasks, objective_ms = objective.as_millis(), configuration = version; "");
+            }
+            GatewayDecision::Placed {
+                job,
+                agent,
+                tasks,
+                report_age,
+                age,
+            } => {
+                log::info!(event = "placed", job:% = job, agent = agent.as_str(), tasks = tasks, report_age_ms = report_age.as_millis(), age_ms = age.as_millis(); "");
+            }
+            GatewayDecision::CameBack { run, agent, how } => {
+                log::info!(event = "came_back", task:% = run.task, run = run.run.0, agent = agent.as_str(), how:? = how; "");
+            }
+            GatewayDecision::Answered {
+                job,
+                queue,
+                answer,
+                age,
+                objective,
+            } => {
+                let answer = answer_name(answer);
+                log::info!(event = "answered", job:% = job, queue = queue.name.as_str(), answer = answer.as_str(), age_ms = age.as_millis(), objective_ms = objective.as_millis(); "");
+            }
+            GatewayDecision::Abandoned { job, age } => {
+                log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
+            }
+            GatewayDecision::AgentLapsed {
+                agent,
+                tasks,
+                silence,
+            } => {
+                log::warn!(event = "agent_lapsed", agent = agent.as_str(), tasks = tasks, silence_ms = silence.as_millis(); "");
+            }
+        }
+    }
+
+    /// A decision of an agent.
+    pub fn agent(&mut self, decision: &AgentDecision) {
+        if !self.admits() {
+            return;
+        }
+        match decision {
+            AgentDecision::InControl { life, token } => {
+                log::info!(event = "worker_in_control", life:% = life, token = token.0; "");
+            }
+            AgentDecision::LifeOver { life, runs } => {
+                log::warn!(event = "worker_life_over", life:% = life, runs = runs; "");
+            }
+            AgentDecision::Draining { life } => {
+                log::info!(event = "worker_draining", life:% = life; "");
+            }
+            AgentDecision::WorkerSilent { life } => {
+                log::warn!(event = "worker_silent", life:% = life; "");
+            }
+            AgentDecision::Stopping {
+                run,
+                reason,
+                echo_age,
+                percent,
+            } => {
+                log::info!(event = "stopping_run", task:% = run.task, run = run.run.0, reason = *reason, echo_age_ms = echo_age.as_millis(), percent = percent; "");
+            }
+            AgentDecision::Ended { run, how } => {
+                log::info!(event = "run_ended", task:% = run.task, run = run.run.0, how:? = how; "");
+            }
+        }
+    }
+
+    fn admits(&mut self) -> bool {
+        let now = Instant::now();
+        let is_over = self.began.is_none_or(|began| now - began >= PERIOD);
+        if is_over {
+            self.began = Some(now);
+            self.written = 0;
+            if self.dropped > 0 {
+                log::warn!(event = "lines_dropped", count = self.dropped; "");
+                self.dropped = 0;
+            }
+        }
+        self.written += 1;
+        let is_admitted = self.written <= LINES;
+        self.dropped += u64::from(!is_admitted);
+        is_admitted
+    }
+}
+
+fn answer_name(answer: &Answer) -> String {
+    match answer {
+        Answer::Refused { reason, .. } => format!("refused:{reason:?}"),
+        other => format!("{other:?}").to_lowercase(),
+    }
+}
--- /dev/null
+++ b/laurelstiled/src/leased/gate.rs
@@ -0,0 +1,127 @@
+//! The gate through which a front end hands jobs to a gateway.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
+use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
+use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
+use laurelstile_core::leased::task::JobId;
+use laurelstile_types::time::Span;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::gateway::Input;
+
+/// When to come back to a gateway that cannot say more.
+const RETRY_LATER: Span = Span::from_millis(1_000);
+
+/// What a front end can see of its gateway at any time.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The configuration in force.
+    pub configuration: Option<Arc<QueueConfiguration>>,
+    /// Whether new connections are wanted.
+    pub is_ready: bool,
+    /// Whether the process is stopping, so that callers should move on.
+    pub is_stopping: bool,
+}
+
+/// What a host and a path lead to.
+#[derive(Clone, Debug)]
+pub enum Lookup {
+    /// There is no configuration yet.
+    NotConfigured,
+    /// No queue has that host and a prefix of that path.
+    Unknown,
+    /// A queue.
+    Queue(Arc<QueueSettings>),
+}
+
+/// A handle to a gateway for its front end.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    input: mpsc::UnboundedSender<Input>,
+    view: watch::Receiver<View>,
+    calls: Arc<AtomicU64>,
+}
+
+impl Gate {
+    /// A gate to the gateway that takes `input` and shows `view`.
+    pub fn new(input: mpsc::UnboundedSender<Input>, view: watch::Receiver<View>) -> Self {
+        Self {
+            input,
+            view,
+            calls: Arc::default(),
+        }
+    }
+
+    /// What the gateway shows.
+    pub fn view(&self) -> watch::Ref<'_, View> {
+        self.view.borrow()
+    }
+
+    /// The queue of a request.
+    pub fn find(&self, host: &str, path: &str) -> Lookup {
+        match &self.view().configuration {
+            None => Lookup::NotConfigured,
+            Some(configuration) => configuration
+                .find(host, path)
+                .map_or(Lookup::Unknown, |queue| Lookup::Queue(Arc::clone(queue))),
+        }
+    }
+
+    /// Hands a job in and waits for its end. If the future is dropped before,
+    /// its caller has gone.
+    pub async fn submit(&self, request: JobRequest) -> Answer {
+        let call = self.next_call();
+        let (reply, answer) = oneshot::channel();
+        let _ = self.input.send(Input::Submit {
+            call,
+            request,
+            reply,
+        });
+        let mut guard = CallGuard {
+            call,
+            input: Some(self.input.clone()),
+        };
+        let answer = answer.await;
+        guard.input = None;
+        answer.unwrap_or(Answer::Refused {
+            reason: Refusal::Stopping,
+            retry_after: RETRY_LATER,
+        })
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: JobId) -> Answer {
+        let call = self.next_call();
+        let (reply, answer) = oneshot::channel();
+        let _ = self.input.send(Input::Cancel { call, job, reply });
+        answer.await.unwrap_or(Answer::Unknown)
+    }
+
+    /// Whether a job is here and has not ended.
+    pub async fn has_job(&self, job: JobId) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.input.send(Input::HasJob { job, reply });
+        answer.await.unwrap_or(false)
+    }
+
+    fn next_call(&self) -> CallNumber {
+        CallNumber(self.calls.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+/// Tells the gateway when a caller goes before its answer.
+struct CallGuard {
+    call: CallNumber,
+    input: Option<mpsc::UnboundedSender<Input>>,
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if let Some(input) = self.input.take() {
+            let _ = input.send(Input::Event(GatewayEvent::CallerGone { call: self.call }));
+        }
+    }
+}
--- /dev/null
+++ b/laurelstiled/src/leased/gateway.rs
@@ -0,0 +1,386 @@
+//! The gateway role for leased workers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
+use laurelstile_core::leased::gateway::{
+    Answer, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
+};
+use laurelstile_core::leased::messages::{Member, ToAgent, ToPeer};
+use laurelstile_core::leased::task::JobId;
+use laurelstile_core::session::{Remote, SessionId};
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+use laurelstile_wire::error::WireError;
+use laurelstile_wire::hello::{LocalNode, NodeRole, Socket};
+use laurelstile_wire::session;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::decisions::DecisionLog;
+use super::gate::{Gate, View};
+use super::ports::{ConfigurationSource, RecordStore};
+use super::sessions::{Dialed, Dialer, note_end};
+use super::settings::{LeasedGatewaySettings, LeasedSettings};
+use super::{configuration, membership};
+use crate::clock::Clock;
+use crate::error::DaemonError;
+use crate::gateway::{listen, local_node};
+use crate::session::next_session;
+
+/// Most inputs that are handled before the machine is flushed.
+const INPUT_BATCH: usize = 128;
+/// Longest sleep of the driver.
+const LONGEST_SLEEP: Duration = Duration::from_millis(500);
+/// How long answers may take to leave once nothing is in flight any more.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the driver's task is told.
+#[derive(Debug)]
+pub enum Input {
+    /// Something for the machine.
+    Event(GatewayEvent),
+    /// A caller hands in a job.
+    Submit {
+        /// The call.
+        call: CallNumber,
+        /// The job.
+        request: JobRequest,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        /// The call.
+        call: CallNumber,
+        /// The job.
+        job: JobId,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A caller asks for a job.
+    HasJob {
+        /// The job.
+        job: JobId,
+        /// Where the answer goes.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A session to an agent is open.
+    AgentOpened {
+        /// The session.
+        session: SessionId,
+        /// The agent.
+        remote: Remote,
+        /// Where its messages go.
+        outgoing: mpsc::UnboundedSender<ToAgent>,
+    },
+    /// A session to a peer is open.
+    PeerOpened {
+        /// The session.
+        session: SessionId,
+        /// Where its messages go.
+        outgoing: mpsc::UnboundedSender<ToPeer>,
+    },
+}
+
+/// A gateway that runs.
+pub struct Running {
+    /// For the front end.
+    pub gate: Gate,
+    /// Ends when the gateway has stopped in a planned way.
+    pub done: tokio::task::JoinHandle<()>,
+}
+
+/// Starts a gateway; its front end is the caller's.
+///
+/// # Errors
+/// [`DaemonError`] if it cannot start.
+pub async fn start<S>(
+    settings: LeasedSettings,
+    role: LeasedGatewaySettings,
+    store: Arc<S>,
+) -> Result<Running, DaemonError>
+where
+    S: RecordStore + ConfigurationSource,
+{
+    let clock = Clock::start();
+    let local = local_node(&settings.node, NodeRole::Gateway, clock);
+    let (input, inputs) = mpsc::unbounded_channel();
+    let member = Member {
+        name: settings.node.name.clone(),
+        address: role.sessions,
+    };
+    let listener = listen(role.sessions).await?;
+    tokio::spawn(accept(listener, local.clone(), input.clone()));
+    let seeds = settings
+        .seeds
+        .iter()
+        .copied()
+        .filter(|seed| *seed != role.sessions)
+        .collect();
+    let peers = PeerSessions {
+        input: input.clone(),
+    };
+    let dialer = Dialer::new(local.clone(), seeds, peers);
+    tokio::spawn(configuration::follow(Arc::clone(&store), input.clone()));
+    tokio::spawn(membership::keep(
+        Arc::clone(&store),
+        member.clone(),
+        input.clone(),
+    ));
+    stop_on_signal(input.clone())?;
+
+    let identity = Identity {
+        member: member.clone(),
+        zone: settings.node.zone.0.clone(),
+        stop_overlap: Span::from_millis(role.stop_overlap_millis),
+    };
+    let (view, views) = watch::channel(View::default());
+    let driver = Driver {
+        clock,
+        machine: LeasedGateway::new(identity),
+        dialer,
+        view,
+        calls: HashMap::new(),
+        agents: HashMap::new(),
+        peers: HashMap::new(),
+        decisions: DecisionLog::default(),
+        is_stopped: false,
+    };
+    log::info!(event = "started", node = settings.node.name.as_str(), incarnation:% = local.incarnation; "gateway started");
+    let done = tokio::spawn(async move {
+        driver.run(inputs).await;
+        membership::withdraw(store.as_ref(), &member).await;
+        tokio::time::sleep(LAST_ANSWERS).await;
+        log::info!(event = "stopped"; "gateway stopped");
+    });
+    Ok(Running {
+        gate: Gate::new(input, views),
+        done,
+    })
+}
+
+fn stop_on_signal(input: mpsc::UnboundedSender<Input>) -> Result<(), DaemonError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    tokio::spawn(async move {
+        terminate.recv().await;
+        let _ = input.send(Input::Event(GatewayEvent::Stop));
+    });
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, local: LocalNode, input: mpsc::UnboundedSender<Input>) {
+    loop {
+        let Ok((stream, address)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (local, input) = (local.clone(), input.clone());
+        tokio::spawn(async move {
+            let error = hold_accepted(stream, &local, &input).await;
+            note_end(&error, &address.to_string());
+        });
+    }
+}
+
+async fn hold_accepted(
+    stream: TcpStream,
+    local: &LocalNode,
+    input: &mpsc::UnboundedSender<Input>,
+) -> WireError {
+    let expected = [NodeRole::Agent, NodeRole::Gateway];
+    match session::accept_any(stream, local, &expected).await {
+        Ok((socket, NodeRole::Agent, remote)) => hold_agent(socket, remote, input).await,
+        Ok((socket, NodeRole::Gateway, _)) => hold_peer(socket, input).await,
+        Err(error) => error,
+    }
+}
+
+async fn hold_agent(
+    socket: Socket,
+    remote: Remote,
+    input: &mpsc::UnboundedSender<Input>,
+) -> WireError {
+    let session = next_session();
+    let (outgoing, messages) = mpsc::unbounded_channel();
+    let _ = input.send(Input::AgentOpened {
+        session,
+        remote,
+        outgoing,
+    });
+    let error = session::run(socket, messages, |message| {
+        let _ = input.send(Input::Event(GatewayEvent::AgentMessage {
+            session,
+            message,
+        }));
+    })
+    .await;
+    let _ = input.send(Input::Event(GatewayEvent::AgentClosed { session }));
+    error
+}
+
+async fn hold_peer(socket: Socket, input: &mpsc::UnboundedSender<Input>) -> WireError {
+    let session = next_session();
+    let (outgoing, messages) = mpsc::unbounded_channel();
+    let _ = input.send(Input::PeerOpened { session, outgoing });
+    let error = session::run(socket, messages, |message| {
+        let _ = input.send(Input::Event(GatewayEvent::PeerMessage { session, message }));
+    })
+    .await;
+    let _ = input.send(Input::Event(GatewayEvent::PeerClosed { session }));
+    error
+}
+
+/// Sessions to peers that this gateway has dialed.
+struct PeerSessions {
+    input: mpsc::UnboundedSender<Input>,
+}
+
+impl Dialed for PeerSessions {
+    async fn hold(&self, socket: Socket, _remote: Remote) -> WireError {
+        hold_peer(socket, &self.input).await
+    }
+
+    fn on_refused(&self, _gateway: Incarnation) {}
+}
+
+/// Drives one gateway's machine.
+struct Driver {
+    clock: Clock,
+    machine: LeasedGateway,
+    dialer: Dialer<PeerSessions>,
+    view: watch::Sender<View>,
+    calls: HashMap<CallNumber, oneshot::Sender<Answer>>,
+    agents: HashMap<SessionId, mpsc::UnboundedSender<ToAgent>>,
+    peers: HashMap<SessionId, mpsc::UnboundedSender<ToPeer>>,
+    decisions: DecisionLog,
+    is_stopped: bool,
+}
+
+impl Driver {
+    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        let mut batch = Vec::with_capacity(INPUT_BATCH);
+        let mut effects = Vec::new();
+        while !self.is_stopped {
+            let sleep = sleep_until(&self.clock, self.machine.next_wakeup());
+            tokio::select! {
+                _ = inputs.recv_many(&mut batch, INPUT_BATCH) => {}
+                () = tokio::time::sleep(sleep) => {}
+            }
+            for input in batch.drain(..) {
+                self.take(input, &mut effects);
+            }
+            self.machine.flush(self.clock.now(), &mut effects);
+            for effect in effects.drain(..) {
+                self.carry_out(effect);
+            }
+            self.show();
+        }
+    }
+
+    fn take(&mut self, input: Input, effects: &mut Vec<GatewayEffect>) {
+        let event = match input {
+            Input::Event(event) => event,
+            Input::Submit {
+                call,
+                request,
+                reply,
+            } => {
+                self.calls.insert(call, reply);
+                GatewayEvent::Submit { call, request }
+            }
+            Input::Cancel { call, job, reply } => {
+                self.calls.insert(call, reply);
+                GatewayEvent::Cancel { call, job }
+            }
+            Input::HasJob { job, reply } => {
+                let _ = reply.send(self.machine.has_job(job));
+                return;
+            }
+            Input::AgentOpened {
+                session,
+                remote,
+                outgoing,
+            } => {
+                self.agents.insert(session, outgoing);
+                GatewayEvent::AgentOpened { session, remote }
+            }
+            Input::PeerOpened { session, outgoing } => {
+                self.peers.insert(session, outgoing);
+                GatewayEvent::PeerOpened { session }
+            }
+        };
+        match &event {
+            GatewayEvent::AgentClosed { session } => {
+                self.agents.remove(session);
+            }
+            GatewayEvent::PeerClosed { session } => {
+                self.peers.remove(session);
+            }
+            GatewayEvent::CallerGone { call } => {
+                self.calls.remove(call);
+            }
+            GatewayEvent::Stop => log::info!(event = "stopping"; "planned stop"),
+            _ => {}
+        }
+        self.machine.handle(self.clock.now(), event, effects);
+    }
+
+    fn carry_out(&mut self, effect: GatewayEffect) {
+        match effect {
+            GatewayEffect::ToAgent { session, message } => {
+                if let Some(outgoing) = self.agents.get(&session) {
+                    let _ = outgoing.send(message);
+                }
+            }
+            GatewayEffect::ToPeer { session, message } => {
+                if let Some(outgoing) = self.peers.get(&session) {
+                    let _ = outgoing.send(message);
+                }
+            }
+            GatewayEffect::Close(session) => {
+                self.agents.remove(&session);
+                self.peers.remove(&session);
+            }
+            GatewayEffect::Answer { call, answer } => {
+                if let Some(reply) = self.calls.remove(&call) {
+                    let _ = reply.send(answer);
+                }
+            }
+            GatewayEffect::InForce(configuration) => {
+                log::info!(event = "configuration_in_force", version = configuration.version, queues = configuration.queues.len(); "configuration in force");
+                self.view
+                    .send_modify(|view| view.configuration = Some(configuration));
+            }
+            GatewayEffect::Members(members) => self.dialer.learn(&members),
+            GatewayEffect::Decided(decision) => self.decisions.gateway(&decision),
+            GatewayEffect::Stopped => self.is_stopped = true,
+        }
+    }
+
+    /// Shows the front end what has changed.
+    fn show(&mut self) {
+        let is_ready = self.machine.is_ready(self.clock.now());
+        let is_stopping = self.machine.is_stopping();
+        self.view.send_if_modified(|view| {
+            let has_changed = view.is_ready != is_ready || view.is_stopping != is_stopping;
+            view.is_ready = is_ready;
+            view.is_stopping = is_stopping;
+            has_changed
+        });
+    }
+}
+
+/// How long a driver may sleep.
+pub(super) fn sleep_until(clock: &Clock, wakeup: Option<Timestamp>) -> Duration {
+    let Some(wakeup) = wakeup else {
+        return LONGEST_SLEEP;
+    };
+    let span = wakeup.since(clock.now());
+    Duration::from_micros(span.0).min(LONGEST_SLEEP)
+}
--- /dev/null
+++ b/laurelstiled/src/leased/mod.rs
@@ -0,0 +1,13 @@
+//! Gateways and agents of leased workers: one task drives each machine of
+//! `laurelstile_core::leased`; others hold sessions, and talk through ports to
+//! callers, to the worker and to the record store.
+
+pub mod agent;
+pub mod configuration;
+pub mod decisions;
+pub mod gate;
+pub mod gateway;
+pub mod membership;
+pub mod ports;
+pub mod sessions;
+pub mod settings;
--- /dev/null
+++ b/laurelstiled/src/leased/ports.rs
@@ -0,0 +1,113 @@
+//! What gateways and agents need of the world. An adapter implements these
+//! ports for a platform; it only translates. Timers, retries and decisions
+//! stay on this side.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use laurelstile_core::leased::agent::worker::{OrderFailure, Registration};
+use laurelstile_core::leased::agent::{Order, OrderAnswer, WatchAnswer};
+use laurelstile_core::leased::gateway::queues::QueueConfiguration;
+use thiserror::Error;
+
+/// The worker beside an agent.
+pub trait WorkerPort: Send + Sync + 'static {
+    /// Carries a start or stop to the worker.
+    fn order(
+        &self,
+        order: &Order,
+        limit: Duration,
+    ) -> impl Future<Output = Result<OrderAnswer, OrderFailure>> + Send;
+
+    /// Carries a watch to the worker.
+    fn watch(
+        &self,
+        order: &Order,
+        limit: Duration,
+    ) -> impl Future<Output = Result<WatchAnswer, OrderFailure>> + Send;
+}
+
+/// What a worker says of itself, without being asked.
+#[derive(Clone, Debug)]
+pub enum WorkerNews {
+    /// It has registered or sent a heartbeat.
+    Registered(Registration),
+    /// A life of it has ended in an orderly way.
+    Deregistered(Arc<str>),
+}
+
+/// A record of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Version that it was written with.
+    pub version: u64,
+}
+
+/// Records of a table as of one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// The records.
+    pub records: Vec<Record>,
+    /// Newest version of the store.
+    pub version: u64,
+    /// The store's steady clock, in milliseconds.
+    pub now_millis: u64,
+}
+
+/// Why the store did not do as asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// It cannot be reached, or refuses; a write may have been done.
+    #[error("the record store cannot be reached")]
+    Unavailable,
+    /// Changes are no longer known so far back.
+    #[error("the record store has forgotten that version")]
+    HistoryGone,
+    /// What it says cannot be understood.
+    #[error("the record store's answer cannot be understood")]
+    Garbled,
+}
+
+/// The record store: what must outlast all processes.
+pub trait RecordStore: Send + Sync + 'static {
+    /// Reads a table of the product's own.
+    fn list(&self, table: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send;
+
+    /// Writes a record of it, whatever stood there.
+    fn put(
+        &self,
+        table: &str,
+        key: &str,
+        value: &[u8],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Removes a record of it.
+    fn remove(&self, table: &str, key: &str)
+    -> impl Future<Output = Result<(), StoreError>> + Send;
+}
+
+/// A reading of the configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigurationNews {
+    /// The newest configuration, if there is a new one.
+    pub configuration: Option<QueueConfiguration>,
+    /// Version of the store to go on from.
+    pub cursor: u64,
+}
+
+/// Where operators leave the configuration.
+pub trait ConfigurationSource: Send + Sync + 'static {
+    /// Reads the configuration.
+    fn read(&self) -> impl Future<Output = Result<ConfigurationNews, StoreError>> + Send;
+
+    /// Waits for a change after `cursor`, for `wait` at the most.
+    fn changes(
+        &self,
+        cursor: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<ConfigurationNews, StoreError>> + Send;
+}
--- /dev/null
+++ b/laurelstiled/src/leased/sessions.rs
@@ -0,0 +1,123 @@
+//! Sessions: gateways accept them, agents and gateways dial every gateway that
+//! they know.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laurelstile_core::leased::messages::Member;
+use laurelstile_types::id::Incarnation;
+use laurelstile_wire::error::WireError;
+use laurelstile_wire::hello::{LocalNode, NodeRole, Socket};
+pub use laurelstile_wire::liveness::configure;
+use laurelstile_wire::session;
+use metrics::counter;
+use tokio::task::JoinHandle;
+
+use crate::telemetry::SESSION_ERRORS;
+
+/// Pauses between two dials of one address.
+const FIRST_REDIAL: Duration = Duration::from_millis(100);
+const LONGEST_REDIAL: Duration = Duration::from_millis(1_000);
+/// Longest that a dial may take, with its hello.
+const DIAL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Dials in a row without success after which an address is forgotten; it is
+/// dialed again once somebody names it anew.
+const DIALS: u32 = 40;
+
+/// What a dialer does with a session, and with a refusal.
+pub trait Dialed: Send + Sync + 'static {
+    /// Holds a session until it ends.
+    fn hold(
+        &self,
+        socket: Socket,
+        remote: laurelstile_core::session::Remote,
+    ) -> impl Future<Output = WireError> + Send;
+
+    /// The process that was at the address has ended.
+    fn on_refused(&self, gateway: Incarnation);
+}
+
+/// Dials all gateways that are known.
+pub struct Dialer<D> {
+    local: LocalNode,
+    seeds: Vec<SocketAddr>,
+    dialed: Arc<D>,
+    tasks: BTreeMap<SocketAddr, JoinHandle<()>>,
+}
+
+impl<D: Dialed> Dialer<D> {
+    /// A dialer that dials `seeds` at once, and for ever.
+    pub fn new(local: LocalNode, seeds: Vec<SocketAddr>, dialed: D) -> Self {
+        let mut dialer = Self {
+            local,
+            seeds: seeds.clone(),
+            dialed: Arc::new(dialed),
+            tasks: BTreeMap::new(),
+        };
+        for seed in seeds {
+            dialer.dial(seed);
+        }
+        dialer
+    }
+
+    /// Dials the members that are not dialed yet.
+    pub fn learn(&mut self, members: &[Member]) {
+        for member in members {
+            if member.name != self.local.name {
+                self.dial(member.address);
+            }
+        }
+    }
+
+    fn dial(&mut self, address: SocketAddr) {
+        self.tasks.retain(|_, task| !task.is_finished());
+        let (local, dialed) = (self.local.clone(), Arc::clone(&self.dialed));
+        let is_seed = self.seeds.contains(&address);
+        self.tasks
+            .entry(address)
+            .or_insert_with(|| tokio::spawn(keep_session(address, is_seed, local, dialed)));
+    }
+}
+
+async fn keep_session<D: Dialed>(
+    address: SocketAddr,
+    is_seed: bool,
+    local: LocalNode,
+    dialed: Arc<D>,
+) {
+    let mut last = None;
+    let mut pause = FIRST_REDIAL;
+    let mut failures = 0;
+    while is_seed || failures < DIALS {
+        let dialing = session::dial(address, None, &local, NodeRole::Gateway);
+        let error = match tokio::time::timeout(DIAL_LIMIT, dialing).await {
+            Ok(Ok((_, remote))) if remote.name == local.name => return,
+            Ok(Ok((socket, remote))) => {
+                last = Some(remote.incarnation);
+                pause = FIRST_REDIAL;
+                failures = 0;
+                dialed.hold(socket, remote).await
+            }
+            Ok(Err(error)) => error,
+            Err(_) => WireError::Timeout,
+        };
+        if matches!(error, WireError::Refused) {
+            if let Some(gateway) = last.take() {
+                dialed.on_refused(gateway);
+            }
+        } else {
+            note_end(&error, &address.to_string());
+        }
+        failures += 1;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_REDIAL);
+    }
+}
+
+/// Logs and counts the end of a session.
+pub fn note_end(error: &WireError, remote: &str) {
+    counter!(SESSION_ERRORS, "kind" => error.kind(), "side" => "gateway").increment(1);
+    log::info!(event = "session_ended", remote = remote, error:% = error; "session ended");
+}
--- a/laurelstiled/src/lib.rs
+++ b/laurelstiled/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod error;
 pub mod gateway;
+pub mod leased;
 pub mod logging;
 pub mod process;
 pub mod session;
