--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -6,13 +6,13 @@
 
 use super::super::messages::{FromAgent, FromAgentBody, Report, Snapshot};
 use super::super::task::TaskId;
-use super::super::timing::{BUSY_HEARTBEAT, IDLE_HEARTBEAT};
+use super::super::timing::{BUSY_HEARTBEAT, IDLE_HEARTBEAT, RECENT};
 use super::ledger::{RunState, StopReason};
 use super::owner::Owner;
 use super::{AgentEffect, LeasedAgent};
 
 /// Pause between two reports that have no other reason than a change of room.
-const REPORT_PAUSE: Span = Span::from_millis(40);
+const REPORT_PAUSE: Span = Span::from_millis(5);
 /// How long a gateway without a session is remembered.
 const OWNER_MEMORY: Span = Span::from_secs(4);
 /// How long a planned stop waits for the last ends to be acknowledged.
@@ -80,7 +80,7 @@
         } else {
             let is_report_due =
                 is_new && owner.has_snapshot && now >= owner.reported.after(REPORT_PAUSE);
-            let is_beat_due = now >= owner.last_sent.after(self.beat_interval(gateway, owner));
+            let is_beat_due = now >= owner.last_sent.after(self.beat_interval(now, gateway, owner));
             if !is_report_due && !is_beat_due {
                 return;
             }
@@ -112,8 +112,9 @@
         }
     }
 
-    fn beat_interval(&self, gateway: Incarnation, owner: &Owner) -> Span {
-        let is_busy = owner.has_unacknowledged() || self.owns_runs(gateway);
+    fn beat_interval(&self, now: Timestamp, gateway: Incarnation, owner: &Owner) -> Span {
+        let is_recent = owner.asked.is_some_and(|asked| now.since(asked) <= RECENT);
+        let is_busy = is_recent || owner.has_unacknowledged() || self.owns_runs(gateway);
         if is_busy {
             BUSY_HEARTBEAT
         } else {
@@ -201,7 +202,7 @@
                 wakeups.push(owner.silent_at().after(Span(1)));
             }
             if owner.session.is_some() {
-                wakeups.push(owner.last_sent.after(self.beat_interval(*gateway, owner)));
+                wakeups.push(owner.last_sent.after(self.beat_interval(now, *gateway, owner)));
                 if owner.has_snapshot && owner.last_report != Some(self.report(now, owner)) {
                     wakeups.push(owner.reported.after(REPORT_PAUSE));
                 }
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -29,6 +29,8 @@
     pub last_report: Option<Report>,
     /// When that was.
     pub reported: Timestamp,
+    /// When it last asked for a start.
+    pub asked: Option<Timestamp>,
     /// Whether it was told what the worker is.
     pub has_snapshot: bool,
     ends: VecDeque<TaskEnd>,
@@ -46,6 +48,7 @@
             last_sent: now,
             last_report: None,
             reported: Timestamp::default(),
+            asked: None,
             has_snapshot: false,
             ends: VecDeque::new(),
             unsent: 0,
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -25,6 +25,7 @@
     ) {
         if let Some(owner) = self.owners.get_mut(&gateway) {
             owner.processed = owner.processed.max(batch.number);
+            owner.asked = Some(now);
         }
         for (index, number) in &batch.tasks {
             let task = TaskId {
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -9,12 +9,10 @@
 use crate::leased::messages::{EndKind, NotStartedReason, Snapshot, TaskEnd};
 use crate::leased::task::{JobId, RunId, RunNumber, TaskId};
 
-/// Runs that workers may spoil before the job is given up.
-const MOST_DISTURBANCES: u32 = 8;
 /// Placements that may come back at once before the job pauses.
-const BOUNCES_BEFORE_PAUSE: u32 = 4;
+const BOUNCES_BEFORE_PAUSE: u32 = 6;
 /// That pause.
-const BOUNCE_PAUSE: Span = Span::from_millis(20);
+const BOUNCE_PAUSE: Span = Span::from_millis(5);
 /// Pause before a task is placed again whose earlier run is being stopped.
 const DUPLICATE_PAUSE: Span = Span::from_millis(100);
 /// How far run numbers jump past those of an earlier gateway.
@@ -115,23 +113,22 @@
         match how {
             EndKind::Done => {}
             EndKind::Failed => task.failures += 1,
-            EndKind::FailedOnSuspect | EndKind::Stalled | EndKind::Lost | EndKind::Stopped => {
-                task.disturbances += 1;
-            }
+            EndKind::FailedOnSuspect | EndKind::Stalled | EndKind::Lost | EndKind::Stopped => {}
             EndKind::NotStarted(NotStartedReason::OldRun) => task.run.0 += RUN_JUMP,
             EndKind::NotStarted(_) => {}
         }
-        let has_failed = task.failures >= most_failures || task.disturbances > MOST_DISTURBANCES;
-        if has_failed {
+        if task.failures >= most_failures {
             self.finish(now, id.job, Answer::Failed, effects);
             return;
         }
         job.steps[id.step as usize].waiting.insert(id.index);
         if let EndKind::NotStarted(reason) = how {
-            job.bounces += 1;
+            let is_new_bounce = job.bounced != Some(now);
+            job.bounced = Some(now);
+            job.bounces += u32::from(is_new_bounce);
             if reason == NotStartedReason::Duplicate {
                 self.pause(id.job, now.after(DUPLICATE_PAUSE));
-            } else if job.bounces > BOUNCES_BEFORE_PAUSE {
+            } else if is_new_bounce && job.bounces > BOUNCES_BEFORE_PAUSE {
                 self.pause(id.job, now.after(BOUNCE_PAUSE));
             }
         }
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -192,7 +192,7 @@
             };
             self.finish(now, id, answer, effects);
         } else if is_over {
-            self.finish(now, id, Answer::Failed, effects);
+            self.finish(now, id, Answer::GivenUp, effects);
         }
     }
 }
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -124,8 +124,6 @@
     pub run: RunNumber,
     /// Runs that failed by its own fault, as far as can be told.
     pub failures: u32,
-    /// Runs that ended through the fault of a worker.
-    pub disturbances: u32,
 }
 
 /// A step under way.
@@ -147,7 +145,6 @@
             state: TaskState::Waiting,
             run: RunNumber(0),
             failures: 0,
-            disturbances: 0,
         };
         Self {
             tasks: vec![task; request.count as usize],
@@ -190,8 +187,10 @@
     pub may_have_started: bool,
     /// Tasks at agents.
     pub placed: u32,
-    /// Placements that came back without a start.
+    /// Times that placements came back without a start.
     pub bounces: u32,
+    /// When that last happened.
+    pub bounced: Option<Timestamp>,
     /// Its steps.
     pub steps: Vec<Step>,
 }
@@ -210,10 +209,6 @@
         let objective = request.queue.objective(chain);
         let slack = Span(objective.0.saturating_sub(chain.0 + CALLER_DISTANCE.0));
         let decision = Span((objective.0 / DECISION_SHARE).saturating_sub(CALLER_DISTANCE.0));
-        let timeout = match request.queue.timeout_millis {
-            0 => request.time_left,
-            millis => request.time_left.min(Span::from_millis(millis)),
-        };
         Self {
             id: request.id,
             calls: vec![call],
@@ -223,11 +218,12 @@
             objective,
             latest_start: now.after(slack),
             refuse_at: now.after(decision),
-            deadline: now.after(Span(timeout.0.saturating_sub(ANSWER_MARGIN.0))),
+            deadline: now.after(Span(request.time_left.0.saturating_sub(ANSWER_MARGIN.0))),
             not_before: now,
             may_have_started: false,
             placed: 0,
             bounces: 0,
+            bounced: None,
             steps: request.steps.into_iter().map(Step::new).collect(),
         }
     }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -136,8 +136,11 @@
 pub enum Answer {
     /// The job is done.
     Completed,
-    /// The job has failed, or was given up after a task had been started.
+    /// The job has failed: a task of it failed as often as its queue allows.
     Failed,
+    /// The job was given up after a task had been started: it may be handed in
+    /// again, and may then run anew.
+    GivenUp,
     /// Nothing of the job was started, and nothing of this call will be.
     Refused {
         /// Why.
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -20,8 +20,9 @@
 const FULLNESS_MICROS: u64 = 20_000;
 /// What a worker far from the data costs more, in percent of the run time.
 const FAR_PERCENT: u64 = 50;
-/// Longest that tasks of a job that has begun may wait at an agent.
-const LONGEST_PATIENCE: Span = Span::from_millis(100);
+/// How long tasks may wait at an agent whose room another gateway has taken
+/// meanwhile. Short: another worker may have room.
+const PATIENCE: Span = Span::from_millis(4);
 
 /// A worker that could take tasks of a step.
 #[derive(Clone, Copy, Debug)]
@@ -154,11 +155,6 @@
             let task = task_id(id, step, *index);
             worker.tasks.insert(task, *run);
         }
-        let patience = if job.may_have_started || job.placed > count {
-            LONGEST_PATIENCE
-        } else {
-            job.refuse_at.since(now).min(LONGEST_PATIENCE)
-        };
         let batch = StartBatch {
             number,
             job: id,
@@ -166,7 +162,7 @@
             input: job.input.clone(),
             room: request.room,
             estimate_millis: u32::try_from(request.estimate.as_millis()).unwrap_or(u32::MAX),
-            patience_millis: u32::try_from(patience.as_millis()).unwrap_or(u32::MAX),
+            patience_millis: u32::try_from(PATIENCE.as_millis()).unwrap_or(u32::MAX),
             tasks,
         };
         effects.push(GatewayEffect::Decided(GatewayDecision::Placed {
--- a/laurelstile-core/src/leased/gateway/queues.rs
+++ b/laurelstile-core/src/leased/gateway/queues.rs
@@ -34,8 +34,6 @@
     pub stretch: f64,
     /// Added to that product in the objective, in milliseconds.
     pub slack_millis: u64,
-    /// Longest that a request may take, in milliseconds; 0 for no bound.
-    pub timeout_millis: u64,
     /// Whether its tasks may only run where an advisor says.
     pub is_advised: bool,
 }
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -157,9 +157,8 @@
             .is_some_and(|snapshot| snapshot.labels.iter().any(|own| own == label))
     }
 
-    /// Whether an end or echo is to be acknowledged.
+    /// Whether an end is to be acknowledged, or a heartbeat echoed.
     pub fn owes_answer(&self) -> bool {
-        let has_work = !self.tasks.is_empty() && self.clock > self.echoed;
-        has_work || self.seen > self.acknowledged
+        self.clock > self.echoed || self.seen > self.acknowledged
     }
 }
--- a/laurelstile-core/src/leased/timing.rs
+++ b/laurelstile-core/src/leased/timing.rs
@@ -22,9 +22,12 @@
 /// its worker has let them lapse.
 pub const LAPSE_AFTER_SILENCE: Span =
     Span::from_millis((OWNER_SILENCE.0 + LEASE_AT_MOST.0 + STOP_AT_MOST.0) / 1_000);
-/// Heartbeat interval of a session with unresolved tasks.
-pub const BUSY_HEARTBEAT: Span = Span::from_millis(150);
-/// Heartbeat interval of a session without any.
+/// Heartbeat interval of a session with unresolved tasks, or that had some
+/// within [`RECENT`].
+pub const BUSY_HEARTBEAT: Span = Span::from_millis(100);
+/// How long a session that had tasks is kept as fresh as one that has some.
+pub const RECENT: Span = Span::from_secs(3);
+/// Heartbeat interval of other sessions.
 pub const IDLE_HEARTBEAT: Span = Span::from_millis(1_000);
 /// An agent that has been silent for longer gets no start while it has
 /// unresolved tasks.
