--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -80,7 +80,10 @@
         } else {
             let is_report_due =
                 is_new && owner.has_snapshot && now >= owner.reported.after(REPORT_PAUSE);
-            let is_beat_due = now >= owner.last_sent.after(self.beat_interval(now, gateway, owner));
+            let is_beat_due = now
+                >= owner
+                    .last_sent
+                    .after(self.beat_interval(now, gateway, owner));
             if !is_report_due && !is_beat_due {
                 return;
             }
@@ -202,7 +205,11 @@
                 wakeups.push(owner.silent_at().after(Span(1)));
             }
             if owner.session.is_some() {
-                wakeups.push(owner.last_sent.after(self.beat_interval(now, *gateway, owner)));
+                wakeups.push(
+                    owner
+                        .last_sent
+                        .after(self.beat_interval(now, *gateway, owner)),
+                );
                 if owner.has_snapshot && owner.last_report != Some(self.report(now, owner)) {
                     wakeups.push(owner.reported.after(REPORT_PAUSE));
                 }
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -20,7 +20,7 @@
 use super::decisions::DecisionLog;
 use super::gateway::sleep_until;
 use super::membership;
-use super::ports::{RecordStore, WorkerNews, WorkerPort};
+use super::ports::{RecordStore, SeedSource, WorkerNews, WorkerPort};
 use super::sessions::{Dialed, Dialer};
 use super::settings::{LeasedAgentSettings, LeasedSettings};
 use crate::clock::Clock;
@@ -68,6 +68,7 @@
     worker: Arc<W>,
     mut news: mpsc::UnboundedReceiver<WorkerNews>,
     store: Arc<S>,
+    seed_source: SeedSource,
 ) -> Result<(), DaemonError>
 where
     W: WorkerPort,
@@ -77,6 +78,7 @@
     let local = local_node(&settings.node, NodeRole::Agent, clock);
     let (input, mut inputs) = mpsc::unbounded_channel();
     let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
     log::info!(event = "started", node = settings.node.name.as_str(), incarnation:% = local.incarnation; "agent started");
     let gateways = GatewaySessions {
         input: input.clone(),
@@ -108,7 +110,11 @@
                 log::info!(event = "stopping"; "planned stop");
                 batch.push(Input::Event(AgentEvent::Stop));
             }
-            _ = lookup.tick(), if driver.sessions.is_empty() => driver.look_up(&store),
+            _ = hangup.recv() => driver.dialer.reseed(&seed_source),
+            _ = lookup.tick(), if driver.sessions.is_empty() => {
+                driver.dialer.reseed(&seed_source);
+                driver.look_up(&store);
+            }
             () = tokio::time::sleep(sleep) => {}
         }
         for input in batch.drain(..) {
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -22,7 +22,7 @@
 
 use super::decisions::DecisionLog;
 use super::gate::{Gate, View};
-use super::ports::{ConfigurationSource, RecordStore};
+use super::ports::{ConfigurationSource, RecordStore, SeedSource};
 use super::sessions::{Dialed, Dialer, note_end};
 use super::settings::{LeasedGatewaySettings, LeasedSettings};
 use super::{configuration, membership};
@@ -86,6 +86,8 @@
         /// Where its messages go.
         outgoing: mpsc::UnboundedSender<ToPeer>,
     },
+    /// The settings may have changed.
+    Reload,
 }
 
 /// A gateway that runs.
@@ -104,6 +106,7 @@
     settings: LeasedSettings,
     role: LeasedGatewaySettings,
     store: Arc<S>,
+    seed_source: SeedSource,
 ) -> Result<Running, DaemonError>
 where
     S: RecordStore + ConfigurationSource,
@@ -133,7 +136,7 @@
         member.clone(),
         input.clone(),
     ));
-    stop_on_signal(input.clone())?;
+    take_signals(input.clone())?;
 
     let identity = Identity {
         member: member.clone(),
@@ -149,6 +152,7 @@
         calls: HashMap::new(),
         agents: HashMap::new(),
         peers: HashMap::new(),
+        seed_source,
         decisions: DecisionLog::default(),
         is_stopped: false,
     };
@@ -165,11 +169,19 @@
     })
 }
 
-fn stop_on_signal(input: mpsc::UnboundedSender<Input>) -> Result<(), DaemonError> {
+fn take_signals(input: mpsc::UnboundedSender<Input>) -> Result<(), DaemonError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
     tokio::spawn(async move {
-        terminate.recv().await;
-        let _ = input.send(Input::Event(GatewayEvent::Stop));
+        loop {
+            let news = tokio::select! {
+                _ = terminate.recv() => Input::Event(GatewayEvent::Stop),
+                _ = hangup.recv() => Input::Reload,
+            };
+            if input.send(news).is_err() {
+                return;
+            }
+        }
     });
     Ok(())
 }
@@ -258,6 +270,7 @@
     calls: HashMap<CallNumber, oneshot::Sender<Answer>>,
     agents: HashMap<SessionId, mpsc::UnboundedSender<ToAgent>>,
     peers: HashMap<SessionId, mpsc::UnboundedSender<ToPeer>>,
+    seed_source: SeedSource,
     decisions: DecisionLog,
     is_stopped: bool,
 }
@@ -314,6 +327,10 @@
                 self.peers.insert(session, outgoing);
                 GatewayEvent::PeerOpened { session }
             }
+            Input::Reload => {
+                self.dialer.reseed(&self.seed_source);
+                return;
+            }
         };
         match &event {
             GatewayEvent::AgentClosed { session } => {
--- a/laurelstiled/src/leased/ports.rs
+++ b/laurelstiled/src/leased/ports.rs
@@ -2,6 +2,7 @@
 //! ports for a platform; it only translates. Timers, retries and decisions
 //! stay on this side.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
     ) -> impl Future<Output = Result<WatchAnswer, OrderFailure>> + Send;
 }
 
+/// Reads the seeds again from the settings, which may have changed; `None` if
+/// they cannot be read.
+pub type SeedSource = Arc<dyn Fn() -> Option<Vec<SocketAddr>> + Send + Sync>;
+
 /// What a worker says of itself, without being asked.
 #[derive(Clone, Debug)]
 pub enum WorkerNews {
--- a/laurelstiled/src/leased/sessions.rs
+++ b/laurelstiled/src/leased/sessions.rs
@@ -15,6 +15,7 @@
 use metrics::counter;
 use tokio::task::JoinHandle;
 
+use super::ports::SeedSource;
 use crate::telemetry::SESSION_ERRORS;
 
 /// Pauses between two dials of one address.
@@ -71,6 +72,19 @@
         }
     }
 
+    /// Takes over the seeds of changed settings.
+    pub fn reseed(&mut self, source: &SeedSource) {
+        let Some(seeds) = source() else {
+            log::warn!(event = "reload_failed"; "the settings cannot be read; the old ones stay in force");
+            return;
+        };
+        log::info!(event = "reloaded", seeds = seeds.len(); "settings read again");
+        for seed in &seeds {
+            self.dial(*seed);
+        }
+        self.seeds = seeds;
+    }
+
     fn dial(&mut self, address: SocketAddr) {
         self.tasks.retain(|_, task| !task.is_finished());
         let (local, dialed) = (self.local.clone(), Arc::clone(&self.dialed));
