Planned stop: take no job after the overlap, answer what is left at the limit

Tests failed first. Ruled out: an end of the connection by the server itself (the process was killed at 6 s).

--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -70,7 +70,10 @@
         if request.time_left == Span::default() {
             return Some(Refusal::DeadlineOver);
         }
-        if self.stop_reported {
+        let is_closed = self
+            .stopping_since
+            .is_some_and(|since| now >= since.after(self.identity.stop.overlap));
+        if is_closed {
             return Some(Refusal::Stopping);
         }
         let has_worker = self
@@ -174,6 +177,23 @@
         }
     }
 
+    /// Ends all jobs: the process is about to end.
+    pub(super) fn end_all_jobs(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in jobs {
+            let is_untouched = self.jobs.get(&id).is_some_and(Job::is_untouched);
+            let answer = if is_untouched {
+                Answer::Refused {
+                    reason: Refusal::Stopping,
+                    retry_after: RETRY_SOON,
+                }
+            } else {
+                Answer::GivenUp
+            };
+            self.finish(now, id, answer, effects);
+        }
+    }
+
     /// Ends a job that has had its time.
     pub(super) fn refuse_or_give_up(
         &mut self,
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -249,9 +249,17 @@
     pub member: Member,
     /// Its zone.
     pub zone: String,
-    /// How long a planned stop goes on taking jobs, for callers that have not
-    /// moved on.
-    pub stop_overlap: Span,
+    /// Times of a planned stop.
+    pub stop: StopTimes,
+}
+
+/// Times of a planned stop, counted from its begin.
+#[derive(Clone, Copy, Debug)]
+pub struct StopTimes {
+    /// How long jobs are still taken, for callers that have not moved on.
+    pub overlap: Span,
+    /// When every job that is left is given up.
+    pub limit: Span,
 }
 
 /// The gateway's machine.
@@ -379,10 +387,12 @@
                 .then(|| worker.last_sent.after(BUSY_HEARTBEAT));
             [lapse, beat]
         });
-        let stop = self
-            .stopping_since
-            .filter(|_| !self.stop_reported)
-            .map(|since| since.after(self.identity.stop_overlap));
+        let stop = self.stopping_since.filter(|_| !self.stop_reported);
+        let stop = stop.map(|since| {
+            let times = self.identity.stop;
+            let is_empty = self.jobs.is_empty();
+            since.after(if is_empty { times.overlap } else { times.limit })
+        });
         workers.flatten().chain(timer).chain(stop).min()
     }
 
@@ -508,11 +518,16 @@
         }
     }
 
+    /// Ends a planned stop once no job is left and none is taken any more, or
+    /// at its limit.
     fn finish_stop(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         let Some(since) = self.stopping_since else {
             return;
         };
-        let is_overlap_over = now >= since.after(self.identity.stop_overlap);
+        if now >= since.after(self.identity.stop.limit) {
+            self.end_all_jobs(now, effects);
+        }
+        let is_overlap_over = now >= since.after(self.identity.stop.overlap);
         if is_overlap_over && self.jobs.is_empty() && !self.stop_reported {
             self.stop_reported = true;
             effects.push(GatewayEffect::Stopped);
--- /dev/null
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -0,0 +1,220 @@
+//! The gateway to leased workers.
+
+mod leased_support;
+
+use laurelstile_core::leased::gateway::job::{CallNumber, Feature};
+use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason};
+use laurelstile_core::leased::timing::LAPSE_AFTER_SILENCE;
+use laurelstile_core::session::SessionId;
+use leased_support::{GatewayRig, at, configuration, cpu, job};
+use rstest::rstest;
+
+#[test]
+fn a_job_is_placed_together_and_completed() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.join(at(0), 2, "agent-2", cpu(8_000));
+    rig.submit(at(10), 1, job(1, 6, 100));
+    let batch = rig.next_start();
+    assert_eq!(batch.1.tasks.len(), 6, "one worker has room for all");
+    assert_eq!(batch.0, SessionId(2));
+    rig.end(at(110), &batch, EndKind::Done, cpu(8_000));
+    assert_eq!(rig.answers, vec![(CallNumber(1), Answer::Completed)]);
+}
+
+#[test]
+fn a_job_without_room_is_refused_as_not_run_in_time() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(500));
+    rig.submit(at(10), 1, job(1, 1, 200));
+    assert!(rig.starts.is_empty());
+    // The objective is 360 ms; a quarter of it, less the way, has passed.
+    rig.tick(at(95));
+    let Some(Answer::Refused {
+        reason,
+        retry_after,
+    }) = rig.last_answer()
+    else {
+        panic!("not refused: {:?}", rig.answers);
+    };
+    assert_eq!(reason, Refusal::Overloaded);
+    assert!(retry_after.0 > 0);
+}
+
+#[test]
+fn a_job_that_may_have_started_is_never_refused() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 2, 200));
+    let batch = rig.next_start();
+    rig.end(at(300), &batch, EndKind::Lost, cpu(0));
+    assert!(rig.answers.is_empty());
+    rig.tick(at(4_010));
+    assert_eq!(rig.last_answer(), Some(Answer::GivenUp));
+}
+
+#[rstest]
+#[case::own_fault(EndKind::Failed, Some(Answer::Failed))]
+#[case::fault_of_the_worker(EndKind::FailedOnSuspect, None)]
+#[case::stalled(EndKind::Stalled, None)]
+#[case::lost(EndKind::Lost, None)]
+fn only_failures_of_its_own_count_as_attempts(
+    #[case] how: EndKind,
+    #[case] expected: Option<Answer>,
+) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 1, 100));
+    for attempt in 1..=2 {
+        let batch = rig.next_start();
+        assert_eq!(batch.1.tasks[0].1.0, attempt, "runs rise from 1");
+        rig.end(at(100 * u64::from(attempt)), &batch, how, cpu(4_000));
+    }
+    assert_eq!(rig.last_answer(), expected);
+}
+
+#[test]
+fn the_same_job_again_stays_one_job() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 1, 100));
+    rig.submit(at(20), 2, job(1, 1, 100));
+    let batch = rig.next_start();
+    assert!(rig.starts.is_empty(), "not started twice");
+    rig.end(at(120), &batch, EndKind::Done, cpu(4_000));
+    let expected = vec![
+        (CallNumber(1), Answer::Completed),
+        (CallNumber(2), Answer::Completed),
+    ];
+    assert_eq!(rig.answers, expected);
+}
+
+#[test]
+fn a_caller_that_goes_has_its_tasks_stopped() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 2, 100));
+    let call = CallNumber(1);
+    rig.event(at(50), GatewayEvent::CallerGone { call });
+    assert_eq!(rig.stops.len(), 2);
+    assert!(rig.answers.is_empty());
+}
+
+#[test]
+fn a_silent_agents_tasks_are_repeated_only_after_they_have_lapsed() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 1, 100));
+    rig.next_start();
+    rig.join(at(20), 2, "agent-2", cpu(4_000));
+    let session = SessionId(1);
+    rig.event(at(30), GatewayEvent::AgentClosed { session });
+    let lapse = LAPSE_AFTER_SILENCE.as_millis();
+    rig.tick(at(lapse - 5));
+    assert!(rig.starts.is_empty(), "it may still run");
+    let body = FromAgentBody::Heartbeat;
+    rig.report(at(lapse + 5), 2, 0, cpu(4_000), body);
+    assert_eq!(rig.next_start().0, SessionId(2));
+}
+
+#[test]
+fn a_new_process_of_an_agent_proves_the_end_of_the_old_ones_runs() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 1, 100));
+    rig.next_start();
+    rig.join(at(200), 2, "agent-1", cpu(4_000));
+    let again = rig.next_start();
+    assert_eq!(again.0, SessionId(2));
+    assert_eq!(again.1.tasks[0].1.0, 2);
+}
+
+#[test]
+fn starts_that_were_refused_elsewhere_are_placed_again() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 200));
+    let batch = rig.next_start();
+    rig.join(at(11), 2, "agent-2", cpu(1_000));
+    let how = EndKind::NotStarted(NotStartedReason::Full);
+    rig.end(at(12), &batch, how, cpu(0));
+    assert_eq!(rig.next_start().0, SessionId(2));
+}
+
+#[test]
+fn room_that_was_given_out_is_not_given_out_again() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(2_000));
+    rig.submit(at(10), 1, job(1, 2, 200));
+    rig.submit(at(11), 2, job(2, 1, 200));
+    assert_eq!(
+        rig.starts.len(),
+        1,
+        "no report has shown room for the second"
+    );
+    let batch = rig.next_start();
+    rig.end(at(60), &batch, EndKind::Done, cpu(2_000));
+    assert_eq!(rig.next_start().1.job.0, 2);
+}
+
+#[test]
+fn a_configuration_never_reverts() {
+    let mut rig = GatewayRig::new();
+    rig.event(at(1), GatewayEvent::Configuration(configuration(5)));
+    rig.event(at(2), GatewayEvent::Configuration(configuration(3)));
+    rig.event(at(3), GatewayEvent::Configuration(configuration(5)));
+    assert_eq!(rig.in_force, vec![1, 5]);
+}
+
+#[rstest]
+#[case::kept(Feature::Kept)]
+#[case::gang(Feature::Gang)]
+fn what_is_not_built_is_refused(#[case] feature: Feature) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    let mut request = job(1, 1, 100);
+    request.unsupported = vec![feature];
+    rig.submit(at(10), 1, request);
+    assert!(rig.starts.is_empty());
+    assert!(matches!(
+        rig.last_answer(),
+        Some(Answer::Refused { reason: Refusal::Unsupported(asked), .. }) if asked == feature
+    ));
+}
+
+/// Broke LOST on the bench (days/rolls.toml): jobs kept coming for as long as
+/// others were in flight, and the process was killed with them.
+#[test]
+fn a_stopping_gateway_takes_no_job_after_the_overlap() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.event(at(1_000), GatewayEvent::Stop);
+    rig.report(at(3_890), 1, 0, cpu(4_000), FromAgentBody::Heartbeat);
+    rig.submit(at(3_900), 1, job(1, 1, 3_000));
+    assert!(rig.answers.is_empty(), "callers have not moved on yet");
+    rig.report(at(4_050), 1, 1, cpu(3_000), FromAgentBody::Heartbeat);
+    rig.submit(at(4_100), 2, job(2, 1, 100));
+    assert!(matches!(
+        rig.last_answer(),
+        Some(Answer::Refused {
+            reason: Refusal::Stopping,
+            ..
+        })
+    ));
+    assert!(!rig.stopped, "a job is in flight");
+}
+
+/// The other half of the same day: what is left shortly before the process is
+/// killed gets its answer.
+#[test]
+fn a_stopping_gateway_answers_what_is_left_at_its_limit() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.event(at(1_000), GatewayEvent::Stop);
+    rig.report(at(3_890), 1, 0, cpu(4_000), FromAgentBody::Heartbeat);
+    rig.submit(at(3_900), 1, job(1, 1, 3_000));
+    rig.tick(at(6_000));
+    assert_eq!(rig.last_answer(), Some(Answer::GivenUp));
+    assert!(rig.stopped);
+}
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -10,7 +10,6 @@
 use laurelstile_core::leased::messages::FromAgent;
 use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::Incarnation;
-use laurelstile_types::time::Span;
 use laurelstile_wire::error::WireError;
 use laurelstile_wire::hello::{NodeRole, Socket};
 use laurelstile_wire::session;
@@ -85,7 +84,7 @@
     };
     let options = AgentOptions {
         zone: settings.node.zone.0.clone(),
-        stop_patience: Span::from_millis(role.stop_patience_millis),
+        stop_patience: role.stop_patience(),
     };
     let mut driver = Driver {
         clock,
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -12,7 +12,7 @@
 use laurelstile_core::leased::task::JobId;
 use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::Incarnation;
-use laurelstile_types::time::{Span, Timestamp};
+use laurelstile_types::time::Timestamp;
 use laurelstile_wire::error::WireError;
 use laurelstile_wire::hello::{LocalNode, NodeRole, Socket};
 use laurelstile_wire::session;
@@ -141,7 +141,7 @@
     let identity = Identity {
         member: member.clone(),
         zone: settings.node.zone.0.clone(),
-        stop_overlap: Span::from_millis(role.stop_overlap_millis),
+        stop: role.stop_times(),
     };
     let (view, views) = watch::channel(View::default());
     let driver = Driver {
--- a/laurelstiled/src/leased/settings.rs
+++ b/laurelstiled/src/leased/settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use laurelstile_core::leased::gateway::StopTimes;
+use laurelstile_types::time::Span;
 use miette::Diagnostic;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -10,6 +12,17 @@
 
 /// Shortest shared secret that is taken, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
+/// Bounds of the time for a planned stop, in seconds.
+const MIN_GRACE_SECONDS: f64 = 1.0;
+const MAX_GRACE_SECONDS: f64 = 3_600.0;
+/// Part of the grace, and longest time, for which a stopping gateway still
+/// takes jobs from callers that have not moved on.
+const OVERLAP_SHARE: f64 = 0.45;
+const LONGEST_OVERLAP_SECONDS: f64 = 2.8;
+/// What is kept of the grace for the last answers.
+const LAST_ANSWERS_SECONDS: f64 = 0.5;
+/// What an agent keeps of the grace for stopping what still runs.
+const LAST_STOPS_SECONDS: f64 = 0.9;
 
 /// Settings of one process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -47,17 +60,16 @@
 pub struct LeasedGatewaySettings {
     /// Where sessions of agents and of other gateways are accepted.
     pub sessions: SocketAddr,
-    /// How long a planned stop goes on taking jobs from callers that have not
-    /// moved on yet, in milliseconds.
-    pub stop_overlap_millis: u64,
+    /// How long the process has for a planned stop, in seconds.
+    pub grace_seconds: f64,
 }
 
 /// Settings of an agent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeasedAgentSettings {
-    /// How long a planned stop waits for what runs, in milliseconds.
-    pub stop_patience_millis: u64,
+    /// How long the process has for a planned stop, in seconds.
+    pub grace_seconds: f64,
 }
 
 /// What is wrong with settings that are well-formed JSON.
@@ -69,6 +81,41 @@
     /// The name of the node is empty.
     #[error("node.name: empty")]
     EmptyName,
+    /// The time for a planned stop is no time.
+    #[error(
+        "role: grace_seconds: {seconds} is not between {MIN_GRACE_SECONDS} and {MAX_GRACE_SECONDS}"
+    )]
+    BadGrace {
+        /// Its value.
+        seconds: f64,
+    },
+}
+
+impl LeasedGatewaySettings {
+    /// Times of a planned stop within the grace.
+    pub fn stop_times(&self) -> StopTimes {
+        let overlap = (self.grace_seconds * OVERLAP_SHARE).min(LONGEST_OVERLAP_SECONDS);
+        StopTimes {
+            overlap: span_of(overlap),
+            limit: span_of((self.grace_seconds - LAST_ANSWERS_SECONDS).max(overlap)),
+        }
+    }
+}
+
+impl LeasedAgentSettings {
+    /// How long a planned stop waits for what runs.
+    pub fn stop_patience(&self) -> Span {
+        span_of((self.grace_seconds - LAST_STOPS_SECONDS).max(0.0))
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked to be positive and below an hour"
+)]
+fn span_of(seconds: f64) -> Span {
+    Span::from_millis((seconds * 1_000.0) as u64)
 }
 
 impl LeasedSettings {
@@ -83,6 +130,13 @@
         if self.node.secret.len() < MIN_SECRET_BYTES {
             return Err(LeasedSettingsError::SecretTooShort);
         }
+        let seconds = match &self.role {
+            LeasedRole::Gateway(gateway) => gateway.grace_seconds,
+            LeasedRole::Agent(agent) => agent.grace_seconds,
+        };
+        if !(MIN_GRACE_SECONDS..=MAX_GRACE_SECONDS).contains(&seconds) {
+            return Err(LeasedSettingsError::BadGrace { seconds });
+        }
         Ok(())
     }
 }
