--- /dev/null
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -0,0 +1,324 @@
+//! The agent beside a leased worker.
+
+mod leased_support;
+
+use laurelstile_core::leased::agent::AgentEvent;
+use laurelstile_core::leased::agent::worker::{
+    OrderFailure, Rejection, WorkerEndKind, WorkerLists,
+};
+use laurelstile_core::leased::messages::{EndKind, NotStartedReason, ToAgentBody};
+use laurelstile_core::leased::timing::{OWNER_SILENCE, START_FRESHNESS};
+use leased_support::{AgentRig, GATEWAY, at, cpu, lists, run, task};
+use rstest::rstest;
+
+#[test]
+fn nothing_starts_before_the_worker_is_under_control() {
+    let mut rig = AgentRig::new();
+    rig.register(at(0), "life-1", cpu(4_000), false);
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    assert!(rig.take_starts().is_empty());
+    let reason = NotStartedReason::Unavailable;
+    assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::NotStarted(reason))]);
+}
+
+#[test]
+fn what_an_earlier_agent_left_is_stopped_before_anything_starts() {
+    let mut rig = AgentRig::new();
+    rig.register(at(0), "life-1", cpu(4_000), false);
+    let left = run(9, 0);
+    rig.answer_watch(at(1), lists(&[(left, 40)], &[]));
+    assert_eq!(rig.take_stops(), vec![left]);
+    assert!(!rig.machine.is_available());
+    rig.answer_stop(at(2), left, true);
+    rig.answer_watch(at(3), lists(&[], &[(1, left, WorkerEndKind::Stopped)]));
+    assert!(rig.machine.is_available());
+}
+
+#[test]
+fn starts_never_exceed_the_room() {
+    let mut rig = AgentRig::in_control(cpu(3_000));
+    let batch = rig.batch(1, 5, 50);
+    rig.message(at(1), batch);
+    let started = rig.take_starts();
+    assert_eq!(started.len(), 3);
+    assert_eq!(rig.machine.taken_room(), cpu(3_000));
+    for id in &started {
+        rig.answer_start(at(2), *id, None);
+    }
+    let ended = [(1, started[0], WorkerEndKind::Done)];
+    let running = [(started[1], 50), (started[2], 50)];
+    rig.answer_watch(at(30), lists(&running, &ended));
+    assert_eq!(
+        rig.take_starts().len(),
+        1,
+        "the room of an end goes to the next"
+    );
+}
+
+#[test]
+fn a_task_that_waits_too_long_comes_back() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let first = rig.batch(1, 1, 4);
+    rig.message(at(1), first);
+    let second = rig.batch(2, 1, 4);
+    rig.message(at(2), second);
+    rig.tick(at(7));
+    let how = EndKind::NotStarted(NotStartedReason::Full);
+    assert_eq!(rig.ends(), vec![(task(2, 0), how)]);
+}
+
+#[test]
+fn a_start_without_an_answer_keeps_its_room_until_its_stop_is_proved() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.lose_start(at(70), id);
+    assert_eq!(rig.take_stops(), vec![id]);
+    // The stop gets no answer either: it is repeated.
+    rig.answer_stop(at(140), id, false);
+    assert_eq!(rig.take_stops(), vec![id]);
+    rig.answer_watch(at(150), WorkerLists::default());
+    assert!(
+        rig.ends().is_empty(),
+        "nothing proves that it will not start"
+    );
+    assert_eq!(rig.machine.taken_room(), cpu(1_000));
+    rig.answer_stop(at(160), id, true);
+    rig.answer_watch(at(170), WorkerLists::default());
+    rig.answer_watch(at(180), WorkerLists::default());
+    let how = EndKind::NotStarted(NotStartedReason::Refused);
+    assert_eq!(rig.ends(), vec![(task(1, 0), how)]);
+    assert_eq!(rig.machine.taken_room(), cpu(0));
+}
+
+#[test]
+fn a_start_that_the_list_shows_needs_no_answer() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_watch(at(20), lists(&[(id, 15)], &[]));
+    rig.lose_start(at(70), id);
+    assert!(rig.take_stops().is_empty());
+    rig.answer_watch(at(100), lists(&[], &[(1, id, WorkerEndKind::Done)]));
+    assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Done)]);
+}
+
+#[test]
+fn runs_of_a_silent_gateway_are_stopped() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(100), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(101), id, None);
+    let silent = 100 + OWNER_SILENCE.as_millis();
+    rig.tick(at(silent));
+    assert!(rig.take_stops().is_empty());
+    rig.tick(at(silent + 1));
+    assert_eq!(rig.take_stops(), vec![id]);
+}
+
+/// What a gateway sent before it froze may come late: it does not make the
+/// gateway look alive.
+#[test]
+fn a_message_with_an_old_echo_does_not_renew() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(100), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(101), id, None);
+    rig.message_with_echo(at(540), at(120), ToAgentBody::Heartbeat);
+    rig.tick(at(120 + OWNER_SILENCE.as_millis() + 1));
+    assert_eq!(rig.take_stops(), vec![id]);
+}
+
+#[test]
+fn a_start_with_an_old_echo_is_refused() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    let echo = at(1_000 - START_FRESHNESS.as_millis() - 1);
+    rig.message_with_echo(at(1_000), echo, batch);
+    assert!(rig.take_starts().is_empty());
+    let how = EndKind::NotStarted(NotStartedReason::StaleSender);
+    assert_eq!(rig.ends(), vec![(task(1, 0), how)]);
+}
+
+#[test]
+fn a_gateway_whose_process_has_ended_has_its_runs_stopped_at_once() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, None);
+    rig.event(at(3), AgentEvent::GatewayEnded { gateway: GATEWAY });
+    assert_eq!(rig.take_stops(), vec![id]);
+}
+
+#[test]
+fn a_draining_worker_starts_nothing_more() {
+    let mut rig = AgentRig::in_control(cpu(2_000));
+    let first = rig.batch(1, 1, 4);
+    rig.message(at(1), first);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, None);
+    rig.register(at(3), "life-1", cpu(2_000), true);
+    let second = rig.batch(2, 1, 4);
+    rig.message(at(4), second);
+    assert!(rig.take_starts().is_empty());
+    rig.answer_watch(at(50), lists(&[], &[(1, id, WorkerEndKind::Done)]));
+    let reason = NotStartedReason::Unavailable;
+    let expected = vec![
+        (task(2, 0), EndKind::NotStarted(reason)),
+        (task(1, 0), EndKind::Done),
+    ];
+    assert_eq!(rig.ends(), expected, "what runs goes on");
+}
+
+#[test]
+fn a_new_life_of_the_worker_ends_the_runs_of_the_old_one() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, None);
+    rig.register(at(10), "life-2", cpu(1_000), false);
+    assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Lost)]);
+    // A late word of the old life changes nothing.
+    rig.register(at(11), "life-1", cpu(1_000), false);
+    assert!(!rig.machine.is_available());
+}
+
+#[test]
+fn a_worker_that_refuses_connections_is_dead() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    let answer = Err(OrderFailure::LifeOver);
+    let life = "life-1".into();
+    rig.event(
+        at(2),
+        AgentEvent::StartAnswered {
+            run: id,
+            life,
+            answer,
+        },
+    );
+    assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Lost)]);
+}
+
+#[test]
+fn a_silent_worker_has_let_its_runs_lapse_after_the_lease() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(0), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(1), id, None);
+    rig.lose_watch(at(200));
+    rig.lose_watch(at(400));
+    assert_eq!(rig.take_watches(), vec![(0, false)], "no longer renewed");
+    rig.message(at(600), ToAgentBody::Heartbeat);
+    assert!(rig.ends().is_empty());
+    rig.message(at(1_000), ToAgentBody::Heartbeat);
+    rig.tick(at(1_020));
+    assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Lost)]);
+    assert!(!rig.machine.is_available(), "its room is unknown");
+}
+
+#[test]
+fn ends_are_acknowledged_to_the_worker() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, None);
+    rig.answer_watch(at(50), lists(&[], &[(5, id, WorkerEndKind::Done)]));
+    assert_eq!(rig.take_watches(), vec![(5, false)]);
+}
+
+#[rstest]
+#[case::old(Rejection::OldRun, EndKind::NotStarted(NotStartedReason::OldRun))]
+#[case::full(Rejection::Full, EndKind::NotStarted(NotStartedReason::Full))]
+#[case::late(Rejection::Late, EndKind::NotStarted(NotStartedReason::Refused))]
+#[case::unhealthy(Rejection::Unhealthy, EndKind::NotStarted(NotStartedReason::Refused))]
+fn rejected_starts_come_back(#[case] rejection: Rejection, #[case] how: EndKind) {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, Some(rejection));
+    assert_eq!(rig.ends(), vec![(task(1, 0), how)]);
+    assert_eq!(rig.machine.taken_room(), cpu(0));
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_left_alone_and_tried_again() {
+    let mut rig = AgentRig::in_control(cpu(8_000));
+    let batch = rig.batch(1, 4, 4);
+    rig.message(at(1), batch);
+    let started = rig.take_starts();
+    let ended: Vec<_> = started
+        .iter()
+        .enumerate()
+        .map(|(index, id)| (index as u64 + 1, *id, WorkerEndKind::Failed))
+        .collect();
+    rig.answer_watch(at(10), lists(&[], &ended));
+    let hows: Vec<EndKind> = rig.ends().into_iter().map(|(_, how)| how).collect();
+    let suspect = EndKind::FailedOnSuspect;
+    assert_eq!(hows, vec![EndKind::Failed, suspect, suspect, suspect]);
+    assert_eq!(rig.last_report().map(|report| report.limit), Some(0));
+    rig.tick(at(500));
+    assert_eq!(rig.last_report().map(|report| report.limit), Some(1));
+}
+
+#[test]
+fn a_task_that_stands_still_is_given_back() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(0), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(1), id, None);
+    rig.message(at(50), ToAgentBody::Heartbeat);
+    rig.answer_watch(at(60), lists(&[(id, 0)], &[]));
+    assert!(rig.take_stops().is_empty());
+    rig.answer_watch(at(120), lists(&[(id, 0)], &[]));
+    assert_eq!(rig.take_stops(), vec![id]);
+    rig.answer_stop(at(121), id, true);
+    rig.answer_watch(at(130), lists(&[], &[(1, id, WorkerEndKind::Stopped)]));
+    assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Stalled)]);
+}
+
+#[test]
+fn the_same_task_of_another_gateway_ends_the_earlier_run_first() {
+    let mut rig = AgentRig::in_control(cpu(4_000));
+    let first = rig.batch(1, 1, 4);
+    rig.message(at(1), first);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, None);
+    let again = rig.batch(1, 1, 4);
+    rig.message(at(3), again);
+    assert!(rig.take_starts().is_empty());
+    assert_eq!(rig.take_stops(), vec![id]);
+    let how = EndKind::NotStarted(NotStartedReason::Duplicate);
+    assert_eq!(rig.ends(), vec![(task(1, 0), how)]);
+}
+
+#[test]
+fn a_planned_stop_waits_for_what_runs() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, None);
+    rig.event(at(10), AgentEvent::Stop);
+    assert!(!rig.stopped);
+    let more = rig.batch(2, 1, 4);
+    rig.message(at(11), more);
+    assert!(rig.take_starts().is_empty());
+    rig.answer_watch(at(50), lists(&[], &[(1, id, WorkerEndKind::Done)]));
+    assert!(!rig.stopped, "the end is not acknowledged");
+    rig.acknowledge_all(at(60));
+    assert!(rig.stopped);
+}
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -378,6 +378,22 @@
         );
     }
 
+    /// The gateway acknowledges every end.
+    pub fn acknowledge_all(&mut self, now: Timestamp) {
+        let message = ToAgent {
+            echo: now,
+            seen: u64::MAX,
+            body: ToAgentBody::Heartbeat,
+        };
+        self.event(
+            now,
+            AgentEvent::Message {
+                session: SESSION,
+                message,
+            },
+        );
+    }
+
     /// A batch of first runs, each of one core for 100 ms, that may wait for
     /// `patience` milliseconds.
     pub fn batch(&mut self, job: u64, tasks: u32, patience_millis: u32) -> ToAgentBody {
