--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -14,7 +14,7 @@
 use super::{AgentDecision, AgentEffect, LeasedAgent, OrderKind, WatchAnswer};
 
 /// How long the worker may wait for an end before it answers.
-const WATCH_WAIT: Span = Span::from_millis(100);
+const WATCH_WAIT: Span = Span::from_millis(30);
 /// Watches without an answer after which the leases are left to lapse.
 const UNANSWERED_WATCHES: u32 = 2;
 /// Pause before a stop is sent again to a run that this agent did not start.
@@ -37,6 +37,14 @@
     pub(super) fn watch(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         let active = self.ledger.active();
         let lease_until = self.lease_until(now);
+        // The lists alone prove that a stopped run is over: they are wanted at
+        // once.
+        let awaits_proof = self.ledger.iter().any(|(_, run)| {
+            let RunState::Stopping { answered, .. } = run.state else {
+                return false;
+            };
+            answered.is_some()
+        });
         let Some(life) = &mut self.life else {
             return;
         };
@@ -45,7 +53,8 @@
             return;
         }
         let is_renewing = active > 0 && life.unanswered_watches < UNANSWERED_WATCHES;
-        let may_wait = active > 0 && life.has_synced && life.unanswered_watches == 0;
+        let may_wait =
+            active > 0 && life.has_synced && life.unanswered_watches == 0 && !awaits_proof;
         life.watching = Some(now);
         life.has_news = false;
         if is_renewing {
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -30,9 +30,9 @@
 /// Most inputs that are handled before the machine is flushed.
 const INPUT_BATCH: usize = 64;
 /// How long the worker may take to answer a start or stop.
-const ORDER_LIMIT: Duration = Duration::from_millis(70);
+const ORDER_LIMIT: Duration = Duration::from_millis(25);
 /// How long it may take to answer a watch, beyond the wait in it.
-const WATCH_LIMIT: Duration = Duration::from_millis(100);
+const WATCH_LIMIT: Duration = Duration::from_millis(25);
 /// How long messages may take to leave at the end.
 const LAST_MESSAGES: Duration = Duration::from_millis(100);
 /// How long an agent looks for a gateway by its seeds before it reads the
