--- a/laurelstile-core/src/leased/agent/ledger.rs
+++ b/laurelstile-core/src/leased/agent/ledger.rs
@@ -67,6 +67,10 @@
     pub sent: Timestamp,
     /// Where it stands.
     pub state: RunState,
+    /// When a stop that got no answer may be sent again.
+    pub stop_again: Option<Timestamp>,
+    /// Stops that got no answer.
+    pub lost_stops: u32,
     /// Its progress, in percent.
     pub percent: u32,
     /// When it was started, by the worker's clock.
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -237,6 +237,8 @@
     unanswered_watches: u32,
     /// When the watch that is under way was sent.
     watching: Option<Timestamp>,
+    /// No watch is sent before this time.
+    watch_from: Timestamp,
     /// Last order that renewed the leases.
     renewed: Timestamp,
     /// Runs at the worker that this agent did not start, with the time of the
@@ -319,6 +321,7 @@
         self.end_lapsed(now, effects);
         self.start_waiting(now, effects);
         self.end_waits(now, effects);
+        self.repeat_stops(now, effects);
         self.watch(now, effects);
         self.finish_stop(now, effects);
         self.send_all(now, effects);
@@ -561,6 +564,7 @@
             told_in_control: false,
             unanswered_watches: 0,
             watching: None,
+            watch_from: now,
             renewed: now,
             foreign: BTreeMap::new(),
             has_news: false,
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -186,6 +186,7 @@
         let mut wakeups = Vec::new();
         wakeups.extend(self.health.next_change(now));
         wakeups.extend(self.lapse_at());
+        wakeups.extend(self.repeat_at(now));
         if let Some(since) = self.stopping_since {
             let patience_ends = since.after(self.options.stop_patience);
             wakeups.push(if now < patience_ends {
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -13,6 +13,9 @@
 
 /// Most tasks that wait here for room.
 const MOST_WAITING: usize = 64;
+/// Pause before a stop is sent for the third time and later: a worker that breaks
+/// every connection would otherwise be called without end.
+const STOP_PAUSE: Span = Span::from_millis(20);
 
 impl LeasedAgent {
     pub(super) fn on_start(
@@ -43,6 +46,8 @@
                 wait_until: now.after(Span::from_millis(u64::from(batch.patience_millis))),
                 sent: now,
                 state: RunState::Waiting,
+                stop_again: None,
+                lost_stops: 0,
                 percent: 0,
                 started: WorkerClock::default(),
                 progressed: WorkerClock::default(),
@@ -266,12 +271,16 @@
         match answer {
             Err(OrderFailure::LifeOver) => self.on_life_over(now, life, effects),
             Err(OrderFailure::NoAnswer) => {
-                let is_stopping = self
-                    .ledger
-                    .run(id)
-                    .is_some_and(|run| matches!(run.state, RunState::Stopping { .. }));
-                if is_stopping {
-                    self.order(OrderKind::Stop { run: id }, effects);
+                if self.ledger.run(id).is_some() {
+                    self.ledger.note(id.task, |run| {
+                        let pause = if run.lost_stops == 0 {
+                            Span::default()
+                        } else {
+                            STOP_PAUSE
+                        };
+                        run.lost_stops += 1;
+                        run.stop_again = Some(now.after(pause));
+                    });
                 }
             }
             Ok(OrderAnswer { clock, rejection }) => {
@@ -295,6 +304,20 @@
         }
     }
 
+    /// Sends stops that got no answer again.
+    pub(super) fn repeat_stops(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let due = self
+            .ledger
+            .tasks_where(|run| run.stop_again.is_some_and(|again| now >= again));
+        for task in due {
+            self.ledger.note(task, |run| run.stop_again = None);
+            if let Some(run) = self.ledger.get(task).map(|run| run.number) {
+                let run = RunId { task, run };
+                self.order(OrderKind::Stop { run }, effects);
+            }
+        }
+    }
+
     pub(super) fn note_clock(&mut self, now: Timestamp, clock: Option<WorkerClock>) {
         if let (Some(life), Some(clock)) = (&mut self.life, clock) {
             life.clock.update(now, clock);
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -15,6 +15,10 @@
 
 /// How long the worker may wait for an end before it answers.
 const WATCH_WAIT: Span = Span::from_millis(30);
+/// Pause after the second watch in a row without an answer; it doubles so many
+/// times. The first is repeated at once.
+const WATCH_PAUSE: Span = Span::from_millis(10);
+const WATCH_DOUBLINGS: u32 = 4;
 /// Watches without an answer after which the leases are left to lapse.
 const UNANSWERED_WATCHES: u32 = 2;
 /// Pause before a stop is sent again to a run that this agent did not start.
@@ -49,7 +53,7 @@
             return;
         };
         let is_wanted = active > 0 || !life.foreign.is_empty() || life.has_news || !life.has_synced;
-        if life.watching.is_some() || !is_wanted {
+        if life.watching.is_some() || !is_wanted || now < life.watch_from {
             return;
         }
         let is_renewing = active > 0 && life.unanswered_watches < UNANSWERED_WATCHES;
@@ -90,6 +94,7 @@
             Err(OrderFailure::LifeOver) => self.on_life_over(now, name, effects),
             Err(OrderFailure::NoAnswer) => {
                 life.unanswered_watches += 1;
+                life.watch_from = now.after(watch_pause(life.unanswered_watches));
                 if life.unanswered_watches == 1 {
                     let life = Arc::clone(&life.name);
                     effects.push(AgentEffect::Decided(AgentDecision::WorkerSilent { life }));
@@ -283,6 +288,14 @@
         }
     }
 
+    /// When a watch or stop may be sent again.
+    pub(super) fn repeat_at(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> {
+        let watch = self.life.as_ref().map(|life| life.watch_from);
+        let watch = watch.filter(|from| *from > now);
+        let stops = self.ledger.iter().filter_map(|(_, run)| run.stop_again);
+        stops.chain(watch)
+    }
+
     /// When [`Self::end_lapsed`] has something to do.
     pub(super) fn lapse_at(&self) -> Option<Timestamp> {
         let life = self.life.as_ref()?;
@@ -294,6 +307,13 @@
     }
 }
 
+fn watch_pause(unanswered: u32) -> Span {
+    match unanswered.checked_sub(2) {
+        None => Span::default(),
+        Some(doublings) => Span(WATCH_PAUSE.0 << doublings.min(WATCH_DOUBLINGS)),
+    }
+}
+
 /// How a run has ended that the worker, asked at `asked`, does not list;
 /// `None` if it may yet be listed.
 fn end_if_unlisted(asked: Timestamp, run: &Run) -> Option<EndKind> {
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -78,6 +78,10 @@
     assert_eq!(rig.take_stops(), vec![id]);
     // The stop gets no answer either: it is repeated.
     rig.answer_stop(at(140), id, false);
+    assert_eq!(rig.take_stops(), vec![id], "once at once");
+    rig.answer_stop(at(145), id, false);
+    assert!(rig.take_stops().is_empty(), "then after a pause");
+    rig.tick(at(170));
     assert_eq!(rig.take_stops(), vec![id]);
     rig.answer_watch(at(150), WorkerLists::default());
     assert!(
@@ -218,6 +222,8 @@
     rig.answer_start(at(1), id, None);
     rig.lose_watch(at(200));
     rig.lose_watch(at(400));
+    assert!(rig.take_watches().is_empty(), "not at once again");
+    rig.tick(at(420));
     assert_eq!(rig.take_watches(), vec![(0, false)], "no longer renewed");
     rig.message(at(600), ToAgentBody::Heartbeat);
     assert!(rig.ends().is_empty());
