--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -52,7 +52,11 @@
         let Some(life) = &mut self.life else {
             return;
         };
-        let is_wanted = active > 0 || !life.foreign.is_empty() || life.has_news || !life.has_synced;
+        let is_wanted = active > 0
+            || !life.foreign.is_empty()
+            || life.has_news
+            || !life.has_synced
+            || life.unanswered_watches > 0;
         if life.watching.is_some() || !is_wanted || now < life.watch_from {
             return;
         }
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -328,3 +328,19 @@
     rig.acknowledge_all(at(60));
     assert!(rig.stopped);
 }
+
+/// Found by the emulator (seed 117): a worker whose last watch was lost while
+/// nothing ran was never used again.
+#[test]
+fn a_lost_watch_is_repeated_even_when_nothing_runs() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(2), id, None);
+    rig.answer_watch(at(50), lists(&[], &[(1, id, WorkerEndKind::Done)]));
+    rig.lose_watch(at(100));
+    assert_eq!(rig.take_watches(), vec![(1, false)]);
+    rig.answer_watch(at(101), WorkerLists::default());
+    assert!(rig.machine.is_available());
+}
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -19,7 +19,7 @@
         cmd leased {
             /// Seeds to run, A..B.
             required --seeds seeds: String
-            /// Show every violation, and the history of its seed.
+            /// Print the histories.
             optional --verbose
             /// Switch a mechanism off: owner-silence, leases, takeover or drains.
             optional --without mechanism: String
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -35,7 +35,10 @@
         calm_percents.push(outcome.calm_percent);
         if !outcome.violations.is_empty() {
             bad += 1;
-            show(seed, &outcome, flags.verbose);
+            show(seed, &outcome);
+        }
+        if flags.verbose {
+            show_history(&outcome);
         }
     }
     let least = calm_percents.iter().min().copied().unwrap_or(100);
@@ -57,7 +60,7 @@
     }
 }
 
-fn show(seed: u64, outcome: &Outcome, is_verbose: bool) {
+fn show(seed: u64, outcome: &Outcome) {
     for violation in &outcome.violations {
         println!(
             "seed {seed}: {:?} at {:.3} s: {}",
@@ -66,10 +69,11 @@
             violation.message
         );
     }
-    if is_verbose {
-        for record in &outcome.records {
-            println!("{}", serde_json::to_string(record).unwrap_or_default());
-        }
+}
+
+fn show_history(outcome: &Outcome) {
+    for record in &outcome.records {
+        println!("{}", serde_json::to_string(record).unwrap_or_default());
     }
 }
 
