laurelstile explain; metrics of leased workers; logs that never block

explain reads what all processes said of one job and names the cause. Counters and histograms are served on the settings' metrics address. Log lines that find no reader are dropped and counted. Tasks for a slow worker go in one batch (they went one by one).

--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     agent: Incarnation,
+    /// Whether it is fast enough for the job's objective.
+    is_fast: bool,
     /// Tasks that it has room for, no more than are wanted.
     tasks: u32,
     cost: u64,
@@ -81,7 +83,10 @@
             .filter_map(|(agent, worker)| {
                 self.candidate(job, &job.steps[step].request, wanted, *agent, worker)
             })
-            .max_by_key(|candidate| (candidate.tasks, std::cmp::Reverse(candidate.cost)))
+            .max_by_key(|candidate| {
+                let cost = std::cmp::Reverse(candidate.cost);
+                (candidate.is_fast, candidate.tasks, cost)
+            })
     }
 
     fn candidate(
@@ -123,11 +128,9 @@
         };
         let capacity = u64::from(snapshot.capacity.cpu_millis.max(1));
         let taken = capacity.saturating_sub(u64::from(free.cpu_millis));
-        // A worker so slow that the job would miss its objective comes last.
-        let is_too_slow = run_time > job.objective.0;
-        let tasks = if is_too_slow { 1 } else { tasks };
         Some(Candidate {
             agent,
+            is_fast: run_time <= job.objective.0,
             tasks,
             cost: run_time + zone + FULLNESS_MICROS * taken / capacity,
         })
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -30,6 +30,8 @@
     pub told: BTreeMap<&'static str, u64>,
     /// Share of the jobs handed in after the faults that were done, in percent.
     pub calm_percent: u64,
+    /// Workers that are well and that their agent does not use in the end.
+    pub unused_workers: Vec<usize>,
     /// Faults by kind.
     pub faults: BTreeMap<&'static str, u64>,
     /// What was seen.
@@ -52,11 +54,13 @@
     let arrivals: Vec<u64> = jobs.iter().map(|job| job.at).collect();
     let mut world = World::new(random, sabotage, GATEWAYS, workers, jobs, faults);
     world.run(FAULTY + SETTLING);
+    let unused_workers = world.unused_workers();
     let records = world.records;
     Outcome {
         violations: judge(&records, Bounds::default()),
         told: count_answers(&records),
         calm_percent: calm_percent(&records, &arrivals),
+        unused_workers,
         faults: kinds,
         records,
     }
--- a/laurelstile-sim/src/leased/world.rs
+++ b/laurelstile-sim/src/leased/world.rs
@@ -218,6 +218,18 @@
         }
     }
 
+    /// Workers that are up, do not drain and run nothing, but are not available.
+    pub fn unused_workers(&self) -> Vec<usize> {
+        (0..self.workers.len())
+            .filter(|index| {
+                let worker = &self.workers[*index];
+                let is_well = worker.life != 0 && !worker.draining && !worker.is_busy();
+                let agent = &self.agents[*index];
+                is_well && agent.is_up && !agent.machine.is_available()
+            })
+            .collect()
+    }
+
     /// Schedules a happening at a point in time.
     pub fn schedule(&mut self, at: u64, happening: Happening) {
         self.sequence += 1;
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -33,7 +33,7 @@
         add(&mut told, &outcome.told);
         add(&mut faults, &outcome.faults);
         calm_percents.push(outcome.calm_percent);
-        if !outcome.violations.is_empty() {
+        if !outcome.violations.is_empty() || !outcome.unused_workers.is_empty() {
             bad += 1;
             show(seed, &outcome);
         }
@@ -61,6 +61,10 @@
 }
 
 fn show(seed: u64, outcome: &Outcome) {
+    if !outcome.unused_workers.is_empty() {
+        let workers = &outcome.unused_workers;
+        println!("seed {seed}: workers {workers:?} are well and not used");
+    }
     for violation in &outcome.violations {
         println!(
             "seed {seed}: {:?} at {:.3} s: {}",
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -11,11 +11,25 @@
         let outcome = run_seed(seed, None);
         let violations = &outcome.violations;
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        let unused = &outcome.unused_workers;
+        assert!(
+            unused.is_empty(),
+            "seed {seed}: workers {unused:?} are well and not used"
+        );
         let done = outcome.told.get("completed").copied().unwrap_or(0);
         assert!(done > 0, "seed {seed} completed nothing");
     }
 }
 
+/// Seeds that broke something once, each for another cause.
+#[rstest]
+#[case::watch_lost_while_nothing_runs(117)]
+fn mended_seed_keeps_every_rule(#[case] seed: u64) {
+    let outcome = run_seed(seed, None);
+    assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
+    assert!(outcome.unused_workers.is_empty());
+}
+
 #[test]
 fn a_seed_repeats_exactly() {
     assert_eq!(run_seed(3, None).records, run_seed(3, None).records);
--- a/laurelstile/src/commands.rs
+++ b/laurelstile/src/commands.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use laurelstile::error::OperatorError;
+use laurelstile::explain::explain;
 use laurelstile::operator::{ChangeOrder, Operator, draw_change_id};
 use laurelstile::plan::Plan;
 use laurelstile_history::check::{Bounds, check};
@@ -36,6 +37,7 @@
             );
             run_change(&flags, &order, apply.wait).await
         }
+        LaurelstileCmd::Explain(flags) => run_explain(&flags.job, &flags.logs, json),
         LaurelstileCmd::Drain(drain) => {
             let change = Change::Drain(drain.backend.as_str().into());
             let order = order(change, drain.change_id.as_deref(), None, drain.timeout);
@@ -273,3 +275,23 @@
     println!("{}", serde_json::to_string_pretty(value)?);
     Ok(())
 }
+
+fn run_explain(job: &str, logs: &[PathBuf], json: bool) -> Result<(), OperatorError> {
+    let mut texts = Vec::with_capacity(logs.len());
+    for path in logs {
+        let text = std::fs::read_to_string(path).map_err(|source| OperatorError::Log {
+            path: path.clone(),
+            source,
+        })?;
+        texts.push((path.display().to_string(), text));
+    }
+    let named = texts
+        .iter()
+        .map(|(name, text)| (name.as_str(), text.as_str()));
+    let explanation = explain(job, named);
+    if json {
+        return print_json(&explanation);
+    }
+    println!("{explanation}");
+    Ok(())
+}
--- a/laurelstile/src/error.rs
+++ b/laurelstile/src/error.rs
@@ -1,5 +1,7 @@
 //! What can go wrong for an operator, and the exit code of each.
 
+use std::path::PathBuf;
+
 use laurelstile_history::file::HistoryError;
 use laurelstile_platform::http::HttpError;
 use laurelstile_types::configuration::ConfigurationError;
@@ -22,6 +24,15 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     File(#[from] JsonFileError),
+    /// A log could not be read.
+    #[error("cannot read {}", path.display())]
+    Log {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        #[source]
+        source: std::io::Error,
+    },
     /// A configuration is well-formed but wrong.
     #[error("the configuration is wrong")]
     Configuration(#[from] ConfigurationError),
--- a/laurelstile/src/flags.rs
+++ b/laurelstile/src/flags.rs
@@ -72,6 +72,13 @@
             /// The histories.
             repeated histories: PathBuf
         }
+        /// Explain what became of one job, from the logs of all processes.
+        cmd explain {
+            /// Id of the job: 16 hexadecimal digits.
+            required job: String
+            /// The logs.
+            repeated logs: PathBuf
+        }
         /// Show what applying a file would change.
         cmd plan {
             /// The file.
--- a/laurelstile/src/lib.rs
+++ b/laurelstile/src/lib.rs
@@ -3,5 +3,6 @@
 #![forbid(unsafe_code)]
 
 pub mod error;
+pub mod explain;
 pub mod operator;
 pub mod plan;
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -8,6 +8,9 @@
 
 use laurelstile_core::leased::agent::AgentDecision;
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
+use metrics::{counter, histogram};
+
+use crate::telemetry::{CAME_BACK, JOB_SECONDS, RUNS_ENDED, RUNS_STOPPED, WORKER_SILENT};
 
 /// Most lines in a period.
 const LINES: u32 = 400;
@@ -25,6 +28,7 @@
 impl DecisionLog {
     /// A decision of a gateway.
     pub fn gateway(&mut self, decision: &GatewayDecision) {
+        count_gateway(decision);
         if !self.admits() {
             return;
         }
@@ -75,6 +79,7 @@
 
     /// A decision of an agent.
     pub fn agent(&mut self, decision: &AgentDecision) {
+        count_agent(decision);
         if !self.admits() {
             return;
         }
@@ -123,6 +128,37 @@
     }
 }
 
+fn count_gateway(decision: &GatewayDecision) {
+    match decision {
+        GatewayDecision::Answered {
+            queue, answer, age, ..
+        } => {
+            let labels = [
+                ("queue", queue.name.clone()),
+                ("answer", answer_name(answer)),
+            ];
+            histogram!(JOB_SECONDS, &labels).record(Duration::from_micros(age.0));
+        }
+        GatewayDecision::CameBack { how, .. } => {
+            counter!(CAME_BACK, "how" => format!("{how:?}")).increment(1);
+        }
+        _ => {}
+    }
+}
+
+fn count_agent(decision: &AgentDecision) {
+    match decision {
+        AgentDecision::Ended { how, .. } => {
+            counter!(RUNS_ENDED, "how" => format!("{how:?}")).increment(1);
+        }
+        AgentDecision::Stopping { reason, .. } => {
+            counter!(RUNS_STOPPED, "reason" => *reason).increment(1);
+        }
+        AgentDecision::WorkerSilent { .. } => counter!(WORKER_SILENT).increment(1),
+        _ => {}
+    }
+}
+
 fn answer_name(answer: &Answer) -> String {
     match answer {
         Answer::Refused { reason, .. } => format!("refused:{reason:?}"),
--- a/laurelstiled/src/logging.rs
+++ b/laurelstiled/src/logging.rs
@@ -1,17 +1,32 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines: on standard error, or on standard output without ever
+//! blocking.
 
+use logforth::Append;
 use logforth::append::Stderr;
 use logforth::layout::JsonLayout;
 use logforth::record::{Level, LevelFilter};
 
 use crate::error::DaemonError;
+use crate::leased::log_output::NonBlockingStdout;
 use crate::settings::LogLevel;
 
-/// Starts logging.
+/// Starts logging to standard error.
 ///
 /// # Errors
 /// [`DaemonError::Logger`] if a logger is installed already.
 pub fn start(level: LogLevel) -> Result<(), DaemonError> {
+    start_with(level, Stderr::default().with_layout(JsonLayout::default()))
+}
+
+/// Starts logging to standard output, without ever blocking.
+///
+/// # Errors
+/// [`DaemonError::Logger`] if a logger is installed already.
+pub fn start_on_stdout(level: LogLevel) -> Result<(), DaemonError> {
+    start_with(level, NonBlockingStdout::new())
+}
+
+fn start_with(level: LogLevel, output: impl Into<Box<dyn Append>>) -> Result<(), DaemonError> {
     let least = match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warn => Level::Warn,
@@ -22,7 +37,7 @@
         .dispatch(|dispatch| {
             dispatch
                 .filter(LevelFilter::MoreSevereEqual(least))
-                .append(Stderr::default().with_layout(JsonLayout::default()))
+                .append(output)
         })
         .try_apply()
         .map_err(|_| DaemonError::Logger)?;
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -28,6 +28,20 @@
 /// Failed exchanges with the platform; label `call`.
 pub const PLATFORM_ERRORS: &str = "laurelstile_platform_errors_total";
 
+/// Log lines that nobody read in time.
+pub const LOG_LINES_DROPPED: &str = "laurelstile_log_lines_dropped_total";
+/// Jobs of leased workers that were answered, by time since they came; labels
+/// `queue`, `answer`.
+pub const JOB_SECONDS: &str = "laurelstile_job_seconds";
+/// Tasks that came back from an agent without being done; label `how`.
+pub const CAME_BACK: &str = "laurelstile_tasks_came_back_total";
+/// Runs that ended otherwise than done at this agent; label `how`.
+pub const RUNS_ENDED: &str = "laurelstile_runs_ended_total";
+/// Runs that this agent stopped for a reason of its own; label `reason`.
+pub const RUNS_STOPPED: &str = "laurelstile_runs_stopped_total";
+/// Times that the worker did not answer.
+pub const WORKER_SILENT: &str = "laurelstile_worker_silent_total";
+
 /// Upper bounds of the histograms' buckets, in seconds.
 const BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
