--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -57,6 +57,9 @@
     },
     /// The worker has registered, or sent a heartbeat.
     Registered(Registration),
+    /// What an earlier agent here was told last; the worker may have a new life
+    /// since.
+    Recalled(Registration),
     /// A life of the worker has ended in an orderly way.
     Deregistered {
         /// The life.
@@ -227,6 +230,8 @@
     capacity: Room,
     labels: Vec<String>,
     token: FenceToken,
+    /// The worker's clock at the first contact, and so the token, is not known.
+    lacks_token: bool,
     draining: bool,
     clock: ClockEstimate,
     last_seen: u64,
@@ -300,6 +305,7 @@
                 self.on_message(now, session, message, effects);
             }
             AgentEvent::Registered(registration) => self.on_registered(now, registration, effects),
+            AgentEvent::Recalled(registration) => self.on_recalled(now, registration),
             AgentEvent::Deregistered { life } => self.on_life_over(now, &life, effects),
             AgentEvent::StartAnswered { run, life, answer } => {
                 self.on_start_answered(now, run, &life, answer, effects);
@@ -538,6 +544,7 @@
             && *life.name == *registration.life
         {
             life.clock.update(now, registration.clock);
+            life.take_token(now);
             if registration.draining && !life.draining {
                 life.draining = true;
                 let name = Arc::clone(&life.name);
@@ -548,6 +555,22 @@
         if let Some(old) = self.life.as_ref().map(|life| Arc::clone(&life.name)) {
             self.on_life_over(now, &old, effects);
         }
+        self.begin_life(now, registration);
+        if let Some(life) = &mut self.life {
+            life.take_token(now);
+        }
+    }
+
+    /// Tries the worker as an earlier agent knew it, without waiting for its
+    /// next heartbeat. The clock in the record is old: the token, which must be
+    /// above that of the earlier agent, is taken from the first answer.
+    fn on_recalled(&mut self, now: Timestamp, registration: Registration) {
+        if self.life.is_none() && !self.ended_lives.contains(&registration.life) {
+            self.begin_life(now, registration);
+        }
+    }
+
+    fn begin_life(&mut self, now: Timestamp, registration: Registration) {
         let mut clock = ClockEstimate::default();
         clock.update(now, registration.clock);
         self.life = Some(Life {
@@ -555,8 +578,8 @@
             service: registration.service,
             capacity: registration.capacity,
             labels: registration.labels,
-            // A worker whose clock reads 0 has seen no token; 1 is above it.
-            token: FenceToken(registration.clock.0.max(1)),
+            token: FenceToken::default(),
+            lacks_token: true,
             draining: registration.draining,
             clock,
             last_seen: 0,
@@ -613,6 +636,17 @@
     }
 }
 
+impl Life {
+    /// Takes the worker's clock as token, once. A worker whose clock reads 0
+    /// has seen no token; 1 is above it.
+    fn take_token(&mut self, now: Timestamp) {
+        if self.lacks_token {
+            self.lacks_token = false;
+            self.token = FenceToken(self.clock.at(now).0.max(1));
+        }
+    }
+}
+
 impl StopReason {
     fn name(self) -> &'static str {
         match self {
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -321,6 +321,7 @@
     pub(super) fn note_clock(&mut self, now: Timestamp, clock: Option<WorkerClock>) {
         if let (Some(life), Some(clock)) = (&mut self.life, clock) {
             life.clock.update(now, clock);
+            life.take_token(now);
         }
     }
 
--- a/laurelstile-core/src/leased/agent/worker.rs
+++ b/laurelstile-core/src/leased/agent/worker.rs
@@ -1,12 +1,13 @@
 //! What an agent knows of its worker: its life, its clock, its state.
 
 use laurelstile_types::time::{Span, Timestamp};
+use serde::{Deserialize, Serialize};
 
 use super::super::room::Room;
 use super::super::task::RunId;
 
 /// A reading of the worker's own steady clock, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct WorkerClock(pub u64);
 
 impl WorkerClock {
@@ -25,7 +26,7 @@
 pub struct FenceToken(pub u64);
 
 /// What a worker tells of itself when it registers and with each heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
     /// Which life of the worker speaks.
     pub life: String,
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -8,7 +8,7 @@
 };
 use laurelstile_core::leased::messages::{EndKind, NotStartedReason, ToAgentBody};
 use laurelstile_core::leased::timing::{OWNER_SILENCE, START_FRESHNESS};
-use leased_support::{AgentRig, GATEWAY, at, cpu, lists, run, task};
+use leased_support::{AgentRig, GATEWAY, at, cpu, lists, run, task, worker_clock};
 use rstest::rstest;
 
 #[test]
@@ -344,3 +344,31 @@
     rig.answer_watch(at(101), WorkerLists::default());
     assert!(rig.machine.is_available());
 }
+
+/// A new agent need not wait for the worker's next heartbeat: it tries the
+/// life that the record names, and takes its token from the first answer.
+#[test]
+fn a_recalled_worker_is_under_control_without_a_heartbeat() {
+    let mut rig = AgentRig::new();
+    rig.recall(at(5_000), "life-1", cpu(2_000));
+    rig.answer_watch_as(at(5_001), Err(Rejection::Fenced));
+    rig.tick(at(5_002));
+    assert!(rig.last_token() >= Some(worker_clock(at(5_001)).0));
+    rig.answer_watch(at(5_003), WorkerLists::default());
+    assert!(rig.machine.is_available());
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(5_004), batch);
+    assert_eq!(rig.take_starts().len(), 1);
+}
+
+#[test]
+fn a_recalled_life_that_is_over_is_not_used() {
+    let mut rig = AgentRig::new();
+    rig.recall(at(5_000), "life-1", cpu(2_000));
+    let answer = Err(OrderFailure::LifeOver);
+    let life = "life-1".into();
+    rig.event(at(5_001), AgentEvent::Watched { life, answer });
+    assert!(!rig.machine.is_available());
+    rig.register(at(5_500), "life-2", cpu(2_000), false);
+    assert_eq!(rig.last_token(), Some(worker_clock(at(5_500)).0));
+}
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -357,6 +357,24 @@
         self.event(now, AgentEvent::Registered(registration));
     }
 
+    /// The record of an earlier agent is read; its clock is old.
+    pub fn recall(&mut self, now: Timestamp, life: &str, capacity: Room) {
+        let registration = Registration {
+            life: life.into(),
+            service: "parcels".into(),
+            capacity,
+            labels: Vec::new(),
+            clock: worker_clock(at(0)),
+            draining: false,
+        };
+        self.event(now, AgentEvent::Recalled(registration));
+    }
+
+    /// Token of the latest order.
+    pub fn last_token(&self) -> Option<u64> {
+        self.orders.back().map(|order| order.token.0)
+    }
+
     /// The gateway sends something, with a fresh echo.
     pub fn message(&mut self, now: Timestamp, body: ToAgentBody) {
         self.message_with_echo(now, now, body);
@@ -501,10 +519,15 @@
 
     /// The worker answers the watch that is under way.
     pub fn answer_watch(&mut self, now: Timestamp, lists: WorkerLists) {
+        self.answer_watch_as(now, Ok(lists));
+    }
+
+    /// The worker answers the watch that is under way, or rejects it.
+    pub fn answer_watch_as(&mut self, now: Timestamp, lists: Result<WorkerLists, Rejection>) {
         self.take_watches();
         let answer = Ok(WatchAnswer {
             clock: Some(worker_clock(now)),
-            lists: Ok(lists),
+            lists,
         });
         self.event(
             now,
--- a/laurelstile-sim/src/leased/world.rs
+++ b/laurelstile-sim/src/leased/world.rs
@@ -134,6 +134,8 @@
     pub watches: Vec<Option<PendingWatch>>,
     /// Whether a look for ends is scheduled at each worker.
     pub settles: Vec<bool>,
+    /// What agents have recorded of their workers.
+    pub recorded: Vec<Option<Registration>>,
     /// Until when orders are lost or late.
     pub late_orders_until: u64,
     /// What was seen.
@@ -166,6 +168,7 @@
             agents: Vec::new(),
             watches: workers.iter().map(|_| None).collect(),
             settles: vec![false; workers.len()],
+            recorded: vec![None; workers.len()],
             workers,
             late_orders_until: 0,
             records: Vec::new(),
@@ -327,6 +330,12 @@
                 let incarnation = self.fresh();
                 self.agents[index] = Process::begin(nodes::agent(), incarnation, self.now);
                 self.watches[index] = None;
+                if let Some(registration) = self.recorded[index].clone() {
+                    let event = Box::new(AgentEvent::Recalled(registration));
+                    let incarnation = self.agents[index].incarnation;
+                    let recalled = Happening::OrderAnswered(index, incarnation, event);
+                    self.schedule(self.now + 5_000, recalled);
+                }
             }
             Happening::GraceEnds(index, incarnation) => {
                 if self.gateways[index].incarnation == incarnation && self.gateways[index].is_up {
@@ -560,6 +569,7 @@
         if draining {
             self.see(Seen::DrainAcknowledged { life });
         }
+        self.recorded[worker] = Some(registration.clone());
         self.agent_event(worker, AgentEvent::Registered(registration));
     }
 
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use laurelstile_core::leased::agent::worker::Registration;
 use laurelstile_core::leased::agent::{
     AgentEffect, AgentEvent, AgentOptions, LeasedAgent, Order, OrderKind,
 };
@@ -18,10 +19,10 @@
 
 use super::decisions::DecisionLog;
 use super::gateway::sleep_until;
-use super::membership;
 use super::ports::{RecordStore, SeedSource, WorkerNews, WorkerPort};
 use super::sessions::{Dialed, Dialer};
 use super::settings::{LeasedAgentSettings, LeasedSettings};
+use super::{membership, recall};
 use crate::clock::Clock;
 use crate::error::DaemonError;
 use crate::gateway::local_node;
@@ -86,6 +87,13 @@
         zone: settings.node.zone.0.clone(),
         stop_patience: role.stop_patience(),
     };
+    let name = settings.node.name.clone();
+    tokio::spawn(recall::recall(
+        Arc::clone(&store),
+        name.clone(),
+        input.clone(),
+    ));
+    let mut recorded = None;
     let mut driver = Driver {
         clock,
         machine: LeasedAgent::new(options),
@@ -104,7 +112,12 @@
         let sleep = sleep_until(&clock, driver.machine.next_wakeup(clock.now()));
         tokio::select! {
             _ = inputs.recv_many(&mut batch, INPUT_BATCH) => {}
-            Some(news) = news.recv() => batch.push(Input::Event(event_of(news))),
+            Some(news) = news.recv() => {
+                if let Some(registration) = unrecorded(&news, &mut recorded) {
+                    tokio::spawn(recall::remember(Arc::clone(&store), name.clone(), registration));
+                }
+                batch.push(Input::Event(event_of(news)));
+            }
             _ = terminate.recv() => {
                 log::info!(event = "stopping"; "planned stop");
                 batch.push(Input::Event(AgentEvent::Stop));
@@ -129,6 +142,18 @@
     Ok(())
 }
 
+/// The registration in `news`, if it is the first of its life.
+fn unrecorded(news: &WorkerNews, recorded: &mut Option<String>) -> Option<Registration> {
+    let WorkerNews::Registered(registration) = news else {
+        return None;
+    };
+    if recorded.as_ref() == Some(&registration.life) || registration.draining {
+        return None;
+    }
+    *recorded = Some(registration.life.clone());
+    Some(registration.clone())
+}
+
 fn event_of(news: WorkerNews) -> AgentEvent {
     match news {
         WorkerNews::Registered(registration) => AgentEvent::Registered(registration),
--- a/laurelstiled/src/leased/mod.rs
+++ b/laurelstiled/src/leased/mod.rs
@@ -10,5 +10,6 @@
 pub mod log_output;
 pub mod membership;
 pub mod ports;
+pub mod recall;
 pub mod sessions;
 pub mod settings;
--- a/laurelstiled/src/leased/ports.rs
+++ b/laurelstiled/src/leased/ports.rs
@@ -82,6 +82,13 @@
     /// Reads a table of the product's own.
     fn list(&self, table: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
+    /// Reads one record of it.
+    fn get(
+        &self,
+        table: &str,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<Record>, StoreError>> + Send;
+
     /// Writes a record of it, whatever stood there.
     fn put(
         &self,
--- a/laurelstiled/src/leased/sessions.rs
+++ b/laurelstiled/src/leased/sessions.rs
@@ -20,12 +20,12 @@
 
 /// Pauses between two dials of one address.
 const FIRST_REDIAL: Duration = Duration::from_millis(100);
-const LONGEST_REDIAL: Duration = Duration::from_millis(1_000);
+const LONGEST_REDIAL: Duration = Duration::from_millis(400);
 /// Longest that a dial may take, with its hello.
-const DIAL_LIMIT: Duration = Duration::from_millis(1_500);
+const DIAL_LIMIT: Duration = Duration::from_millis(600);
 /// Dials in a row without success after which an address is forgotten; it is
 /// dialed again once somebody names it anew.
-const DIALS: u32 = 40;
+const DIALS: u32 = 60;
 
 /// What a dialer does with a session, and with a refusal.
 pub trait Dialed: Send + Sync + 'static {
