--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -537,7 +537,9 @@
         registration: Registration,
         effects: &mut Vec<AgentEffect>,
     ) {
-        if self.ended_lives.contains(&registration.life) {
+        // A late word of an ended life; but if no other life has come since, the
+        // worker was thought dead and is not.
+        if self.life.is_some() && self.ended_lives.contains(&registration.life) {
             return;
         }
         if let Some(life) = &mut self.life
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -372,3 +372,26 @@
     rig.register(at(5_500), "life-2", cpu(2_000), false);
     assert_eq!(rig.last_token(), Some(worker_clock(at(5_500)).0));
 }
+
+#[test]
+fn a_worker_thought_dead_that_registers_again_is_taken_over() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let id = rig.take_starts()[0];
+    let (answer, life) = (Err(OrderFailure::LifeOver), "life-1".into());
+    rig.event(
+        at(2),
+        AgentEvent::StartAnswered {
+            run: id,
+            life,
+            answer,
+        },
+    );
+    rig.register(at(1_000), "life-1", cpu(1_000), false);
+    rig.answer_watch(at(1_001), lists(&[(id, 10)], &[]));
+    assert_eq!(rig.take_stops(), vec![id], "what it runs is stopped first");
+    assert!(!rig.machine.is_available());
+    rig.answer_watch(at(1_100), WorkerLists::default());
+    assert!(rig.machine.is_available());
+}
--- a/laurelstile-types/src/json.rs
+++ b/laurelstile-types/src/json.rs
@@ -44,6 +44,14 @@
         path: path.to_owned(),
         source,
     })?;
+    parse_json(&path.display().to_string(), text)
+}
+
+/// Reads the text of a JSON file called `name` into `T`.
+///
+/// # Errors
+/// [`JsonFileError::Shape`] with file, place and reason.
+pub fn parse_json<T: DeserializeOwned>(name: &str, text: String) -> Result<T, JsonFileError> {
     let deserializer = &mut serde_json::Deserializer::from_str(&text);
     serde_path_to_error::deserialize(deserializer).map_err(|error| {
         let place = error.path().to_string();
@@ -52,7 +60,7 @@
         JsonFileError::Shape {
             place,
             reason,
-            text: NamedSource::new(path.display().to_string(), text),
+            text: NamedSource::new(name, text),
             at: at.into(),
         }
     })
--- a/laurelstiled/src/leased/sessions.rs
+++ b/laurelstiled/src/leased/sessions.rs
@@ -117,11 +117,12 @@
             Ok(Err(error)) => error,
             Err(_) => WireError::Timeout,
         };
-        if matches!(error, WireError::Refused) {
-            if let Some(gateway) = last.take() {
-                dialed.on_refused(gateway);
-            }
-        } else {
+        let is_refused = matches!(error, WireError::Refused);
+        if is_refused && let Some(gateway) = last.take() {
+            dialed.on_refused(gateway);
+        }
+        // An address that stays silent is told of once.
+        if !is_refused && failures <= 1 {
             note_end(&error, &address.to_string());
         }
         failures += 1;
