--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -20,6 +20,8 @@
 const FULLNESS_MICROS: u64 = 20_000;
 /// What a worker far from the data costs more, in percent of the run time.
 const FAR_PERCENT: u64 = 50;
+/// A worker that is so many times slower than the best is called slow.
+const SLOW_FACTOR: u32 = 2;
 /// How long tasks may wait at an agent whose room another gateway has taken
 /// meanwhile. Short: another worker may have room.
 const PATIENCE: Span = Span::from_millis(4);
@@ -77,11 +79,20 @@
     fn best_worker(&self, now: Timestamp, id: JobId, step: usize) -> Option<Candidate> {
         let job = self.jobs.get(&id)?;
         let wanted = u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX);
-        self.workers
-            .iter()
-            .filter(|(_, worker)| worker.is_usable(now, &job.queue.service))
+        let usable = || {
+            let service = &job.queue.service;
+            self.workers
+                .iter()
+                .filter(move |(_, worker)| worker.is_usable(now, service))
+        };
+        let best_pace = usable()
+            .map(|(_, worker)| worker.report.pace_percent)
+            .min()?;
+        let request = &job.steps[step].request;
+        usable()
             .filter_map(|(agent, worker)| {
-                self.candidate(job, &job.steps[step].request, wanted, *agent, worker)
+                let wanted = wanted_of(job, request, wanted, best_pace, worker)?;
+                self.candidate(job, request, wanted, *agent, worker)
             })
             .max_by_key(|candidate| {
                 let cost = std::cmp::Reverse(candidate.cost);
@@ -128,9 +139,10 @@
         };
         let capacity = u64::from(snapshot.capacity.cpu_millis.max(1));
         let taken = capacity.saturating_sub(u64::from(free.cpu_millis));
+        let is_fast = run_time <= job.objective.0;
         Some(Candidate {
             agent,
-            is_fast: run_time <= job.objective.0,
+            is_fast,
             tasks,
             cost: run_time + zone + FULLNESS_MICROS * taken / capacity,
         })
@@ -179,6 +191,26 @@
     }
 }
 
+/// Tasks that a worker may be given of `wanted`. One that is far slower than the
+/// best, and too slow for the objective, gets a single task while it is idle,
+/// which shows how it does now; where all are slow the estimates are to blame.
+fn wanted_of(
+    job: &Job,
+    request: &StepRequest,
+    wanted: u32,
+    best_pace: u32,
+    worker: &Worker,
+) -> Option<u32> {
+    let pace = worker.report.pace_percent;
+    let run_time = request.estimate.0 * u64::from(pace) / 100;
+    let is_slow = run_time > job.objective.0 && pace >= best_pace.saturating_mul(SLOW_FACTOR);
+    match (is_slow, worker.is_idle()) {
+        (false, _) => Some(wanted),
+        (true, true) => Some(1),
+        (true, false) => None,
+    }
+}
+
 /// The name of a task of a job that runs once.
 pub(super) fn task_id(job: JobId, step: usize, index: u32) -> TaskId {
     TaskId {
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -140,6 +140,12 @@
                 .is_some_and(|snapshot| snapshot.service == service)
     }
 
+    /// Whether all its room is free.
+    pub fn is_idle(&self) -> bool {
+        let capacity = self.snapshot.as_ref().map(|snapshot| snapshot.capacity);
+        capacity == Some(self.free_room())
+    }
+
     /// Whether its agent is there, whatever its worker does.
     pub fn is_present(&self, now: Timestamp) -> bool {
         self.session.is_some() && now.since(self.heard) <= IDLE_SUSPICION
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -218,3 +218,29 @@
     assert_eq!(rig.last_answer(), Some(Answer::GivenUp));
     assert!(rig.stopped);
 }
+
+/// Slow workers took the overflow of a day with many of them (incident of
+/// krystalon-wro), and their tasks came back.
+#[test]
+fn a_worker_far_slower_than_the_others_gets_one_task_while_idle() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    rig.join(at(0), 2, "agent-2", cpu(8_000));
+    rig.report_pace(at(1), 2, 0, cpu(8_000), 600);
+    rig.submit(at(10), 1, job(1, 4, 200));
+    let placed: Vec<(u64, usize)> = rig
+        .starts
+        .iter()
+        .map(|(session, batch)| (session.0, batch.tasks.len()))
+        .collect();
+    assert_eq!(placed, vec![(1, 1), (2, 1)]);
+}
+
+#[test]
+fn workers_that_are_all_slow_are_used() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(8_000));
+    rig.report_pace(at(1), 1, 0, cpu(8_000), 600);
+    rig.submit(at(10), 1, job(1, 4, 200));
+    assert_eq!(rig.next_start().1.tasks.len(), 4);
+}
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -206,6 +206,29 @@
         );
     }
 
+    /// A report of `free` room and a pace.
+    pub fn report_pace(
+        &mut self,
+        now: Timestamp,
+        session: u64,
+        processed: u64,
+        free: Room,
+        pace_percent: u32,
+    ) {
+        let message = FromAgent {
+            clock: now,
+            report: Some(Report {
+                processed,
+                free,
+                limit: UNLIMITED,
+                pace_percent,
+            }),
+            body: FromAgentBody::Heartbeat,
+        };
+        let session = SessionId(session);
+        self.event(now, GatewayEvent::AgentMessage { session, message });
+    }
+
     /// A caller hands a job in.
     pub fn submit(&mut self, now: Timestamp, call: u64, request: JobRequest) {
         let call = CallNumber(call);
