--- a/laurelstile-core/src/agent/mod.rs
+++ b/laurelstile-core/src/agent/mod.rs
@@ -1,20 +1,20 @@
 //! The agent beside a back end: it owns the back end's slots, so that no
 //! agreement between gateways is needed to keep starts safe.
 
+mod outgoing;
 mod record;
+mod recovery;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use laurelstile_types::id::{
-    BackendName, ClassName, DispatchId, Incarnation, ServiceName, SubmissionId,
-};
+use laurelstile_types::id::{BackendName, ClassName, DispatchId, Incarnation, ServiceName};
 use laurelstile_types::revision::{Revision, RevisionNumber};
 use laurelstile_types::time::{Span, Timestamp};
 
 use crate::messages::agent::{
-    Fate, Fence, FromAgent, FromAgentBody, Membership, NotStarted, NotStartedReason, Reconciled,
-    Recovered, SlotReport, StartTask, TaskOutcome, TaskResult, ToAgent, ToAgentBody,
+    FromAgent, FromAgentBody, Membership, NotStarted, NotStartedReason, StartTask, TaskOutcome,
+    TaskResult, ToAgent, ToAgentBody,
 };
 use crate::payload::Payload;
 use crate::session::SessionId;
@@ -308,23 +308,6 @@
         }
     }
 
-    /// An idle agent says nothing by itself: it is asked when a gateway needs a
-    /// fresh report, or wants to know whether the session lives.
-    fn answer_heartbeat(
-        &mut self,
-        now: Timestamp,
-        session: SessionId,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let is_due = self
-            .links
-            .get(&session)
-            .is_some_and(|link| now.since(link.last_sent) >= ANSWER_PAUSE);
-        if is_due {
-            self.send(now, session, FromAgentBody::Heartbeat, effects);
-        }
-    }
-
     fn start(
         &mut self,
         now: Timestamp,
@@ -414,72 +397,6 @@
         }
     }
 
-    fn reconcile(
-        &mut self,
-        now: Timestamp,
-        session: SessionId,
-        dispatches: &[DispatchId],
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let answers = dispatches
-            .iter()
-            .map(|dispatch| Reconciled {
-                dispatch: *dispatch,
-                fate: self
-                    .records
-                    .fate_of(*dispatch)
-                    .unwrap_or(Fate::NeverReceived),
-            })
-            .collect();
-        self.send(now, session, FromAgentBody::Reconciled(answers), effects);
-    }
-
-    fn recover(
-        &mut self,
-        now: Timestamp,
-        session: SessionId,
-        fences: &[Fence],
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let Some(gateway) = self.links.get(&session).map(|link| link.gateway) else {
-            return;
-        };
-        let mut answers = Vec::with_capacity(fences.len());
-        let mut superseded: BTreeMap<SessionId, Vec<Fence>> = BTreeMap::new();
-        for fence in fences {
-            let old_owners = self.records.fence(now, gateway, *fence);
-            answers.push(Recovered {
-                fence: *fence,
-                tasks: self.records.fates_of(fence.submission),
-            });
-            for (old_session, link) in &self.links {
-                if old_owners.contains(&link.gateway) {
-                    superseded.entry(*old_session).or_default().push(*fence);
-                }
-            }
-        }
-        self.send(now, session, FromAgentBody::Recovered(answers), effects);
-        for (session, fences) in superseded {
-            self.send(now, session, FromAgentBody::Superseded(fences), effects);
-        }
-    }
-
-    fn cancel(
-        &mut self,
-        session: SessionId,
-        submissions: &[SubmissionId],
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let Some(gateway) = self.links.get(&session).map(|link| link.gateway) else {
-            return;
-        };
-        for submission in submissions {
-            for dispatch in self.records.cancel(*submission, gateway) {
-                effects.push(AgentEffect::Abort(dispatch));
-            }
-        }
-    }
-
     /// Puts a newer revision in force; an older one is ignored.
     fn adopt(
         &mut self,
@@ -525,116 +442,6 @@
         }
     }
 
-    /// Sessions of gateways that wait for reports and got none lately.
-    fn heartbeats_due(&self, now: Timestamp) -> Vec<SessionId> {
-        // Whether a young agent may take a job hangs on a fresh report.
-        let is_young = now.since(self.member_since) < YOUTH;
-        let is_busy =
-            |link: &Link| is_young || link.waiting || self.records.has_work_of(link.gateway);
-        self.links
-            .iter()
-            .filter(|(_, link)| is_busy(link) && now.since(link.last_sent) >= BUSY_HEARTBEAT)
-            .map(|(session, _)| *session)
-            .collect()
-    }
-
-    fn send_revision(
-        &mut self,
-        now: Timestamp,
-        session: SessionId,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        if let Some(revision) = self.revision.clone() {
-            self.send(now, session, FromAgentBody::Revision(revision), effects);
-        }
-    }
-
-    /// Slots that may be filled now.
-    fn free_slots(&self, now: Timestamp) -> u32 {
-        if self.is_draining() || now < self.backend_down_until {
-            return 0;
-        }
-        self.slots.saturating_sub(self.records.running())
-    }
-
-    fn report(&self, now: Timestamp, link: &Link) -> SlotReport {
-        let contested = self.links.values().any(|link| link.waiting);
-        let free = if contested && !link.offered {
-            0
-        } else {
-            self.free_slots(now)
-        };
-        SlotReport {
-            clock: now,
-            revision: self.revision_number(),
-            free,
-            processed: link.processed,
-            draining: self.is_draining(),
-            member_since: self.member_since,
-        }
-    }
-
-    /// Where gateways wait for slots, offers the free ones to the gateway
-    /// that has the fewest tasks here.
-    fn choose_offer(&mut self) {
-        if !self.links.values().any(|link| link.waiting) {
-            return;
-        }
-        let records = &self.records;
-        let chosen = self
-            .links
-            .iter()
-            .filter(|(_, link)| link.waiting)
-            .min_by_key(|(_, link)| records.work_of(link.gateway))
-            .map(|(session, _)| *session);
-        for (session, link) in &mut self.links {
-            link.offered = Some(*session) == chosen;
-        }
-    }
-
-    fn flush_link(&mut self, now: Timestamp, session: SessionId, effects: &mut Vec<AgentEffect>) {
-        let free = self.free_slots(now);
-        let Some(link) = self.links.get_mut(&session) else {
-            return;
-        };
-        let results = std::mem::take(&mut link.results);
-        let refused = std::mem::take(&mut link.refused);
-        let offer = link.waiting && link.offered && free > 0;
-        if offer {
-            link.waiting = false;
-        }
-        let quiet = results.is_empty() && refused.is_empty();
-        if !refused.is_empty() {
-            self.send(now, session, FromAgentBody::NotStarted(refused), effects);
-        }
-        if !results.is_empty() {
-            self.send(now, session, FromAgentBody::Results(results), effects);
-        }
-        if offer && quiet {
-            self.send(now, session, FromAgentBody::Heartbeat, effects);
-        }
-    }
-
-    fn send(
-        &mut self,
-        now: Timestamp,
-        session: SessionId,
-        body: FromAgentBody,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let Some(link) = self.links.get(&session) else {
-            return;
-        };
-        let report = self.report(now, link);
-        effects.push(AgentEffect::Send {
-            session,
-            message: FromAgent { report, body },
-        });
-        if let Some(link) = self.links.get_mut(&session) {
-            link.last_sent = now;
-        }
-    }
-
     fn link_of(&mut self, gateway: Incarnation) -> Option<&mut Link> {
         self.links.values_mut().find(|link| link.gateway == gateway)
     }
--- /dev/null
+++ b/laurelstile-core/src/agent/outgoing.rs
@@ -0,0 +1,141 @@
+//! What an agent sends: reports, offers, results.
+
+use laurelstile_types::time::Timestamp;
+
+use super::{ANSWER_PAUSE, Agent, AgentEffect, BUSY_HEARTBEAT, Link, YOUTH};
+use crate::messages::agent::{FromAgent, FromAgentBody, SlotReport};
+use crate::session::SessionId;
+
+impl Agent {
+    /// An idle agent says nothing by itself: it is asked when a gateway needs a
+    /// fresh report, or wants to know whether the session lives.
+    pub(super) fn answer_heartbeat(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let is_due = self
+            .links
+            .get(&session)
+            .is_some_and(|link| now.since(link.last_sent) >= ANSWER_PAUSE);
+        if is_due {
+            self.send(now, session, FromAgentBody::Heartbeat, effects);
+        }
+    }
+
+    /// Sessions of gateways that wait for reports and got none lately.
+    pub(super) fn heartbeats_due(&self, now: Timestamp) -> Vec<SessionId> {
+        // Whether a young agent may take a job hangs on a fresh report.
+        let is_young = now.since(self.member_since) < YOUTH;
+        let is_busy =
+            |link: &Link| is_young || link.waiting || self.records.has_work_of(link.gateway);
+        self.links
+            .iter()
+            .filter(|(_, link)| is_busy(link) && now.since(link.last_sent) >= BUSY_HEARTBEAT)
+            .map(|(session, _)| *session)
+            .collect()
+    }
+
+    pub(super) fn send_revision(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if let Some(revision) = self.revision.clone() {
+            self.send(now, session, FromAgentBody::Revision(revision), effects);
+        }
+    }
+
+    /// Slots that may be filled now.
+    pub(super) fn free_slots(&self, now: Timestamp) -> u32 {
+        if self.is_draining() || now < self.backend_down_until {
+            return 0;
+        }
+        self.slots.saturating_sub(self.records.running())
+    }
+
+    pub(super) fn report(&self, now: Timestamp, link: &Link) -> SlotReport {
+        let contested = self.links.values().any(|link| link.waiting);
+        let free = if contested && !link.offered {
+            0
+        } else {
+            self.free_slots(now)
+        };
+        SlotReport {
+            clock: now,
+            revision: self.revision_number(),
+            free,
+            processed: link.processed,
+            draining: self.is_draining(),
+            member_since: self.member_since,
+        }
+    }
+
+    /// Where gateways wait for slots, offers the free ones to the gateway
+    /// that has the fewest tasks here.
+    pub(super) fn choose_offer(&mut self) {
+        if !self.links.values().any(|link| link.waiting) {
+            return;
+        }
+        let records = &self.records;
+        let chosen = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.waiting)
+            .min_by_key(|(_, link)| records.work_of(link.gateway))
+            .map(|(session, _)| *session);
+        for (session, link) in &mut self.links {
+            link.offered = Some(*session) == chosen;
+        }
+    }
+
+    pub(super) fn flush_link(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let free = self.free_slots(now);
+        let Some(link) = self.links.get_mut(&session) else {
+            return;
+        };
+        let results = std::mem::take(&mut link.results);
+        let refused = std::mem::take(&mut link.refused);
+        let offer = link.waiting && link.offered && free > 0;
+        if offer {
+            link.waiting = false;
+        }
+        let quiet = results.is_empty() && refused.is_empty();
+        if !refused.is_empty() {
+            self.send(now, session, FromAgentBody::NotStarted(refused), effects);
+        }
+        if !results.is_empty() {
+            self.send(now, session, FromAgentBody::Results(results), effects);
+        }
+        if offer && quiet {
+            self.send(now, session, FromAgentBody::Heartbeat, effects);
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        body: FromAgentBody,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(link) = self.links.get(&session) else {
+            return;
+        };
+        let report = self.report(now, link);
+        effects.push(AgentEffect::Send {
+            session,
+            message: FromAgent { report, body },
+        });
+        if let Some(link) = self.links.get_mut(&session) {
+            link.last_sent = now;
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/scheduler/delegations.rs
@@ -0,0 +1,117 @@
+//! Delegations: their deadlines, and what their entry gateways say of them.
+
+use std::collections::BTreeSet;
+
+use laurelstile_types::id::{Incarnation, SubmissionId};
+use laurelstile_types::outcome::Reason;
+use laurelstile_types::time::Timestamp;
+
+use super::super::links::Links;
+use super::{SEND_BACK_AFTER, Scheduler, release};
+use crate::messages::peer::{DelegationEnd, DelegationKey, DelegationOutcome};
+
+impl Scheduler {
+    /// Fails the jobs whose deadline has passed.
+    pub fn expire(&mut self, now: Timestamp, links: &mut Links) {
+        while let Some((deadline, submission)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            self.fail(submission, Reason::DeadlineExceeded, links);
+        }
+    }
+
+    /// Sends back the jobs of which nothing was sent out and that no agent
+    /// takes, since all joined the pool after the delegation. A new delegation
+    /// of them is younger than those agents.
+    pub fn send_back_too_old(&mut self, now: Timestamp, links: &mut Links) {
+        let too_old: Vec<SubmissionId> = self
+            .jobs
+            .values()
+            .filter(|job| job.touched.is_empty() && job.delegated.is_some())
+            .filter(|job| links.all_younger(&job.pool, job.delegated.unwrap_or_default()))
+            .filter(|job| now.since(job.arrival) > SEND_BACK_AFTER)
+            .map(|job| job.key.submission)
+            .collect();
+        for submission in too_old {
+            if let Some(job) = self.remove(submission, links) {
+                let end = DelegationEnd {
+                    key: job.key,
+                    outcome: DelegationOutcome::SentBack,
+                };
+                self.tell(job.entry, end, job.touched);
+            }
+        }
+    }
+
+    /// The entry gateway has given a delegation up: stop it.
+    pub fn withdraw(&mut self, key: DelegationKey, links: &mut Links) {
+        if self.jobs.get(&key.submission).map(|job| job.key) == Some(key) {
+            self.cancel_running(key.submission, links);
+            if let Some(job) = self.remove(key.submission, links) {
+                release(key.submission, &job.touched, links);
+            }
+        }
+        self.acknowledge(key.submission, links);
+    }
+
+    /// The entry gateway has the end of a job: agents may forget it.
+    pub fn acknowledge(&mut self, submission: SubmissionId, links: &mut Links) {
+        if let Some(ended) = self.ended.remove(&submission) {
+            release(submission, &ended.touched, links);
+        }
+    }
+
+    /// Another gateway has taken over older delegations than `fence`.
+    pub fn supersede(&mut self, fence: DelegationKey, links: &mut Links) {
+        let current = self.jobs.get(&fence.submission).map(|job| job.key);
+        if current.is_some_and(|key| key.delegation < fence.delegation) {
+            self.forget_everywhere(fence.submission, links);
+        }
+    }
+
+    /// Forgets the jobs of `entry` that are not among `kept`, since that
+    /// gateway has recovered or given up the others.
+    pub fn keep_only(
+        &mut self,
+        entry: Incarnation,
+        kept: &BTreeSet<DelegationKey>,
+        links: &mut Links,
+    ) {
+        for key in self.keys_of(entry) {
+            if !kept.contains(&key) {
+                self.forget_everywhere(key.submission, links);
+            }
+        }
+        self.ended
+            .retain(|_, ended| ended.entry != entry || kept.contains(&ended.end.key));
+    }
+
+    /// The entry gateway is gone: nobody waits for its jobs. Agents are not
+    /// told to forget what they started, since the gateway may yet be alive.
+    pub fn on_entry_lost(&mut self, entry: Incarnation, links: &mut Links) {
+        for key in self.keys_of(entry) {
+            self.cancel_running(key.submission, links);
+            self.forget_everywhere(key.submission, links);
+        }
+        self.ended.retain(|_, ended| ended.entry != entry);
+    }
+
+    /// Ends that `entry` has not acknowledged.
+    pub fn unacknowledged(&self, entry: Incarnation) -> Vec<DelegationEnd> {
+        self.ended
+            .values()
+            .filter(|ended| ended.entry == entry)
+            .map(|ended| ended.end.clone())
+            .collect()
+    }
+
+    pub(super) fn keys_of(&self, entry: Incarnation) -> Vec<DelegationKey> {
+        self.jobs
+            .values()
+            .filter(|job| job.entry == entry)
+            .map(|job| job.key)
+            .collect()
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/scheduler/mod.rs
@@ -0,0 +1,371 @@
+//! The scheduler of a pool: holds delegated jobs, sends their tasks to free
+//! slots in the order of the queue, and gathers whole answers.
+
+mod delegations;
+mod tasks;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::configuration::Configuration;
+use laurelstile_types::id::{
+    ClassName, DispatchId, Incarnation, PoolName, ServiceName, SubmissionId, TenantName,
+};
+use laurelstile_types::outcome::{Failure, Reason, RunState};
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::job::{ClassMean, Job};
+use super::links::{LinkIndex, Links};
+use super::queue::{Order, Queue};
+use crate::messages::peer::{Delegation, DelegationEnd, DelegationKey, DelegationOutcome};
+
+/// How long a job waits before it is sent back as too old for every agent.
+const SEND_BACK_AFTER: Span = Span::from_millis(200);
+
+/// Where a delegation comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct Origin {
+    /// Incarnation of the entry gateway.
+    pub entry: Incarnation,
+    /// A time, on this gateway's clock, not later than that of the delegation;
+    /// `None` for a job of this gateway's own.
+    pub delegated: Option<Timestamp>,
+}
+
+/// A job whose end the entry gateway has not acknowledged.
+#[derive(Debug)]
+struct Ended {
+    entry: Incarnation,
+    end: DelegationEnd,
+    touched: BTreeSet<LinkIndex>,
+}
+
+/// An end that is to be told to an entry gateway.
+#[derive(Debug)]
+pub struct EndFor {
+    /// Incarnation of the entry gateway.
+    pub entry: Incarnation,
+    /// The end.
+    pub end: DelegationEnd,
+}
+
+/// The jobs that this gateway schedules.
+#[derive(Debug)]
+pub struct Scheduler {
+    order: Order,
+    queues: BTreeMap<PoolName, Queue>,
+    jobs: BTreeMap<SubmissionId, Job>,
+    deadlines: BTreeSet<(Timestamp, SubmissionId)>,
+    ended: BTreeMap<SubmissionId, Ended>,
+    means: BTreeMap<(ServiceName, ClassName), ClassMean>,
+    ends: Vec<EndFor>,
+    late_results: u64,
+}
+
+impl Scheduler {
+    /// A scheduler without jobs.
+    pub fn new(order: Order) -> Self {
+        Self {
+            order,
+            queues: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            ended: BTreeMap::new(),
+            means: BTreeMap::new(),
+            ends: Vec::new(),
+            late_results: 0,
+        }
+    }
+
+    /// Takes over the capacity of the pools of a new configuration.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        for pool in &configuration.pools {
+            let slots = pool.slots();
+            let queue = self.queue(&pool.name, slots);
+            queue.set_slots(slots);
+            for tenant in &configuration.tenants {
+                queue.set_quota(&tenant.name, tenant.quota_slots);
+            }
+        }
+    }
+
+    /// Takes over the slots that are in service, by which waiting times are
+    /// estimated. A pool without any keeps the number that it had.
+    pub fn set_slots_in_service(&mut self, slots: &BTreeMap<PoolName, u32>) {
+        for (pool, slots) in slots {
+            if let Some(queue) = self.queues.get_mut(pool) {
+                queue.set_slots(*slots);
+            }
+        }
+    }
+
+    /// Jobs that are not ended.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Tasks that wait in all queues.
+    pub fn queued_tasks(&self) -> u64 {
+        self.queues
+            .values()
+            .map(|queue| u64::from(queue.queued_tasks()))
+            .sum()
+    }
+
+    /// Tasks that wait, by pool.
+    pub fn waiting(&self) -> Vec<(PoolName, u32)> {
+        self.queues
+            .iter()
+            .filter(|(_, queue)| queue.queued_tasks() > 0)
+            .map(|(pool, queue)| (pool.clone(), queue.queued_tasks()))
+            .collect()
+    }
+
+    /// Results that came for jobs that were over.
+    pub fn late_results(&self) -> u64 {
+        self.late_results
+    }
+
+    /// Whether that very delegation is here, ended or not.
+    pub fn has(&self, key: DelegationKey) -> bool {
+        let running = self.jobs.get(&key.submission).map(|job| job.key);
+        let ended = self.ended.get(&key.submission).map(|ended| ended.end.key);
+        running == Some(key) || ended == Some(key)
+    }
+
+    /// Whether a task of `submission` is unresolved here.
+    pub fn runs(&self, dispatch: DispatchId) -> bool {
+        self.jobs
+            .get(&dispatch.submission)
+            .is_some_and(|job| job.runs(dispatch))
+    }
+
+    /// Takes a job in, whole or not at all.
+    ///
+    /// # Errors
+    /// Why it is refused; nothing of it was or will be started.
+    pub fn accept(
+        &mut self,
+        now: Timestamp,
+        origin: Origin,
+        delegation: Delegation,
+        configuration: &Configuration,
+        links: &mut Links,
+    ) -> Result<(), Failure> {
+        // An older delegation of the same submission has been recovered.
+        self.forget_everywhere(delegation.key.submission, links);
+        let task_mean = self.task_mean(configuration, &delegation.service, &delegation.class);
+        let weight = configuration
+            .tenant(&delegation.tenant)
+            .map_or(1, |tenant| tenant.weight);
+        let job = Job {
+            key: delegation.key,
+            entry: origin.entry,
+            pool: delegation.pool,
+            service: delegation.service,
+            class: delegation.class,
+            tenant: delegation.tenant,
+            weight,
+            arrival: now,
+            delegated: origin.delegated,
+            deadline: now.after(delegation.time_left),
+            task_mean,
+            task_count: delegation.tasks.len(),
+            waiting: delegation.tasks.into(),
+            running: BTreeMap::new(),
+            outputs: Vec::new(),
+            touched: BTreeSet::new(),
+            place: None,
+        };
+        // A recovered submission was admitted before.
+        let is_first = job.key.delegation == FIRST_DELEGATION;
+        if is_first {
+            self.admit(&job, delegation.time_left, configuration)?;
+        }
+        let submission = job.key.submission;
+        self.deadlines.insert((job.deadline, submission));
+        self.enqueue_tasks(&job.pool, &job.tenant, job.waiting.len(), job.task_mean);
+        self.jobs.insert(submission, job);
+        self.replace(submission);
+        Ok(())
+    }
+
+    fn admit(
+        &self,
+        job: &Job,
+        time_left: Span,
+        configuration: &Configuration,
+    ) -> Result<(), Failure> {
+        let (Some(queue), Some(pool)) = (self.queues.get(&job.pool), configuration.pool(&job.pool))
+        else {
+            return Err(Failure::not_run(Reason::NoConfiguration));
+        };
+        let tasks = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
+        let refuse = |reason| {
+            let mut failure = Failure::not_run(reason);
+            failure.retry_after_millis = Some(queue.backlog().as_millis().max(1));
+            Err(failure)
+        };
+        if queue.queued_tasks().saturating_add(tasks) > pool.max_queued_tasks {
+            return refuse(Reason::Overloaded);
+        }
+        let limit = configuration
+            .tenant(&job.tenant)
+            .map_or(0, |tenant| tenant.max_queued_tasks);
+        if queue.queued_tasks_of(&job.tenant).saturating_add(tasks) > limit {
+            return refuse(Reason::TenantOverQuota);
+        }
+        let place = queue.place(job.claim());
+        let before = queue.backlog_before(place, |submission| {
+            self.jobs
+                .get(&submission)
+                .map_or(Span::default(), Job::remaining)
+        });
+        let own = Span(job.remaining().0 / u64::from(queue.slots())).max(job.task_mean);
+        if before.0 + own.0 > time_left.0 {
+            return refuse(Reason::DeadlineUnreachable);
+        }
+        Ok(())
+    }
+
+    /// Takes the ends that are to be told.
+    pub fn take_ends(&mut self) -> Vec<EndFor> {
+        std::mem::take(&mut self.ends)
+    }
+
+    fn queue(&mut self, pool: &PoolName, slots: u32) -> &mut Queue {
+        let order = self.order;
+        self.queues
+            .entry(pool.clone())
+            .or_insert_with(|| Queue::new(order, slots))
+    }
+
+    fn enqueue_tasks(&mut self, pool: &PoolName, tenant: &TenantName, tasks: usize, mean: Span) {
+        let work = Span(mean.0 * tasks as u64);
+        let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+        if let Some(queue) = self.queues.get_mut(pool) {
+            queue.add_tasks(tenant, tasks, work);
+        }
+    }
+
+    /// Puts a job at the place that its remaining work gives.
+    fn replace(&mut self, submission: SubmissionId) {
+        let Some(job) = self.jobs.get_mut(&submission) else {
+            return;
+        };
+        let Some(queue) = self.queues.get_mut(&job.pool) else {
+            return;
+        };
+        if let Some(place) = job.place.take() {
+            queue.remove(&job.tenant, place, submission);
+        }
+        if !job.waiting.is_empty() {
+            let place = queue.place(job.claim());
+            queue.insert(&job.tenant, place, submission);
+            job.place = Some(place);
+        }
+    }
+
+    fn complete(&mut self, submission: SubmissionId) {
+        let Some(job) = self.jobs.remove(&submission) else {
+            return;
+        };
+        self.deadlines.remove(&(job.deadline, submission));
+        let end = DelegationEnd {
+            key: job.key,
+            outcome: DelegationOutcome::Complete(job.outputs),
+        };
+        self.tell(job.entry, end, job.touched);
+    }
+
+    fn fail(&mut self, submission: SubmissionId, reason: Reason, links: &mut Links) {
+        let Some(job) = self.jobs.get(&submission) else {
+            return;
+        };
+        let failure = if job.outputs.is_empty() && job.running.is_empty() {
+            Failure::not_run(reason)
+        } else {
+            Failure::may_have_run(reason)
+        };
+        self.end_with(submission, failure, links);
+    }
+
+    fn fail_after_run(&mut self, submission: SubmissionId, reason: Reason, links: &mut Links) {
+        self.end_with(submission, Failure::may_have_run(reason), links);
+    }
+
+    fn end_with(&mut self, submission: SubmissionId, failure: Failure, links: &mut Links) {
+        self.cancel_running(submission, links);
+        let Some(job) = self.remove(submission, links) else {
+            return;
+        };
+        debug_assert!(failure.run_state == RunState::MayHaveRun || job.outputs.is_empty());
+        let end = DelegationEnd {
+            key: job.key,
+            outcome: DelegationOutcome::Failed(failure),
+        };
+        self.tell(job.entry, end, job.touched);
+    }
+
+    fn tell(&mut self, entry: Incarnation, end: DelegationEnd, touched: BTreeSet<LinkIndex>) {
+        self.ends.push(EndFor {
+            entry,
+            end: end.clone(),
+        });
+        let ended = Ended {
+            entry,
+            end,
+            touched,
+        };
+        self.ended.insert(ended.end.key.submission, ended);
+    }
+
+    /// Asks the agents to stop what runs of a job.
+    fn cancel_running(&mut self, submission: SubmissionId, links: &mut Links) {
+        let Some(job) = self.jobs.get(&submission) else {
+            return;
+        };
+        let at: BTreeSet<LinkIndex> = job.running.values().map(|running| running.link).collect();
+        for link in at {
+            links.get_mut(link).cancel.push(submission);
+        }
+    }
+
+    /// Takes a job out of every list, without an end.
+    fn remove(&mut self, submission: SubmissionId, links: &mut Links) -> Option<Job> {
+        let job = self.jobs.remove(&submission)?;
+        self.deadlines.remove(&(job.deadline, submission));
+        if let Some(queue) = self.queues.get_mut(&job.pool) {
+            if let Some(place) = job.place {
+                queue.remove(&job.tenant, place, submission);
+            }
+            let waiting = u32::try_from(job.waiting.len()).unwrap_or(u32::MAX);
+            queue.remove_tasks(&job.tenant, waiting, job.remaining());
+            for _ in &job.running {
+                queue.vacate(&job.tenant);
+            }
+        }
+        for (task, running) in &job.running {
+            let dispatch = DispatchId {
+                submission,
+                task: *task,
+                delegation: job.key.delegation,
+            };
+            links.get_mut(running.link).unresolved.remove(&dispatch);
+        }
+        Some(job)
+    }
+
+    fn forget_everywhere(&mut self, submission: SubmissionId, links: &mut Links) {
+        self.remove(submission, links);
+        self.ended.remove(&submission);
+    }
+}
+
+/// Number of the first delegation of every submission.
+pub const FIRST_DELEGATION: u32 = 1;
+
+fn release(submission: SubmissionId, touched: &BTreeSet<LinkIndex>, links: &mut Links) {
+    for link in touched {
+        links.get_mut(*link).release.push(submission);
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/gateway/scheduler/tasks.rs
@@ -0,0 +1,260 @@
+//! Tasks: which goes where, and what becomes of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::configuration::Configuration;
+use laurelstile_types::id::{ClassName, DispatchId, PoolName, ServiceName, SubmissionId};
+use laurelstile_types::outcome::Reason;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::job::{ClassMean, Running};
+use super::super::links::{Link, LinkIndex, Links};
+use super::Scheduler;
+use crate::messages::agent::{Fate, NotStartedReason, StartTask, TaskOutcome};
+use crate::messages::peer::{DelegatedTask, TaskOutput};
+
+impl Scheduler {
+    /// Chooses tasks for free slots, best job first, best agent first.
+    pub fn dispatch(
+        &mut self,
+        now: Timestamp,
+        links: &mut Links,
+    ) -> BTreeMap<LinkIndex, Vec<StartTask>> {
+        let mut starts: BTreeMap<LinkIndex, Vec<StartTask>> = BTreeMap::new();
+        for (pool, _) in self.waiting() {
+            let mut passed_over = BTreeSet::new();
+            while let Some(link) = links.preferred(&pool, &passed_over) {
+                let Some(submission) = self.next_for(now, &pool, links.get(link)) else {
+                    passed_over.insert(link);
+                    continue;
+                };
+                match self.start_next(now, submission, link, links) {
+                    Some(task) => starts.entry(link).or_default().push(task),
+                    None => self.fail(submission, Reason::DeadlineExceeded, links),
+                }
+            }
+        }
+        starts
+    }
+
+    /// The job whose task goes next to an agent.
+    pub(super) fn next_for(
+        &self,
+        now: Timestamp,
+        pool: &PoolName,
+        link: &Link,
+    ) -> Option<SubmissionId> {
+        let queue = self.queues.get(pool)?;
+        queue.next(|submission| {
+            self.jobs
+                .get(&submission)
+                .is_some_and(|job| link.takes(job.age(now)))
+        })
+    }
+
+    /// Takes the job's next task for a slot of `link`; `None` past the
+    /// deadline, after which no task may start.
+    pub(super) fn start_next(
+        &mut self,
+        now: Timestamp,
+        submission: SubmissionId,
+        link: LinkIndex,
+        links: &mut Links,
+    ) -> Option<StartTask> {
+        let job = self.jobs.get_mut(&submission)?;
+        if now >= job.deadline {
+            return None;
+        }
+        let task = job.waiting.pop_front()?;
+        let dispatch = DispatchId {
+            submission,
+            task: task.index,
+            delegation: job.key.delegation,
+        };
+        let running = Running {
+            link,
+            input: task.input.clone(),
+        };
+        job.running.insert(task.index, running);
+        job.touched.insert(link);
+        let start = StartTask {
+            dispatch,
+            service: job.service.clone(),
+            class: job.class.clone(),
+            age: job.age(now),
+            time_left: job.deadline.since(now),
+            input: task.input,
+        };
+        if let Some(queue) = self.queues.get_mut(&job.pool) {
+            queue.remove_tasks(&job.tenant, 1, job.task_mean);
+            queue.occupy(&job.tenant);
+        }
+        self.replace(submission);
+        let agent = links.get_mut(link);
+        agent.unresolved.insert(dispatch);
+        agent.sent += 1;
+        links.refresh(now, link);
+        Some(start)
+    }
+
+    /// A task has ended.
+    pub fn on_end_of_task(
+        &mut self,
+        now: Timestamp,
+        dispatch: DispatchId,
+        run: Span,
+        outcome: TaskOutcome,
+        links: &mut Links,
+    ) {
+        let Some(link) = self.vacate(dispatch, links) else {
+            self.late_results += 1;
+            return;
+        };
+        let submission = dispatch.submission;
+        match outcome {
+            TaskOutcome::Output(output) => {
+                self.learn(submission, link, run, links);
+                let Some(job) = self.jobs.get_mut(&submission) else {
+                    return;
+                };
+                job.outputs.push(TaskOutput {
+                    index: dispatch.task,
+                    output,
+                });
+                if job.outputs.len() == job.task_count {
+                    self.complete(submission);
+                }
+            }
+            TaskOutcome::Failed => self.fail_after_run(submission, Reason::TaskFailed, links),
+            TaskOutcome::Unknown | TaskOutcome::Cancelled | TaskOutcome::OutputLost => {
+                self.fail_after_run(submission, Reason::WorkerLost, links);
+            }
+        }
+        links.refresh(now, link);
+    }
+
+    /// A dispatch was proved not to have been started.
+    pub fn on_not_started(
+        &mut self,
+        now: Timestamp,
+        dispatch: DispatchId,
+        reason: NotStartedReason,
+        links: &mut Links,
+    ) {
+        match reason {
+            NotStartedReason::Fenced => {
+                let current = self.jobs.get(&dispatch.submission).map(|job| job.key);
+                if current.is_some_and(|key| key.delegation == dispatch.delegation) {
+                    self.forget_everywhere(dispatch.submission, links);
+                }
+            }
+            NotStartedReason::Duplicate => {
+                self.vacate(dispatch, links);
+                self.fail_after_run(dispatch.submission, Reason::WorkerLost, links);
+            }
+            NotStartedReason::Full
+            | NotStartedReason::Draining
+            | NotStartedReason::StaleRevision
+            | NotStartedReason::StaleSender
+            | NotStartedReason::OlderThanAgent
+            | NotStartedReason::BackendUnreachable => self.requeue(now, dispatch, links),
+        }
+    }
+
+    /// The fate of a dispatch of an earlier session is known.
+    pub fn on_fate(&mut self, now: Timestamp, dispatch: DispatchId, fate: Fate, links: &mut Links) {
+        match fate {
+            Fate::Running => {}
+            Fate::NeverReceived => self.requeue(now, dispatch, links),
+            Fate::Finished {
+                run_micros,
+                outcome,
+            } => self.on_end_of_task(now, dispatch, Span(run_micros), outcome, links),
+        }
+    }
+
+    /// An agent's incarnation is gone: what it had cannot be known any more.
+    pub fn on_agent_lost(&mut self, link: LinkIndex, links: &mut Links) {
+        let unresolved = std::mem::take(&mut links.get_mut(link).unresolved);
+        let submissions: BTreeSet<SubmissionId> = unresolved
+            .iter()
+            .map(|dispatch| dispatch.submission)
+            .collect();
+        for submission in submissions {
+            self.fail_after_run(submission, Reason::WorkerLost, links);
+        }
+    }
+
+    /// Notes that a dispatch is resolved; gives its link if the job is here.
+    pub(super) fn vacate(&mut self, dispatch: DispatchId, links: &mut Links) -> Option<LinkIndex> {
+        let job = self.jobs.get_mut(&dispatch.submission)?;
+        if !job.runs(dispatch) {
+            return None;
+        }
+        let running = job.running.remove(&dispatch.task)?;
+        links.get_mut(running.link).unresolved.remove(&dispatch);
+        if let Some(queue) = self.queues.get_mut(&job.pool) {
+            queue.vacate(&job.tenant);
+        }
+        Some(running.link)
+    }
+
+    pub(super) fn requeue(&mut self, now: Timestamp, dispatch: DispatchId, links: &mut Links) {
+        let submission = dispatch.submission;
+        let input = self
+            .jobs
+            .get(&submission)
+            .filter(|job| job.runs(dispatch))
+            .and_then(|job| job.running.get(&dispatch.task))
+            .map(|running| running.input.clone());
+        let (Some(input), Some(link)) = (input, self.vacate(dispatch, links)) else {
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(&submission) {
+            job.waiting.push_front(DelegatedTask {
+                index: dispatch.task,
+                input,
+            });
+            let (pool, tenant, mean) = (job.pool.clone(), job.tenant.clone(), job.task_mean);
+            self.enqueue_tasks(&pool, &tenant, 1, mean);
+        }
+        self.replace(submission);
+        links.refresh(now, link);
+    }
+
+    pub(super) fn task_mean(
+        &self,
+        configuration: &Configuration,
+        service: &ServiceName,
+        class: &ClassName,
+    ) -> Span {
+        if let Some(mean) = self.means.get(&(service.clone(), class.clone())) {
+            return mean.span();
+        }
+        configuration
+            .service(service)
+            .and_then(|service| service.class(class))
+            .map_or(Span::from_millis(1), |class| {
+                Span::from_millis(class.expected_millis)
+            })
+    }
+
+    pub(super) fn learn(
+        &mut self,
+        submission: SubmissionId,
+        link: LinkIndex,
+        run: Span,
+        links: &mut Links,
+    ) {
+        let Some(job) = self.jobs.get(&submission) else {
+            return;
+        };
+        let key = (job.service.clone(), job.class.clone());
+        let mean = self
+            .means
+            .entry(key)
+            .or_insert_with(|| ClassMean::from(job.task_mean));
+        mean.learn(run);
+        links.get_mut(link).note_run(run, mean.span());
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -0,0 +1,205 @@
+//! What goes into an agent's machine and what comes out of it.
+
+use std::sync::Arc;
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
+
+use super::super::messages::{EndKind, FromAgent, Member, ToAgent};
+use super::super::task::RunId;
+use super::worker::{FenceToken, OrderFailure, Registration, Rejection, WorkerClock, WorkerLists};
+use crate::session::SessionId;
+
+/// What happens to an agent.
+#[derive(Debug)]
+pub enum AgentEvent {
+    /// A session to a gateway is open.
+    Opened {
+        /// The session.
+        session: SessionId,
+        /// Incarnation of the gateway.
+        gateway: Incarnation,
+    },
+    /// A session is closed.
+    Closed {
+        /// The session.
+        session: SessionId,
+    },
+    /// The process that `gateway` was has ended: its host refused a connection.
+    GatewayEnded {
+        /// Incarnation of the gateway.
+        gateway: Incarnation,
+    },
+    /// A message came.
+    Message {
+        /// Session on which it came.
+        session: SessionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// The worker has registered, or sent a heartbeat.
+    Registered(Registration),
+    /// What an earlier agent here was told last; the worker may have a new life
+    /// since.
+    Recalled(Registration),
+    /// A life of the worker has ended in an orderly way.
+    Deregistered {
+        /// The life.
+        life: String,
+    },
+    /// A start was answered, or not.
+    StartAnswered {
+        /// The run.
+        run: RunId,
+        /// Life that the order was for.
+        life: Arc<str>,
+        /// The answer.
+        answer: Result<OrderAnswer, OrderFailure>,
+    },
+    /// A stop was answered, or not.
+    StopAnswered {
+        /// The run.
+        run: RunId,
+        /// Life that the order was for.
+        life: Arc<str>,
+        /// The answer.
+        answer: Result<OrderAnswer, OrderFailure>,
+    },
+    /// The worker's lists came, or did not.
+    Watched {
+        /// Life that was asked.
+        life: Arc<str>,
+        /// The answer.
+        answer: Result<WatchAnswer, OrderFailure>,
+    },
+    /// The process is asked to stop in a planned way.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// A worker's answer to a start or stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderAnswer {
+    /// The worker's clock, if the answer tells it.
+    pub clock: Option<WorkerClock>,
+    /// Why nothing was done; `None` if it was done.
+    pub rejection: Option<Rejection>,
+}
+
+/// A worker's answer to a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchAnswer {
+    /// The worker's clock, if the answer tells it.
+    pub clock: Option<WorkerClock>,
+    /// Its lists, or why there are none.
+    pub lists: Result<WorkerLists, Rejection>,
+}
+
+/// Orders for the worker, all of one life and with one token.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Life of the worker that is meant.
+    pub life: Arc<str>,
+    /// The agent's token.
+    pub token: FenceToken,
+    /// What is ordered.
+    pub kind: OrderKind,
+}
+
+/// An order for the worker.
+#[derive(Clone, Debug)]
+pub enum OrderKind {
+    /// Start a run.
+    Start {
+        /// The run.
+        run: RunId,
+        /// Input of its job.
+        input: Arc<str>,
+        /// End of the lease, on the worker's clock.
+        lease_until: WorkerClock,
+    },
+    /// Stop a run, and never start it.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+    /// Renew the lease of everything, and wait for an end.
+    Watch {
+        /// Highest number of an end that was taken in.
+        last_seen: u64,
+        /// End of the lease on the worker's clock, if it is to be renewed.
+        lease_until: Option<WorkerClock>,
+        /// How long the worker may wait for an end.
+        wait: Span,
+    },
+}
+
+/// What an agent wants done.
+#[derive(Debug)]
+pub enum AgentEffect {
+    /// Send a message.
+    Send {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: FromAgent,
+    },
+    /// Close a session.
+    Close(SessionId),
+    /// Give the worker an order; an event with its answer must follow.
+    Order(Order),
+    /// A gateway told of the gateways that it knows.
+    Members(Vec<Member>),
+    /// Something was decided that operators may want to know.
+    Decided(AgentDecision),
+    /// Nothing runs any more; the process may exit.
+    Stopped,
+}
+
+/// A decision of the agent, for the logs.
+#[derive(Clone, Debug)]
+pub enum AgentDecision {
+    /// A worker's life is under this agent's control.
+    InControl {
+        /// The life.
+        life: Arc<str>,
+        /// The token.
+        token: FenceToken,
+    },
+    /// A worker's life is over.
+    LifeOver {
+        /// The life.
+        life: Arc<str>,
+        /// Runs that ended with it.
+        runs: usize,
+    },
+    /// The worker drains.
+    Draining {
+        /// The life.
+        life: Arc<str>,
+    },
+    /// The worker does not answer.
+    WorkerSilent {
+        /// The life.
+        life: Arc<str>,
+    },
+    /// A run is being stopped for a reason of the agent's own.
+    Stopping {
+        /// The run.
+        run: RunId,
+        /// Why.
+        reason: &'static str,
+        /// Age of the owner's echo.
+        echo_age: Span,
+        /// The run's progress in percent.
+        percent: u32,
+    },
+    /// A task did not start, or ended in another way than done.
+    Ended {
+        /// The run.
+        run: RunId,
+        /// How.
+        how: EndKind,
+    },
+}
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -2,8 +2,10 @@
 //! alone decides what starts; it renews the leases of what runs, and ends what
 //! nobody answers for.
 
+pub mod events;
 mod health;
 mod ledger;
+mod lives;
 mod outgoing;
 mod owner;
 mod starting;
@@ -16,211 +18,17 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::messages::{EndKind, FromAgent, Member, NotStartedReason, ToAgent, ToAgentBody};
+use super::messages::{EndKind, NotStartedReason, ToAgent, ToAgentBody};
 use super::room::Room;
 use super::task::{RunId, TaskId};
-use super::timing::LEASE;
 use crate::session::SessionId;
+pub use events::{
+    AgentDecision, AgentEffect, AgentEvent, Order, OrderAnswer, OrderKind, WatchAnswer,
+};
 use health::Health;
 use ledger::{Ledger, RunState, StopReason};
 use owner::Owner;
-use worker::{
-    ClockEstimate, FenceToken, OrderFailure, Registration, Rejection, WorkerClock, WorkerLists,
-};
-
-/// What happens to an agent.
-#[derive(Debug)]
-pub enum AgentEvent {
-    /// A session to a gateway is open.
-    Opened {
-        /// The session.
-        session: SessionId,
-        /// Incarnation of the gateway.
-        gateway: Incarnation,
-    },
-    /// A session is closed.
-    Closed {
-        /// The session.
-        session: SessionId,
-    },
-    /// The process that `gateway` was has ended: its host refused a connection.
-    GatewayEnded {
-        /// Incarnation of the gateway.
-        gateway: Incarnation,
-    },
-    /// A message came.
-    Message {
-        /// Session on which it came.
-        session: SessionId,
-        /// The message.
-        message: ToAgent,
-    },
-    /// The worker has registered, or sent a heartbeat.
-    Registered(Registration),
-    /// What an earlier agent here was told last; the worker may have a new life
-    /// since.
-    Recalled(Registration),
-    /// A life of the worker has ended in an orderly way.
-    Deregistered {
-        /// The life.
-        life: String,
-    },
-    /// A start was answered, or not.
-    StartAnswered {
-        /// The run.
-        run: RunId,
-        /// Life that the order was for.
-        life: Arc<str>,
-        /// The answer.
-        answer: Result<OrderAnswer, OrderFailure>,
-    },
-    /// A stop was answered, or not.
-    StopAnswered {
-        /// The run.
-        run: RunId,
-        /// Life that the order was for.
-        life: Arc<str>,
-        /// The answer.
-        answer: Result<OrderAnswer, OrderFailure>,
-    },
-    /// The worker's lists came, or did not.
-    Watched {
-        /// Life that was asked.
-        life: Arc<str>,
-        /// The answer.
-        answer: Result<WatchAnswer, OrderFailure>,
-    },
-    /// The process is asked to stop in a planned way.
-    Stop,
-    /// Time has passed.
-    Tick,
-}
-
-/// A worker's answer to a start or stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OrderAnswer {
-    /// The worker's clock, if the answer tells it.
-    pub clock: Option<WorkerClock>,
-    /// Why nothing was done; `None` if it was done.
-    pub rejection: Option<Rejection>,
-}
-
-/// A worker's answer to a watch.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WatchAnswer {
-    /// The worker's clock, if the answer tells it.
-    pub clock: Option<WorkerClock>,
-    /// Its lists, or why there are none.
-    pub lists: Result<WorkerLists, Rejection>,
-}
-
-/// Orders for the worker, all of one life and with one token.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// Life of the worker that is meant.
-    pub life: Arc<str>,
-    /// The agent's token.
-    pub token: FenceToken,
-    /// What is ordered.
-    pub kind: OrderKind,
-}
-
-/// An order for the worker.
-#[derive(Clone, Debug)]
-pub enum OrderKind {
-    /// Start a run.
-    Start {
-        /// The run.
-        run: RunId,
-        /// Input of its job.
-        input: Arc<str>,
-        /// End of the lease, on the worker's clock.
-        lease_until: WorkerClock,
-    },
-    /// Stop a run, and never start it.
-    Stop {
-        /// The run.
-        run: RunId,
-    },
-    /// Renew the lease of everything, and wait for an end.
-    Watch {
-        /// Highest number of an end that was taken in.
-        last_seen: u64,
-        /// End of the lease on the worker's clock, if it is to be renewed.
-        lease_until: Option<WorkerClock>,
-        /// How long the worker may wait for an end.
-        wait: Span,
-    },
-}
-
-/// What an agent wants done.
-#[derive(Debug)]
-pub enum AgentEffect {
-    /// Send a message.
-    Send {
-        /// The session.
-        session: SessionId,
-        /// The message.
-        message: FromAgent,
-    },
-    /// Close a session.
-    Close(SessionId),
-    /// Give the worker an order; an event with its answer must follow.
-    Order(Order),
-    /// A gateway told of the gateways that it knows.
-    Members(Vec<Member>),
-    /// Something was decided that operators may want to know.
-    Decided(AgentDecision),
-    /// Nothing runs any more; the process may exit.
-    Stopped,
-}
-
-/// A decision of the agent, for the logs.
-#[derive(Clone, Debug)]
-pub enum AgentDecision {
-    /// A worker's life is under this agent's control.
-    InControl {
-        /// The life.
-        life: Arc<str>,
-        /// The token.
-        token: FenceToken,
-    },
-    /// A worker's life is over.
-    LifeOver {
-        /// The life.
-        life: Arc<str>,
-        /// Runs that ended with it.
-        runs: usize,
-    },
-    /// The worker drains.
-    Draining {
-        /// The life.
-        life: Arc<str>,
-    },
-    /// The worker does not answer.
-    WorkerSilent {
-        /// The life.
-        life: Arc<str>,
-    },
-    /// A run is being stopped for a reason of the agent's own.
-    Stopping {
-        /// The run.
-        run: RunId,
-        /// Why.
-        reason: &'static str,
-        /// Age of the owner's echo.
-        echo_age: Span,
-        /// The run's progress in percent.
-        percent: u32,
-    },
-    /// A task did not start, or ended in another way than done.
-    Ended {
-        /// The run.
-        run: RunId,
-        /// How.
-        how: EndKind,
-    },
-}
+use worker::{ClockEstimate, FenceToken};
 
 /// The worker's present life.
 #[derive(Debug)]
@@ -530,112 +338,6 @@
             kind,
         }));
     }
-
-    fn on_registered(
-        &mut self,
-        now: Timestamp,
-        registration: Registration,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        // A late word of an ended life; but if no other life has come since, the
-        // worker was thought dead and is not.
-        if self.life.is_some() && self.ended_lives.contains(&registration.life) {
-            return;
-        }
-        if let Some(life) = &mut self.life
-            && *life.name == *registration.life
-        {
-            life.clock.update(now, registration.clock);
-            life.take_token(now);
-            if registration.draining && !life.draining {
-                life.draining = true;
-                let name = Arc::clone(&life.name);
-                effects.push(AgentEffect::Decided(AgentDecision::Draining { life: name }));
-            }
-            return;
-        }
-        if let Some(old) = self.life.as_ref().map(|life| Arc::clone(&life.name)) {
-            self.on_life_over(now, &old, effects);
-        }
-        self.begin_life(now, registration);
-        if let Some(life) = &mut self.life {
-            life.take_token(now);
-        }
-    }
-
-    /// Tries the worker as an earlier agent knew it, without waiting for its
-    /// next heartbeat. The clock in the record is old: the token, which must be
-    /// above that of the earlier agent, is taken from the first answer.
-    fn on_recalled(&mut self, now: Timestamp, registration: Registration) {
-        if self.life.is_none() && !self.ended_lives.contains(&registration.life) {
-            self.begin_life(now, registration);
-        }
-    }
-
-    fn begin_life(&mut self, now: Timestamp, registration: Registration) {
-        let mut clock = ClockEstimate::default();
-        clock.update(now, registration.clock);
-        self.life = Some(Life {
-            name: registration.life.into(),
-            service: registration.service,
-            capacity: registration.capacity,
-            labels: registration.labels,
-            token: FenceToken::default(),
-            lacks_token: true,
-            draining: registration.draining,
-            clock,
-            last_seen: 0,
-            has_synced: false,
-            told_in_control: false,
-            unanswered_watches: 0,
-            watching: None,
-            watch_from: now,
-            renewed: now,
-            foreign: BTreeMap::new(),
-            has_news: false,
-        });
-        self.health = Health::default();
-        for owner in self.owners.values_mut() {
-            owner.has_snapshot = false;
-        }
-    }
-
-    /// A life of the worker is over: all that it ran has ended.
-    fn on_life_over(&mut self, now: Timestamp, life: &str, effects: &mut Vec<AgentEffect>) {
-        if self
-            .life
-            .as_ref()
-            .is_none_or(|present| *present.name != *life)
-        {
-            return;
-        }
-        let Some(present) = self.life.take() else {
-            return;
-        };
-        let tasks = self.ledger.tasks_where(|_| true);
-        effects.push(AgentEffect::Decided(AgentDecision::LifeOver {
-            life: present.name,
-            runs: tasks.len(),
-        }));
-        for task in tasks {
-            self.end_run(now, task, EndKind::Lost, effects);
-        }
-        self.ended_lives.insert(life.to_owned());
-    }
-
-    fn is_present(&self, life: &str) -> bool {
-        self.life
-            .as_ref()
-            .is_some_and(|present| *present.name == *life)
-    }
-
-    fn lease_until(&self, now: Timestamp) -> WorkerClock {
-        let clock = self
-            .life
-            .as_ref()
-            .map_or(WorkerClock::default(), |life| life.clock.at(now));
-        WorkerClock(clock.0 + LEASE.0 / 1_000)
-    }
 }
 
 impl Life {
--- /dev/null
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -0,0 +1,101 @@
+//! Callers: they hand jobs in, wait, and hand in again.
+
+use std::sync::Arc;
+
+use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest, StepRequest};
+use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
+use laurelstile_core::leased::room::Room;
+use laurelstile_core::leased::task::JobId;
+use laurelstile_history::leased::{Seen, Told};
+use laurelstile_types::time::Span;
+use rand::Rng;
+
+use super::super::nodes;
+use super::{DEADLINE, Happening, RESTART, TASK_ROOM, World, number_of};
+
+impl World {
+    pub(super) fn submit(&mut self, index: usize) {
+        let (first, is_over) = (self.callers[index].job.at, self.callers[index].is_over);
+        if is_over || self.now >= first + DEADLINE {
+            return;
+        }
+        let up: Vec<usize> = (0..self.gateways.len())
+            .filter(|gateway| self.gateways[*gateway].is_up)
+            .collect();
+        if up.is_empty() {
+            self.schedule(self.now + RESTART, Happening::Submit(index));
+            return;
+        }
+        let gateway = up[self.random.random_range(0..up.len())];
+        let job = self.callers[index].job.clone();
+        let id = JobId(index as u64);
+        self.see(Seen::Submitted {
+            job: id.0,
+            tasks: vec![job.tasks],
+            room: TASK_ROOM,
+            max_attempts: nodes::MAX_ATTEMPTS,
+        });
+        self.callers[index].gateway = Some((gateway, self.gateways[gateway].incarnation));
+        self.schedule(first + DEADLINE, Happening::Leave(index));
+        let request = JobRequest {
+            id,
+            queue: Arc::new(nodes::queue()),
+            input: "input".into(),
+            steps: vec![StepRequest {
+                count: job.tasks,
+                room: Room {
+                    cpu_millis: TASK_ROOM,
+                    memory_mib: 0,
+                    gpus: 0,
+                },
+                estimate: Span(job.duration),
+                after: Vec::new(),
+                label: None,
+                near: None,
+            }],
+            time_left: Span(first + DEADLINE - self.now),
+            unsupported: Vec::new(),
+        };
+        let call = CallNumber(index as u64);
+        let incarnation = self.gateways[gateway].incarnation;
+        let request = Happening::Request(gateway, incarnation, call, Box::new(request));
+        self.schedule(self.now, request);
+    }
+
+    pub(super) fn answer(&mut self, call: CallNumber, answer: Answer) {
+        let index = number_of(call);
+        if self.callers[index].is_over || self.callers[index].gateway.is_none() {
+            return;
+        }
+        let told = match answer {
+            Answer::Completed => Told::Completed,
+            Answer::Failed => Told::Failed,
+            Answer::Refused { .. } => Told::Refused,
+            Answer::GivenUp | Answer::Cancelled | Answer::Unknown => Told::GivenUp,
+        };
+        self.callers[index].is_over = true;
+        self.callers[index].gateway = None;
+        self.see(Seen::Answered {
+            job: call.0,
+            told,
+            in_planned_stop: false,
+        });
+    }
+
+    pub(super) fn leave(&mut self, index: usize) {
+        let Some((gateway, incarnation)) = self.callers[index].gateway.take() else {
+            return;
+        };
+        self.callers[index].is_over = true;
+        self.see(Seen::Answered {
+            job: index as u64,
+            told: Told::Nothing,
+            in_planned_stop: false,
+        });
+        let process = &self.gateways[gateway];
+        if process.incarnation == incarnation && process.frozen_until <= self.now {
+            let call = CallNumber(index as u64);
+            self.gateway_event(gateway, GatewayEvent::CallerGone { call });
+        }
+    }
+}
--- /dev/null
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -0,0 +1,161 @@
+//! Faults as they begin and end.
+
+use laurelstile_core::leased::gateway::GatewayEvent;
+use laurelstile_history::leased::{Seen, Told};
+use rand::Rng;
+
+use super::super::faults::{Fault, ScheduledFault};
+use super::super::nodes;
+use super::super::nodes::Process;
+use super::super::worker::Mood;
+use super::{GRACE, Happening, RESEND, RESTART, USER_TIMEOUT, World};
+
+impl World {
+    /// A gateway's process is over: its callers' connections break, unless it
+    /// went dark, and they hand in again later.
+    pub(super) fn end_gateway(&mut self, index: usize, refuses: bool) {
+        let in_planned_stop = self.gateways[index].in_planned_stop;
+        let incarnation = self.gateways[index].incarnation;
+        self.gateways[index].is_up = false;
+        self.gateways[index].refuses = refuses;
+        let sessions = std::mem::take(&mut self.gateways[index].sessions);
+        let notice = if refuses { 1_000 } else { USER_TIMEOUT };
+        for (session, agent) in sessions {
+            let to = self.agents[agent].incarnation;
+            let ends = Happening::AgentSessionEnds(agent, to, session);
+            self.schedule(self.now + notice, ends);
+        }
+        for caller in 0..self.callers.len() {
+            if self.callers[caller].gateway != Some((index, incarnation)) {
+                continue;
+            }
+            self.callers[caller].gateway = None;
+            self.see(Seen::Answered {
+                job: caller as u64,
+                told: Told::Nothing,
+                in_planned_stop,
+            });
+            self.schedule(self.now + RESEND, Happening::Submit(caller));
+        }
+    }
+
+    pub(super) fn restart_gateway(&mut self, index: usize) {
+        if self.gateways[index].is_up {
+            return;
+        }
+        let incarnation = self.fresh();
+        self.gateways[index] = Process::begin(nodes::gateway(index), incarnation, self.now);
+        let version = self.version;
+        self.schedule(
+            self.now + 20_000,
+            Happening::ReadConfiguration(index, version),
+        );
+    }
+
+    pub(super) fn fault_begins(&mut self, scheduled: ScheduledFault) {
+        let end = self.now + scheduled.length;
+        match scheduled.fault {
+            Fault::KillGateway(index) if self.gateways[index].is_up => {
+                self.gateways[index].in_planned_stop = false;
+                self.end_gateway(index, true);
+                self.schedule(self.now + RESTART, Happening::RestartGateway(index));
+            }
+            Fault::DarkGateway(index) if self.gateways[index].is_up => {
+                self.gateways[index].in_planned_stop = false;
+                self.end_gateway(index, false);
+                self.schedule(end, Happening::RestartGateway(index));
+            }
+            Fault::FreezeGateway(index) => {
+                self.gateways[index].in_planned_stop = false;
+                self.gateways[index].frozen_until = end;
+            }
+            Fault::StopGateway(index)
+                if self.gateways[index].is_up
+                    && self.gateways[index].frozen_until <= self.now
+                    && !self.gateways[index].machine.is_stopping() =>
+            {
+                self.gateways[index].in_planned_stop = true;
+                let incarnation = self.gateways[index].incarnation;
+                self.schedule(self.now + GRACE, Happening::GraceEnds(index, incarnation));
+                self.gateway_event(index, GatewayEvent::Stop);
+            }
+            Fault::KillAgent(index) if self.agents[index].is_up => {
+                self.kill_agent(index);
+                self.schedule(self.now + RESTART, Happening::RestartAgent(index));
+            }
+            Fault::FreezeAgent(index) => self.agents[index].frozen_until = end,
+            Fault::Cut(agent, gateway) => {
+                self.cuts.insert((agent, gateway), end);
+            }
+            Fault::CrashWorker(worker) if self.workers[worker].life != 0 => {
+                self.crash_worker(worker);
+                self.schedule(end, Happening::WorkerBegins(worker));
+            }
+            Fault::DrainWorker(worker) if self.workers[worker].life != 0 => {
+                self.workers[worker].draining = true;
+                self.tell_agent(worker);
+                self.end_fault_later(scheduled, self.now + 4_000_000);
+            }
+            Fault::Failing(worker) => self.set_mood(scheduled, worker, Mood::Failing),
+            Fault::Hanging(worker) => self.set_mood(scheduled, worker, Mood::Hanging),
+            Fault::Slow(worker) => self.set_mood(scheduled, worker, Mood::Slow),
+            Fault::LateOrders => self.late_orders_until = end,
+            Fault::Configure => {
+                self.version += 3;
+                for index in 0..self.gateways.len() {
+                    let new = Happening::ReadConfiguration(index, self.version);
+                    let old = Happening::ReadConfiguration(index, self.version - 3);
+                    let delay = self.random.random_range(1_000..500_000);
+                    self.schedule(self.now + delay, new);
+                    self.schedule(self.now + delay + 50_000, old);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn set_mood(&mut self, scheduled: ScheduledFault, worker: usize, mood: Mood) {
+        self.workers[worker].mood = mood;
+        self.end_fault_later(scheduled, self.now + scheduled.length);
+    }
+
+    pub(super) fn end_fault_later(&mut self, scheduled: ScheduledFault, at: u64) {
+        let index = self
+            .faults
+            .iter()
+            .position(|known| known.at == scheduled.at && known.fault == scheduled.fault);
+        if let Some(index) = index {
+            self.schedule(at, Happening::FaultEnds(index));
+        }
+    }
+
+    pub(super) fn fault_ends(&mut self, fault: Fault) {
+        match fault {
+            Fault::Failing(worker) | Fault::Hanging(worker) | Fault::Slow(worker) => {
+                self.workers[worker].mood = Mood::Well;
+            }
+            Fault::DrainWorker(worker) if self.workers[worker].life != 0 => {
+                self.crash_worker(worker);
+                self.schedule(self.now + RESTART, Happening::WorkerBegins(worker));
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn kill_agent(&mut self, index: usize) {
+        self.agents[index].is_up = false;
+        let sessions = std::mem::take(&mut self.agents[index].sessions);
+        for (session, gateway) in sessions {
+            let to = self.gateways[gateway].incarnation;
+            let ends = Happening::GatewaySessionEnds(gateway, to, session);
+            self.schedule(self.now + 1_000, ends);
+        }
+    }
+
+    pub(super) fn crash_worker(&mut self, worker: usize) {
+        let life = self.workers[worker].life;
+        let changes = self.workers[worker].crash();
+        self.watches[worker] = None;
+        self.see_changes(life, worker, &changes);
+    }
+}
--- a/laurelstile-sim/src/leased/world.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -1,26 +1,28 @@
 //! The emulated world: its queue of happenings, its links, its callers.
 
+mod callers;
+mod faulting;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::sync::Arc;
 
 use laurelstile_core::leased::agent::worker::Registration;
 use laurelstile_core::leased::agent::{AgentEffect, AgentEvent, LeasedAgent, Order};
-use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest, StepRequest};
-use laurelstile_core::leased::gateway::{Answer, GatewayEffect, GatewayEvent, LeasedGateway};
+use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
+use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent, LeasedGateway};
 use laurelstile_core::leased::messages::{FromAgent, ToAgent};
 use laurelstile_core::leased::room::Room;
 use laurelstile_core::leased::task::JobId;
 use laurelstile_core::session::{Remote, SessionId};
-use laurelstile_history::leased::{Record, Seen, Told};
+use laurelstile_history::leased::{Record, Seen};
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
 use rand::Rng;
 use rand_pcg::Pcg64;
 
-use super::faults::{Fault, Sabotage, ScheduledFault};
+use super::faults::{Sabotage, ScheduledFault};
 use super::nodes::{self, Process};
-use super::worker::{Change, Mood, SimWorker};
+use super::worker::{Change, SimWorker};
 
 /// Pause between two dials.
 const REDIAL: u64 = 100_000;
@@ -600,239 +602,6 @@
             .get(index)
             .map_or(1_000, |caller| caller.job.duration)
     }
-
-    fn submit(&mut self, index: usize) {
-        let (first, is_over) = (self.callers[index].job.at, self.callers[index].is_over);
-        if is_over || self.now >= first + DEADLINE {
-            return;
-        }
-        let up: Vec<usize> = (0..self.gateways.len())
-            .filter(|gateway| self.gateways[*gateway].is_up)
-            .collect();
-        if up.is_empty() {
-            self.schedule(self.now + RESTART, Happening::Submit(index));
-            return;
-        }
-        let gateway = up[self.random.random_range(0..up.len())];
-        let job = self.callers[index].job.clone();
-        let id = JobId(index as u64);
-        self.see(Seen::Submitted {
-            job: id.0,
-            tasks: vec![job.tasks],
-            room: TASK_ROOM,
-            max_attempts: nodes::MAX_ATTEMPTS,
-        });
-        self.callers[index].gateway = Some((gateway, self.gateways[gateway].incarnation));
-        self.schedule(first + DEADLINE, Happening::Leave(index));
-        let request = JobRequest {
-            id,
-            queue: Arc::new(nodes::queue()),
-            input: "input".into(),
-            steps: vec![StepRequest {
-                count: job.tasks,
-                room: Room {
-                    cpu_millis: TASK_ROOM,
-                    memory_mib: 0,
-                    gpus: 0,
-                },
-                estimate: Span(job.duration),
-                after: Vec::new(),
-                label: None,
-                near: None,
-            }],
-            time_left: Span(first + DEADLINE - self.now),
-            unsupported: Vec::new(),
-        };
-        let call = CallNumber(index as u64);
-        let incarnation = self.gateways[gateway].incarnation;
-        let request = Happening::Request(gateway, incarnation, call, Box::new(request));
-        self.schedule(self.now, request);
-    }
-
-    fn answer(&mut self, call: CallNumber, answer: Answer) {
-        let index = number_of(call);
-        if self.callers[index].is_over || self.callers[index].gateway.is_none() {
-            return;
-        }
-        let told = match answer {
-            Answer::Completed => Told::Completed,
-            Answer::Failed => Told::Failed,
-            Answer::Refused { .. } => Told::Refused,
-            Answer::GivenUp | Answer::Cancelled | Answer::Unknown => Told::GivenUp,
-        };
-        self.callers[index].is_over = true;
-        self.callers[index].gateway = None;
-        self.see(Seen::Answered {
-            job: call.0,
-            told,
-            in_planned_stop: false,
-        });
-    }
-
-    fn leave(&mut self, index: usize) {
-        let Some((gateway, incarnation)) = self.callers[index].gateway.take() else {
-            return;
-        };
-        self.callers[index].is_over = true;
-        self.see(Seen::Answered {
-            job: index as u64,
-            told: Told::Nothing,
-            in_planned_stop: false,
-        });
-        let process = &self.gateways[gateway];
-        if process.incarnation == incarnation && process.frozen_until <= self.now {
-            let call = CallNumber(index as u64);
-            self.gateway_event(gateway, GatewayEvent::CallerGone { call });
-        }
-    }
-
-    /// A gateway's process is over: its callers' connections break, unless it
-    /// went dark, and they hand in again later.
-    fn end_gateway(&mut self, index: usize, refuses: bool) {
-        let in_planned_stop = self.gateways[index].in_planned_stop;
-        let incarnation = self.gateways[index].incarnation;
-        self.gateways[index].is_up = false;
-        self.gateways[index].refuses = refuses;
-        let sessions = std::mem::take(&mut self.gateways[index].sessions);
-        let notice = if refuses { 1_000 } else { USER_TIMEOUT };
-        for (session, agent) in sessions {
-            let to = self.agents[agent].incarnation;
-            let ends = Happening::AgentSessionEnds(agent, to, session);
-            self.schedule(self.now + notice, ends);
-        }
-        for caller in 0..self.callers.len() {
-            if self.callers[caller].gateway != Some((index, incarnation)) {
-                continue;
-            }
-            self.callers[caller].gateway = None;
-            self.see(Seen::Answered {
-                job: caller as u64,
-                told: Told::Nothing,
-                in_planned_stop,
-            });
-            self.schedule(self.now + RESEND, Happening::Submit(caller));
-        }
-    }
-
-    fn restart_gateway(&mut self, index: usize) {
-        if self.gateways[index].is_up {
-            return;
-        }
-        let incarnation = self.fresh();
-        self.gateways[index] = Process::begin(nodes::gateway(index), incarnation, self.now);
-        let version = self.version;
-        self.schedule(
-            self.now + 20_000,
-            Happening::ReadConfiguration(index, version),
-        );
-    }
-
-    fn fault_begins(&mut self, scheduled: ScheduledFault) {
-        let end = self.now + scheduled.length;
-        match scheduled.fault {
-            Fault::KillGateway(index) if self.gateways[index].is_up => {
-                self.gateways[index].in_planned_stop = false;
-                self.end_gateway(index, true);
-                self.schedule(self.now + RESTART, Happening::RestartGateway(index));
-            }
-            Fault::DarkGateway(index) if self.gateways[index].is_up => {
-                self.gateways[index].in_planned_stop = false;
-                self.end_gateway(index, false);
-                self.schedule(end, Happening::RestartGateway(index));
-            }
-            Fault::FreezeGateway(index) => {
-                self.gateways[index].in_planned_stop = false;
-                self.gateways[index].frozen_until = end;
-            }
-            Fault::StopGateway(index)
-                if self.gateways[index].is_up
-                    && self.gateways[index].frozen_until <= self.now
-                    && !self.gateways[index].machine.is_stopping() =>
-            {
-                self.gateways[index].in_planned_stop = true;
-                let incarnation = self.gateways[index].incarnation;
-                self.schedule(self.now + GRACE, Happening::GraceEnds(index, incarnation));
-                self.gateway_event(index, GatewayEvent::Stop);
-            }
-            Fault::KillAgent(index) if self.agents[index].is_up => {
-                self.kill_agent(index);
-                self.schedule(self.now + RESTART, Happening::RestartAgent(index));
-            }
-            Fault::FreezeAgent(index) => self.agents[index].frozen_until = end,
-            Fault::Cut(agent, gateway) => {
-                self.cuts.insert((agent, gateway), end);
-            }
-            Fault::CrashWorker(worker) if self.workers[worker].life != 0 => {
-                self.crash_worker(worker);
-                self.schedule(end, Happening::WorkerBegins(worker));
-            }
-            Fault::DrainWorker(worker) if self.workers[worker].life != 0 => {
-                self.workers[worker].draining = true;
-                self.tell_agent(worker);
-                self.end_fault_later(scheduled, self.now + 4_000_000);
-            }
-            Fault::Failing(worker) => self.set_mood(scheduled, worker, Mood::Failing),
-            Fault::Hanging(worker) => self.set_mood(scheduled, worker, Mood::Hanging),
-            Fault::Slow(worker) => self.set_mood(scheduled, worker, Mood::Slow),
-            Fault::LateOrders => self.late_orders_until = end,
-            Fault::Configure => {
-                self.version += 3;
-                for index in 0..self.gateways.len() {
-                    let new = Happening::ReadConfiguration(index, self.version);
-                    let old = Happening::ReadConfiguration(index, self.version - 3);
-                    let delay = self.random.random_range(1_000..500_000);
-                    self.schedule(self.now + delay, new);
-                    self.schedule(self.now + delay + 50_000, old);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn set_mood(&mut self, scheduled: ScheduledFault, worker: usize, mood: Mood) {
-        self.workers[worker].mood = mood;
-        self.end_fault_later(scheduled, self.now + scheduled.length);
-    }
-
-    fn end_fault_later(&mut self, scheduled: ScheduledFault, at: u64) {
-        let index = self
-            .faults
-            .iter()
-            .position(|known| known.at == scheduled.at && known.fault == scheduled.fault);
-        if let Some(index) = index {
-            self.schedule(at, Happening::FaultEnds(index));
-        }
-    }
-
-    fn fault_ends(&mut self, fault: Fault) {
-        match fault {
-            Fault::Failing(worker) | Fault::Hanging(worker) | Fault::Slow(worker) => {
-                self.workers[worker].mood = Mood::Well;
-            }
-            Fault::DrainWorker(worker) if self.workers[worker].life != 0 => {
-                self.crash_worker(worker);
-                self.schedule(self.now + RESTART, Happening::WorkerBegins(worker));
-            }
-            _ => {}
-        }
-    }
-
-    fn kill_agent(&mut self, index: usize) {
-        self.agents[index].is_up = false;
-        let sessions = std::mem::take(&mut self.agents[index].sessions);
-        for (session, gateway) in sessions {
-            let to = self.gateways[gateway].incarnation;
-            let ends = Happening::GatewaySessionEnds(gateway, to, session);
-            self.schedule(self.now + 1_000, ends);
-        }
-    }
-
-    fn crash_worker(&mut self, worker: usize) {
-        let life = self.workers[worker].life;
-        let changes = self.workers[worker].crash();
-        self.watches[worker] = None;
-        self.see_changes(life, worker, &changes);
-    }
 }
 
 /// The caller that a call is of.
