Rename laurelstile-platform to laurelstile-store

The word platform now means the adapter alone; the crate holds the store of our own interface: table, configuration log, claims, machine list.

--- a/laurelstile-lab/src/caller.rs
+++ b/laurelstile-lab/src/caller.rs
@@ -5,7 +5,7 @@
 use http::{Method, StatusCode};
 use laurelstile_history::event::{Event, ResultTag};
 use laurelstile_history::file::HistoryWriter;
-use laurelstile_platform::http::{HttpClient, HttpError};
+use laurelstile_store::http::{HttpClient, HttpError};
 use laurelstile_types::api::{JobAnswer, JobFailure, JobRequest};
 use laurelstile_types::id::IdempotencyKey;
 
--- a/laurelstile-lab/src/cell.rs
+++ b/laurelstile-lab/src/cell.rs
@@ -8,7 +8,7 @@
 
 use http::Method;
 use laurelstile::operator::{ChangeOrder, Operator, draw_change_id};
-use laurelstile_platform::http::HttpClient;
+use laurelstile_store::http::HttpClient;
 use laurelstile_types::configuration::{
     Backend, Class, Configuration, FORMAT_VERSION, Pool, Service, Tenant,
 };
--- a/laurelstile-lab/src/error.rs
+++ b/laurelstile-lab/src/error.rs
@@ -4,7 +4,7 @@
 
 use laurelstile::error::OperatorError;
 use laurelstile_history::file::HistoryError;
-use laurelstile_platform::http::HttpError;
+use laurelstile_store::http::HttpError;
 use miette::Diagnostic;
 use thiserror::Error;
 
--- a/laurelstile-lab/src/load.rs
+++ b/laurelstile-lab/src/load.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use http::Method;
 use laurelstile_history::file::HistoryWriter;
-use laurelstile_platform::http::HttpClient;
+use laurelstile_store::http::HttpClient;
 use laurelstile_types::configuration::Tenant;
 use laurelstile_wire::session::SENT_BYTES;
 use laurelstiled::settings::LogLevel;
--- a/laurelstile-lab/src/measure.rs
+++ b/laurelstile-lab/src/measure.rs
@@ -6,7 +6,7 @@
 
 use hdrhistogram::Histogram;
 use http::Method;
-use laurelstile_platform::http::HttpClient;
+use laurelstile_store::http::HttpClient;
 use serde::Serialize;
 
 use crate::error::LabError;
--- a/laurelstile-platform/src/lib.rs
+++ b/laurelstile-store/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform as laurelstile sees it: a transactional table and a machine
+//! The store as laurelstile's own interface sees it: a transactional table and a machine
 //! list, behind one narrow trait, with a client for the HTTP protocol; and
 //! what laurelstile keeps there, the configuration log and the claims.
 #![deny(warnings)]
--- a/laurelstile-platform/tests/table.rs
+++ b/laurelstile-store/tests/table.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
-use laurelstile_platform::claims::{Claim, ClaimFate, claim_all, release_all};
-use laurelstile_platform::client::Platform;
-use laurelstile_platform::configuration_log::{AppendError, append, read_head, read_revision};
-use laurelstile_platform::http::HttpError;
+use laurelstile_store::claims::{Claim, ClaimFate, claim_all, release_all};
+use laurelstile_store::client::Platform;
+use laurelstile_store::configuration_log::{AppendError, append, read_head, read_revision};
+use laurelstile_store::http::HttpError;
 use laurelstile_types::configuration::Configuration;
 use laurelstile_types::id::{Incarnation, SubmissionId};
 use laurelstile_types::platform::{MachineList, Row, Transaction, TransactionReply};
--- a/laurelstile/src/error.rs
+++ b/laurelstile/src/error.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use laurelstile_history::file::HistoryError;
-use laurelstile_platform::http::HttpError;
+use laurelstile_store::http::HttpError;
 use laurelstile_types::configuration::ConfigurationError;
 use laurelstile_types::id::ChangeId;
 use laurelstile_types::json::JsonFileError;
--- a/laurelstile/src/operator.rs
+++ b/laurelstile/src/operator.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use laurelstile_platform::http::{HttpClient, HttpError};
+use laurelstile_store::http::{HttpClient, HttpError};
 use laurelstile_types::api::{ChangeAccepted, ChangeRequest, InForce, Status};
 use laurelstile_types::id::ChangeId;
 use laurelstile_types::revision::{Change, Revision};
--- a/laurelstiled/src/agent/backend.rs
+++ b/laurelstiled/src/agent/backend.rs
@@ -7,7 +7,7 @@
 use laurelstile_core::agent::RunEnd;
 use laurelstile_core::messages::agent::TaskOutcome;
 use laurelstile_core::payload::Payload;
-use laurelstile_platform::http::{HttpClient, HttpError};
+use laurelstile_store::http::{HttpClient, HttpError};
 use laurelstile_types::configuration::MAX_DEADLINE_MILLIS;
 use laurelstile_types::id::{ClassName, DispatchId, ServiceName};
 
--- a/laurelstiled/src/gateway/api.rs
+++ b/laurelstiled/src/gateway/api.rs
@@ -11,8 +11,8 @@
 use http::{Response, StatusCode, header};
 use laurelstile_core::gateway::{Answer, GatewayEvent, JobRequest as CoreRequest};
 use laurelstile_core::payload::Payload;
-use laurelstile_platform::client::HttpPlatform;
-use laurelstile_platform::configuration_log::{AppendError, append};
+use laurelstile_store::client::HttpPlatform;
+use laurelstile_store::configuration_log::{AppendError, append};
 use laurelstile_types::api::{
     ChangeAccepted, ChangeRequest, InForce, JobAnswer, JobFailure, JobRequest, Status,
 };
--- a/laurelstiled/src/gateway/mod.rs
+++ b/laurelstiled/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 
 use laurelstile_core::gateway::{Gateway, Identity, Policy};
 use laurelstile_history::file::HistoryWriter;
-use laurelstile_platform::client::HttpPlatform;
+use laurelstile_store::client::HttpPlatform;
 use laurelstile_types::id::{GatewayName, Incarnation};
 use laurelstile_wire::hello::{LocalNode, NodeRole, SharedSecret};
 use tokio::net::TcpListener;
