--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -2,7 +2,8 @@
 //!
 //! A line for each decision that touches a request or changes what the process
 //! believes. Lines beyond the bound are dropped and counted; the next line
-//! that is written tells how many.
+//! that is written tells how many. The ends of jobs have a bound of their own,
+//! so that a busy second hides steps before it hides outcomes.
 
 use std::time::{Duration, Instant};
 
@@ -12,8 +13,10 @@
 
 use crate::telemetry::{CAME_BACK, JOB_SECONDS, RUNS_ENDED, RUNS_STOPPED, WORKER_SILENT};
 
-/// Most lines in a period.
-const LINES: u32 = 400;
+/// Most lines of steps in a period.
+const STEPS: u32 = 400;
+/// Most lines of outcomes in a period.
+const OUTCOMES: u32 = 600;
 /// That period.
 const PERIOD: Duration = Duration::from_secs(1);
 
@@ -21,7 +24,8 @@
 #[derive(Debug, Default)]
 pub struct DecisionLog {
     began: Option<Instant>,
-    written: u32,
+    steps: u32,
+    outcomes: u32,
     dropped: u64,
 }
 
@@ -29,7 +33,11 @@
     /// A decision of a gateway.
     pub fn gateway(&mut self, decision: &GatewayDecision) {
         count_gateway(decision);
-        if !self.admits() {
+        let is_outcome = matches!(
+            decision,
+            GatewayDecision::Answered { .. } | GatewayDecision::Abandoned { .. }
+        );
+        if !self.admits(is_outcome) {
             return;
         }
         match decision {
@@ -80,7 +88,11 @@
     /// A decision of an agent.
     pub fn agent(&mut self, decision: &AgentDecision) {
         count_agent(decision);
-        if !self.admits() {
+        let is_step = matches!(
+            decision,
+            AgentDecision::Stopping { .. } | AgentDecision::Ended { .. }
+        );
+        if !self.admits(!is_step) {
             return;
         }
         match decision {
@@ -110,19 +122,25 @@
         }
     }
 
-    fn admits(&mut self) -> bool {
+    fn admits(&mut self, is_outcome: bool) -> bool {
         let now = Instant::now();
         let is_over = self.began.is_none_or(|began| now - began >= PERIOD);
         if is_over {
             self.began = Some(now);
-            self.written = 0;
+            self.steps = 0;
+            self.outcomes = 0;
             if self.dropped > 0 {
                 log::warn!(event = "lines_dropped", count = self.dropped; "");
                 self.dropped = 0;
             }
         }
-        self.written += 1;
-        let is_admitted = self.written <= LINES;
+        let (written, most) = if is_outcome {
+            (&mut self.outcomes, OUTCOMES)
+        } else {
+            (&mut self.steps, STEPS)
+        };
+        *written += 1;
+        let is_admitted = *written <= most;
         self.dropped += u64::from(!is_admitted);
         is_admitted
     }
