Read the change once more: one place for what stood twice

Whether a gateway has a worker, the worker's room and clock at its agent, the wake-ups of the emulator and the bound of a secret each stood two or three times; a function of Job that nobody called is gone.

--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -6,6 +6,7 @@
 use laurelstile_types::time::Timestamp;
 
 use super::super::messages::EndKind;
+use super::super::room::Room;
 use super::super::timing::LEASE;
 use super::health::Health;
 use super::worker::{ClockEstimate, FenceToken, Registration, WorkerClock};
@@ -115,11 +116,20 @@
             .is_some_and(|present| *present.name == *life)
     }
 
+    /// All the room of the worker; none while no life of it is known.
+    pub(super) fn capacity(&self) -> Room {
+        let life = self.life.as_ref();
+        life.map(|life| life.capacity).unwrap_or_default()
+    }
+
+    /// The worker's clock at `now`; zero while no life of it is known.
+    pub(super) fn worker_clock(&self, now: Timestamp) -> WorkerClock {
+        let life = self.life.as_ref();
+        life.map_or(WorkerClock::default(), |life| life.clock.at(now))
+    }
+
     pub(super) fn lease_until(&self, now: Timestamp) -> WorkerClock {
-        let clock = self
-            .life
-            .as_ref()
-            .map_or(WorkerClock::default(), |life| life.clock.at(now));
+        let clock = self.worker_clock(now);
         WorkerClock(clock.0 + LEASE.0 / 1_000)
     }
 }
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -154,7 +154,7 @@
         Snapshot {
             service: life.map(|life| life.service.clone()).unwrap_or_default(),
             zone: self.options.zone.clone(),
-            capacity: life.map(|life| life.capacity).unwrap_or_default(),
+            capacity: self.capacity(),
             labels: life.map(|life| life.labels.clone()).unwrap_or_default(),
             held,
         }
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -103,12 +103,7 @@
 
     /// Room that is neither taken nor spoken for.
     pub(super) fn free_room(&self) -> super::Room {
-        let capacity = self
-            .life
-            .as_ref()
-            .map(|life| life.capacity)
-            .unwrap_or_default();
-        capacity
+        self.capacity()
             .minus(self.ledger.taken())
             .minus(self.ledger.waiting_room())
     }
@@ -137,12 +132,7 @@
     }
 
     fn start_if_fits(&mut self, now: Timestamp, task: TaskId, effects: &mut Vec<AgentEffect>) {
-        let capacity = self
-            .life
-            .as_ref()
-            .map(|life| life.capacity)
-            .unwrap_or_default();
-        let free = capacity.minus(self.ledger.taken());
+        let free = self.capacity().minus(self.ledger.taken());
         let Some(run) = self.ledger.get(task) else {
             return;
         };
@@ -218,10 +208,7 @@
 
     /// A start is proved to have been carried out.
     pub(super) fn note_running(&mut self, now: Timestamp, task: TaskId) {
-        let clock = self
-            .life
-            .as_ref()
-            .map_or(WorkerClock::default(), |life| life.clock.at(now));
+        let clock = self.worker_clock(now);
         self.ledger
             .set_state(task, RunState::Running { since: now });
         self.ledger.note(task, |run| {
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -190,10 +190,7 @@
             // The answer to its start is late or lost; the list proves it.
             self.note_running(now, id.task);
         }
-        let clock = self
-            .life
-            .as_ref()
-            .map_or(WorkerClock::default(), |life| life.clock.at(now));
+        let clock = self.worker_clock(now);
         if percent > old_percent {
             self.ledger.note(id.task, |run| {
                 run.percent = percent;
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -76,11 +76,7 @@
         if is_closed {
             return Some(Refusal::Stopping);
         }
-        let has_worker = self
-            .workers
-            .values()
-            .any(|worker| worker.is_present(now) && worker.snapshot.is_some());
-        (!has_worker).then_some(Refusal::NoWorker)
+        (!self.has_worker(now)).then_some(Refusal::NoWorker)
     }
 
     pub(super) fn on_caller_gone(
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -266,15 +266,4 @@
         let step = self.steps.get_mut(id.step as usize)?;
         step.tasks.get_mut(id.index as usize)
     }
-
-    /// Room that its waiting tasks need, those of later steps left out.
-    pub fn waiting_room(&self) -> Room {
-        self.placeable()
-            .into_iter()
-            .fold(Room::default(), |sum, step| {
-                let step = &self.steps[step];
-                let count = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
-                sum.plus(step.request.room.times(count))
-            })
-    }
 }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -310,11 +310,14 @@
 
     /// Whether new connections are wanted.
     pub fn is_ready(&self, now: Timestamp) -> bool {
-        let has_worker = self
-            .workers
+        self.stopping_since.is_none() && self.configuration.is_some() && self.has_worker(now)
+    }
+
+    /// Whether any worker is under the control of an agent that is there.
+    fn has_worker(&self, now: Timestamp) -> bool {
+        self.workers
             .values()
-            .any(|worker| worker.is_present(now) && worker.snapshot.is_some());
-        self.stopping_since.is_none() && self.configuration.is_some() && has_worker
+            .any(|worker| worker.is_present(now) && worker.snapshot.is_some())
     }
 
     /// Whether a job is here and has not ended.
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -57,6 +57,16 @@
         }
     }
 
+    /// When to wake the process, if that is sooner than was planned.
+    pub fn wake_sooner(&mut self, clock: Timestamp, wakeup: Option<Timestamp>) -> Option<u64> {
+        let at = self.started + wakeup?.0.max(clock.0 + 1);
+        if at >= self.wakes_at {
+            return None;
+        }
+        self.wakes_at = at;
+        Some(at)
+    }
+
     /// The process's own clock.
     pub fn clock(&self, now: u64) -> Timestamp {
         Timestamp(now - self.started)
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -387,12 +387,8 @@
         process.machine.flush(clock, &mut effects);
         let wakeup = process.machine.next_wakeup(clock);
         let incarnation = process.incarnation;
-        if let Some(wakeup) = wakeup {
-            let at = process.started + wakeup.0.max(clock.0 + 1);
-            if at < process.wakes_at {
-                process.wakes_at = at;
-                self.schedule(at, Happening::WakeAgent(index));
-            }
+        if let Some(at) = process.wake_sooner(clock, wakeup) {
+            self.schedule(at, Happening::WakeAgent(index));
         }
         for effect in effects {
             match effect {
@@ -422,12 +418,9 @@
         let mut effects = Vec::new();
         process.machine.handle(clock, event, &mut effects);
         process.machine.flush(clock, &mut effects);
-        if let Some(wakeup) = process.machine.next_wakeup() {
-            let at = process.started + wakeup.0.max(clock.0 + 1);
-            if at < process.wakes_at {
-                process.wakes_at = at;
-                self.schedule(at, Happening::WakeGateway(index));
-            }
+        let wakeup = process.machine.next_wakeup();
+        if let Some(at) = process.wake_sooner(clock, wakeup) {
+            self.schedule(at, Happening::WakeGateway(index));
         }
         for effect in effects {
             self.carry_out(index, effect);
--- a/laurelstiled/src/leased/settings.rs
+++ b/laurelstiled/src/leased/settings.rs
@@ -8,10 +8,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::settings::{LogLevel, Node};
+use crate::settings::{LogLevel, MIN_SECRET_BYTES, Node};
 
-/// Shortest shared secret that is taken, in bytes.
-const MIN_SECRET_BYTES: usize = 16;
 /// Bounds of the time for a planned stop, in seconds.
 const MIN_GRACE_SECONDS: f64 = 1.0;
 const MAX_GRACE_SECONDS: f64 = 3_600.0;
--- a/laurelstiled/src/settings.rs
+++ b/laurelstiled/src/settings.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 /// Shortest shared secret that is taken, in bytes.
-const MIN_SECRET_BYTES: usize = 16;
+pub(crate) const MIN_SECRET_BYTES: usize = 16;
 
 /// Settings of one process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
