A task stopped for slowness gets the time it was seen to need

Cause: callers' estimates are rough; a task whose work was over four times its estimate was stopped as too slow by one worker after the other, up to 22 times, until its job was given up (504) or failed its objective.

Change: the end tells the projected run time (EndKind::TooSlow), and the gateway raises the step's estimate to it: stopped for slowness once, not again and again. Labels of metrics are names now, since an end carries figures.

Ruled out: workers that stand still (the stopped runs had 20 to 50 percent); the agent's own slowness (progress is judged by the worker's clock).

--- a/laurelstile-core/src/leased/agent/ledger.rs
+++ b/laurelstile-core/src/leased/agent/ledger.rs
@@ -19,8 +19,13 @@
     Asked,
     /// Its gateway is silent, or gone.
     OwnerSilent,
-    /// It makes no progress, or far too little.
+    /// It makes no progress.
     Stalled,
+    /// It is far slower than estimated.
+    TooSlow {
+        /// How long it would take in all.
+        projected: Span,
+    },
     /// Its start had no answer.
     Unanswered,
     /// The agent stops.
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -357,6 +357,7 @@
             Self::Asked => "asked",
             Self::OwnerSilent => "owner_silent",
             Self::Stalled => "stalled",
+            Self::TooSlow { .. } => "too_slow",
             Self::Unanswered => "unanswered",
             Self::AgentStops => "agent_stops",
         }
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -31,7 +31,7 @@
 const LONGEST_STALL: Span = Span::from_millis(250);
 /// Share of the estimate that is one visible step of progress, with a margin.
 const VISIBLE_STEP: u64 = 25;
-/// A task that would take this many times its estimate is called stalled.
+/// A task that would take this many times its estimate is called too slow.
 const SLOW_FACTOR: u64 = 4;
 /// A slow task is left alone from this progress on.
 const NEARLY_DONE_PERCENT: u32 = 60;
@@ -227,7 +227,7 @@
         let projected = Span(elapsed.0 * 100 / u64::from(run.percent));
         if projected.0 > run.estimate.0 * SLOW_FACTOR {
             self.health.on_slow(now, projected, run.estimate);
-            self.stop_run(now, task, StopReason::Stalled, effects);
+            self.stop_run(now, task, StopReason::TooSlow { projected }, effects);
         }
     }
 
@@ -335,6 +335,9 @@
     match reason {
         StopReason::Asked | StopReason::OwnerSilent | StopReason::AgentStops => EndKind::Stopped,
         StopReason::Stalled => EndKind::Stalled,
+        StopReason::TooSlow { projected } => EndKind::TooSlow {
+            projected_millis: u32::try_from(projected.as_millis()).unwrap_or(u32::MAX),
+        },
         StopReason::Unanswered => EndKind::NotStarted(super::NotStartedReason::Refused),
     }
 }
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -113,7 +113,11 @@
         match how {
             EndKind::Done => {}
             EndKind::Failed => task.failures += 1,
-            EndKind::FailedOnSuspect | EndKind::Stalled | EndKind::Lost | EndKind::Stopped => {}
+            EndKind::FailedOnSuspect
+            | EndKind::Stalled
+            | EndKind::TooSlow { .. }
+            | EndKind::Lost
+            | EndKind::Stopped => {}
             EndKind::NotStarted(NotStartedReason::OldRun) => task.run.0 += RUN_JUMP,
             EndKind::NotStarted(_) => {}
         }
@@ -121,7 +125,11 @@
             self.finish(now, id.job, Answer::Failed, effects);
             return;
         }
-        job.steps[id.step as usize].waiting.insert(id.index);
+        let step = &mut job.steps[id.step as usize];
+        step.waiting.insert(id.index);
+        if let EndKind::TooSlow { projected_millis } = how {
+            step.raise_estimate(Span::from_millis(u64::from(projected_millis)));
+        }
         if let EndKind::NotStarted(reason) = how {
             let is_new_bounce = job.bounced != Some(now);
             job.bounced = Some(now);
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -158,6 +158,14 @@
     pub fn is_done(&self) -> bool {
         self.done == self.request.count
     }
+
+    /// A run of a task was stopped since it would have taken `projected`. The
+    /// worker may be slow, or the caller's guess too short: the next worker
+    /// gets that much time, so that no task is stopped for slowness again and
+    /// again.
+    pub fn raise_estimate(&mut self, projected: Span) {
+        self.request.estimate = self.request.estimate.max(projected);
+    }
 }
 
 /// A job that has not ended.
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -168,9 +168,16 @@
     /// It was stopped as its gateway asked.
     #[serde(rename = "x")]
     Stopped,
-    /// It stood still or was far too slow and was stopped.
+    /// It stood still and was stopped.
     #[serde(rename = "t")]
     Stalled,
+    /// It was far slower than estimated and was stopped.
+    #[serde(rename = "w")]
+    TooSlow {
+        /// How long it would have taken, in milliseconds.
+        #[serde(rename = "p")]
+        projected_millis: u32,
+    },
     /// Its worker died, or its lease lapsed.
     #[serde(rename = "l")]
     Lost,
@@ -179,6 +186,36 @@
     NotStarted(NotStartedReason),
 }
 
+impl EndKind {
+    /// Its name in metrics, without the figures of one run.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::FailedOnSuspect => "failed_on_suspect",
+            Self::Stopped => "stopped",
+            Self::Stalled => "stalled",
+            Self::TooSlow { .. } => "too_slow",
+            Self::Lost => "lost",
+            Self::NotStarted(reason) => reason.name(),
+        }
+    }
+}
+
+impl NotStartedReason {
+    fn name(self) -> &'static str {
+        match self {
+            Self::StaleSender => "not_started_stale_sender",
+            Self::Unavailable => "not_started_unavailable",
+            Self::Full => "not_started_full",
+            Self::OldRun => "not_started_old_run",
+            Self::Duplicate => "not_started_duplicate",
+            Self::Refused => "not_started_refused",
+            Self::Withdrawn => "not_started_withdrawn",
+        }
+    }
+}
+
 /// Why an agent did not start a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotStartedReason {
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -296,6 +296,25 @@
     assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Stalled)]);
 }
 
+#[test]
+fn a_task_that_is_far_too_slow_is_given_back_with_the_time_it_would_take() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(0), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(0), id, None);
+    rig.message(at(50), ToAgentBody::Heartbeat);
+    rig.answer_watch(at(60), lists(&[(id, 10)], &[]));
+    rig.answer_watch(at(110), lists(&[(id, 20)], &[]));
+    assert_eq!(rig.take_stops(), vec![id]);
+    rig.answer_stop(at(111), id, true);
+    rig.answer_watch(at(120), lists(&[], &[(1, id, WorkerEndKind::Stopped)]));
+    let how = EndKind::TooSlow {
+        projected_millis: 550,
+    };
+    assert_eq!(rig.ends(), vec![(task(1, 0), how)]);
+}
+
 #[test]
 fn the_same_task_of_another_gateway_ends_the_earlier_run_first() {
     let mut rig = AgentRig::in_control(cpu(4_000));
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -58,6 +58,7 @@
 #[case::own_fault(EndKind::Failed, Some(Answer::Failed))]
 #[case::fault_of_the_worker(EndKind::FailedOnSuspect, None)]
 #[case::stalled(EndKind::Stalled, None)]
+#[case::too_slow(EndKind::TooSlow { projected_millis: 900 }, None)]
 #[case::lost(EndKind::Lost, None)]
 fn only_failures_of_its_own_count_as_attempts(
     #[case] how: EndKind,
@@ -74,6 +75,22 @@
     assert_eq!(rig.last_answer(), expected);
 }
 
+/// Found on a calm day of the grown sites: a task whose work was many times its
+/// estimate was stopped as too slow by one worker after the other, up to 22 times.
+#[test]
+fn a_task_stopped_for_slowness_gets_the_time_that_it_was_seen_to_need() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 2, 100));
+    let batch = rig.next_start();
+    assert_eq!(batch.1.estimate_millis, 100);
+    let how = EndKind::TooSlow {
+        projected_millis: 450,
+    };
+    rig.end(at(130), &batch, how, cpu(4_000));
+    assert_eq!(rig.next_start().1.estimate_millis, 450);
+}
+
 #[test]
 fn the_same_job_again_stays_one_job() {
     let mut rig = GatewayRig::new();
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -158,7 +158,7 @@
             histogram!(JOB_SECONDS, &labels).record(Duration::from_micros(age.0));
         }
         GatewayDecision::CameBack { how, .. } => {
-            counter!(CAME_BACK, "how" => format!("{how:?}")).increment(1);
+            counter!(CAME_BACK, "how" => how.name()).increment(1);
         }
         _ => {}
     }
@@ -167,7 +167,7 @@
 fn count_agent(decision: &AgentDecision) {
     match decision {
         AgentDecision::Ended { how, .. } => {
-            counter!(RUNS_ENDED, "how" => format!("{how:?}")).increment(1);
+            counter!(RUNS_ENDED, "how" => how.name()).increment(1);
         }
         AgentDecision::Stopping { reason, .. } => {
             counter!(RUNS_STOPPED, "reason" => *reason).increment(1);
