A slow task is left to run while later ones are done in good time

Change: an agent calls a task too slow only if no task of another job that began later was done at a normal pace within 150 ms, and only if stopping it saves time (90 ms left at least).

--- a/laurelstile-core/src/leased/agent/health.rs
+++ b/laurelstile-core/src/leased/agent/health.rs
@@ -2,11 +2,18 @@
 //!
 //! A worker that fails or hangs everything looks free and would draw all work.
 //! After a few failures in a row, or tasks that stand still, it is put on
-//! probation: nothing for a while, then one task at a time until one is done.
+//! probation: nothing for a while, then one task at a time until one is done. A
+//! slow worker is not: under load what it gets done counts.
+//!
+//! A task may crawl by its own fault, since estimates are rough: while others that
+//! began later are done at a normal pace, the worker is not blamed.
+
+use std::collections::VecDeque;
 
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::super::messages::UNLIMITED;
+use super::super::task::JobId;
 
 /// Failures in a row that put a worker on probation.
 const FAILURES: u32 = 3;
@@ -25,6 +32,31 @@
 const PACE_HALF_LIFE: Span = Span::from_millis(1_000);
 /// Bounds of a sample of the pace.
 const PACE_BOUNDS: (f64, f64) = (0.2, 20.0);
+/// How long a task that was done at a normal pace speaks for its worker.
+const WITNESS_AGE: Span = Span::from_millis(150);
+/// Most such tasks that are remembered.
+const MOST_WITNESSES: usize = 8;
+
+/// A task that is done.
+#[derive(Clone, Copy, Debug)]
+pub struct FinishedRun {
+    /// Its job.
+    pub job: JobId,
+    /// When its start was sent.
+    pub sent: Timestamp,
+    /// How long it took, by the worker's clock.
+    pub elapsed: Span,
+    /// How long it was guessed to take.
+    pub estimate: Span,
+}
+
+/// A task that was done at a normal pace.
+#[derive(Clone, Copy, Debug)]
+struct Witness {
+    job: JobId,
+    sent: Timestamp,
+    ended: Timestamp,
+}
 
 /// Health of a worker.
 #[derive(Debug)]
@@ -33,6 +65,7 @@
     probation: Option<Probation>,
     pace: f64,
     sampled: Timestamp,
+    witnesses: VecDeque<Witness>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -48,19 +81,23 @@
             probation: None,
             pace: 1.0,
             sampled: Timestamp::default(),
+            witnesses: VecDeque::new(),
         }
     }
 }
 
 impl Health {
-    /// A task is done: it took `elapsed` where `estimate` was guessed.
-    pub fn on_done(&mut self, now: Timestamp, elapsed: Span, estimate: Span) {
+    /// A task is done.
+    pub fn on_done(&mut self, now: Timestamp, run: &FinishedRun) {
         self.failures = 0;
         self.probation = None;
-        if estimate.0 == 0 {
+        if run.estimate.0 == 0 {
             return;
         }
-        let sample = ratio(elapsed, estimate).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        let sample = ratio(run.elapsed, run.estimate).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        if sample <= SLOW_PACE {
+            self.remember(now, run);
+        }
         let weight = if self.pace > SLOW_PACE && sample < self.pace {
             0.5
         } else {
@@ -70,6 +107,26 @@
         self.sampled = now;
     }
 
+    fn remember(&mut self, now: Timestamp, run: &FinishedRun) {
+        if self.witnesses.len() == MOST_WITNESSES {
+            self.witnesses.pop_front();
+        }
+        self.witnesses.push_back(Witness {
+            job: run.job,
+            sent: run.sent,
+            ended: now,
+        });
+    }
+
+    /// Whether a task of another job that was started no earlier than `sent` was
+    /// done at a normal pace lately: a task of `job` that crawls does so by its
+    /// own fault.
+    pub fn is_vouched_for(&self, now: Timestamp, job: JobId, sent: Timestamp) -> bool {
+        self.witnesses.iter().any(|witness| {
+            witness.job != job && witness.sent >= sent && now.since(witness.ended) <= WITNESS_AGE
+        })
+    }
+
     /// A task failed.
     pub fn on_failed(&mut self, now: Timestamp) {
         self.failures += 1;
@@ -85,7 +142,7 @@
     }
 
     /// A task is so slow that it would take `projected` where `estimate` was
-    /// guessed.
+    /// guessed, and nothing speaks for the worker.
     pub fn on_slow(&mut self, now: Timestamp, projected: Span, estimate: Span) {
         let sample = ratio(projected, estimate).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
         self.pace = self.pace.max(sample);
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -25,7 +25,7 @@
 pub use events::{
     AgentDecision, AgentEffect, AgentEvent, Order, OrderAnswer, OrderKind, WatchAnswer,
 };
-use health::Health;
+use health::{FinishedRun, Health};
 use ledger::{Ledger, RunState, StopReason};
 use owner::Owner;
 use worker::{ClockEstimate, FenceToken};
@@ -312,8 +312,13 @@
         }
         if let (EndKind::Done, RunState::Running { .. }, Some(life)) = (how, run.state, &self.life)
         {
-            let elapsed = life.clock.at(now).since(run.started);
-            self.health.on_done(now, elapsed, run.estimate);
+            let finished = FinishedRun {
+                job: task.job,
+                sent: run.sent,
+                elapsed: life.clock.at(now).since(run.started),
+                estimate: run.estimate,
+            };
+            self.health.on_done(now, &finished);
         }
     }
 
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -35,6 +35,9 @@
 const SLOW_FACTOR: u64 = 4;
 /// A slow task is left alone from this progress on.
 const NEARLY_DONE_PERCENT: u32 = 60;
+/// A slow task is left alone if it is done within so long: starting it anew
+/// elsewhere takes time too.
+const SOON_DONE: Span = Span::from_millis(90);
 
 impl LeasedAgent {
     /// Sends the next watch if one is wanted and none is under way.
@@ -225,7 +228,9 @@
             return;
         }
         let projected = Span(elapsed.0 * 100 / u64::from(run.percent));
-        if projected.0 > run.estimate.0 * SLOW_FACTOR {
+        let is_slow = projected.0 > run.estimate.0 * SLOW_FACTOR
+            && projected.0.saturating_sub(elapsed.0) > SOON_DONE.0;
+        if is_slow && !self.health.is_vouched_for(now, task.job, run.sent) {
             self.health.on_slow(now, projected, run.estimate);
             self.stop_run(now, task, StopReason::TooSlow { projected }, effects);
         }
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -304,7 +304,7 @@
     let id = rig.take_starts()[0];
     rig.answer_start(at(0), id, None);
     rig.message(at(50), ToAgentBody::Heartbeat);
-    rig.answer_watch(at(60), lists(&[(id, 10)], &[]));
+    rig.answer_watch(at(40), lists(&[(id, 10)], &[]));
     rig.answer_watch(at(110), lists(&[(id, 20)], &[]));
     assert_eq!(rig.take_stops(), vec![id]);
     rig.answer_stop(at(111), id, true);
@@ -315,6 +315,29 @@
     assert_eq!(rig.ends(), vec![(task(1, 0), how)]);
 }
 
+/// Found on a calm day: estimates are rough, and a task that takes many times its
+/// own is no reason to stop it while its worker does others at a normal pace.
+#[test]
+fn a_slow_task_is_left_to_run_while_later_ones_are_done_in_good_time() {
+    let mut rig = AgentRig::in_control(cpu(2_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(0), batch);
+    let slow = rig.take_starts()[0];
+    rig.answer_start(at(0), slow, None);
+    let batch = rig.batch(2, 1, 4);
+    rig.message(at(1), batch);
+    let normal = rig.take_starts()[0];
+    rig.answer_start(at(1), normal, None);
+    rig.answer_watch(at(40), lists(&[(slow, 5), (normal, 40)], &[]));
+    rig.answer_watch(
+        at(100),
+        lists(&[(slow, 15)], &[(1, normal, WorkerEndKind::Done)]),
+    );
+    rig.answer_watch(at(120), lists(&[(slow, 18)], &[]));
+    assert!(rig.take_stops().is_empty());
+    assert_eq!(rig.last_report().map(|report| report.limit), Some(u32::MAX));
+}
+
 #[test]
 fn the_same_task_of_another_gateway_ends_the_earlier_run_first() {
     let mut rig = AgentRig::in_control(cpu(4_000));
