A task without room holds up only those that ask as much of the same workers

Cause: placement ended at the first job that found no room. With several services, labels or sizes, one job without a worker held up all others until it was refused.

Change: the first task without room is remembered; later ones are passed over only if they ask at least as much of the same workers, or of some of them.

--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -5,13 +5,17 @@
 //! them all, and a bad worker harms fewer jobs. Between workers with room the
 //! expected run time decides, then the zone, then what is left free.
 
+use std::sync::Arc;
+
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::job::{Job, StepRequest, TaskState};
+use super::job::{Job, Step, StepRequest, TaskState};
+use super::queues::QueueSettings;
 use super::workers::Worker;
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::{StartBatch, ToAgentBody};
+use crate::leased::room::Room;
 use crate::leased::task::{JobId, RunNumber, TaskId};
 
 /// What a worker of another zone costs more, in microseconds of run time.
@@ -37,10 +41,29 @@
     cost: u64,
 }
 
+/// A task that found no room.
+#[derive(Debug)]
+struct Shortage {
+    queue: Arc<QueueSettings>,
+    label: Option<String>,
+    room: Room,
+}
+
+impl Shortage {
+    /// Whether a task of `step` cannot find room either: it asks at least as much
+    /// of the same workers, or of some of them.
+    fn covers(&self, queue: &QueueSettings, step: &StepRequest) -> bool {
+        let is_narrower = self.label.is_none() || self.label == step.label;
+        self.queue.service == queue.service && is_narrower && self.room.fits(step.room)
+    }
+}
+
 impl LeasedGateway {
-    /// Places what waits, the most urgent first, until a job finds no room.
+    /// Places what waits, the most urgent first. A task that finds no room holds
+    /// up those only that ask for as much of the same workers.
     pub(super) fn place_waiting(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         let order: Vec<(Timestamp, JobId)> = self.waiting.iter().copied().collect();
+        let mut shortages = Vec::new();
         for (key, id) in order {
             let Some(job) = self.jobs.get(&id) else {
                 self.waiting.remove(&(key, id));
@@ -49,29 +72,59 @@
             if now < job.not_before {
                 continue;
             }
-            if !self.place_job(now, id, effects) {
-                return;
+            if self.place_job(now, id, &mut shortages, effects) {
+                self.waiting.remove(&(key, id));
             }
-            self.waiting.remove(&(key, id));
         }
     }
 
     /// Places the job's tasks; `false` if some found no room.
-    fn place_job(&mut self, now: Timestamp, id: JobId, effects: &mut Vec<GatewayEffect>) -> bool {
+    fn place_job(
+        &mut self,
+        now: Timestamp,
+        id: JobId,
+        shortages: &mut Vec<Shortage>,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> bool {
         let Some(job) = self.jobs.get(&id) else {
             return true;
         };
+        let mut is_placed = true;
         for step in job.placeable() {
-            while self
-                .jobs
-                .get(&id)
-                .is_some_and(|job| !job.steps[step].waiting.is_empty())
-            {
-                let Some(candidate) = self.best_worker(now, id, step) else {
-                    return false;
-                };
-                self.place(now, id, step, candidate, effects);
+            is_placed &= self.place_step(now, id, step, shortages, effects);
+        }
+        is_placed
+    }
+
+    /// Places the tasks of a step; `false` if some found no room.
+    fn place_step(
+        &mut self,
+        now: Timestamp,
+        id: JobId,
+        step: usize,
+        shortages: &mut Vec<Shortage>,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> bool {
+        while let Some(job) = self.jobs.get(&id) {
+            let Step {
+                request, waiting, ..
+            } = &job.steps[step];
+            if waiting.is_empty() {
+                return true;
             }
+            let is_short = |shortage: &Shortage| shortage.covers(&job.queue, request);
+            if shortages.iter().any(is_short) {
+                return false;
+            }
+            let Some(candidate) = self.best_worker(now, id, step) else {
+                shortages.push(Shortage {
+                    queue: Arc::clone(&job.queue),
+                    label: request.label.clone(),
+                    room: request.room,
+                });
+                return false;
+            };
+            self.place(now, id, step, candidate, effects);
         }
         true
     }
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -2,12 +2,16 @@
 
 mod leased_support;
 
+use std::sync::Arc;
+
 use laurelstile_core::leased::gateway::job::{CallNumber, Feature};
+use laurelstile_core::leased::gateway::queues::QueueSettings;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
 use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason};
+use laurelstile_core::leased::task::JobId;
 use laurelstile_core::leased::timing::LAPSE_AFTER_SILENCE;
 use laurelstile_core::session::SessionId;
-use leased_support::{GatewayRig, at, configuration, cpu, job};
+use leased_support::{GatewayRig, at, configuration, cpu, job, queue};
 use rstest::rstest;
 
 #[test]
@@ -175,6 +179,36 @@
     assert_eq!(rig.next_start().1.job.0, 2);
 }
 
+/// The most urgent job used to hold up every other one while it found no room.
+#[test]
+fn a_service_without_room_does_not_hold_up_another() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(500));
+    rig.join_for(at(0), 2, "agent-2", "crystals", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 1, 100));
+    assert!(rig.starts.is_empty());
+    let mut other = job(2, 1, 200);
+    other.queue = Arc::new(QueueSettings {
+        service: "crystals".into(),
+        ..queue()
+    });
+    rig.submit(at(11), 2, other);
+    assert_eq!(rig.next_start().0, SessionId(2));
+}
+
+#[test]
+fn a_small_task_takes_the_room_that_a_larger_one_cannot_use() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_500));
+    let mut large = job(1, 1, 100);
+    large.steps[0].room = cpu(2_000);
+    rig.submit(at(10), 1, large);
+    rig.submit(at(11), 2, job(2, 2, 200));
+    let batch = rig.next_start().1;
+    assert_eq!((batch.job, batch.tasks.len()), (JobId(2), 1));
+    assert!(rig.starts.is_empty(), "the second task has no room");
+}
+
 #[test]
 fn a_configuration_never_reverts() {
     let mut rig = GatewayRig::new();
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -159,6 +159,18 @@
     /// An agent joins with a session of that number and a worker of so much
     /// room.
     pub fn join(&mut self, now: Timestamp, session: u64, name: &str, capacity: Room) {
+        self.join_for(now, session, name, "parcels", capacity);
+    }
+
+    /// An agent joins whose worker serves `service`.
+    pub fn join_for(
+        &mut self,
+        now: Timestamp,
+        session: u64,
+        name: &str,
+        service: &str,
+        capacity: Room,
+    ) {
         let opened = GatewayEvent::AgentOpened {
             session: SessionId(session),
             remote: Remote {
@@ -169,7 +181,7 @@
         };
         self.event(now, opened);
         let snapshot = Snapshot {
-            service: "parcels".into(),
+            service: service.into(),
             zone: "here".into(),
             capacity,
             labels: Vec::new(),
