--- a/laurelstile-lab/src/cell.rs
+++ b/laurelstile-lab/src/cell.rs
@@ -20,13 +20,13 @@
 use tempfile::TempDir;
 use tokio::time::Instant;
 
-use crate::error::LabError;
 use crate::hollow::{HollowAgent, HollowSettings};
 use crate::net::LoopbackBlock;
-use crate::process::NodeProcess;
-use crate::relay::Relay;
 use crate::standin::backend::BackendFaults;
 use crate::standin::platform::PlatformFaults;
+use laurelstile_lab::error::LabError;
+use laurelstile_lab::process::NodeProcess;
+use laurelstile_lab::relay::Relay;
 
 /// Token of the cell's operators.
 pub const OPERATOR_TOKEN: &str = "lab-operator-token";
--- a/laurelstile-lab/src/demo.rs
+++ b/laurelstile-lab/src/demo.rs
@@ -10,7 +10,7 @@
 
 use crate::caller::{Caller, Job, Outcome};
 use crate::cell::{Cell, CellPlan};
-use crate::error::LabError;
+use laurelstile_lab::error::LabError;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 const JOBS: usize = 40;
--- a/laurelstile-lab/src/hollow.rs
+++ b/laurelstile-lab/src/hollow.rs
@@ -15,8 +15,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
-use crate::error::LabError;
 use crate::standin::backend::TaskInput;
+use laurelstile_lab::error::LabError;
 
 /// Settings of a process with hollow agents.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/laurelstile-lab/src/load.rs
+++ b/laurelstile-lab/src/load.rs
@@ -21,10 +21,10 @@
 
 use crate::caller::{Caller, Job, Outcome};
 use crate::cell::{Cell, CellPlan};
-use crate::error::LabError;
 use crate::flags::Load;
 use crate::measure::{self, Counts, Figures};
 use crate::standin::backend::TaskInput;
+use laurelstile_lab::error::LabError;
 
 const TENANT: &str = "measured";
 const SHORTEST_MILLIS: f64 = 50.0;
--- a/laurelstile-lab/src/main.rs
+++ b/laurelstile-lab/src/main.rs
@@ -6,19 +6,16 @@
 mod caller;
 mod cell;
 mod demo;
-mod error;
 mod flags;
 mod hollow;
 mod load;
 mod measure;
 mod net;
-mod process;
 mod prove;
-mod relay;
 mod standin;
 
-use error::LabError;
 use flags::{LaurelstileLab, LaurelstileLabCmd};
+use laurelstile_lab::error::LabError;
 
 fn main() -> miette::Result<()> {
     let flags = LaurelstileLab::from_env_or_exit();
--- a/laurelstile-lab/src/measure.rs
+++ b/laurelstile-lab/src/measure.rs
@@ -9,7 +9,7 @@
 use laurelstile_store::http::HttpClient;
 use serde::Serialize;
 
-use crate::error::LabError;
+use laurelstile_lab::error::LabError;
 
 /// Clock ticks a second in `/proc`.
 const TICKS_PER_SECOND: f64 = 100.0;
--- a/laurelstile-lab/src/net.rs
+++ b/laurelstile-lab/src/net.rs
@@ -3,7 +3,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
-use crate::error::LabError;
+use laurelstile_lab::error::LabError;
 
 /// A random `127.a.b.0/24`.
 #[derive(Clone, Copy, Debug)]
--- a/laurelstile-lab/src/process.rs
+++ b/laurelstile-lab/src/process.rs
@@ -12,10 +12,11 @@
 
 use crate::error::LabError;
 
-/// A process of the lab's own program, started again with the same arguments.
+/// A process that is started again with the same program and arguments.
 #[derive(Debug)]
 pub struct NodeProcess {
     name: String,
+    program: PathBuf,
     arguments: Vec<OsString>,
     log: PathBuf,
     child: Option<Child>,
@@ -28,8 +29,26 @@
     /// # Errors
     /// [`LabError::Spawn`].
     pub fn start(name: &str, directory: &Path, arguments: Vec<OsString>) -> Result<Self, LabError> {
+        let program = std::env::current_exe().map_err(|source| LabError::Spawn {
+            name: name.to_owned(),
+            source,
+        })?;
+        Self::start_program(name, &program, directory, arguments)
+    }
+
+    /// Starts `program` with `arguments`; its output goes to a log in `directory`.
+    ///
+    /// # Errors
+    /// [`LabError::Spawn`].
+    pub fn start_program(
+        name: &str,
+        program: &Path,
+        directory: &Path,
+        arguments: Vec<OsString>,
+    ) -> Result<Self, LabError> {
         let mut process = Self {
             name: name.to_owned(),
+            program: program.to_owned(),
             arguments,
             log: directory.join(format!("{name}.log")),
             child: None,
@@ -57,11 +76,11 @@
             .append(true)
             .open(&self.log)
             .map_err(spawn_error)?;
-        let program = std::env::current_exe().map_err(spawn_error)?;
-        let child = Command::new(program)
+        let output = log.try_clone().map_err(spawn_error)?;
+        let child = Command::new(&self.program)
             .args(&self.arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
@@ -111,6 +130,14 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Asks the process to read its settings again.
+    ///
+    /// # Errors
+    /// [`LabError::Signal`].
+    pub fn hang_up(&self) -> Result<(), LabError> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Waits until the process has ended; false if it has not in time.
     pub async fn wait(&mut self, patience: Duration) -> bool {
         let Some(child) = &mut self.child else {
--- a/laurelstile-lab/src/prove.rs
+++ b/laurelstile-lab/src/prove.rs
@@ -15,8 +15,8 @@
 use tokio::time::Instant;
 
 use crate::cell::{Cell, CellPlan};
-use crate::error::LabError;
 use crate::flags::Prove;
+use laurelstile_lab::error::LabError;
 
 const GATEWAYS: usize = 3;
 const BACKENDS: usize = 5;
--- a/laurelstile-lab/src/prove/actors.rs
+++ b/laurelstile-lab/src/prove/actors.rs
@@ -15,7 +15,7 @@
 use super::{CALLER_PATIENCE, TENANTS};
 use crate::caller::{Caller, Job, Outcome};
 use crate::cell::Cell;
-use crate::error::LabError;
+use laurelstile_lab::error::LabError;
 
 /// Mean time between two jobs.
 const MEAN_GAP_MILLIS: f64 = 130.0;
--- a/laurelstile-lab/src/prove/schedule.rs
+++ b/laurelstile-lab/src/prove/schedule.rs
@@ -13,9 +13,9 @@
 
 use super::actors;
 use crate::cell::{Cell, gateway_name};
-use crate::error::LabError;
-use crate::relay::LinkState;
 use crate::standin::platform::PlatformFaults;
+use laurelstile_lab::error::LabError;
+use laurelstile_lab::relay::LinkState;
 
 /// Every kind of fault that a run injects.
 pub const KINDS: [&str; 16] = [
--- a/laurelstile-lab/src/standin/backend.rs
+++ b/laurelstile-lab/src/standin/backend.rs
@@ -18,7 +18,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::error::LabError;
+use laurelstile_lab::error::LabError;
 
 const THOUSAND: u64 = 1_000;
 
--- a/laurelstile-lab/src/standin/platform.rs
+++ b/laurelstile-lab/src/standin/platform.rs
@@ -16,7 +16,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::error::LabError;
+use laurelstile_lab::error::LabError;
 
 /// Transactions a second that the platform takes.
 const WRITES_PER_SECOND: f64 = 100.0;
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -6,7 +6,7 @@
 mod nodes;
 mod orders;
 mod run;
-mod worker;
+pub mod worker;
 mod world;
 
 pub use faults::{Fault, Sabotage, ScheduledFault};
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -116,7 +116,7 @@
     let (input, inputs) = mpsc::unbounded_channel();
     let member = Member {
         name: settings.node.name.clone(),
-        address: role.sessions,
+        address: role.public_address(),
     };
     let listener = listen(role.sessions).await?;
     tokio::spawn(accept(listener, local.clone(), input.clone()));
@@ -124,7 +124,7 @@
         .seeds
         .iter()
         .copied()
-        .filter(|seed| *seed != role.sessions)
+        .filter(|seed| *seed != member.address)
         .collect();
     let peers = PeerSessions {
         input: input.clone(),
--- a/laurelstiled/src/leased/settings.rs
+++ b/laurelstiled/src/leased/settings.rs
@@ -58,6 +58,10 @@
 pub struct LeasedGatewaySettings {
     /// Where sessions of agents and of other gateways are accepted.
     pub sessions: SocketAddr,
+    /// Address under which other processes reach that one, if it is another: that
+    /// of a relay or of a translated network.
+    #[serde(default)]
+    pub advertised: Option<SocketAddr>,
     /// How long the process has for a planned stop, in seconds.
     pub grace_seconds: f64,
 }
@@ -90,6 +94,11 @@
 }
 
 impl LeasedGatewaySettings {
+    /// The address that other processes are told.
+    pub fn public_address(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.sessions)
+    }
+
     /// Times of a planned stop within the grace.
     pub fn stop_times(&self) -> StopTimes {
         let overlap = (self.grace_seconds * OVERLAP_SHARE).min(LONGEST_OVERLAP_SECONDS);
