--- a/laurelstile-core/src/gateway/entry.rs
+++ b/laurelstile-core/src/gateway/entry.rs
@@ -7,7 +7,7 @@
 
 use super::scheduler::Origin;
 use super::submission::{Holder, Phase, Submission};
-use super::{Answer, ClaimOutcome, ClaimRequest, Gateway, GatewayEffect, JobRequest, Routing};
+use super::{Answer, ClaimOutcome, ClaimRequest, Gateway, GatewayEffect, JobRequest};
 use crate::messages::agent::TaskOutcome;
 use crate::messages::peer::{Delegation, DelegationEnd, DelegationOutcome, ToPeerBody};
 use crate::payload::Payload;
@@ -196,9 +196,6 @@
     }
 
     fn choose_scheduler(&self, now: Timestamp, delegation: &Delegation) -> Holder {
-        if self.routing == Routing::Entry {
-            return Holder::Own;
-        }
         let own = (!self.stopping).then_some(&self.identity.name);
         let peers = self
             .peers
--- a/laurelstile-core/src/gateway/mod.rs
+++ b/laurelstile-core/src/gateway/mod.rs
@@ -34,7 +34,6 @@
 use scheduler::Scheduler;
 use submission::Submission;
 
-pub use queue::{DEFAULT_ORDER, Order};
 pub use submission::{ClaimRequest, JobRequest};
 
 /// A gap between two events that means that the process stood still.
@@ -188,38 +187,10 @@
     pub zone: ZoneName,
 }
 
-/// Who schedules a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Routing {
-    /// One gateway for each pool, named by rendezvous hashing.
-    OnePerPool,
-    /// The gateway that took the job (a baseline).
-    Entry,
-}
-
-/// How a gateway schedules.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Policy {
-    /// Order of waiting jobs.
-    pub order: Order,
-    /// Who schedules a job.
-    pub routing: Routing,
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            order: DEFAULT_ORDER,
-            routing: Routing::OnePerPool,
-        }
-    }
-}
-
 /// The gateway's machine.
 #[derive(Debug)]
 pub struct Gateway {
     identity: Identity,
-    routing: Routing,
     revision: Option<Arc<Revision>>,
     stopping: bool,
     stop_reported: bool,
@@ -239,9 +210,8 @@
 
 impl Gateway {
     /// A gateway without a configuration.
-    pub fn new(identity: Identity, policy: Policy) -> Self {
+    pub fn new(identity: Identity) -> Self {
         Self {
-            routing: policy.routing,
             links: Links::new(identity.zone.clone()),
             identity,
             revision: None,
@@ -254,7 +224,7 @@
             has_read_machines: false,
             leaving: BTreeSet::new(),
             peers: Peers::default(),
-            scheduler: Scheduler::new(policy.order),
+            scheduler: Scheduler::default(),
             submissions: BTreeMap::new(),
             unsettled_claims: BTreeMap::new(),
         }
--- a/laurelstile-core/src/gateway/queue.rs
+++ b/laurelstile-core/src/gateway/queue.rs
@@ -6,23 +6,9 @@
 use laurelstile_types::id::{SubmissionId, TenantName};
 use laurelstile_types::time::{Span, Timestamp};
 
-/// How the queue orders jobs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// Least remaining work per slot and weight first. Each microsecond of
-    /// waiting counts as `ageing_permille` thousandths of one of work.
-    LeastRemaining {
-        /// Strength of ageing, in thousandths.
-        ageing_permille: u64,
-    },
-    /// First come, first served (a baseline).
-    Fifo,
-}
-
-/// Ageing that the measurement in docs/decisions/0002 chose.
-pub const DEFAULT_ORDER: Order = Order::LeastRemaining {
-    ageing_permille: 20,
-};
+/// Strength of ageing: each microsecond of waiting counts as so many thousandths of
+/// one of work. The measurement in docs/decisions/0002 chose it.
+const AGEING_PERMILLE: u64 = 20;
 
 /// Place of a job in the order; lower goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,7 +37,6 @@
 /// The waiting jobs of one pool.
 #[derive(Debug)]
 pub struct Queue {
-    order: Order,
     slots: u32,
     lines: BTreeMap<TenantName, Line>,
     queued_tasks: u32,
@@ -60,9 +45,8 @@
 
 impl Queue {
     /// An empty queue for a pool of `slots` slots.
-    pub fn new(order: Order, slots: u32) -> Self {
+    pub fn new(slots: u32) -> Self {
         Self {
-            order,
             slots: slots.max(1),
             lines: BTreeMap::new(),
             queued_tasks: 0,
@@ -111,16 +95,12 @@
         Span(before / u64::from(self.slots))
     }
 
-    /// The place that `claim` gives.
+    /// The place that `claim` gives: least remaining work per slot and weight goes
+    /// first.
     pub fn place(&self, claim: Claim) -> Place {
-        match self.order {
-            Order::Fifo => Place(claim.arrival.0),
-            Order::LeastRemaining { ageing_permille } => {
-                let share = u64::from(self.slots) * u64::from(claim.weight.max(1));
-                let aged = claim.arrival.0 / 1_000 * ageing_permille;
-                Place(claim.remaining.0 / share + aged)
-            }
-        }
+        let share = u64::from(self.slots) * u64::from(claim.weight.max(1));
+        let aged = claim.arrival.0 / 1_000 * AGEING_PERMILLE;
+        Place(claim.remaining.0 / share + aged)
     }
 
     /// Puts a job with waiting tasks in.
--- a/laurelstile-core/src/gateway/scheduler/mod.rs
+++ b/laurelstile-core/src/gateway/scheduler/mod.rs
@@ -15,7 +15,7 @@
 
 use super::job::{ClassMean, Job};
 use super::links::{LinkIndex, Links};
-use super::queue::{Order, Queue};
+use super::queue::Queue;
 use crate::messages::peer::{Delegation, DelegationEnd, DelegationKey, DelegationOutcome};
 
 /// How long a job waits before it is sent back as too old for every agent.
@@ -49,9 +49,8 @@
 }
 
 /// The jobs that this gateway schedules.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Scheduler {
-    order: Order,
     queues: BTreeMap<PoolName, Queue>,
     jobs: BTreeMap<SubmissionId, Job>,
     deadlines: BTreeSet<(Timestamp, SubmissionId)>,
@@ -62,20 +61,6 @@
 }
 
 impl Scheduler {
-    /// A scheduler without jobs.
-    pub fn new(order: Order) -> Self {
-        Self {
-            order,
-            queues: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
-            ended: BTreeMap::new(),
-            means: BTreeMap::new(),
-            ends: Vec::new(),
-            late_results: 0,
-        }
-    }
-
     /// Takes over the capacity of the pools of a new configuration.
     pub fn configure(&mut self, configuration: &Configuration) {
         for pool in &configuration.pools {
@@ -233,10 +218,9 @@
     }
 
     fn queue(&mut self, pool: &PoolName, slots: u32) -> &mut Queue {
-        let order = self.order;
         self.queues
             .entry(pool.clone())
-            .or_insert_with(|| Queue::new(order, slots))
+            .or_insert_with(|| Queue::new(slots))
     }
 
     fn enqueue_tasks(&mut self, pool: &PoolName, tenant: &TenantName, tasks: usize, mean: Span) {
--- a/laurelstile-core/tests/gateway.rs
+++ b/laurelstile-core/tests/gateway.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use laurelstile_core::gateway::{
-    Answer, ClaimOutcome, Gateway, GatewayEffect, GatewayEvent, Identity, JobRequest, Policy,
+    Answer, ClaimOutcome, Gateway, GatewayEffect, GatewayEvent, Identity, JobRequest,
 };
 use laurelstile_core::messages::agent::{
     FromAgent, FromAgentBody, NotStarted, NotStartedReason, SlotReport, StartTask, TaskOutcome,
@@ -44,7 +44,7 @@
             zone: "a".into(),
         };
         let mut bench = Self {
-            gateway: Gateway::new(identity, Policy::default()),
+            gateway: Gateway::new(identity),
             now: Timestamp(1_000_000),
             processed: 0,
             running: Vec::new(),
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -24,13 +24,6 @@
             /// Switch a mechanism off: owner-silence, leases, takeover or drains.
             optional --without mechanism: String
         }
-        /// Compare ways of scheduling without faults.
-        cmd experiment {
-            /// Seconds of virtual time (default 120).
-            optional --seconds seconds: u64
-            /// Seed (default 1).
-            optional --seed seed: u64
-        }
     }
 }
 
--- a/laurelstile-sim/src/lib.rs
+++ b/laurelstile-sim/src/lib.rs
@@ -3,7 +3,6 @@
 #![deny(warnings)]
 #![forbid(unsafe_code)]
 
-pub mod experiment;
 pub mod faults;
 pub mod leased;
 pub mod prove;
--- a/laurelstile-sim/src/main.rs
+++ b/laurelstile-sim/src/main.rs
@@ -8,8 +8,6 @@
 use std::process::ExitCode;
 
 use flags::{LaurelstileSim, LaurelstileSimCmd, Prove};
-use laurelstile_core::gateway::{Order, Policy, Routing};
-use laurelstile_sim::experiment;
 use laurelstile_sim::prove::run_seed;
 use laurelstile_sim::world::Sabotage;
 
@@ -17,10 +15,6 @@
     match LaurelstileSim::from_env_or_exit().subcommand {
         LaurelstileSimCmd::Prove(prove) => run_prove(&prove),
         LaurelstileSimCmd::Leased(flags) => leased_command::run(&flags),
-        LaurelstileSimCmd::Experiment(flags) => {
-            run_experiments(flags.seconds.unwrap_or(120), flags.seed.unwrap_or(1));
-            ExitCode::SUCCESS
-        }
     }
 }
 
@@ -89,28 +83,3 @@
         ExitCode::FAILURE
     }
 }
-
-fn run_experiments(seconds: u64, seed: u64) {
-    let least_remaining = |ageing_permille| Order::LeastRemaining { ageing_permille };
-    let one = Routing::OnePerPool;
-    let ways = [
-        ("fifo, one scheduler", Order::Fifo, one),
-        ("each entry gateway", least_remaining(20), Routing::Entry),
-        ("one scheduler, no ageing", least_remaining(0), one),
-        ("one scheduler, ageing 0.01", least_remaining(10), one),
-        ("one scheduler, ageing 0.02", least_remaining(20), one),
-        ("one scheduler, ageing 0.05", least_remaining(50), one),
-        ("one scheduler, ageing 0.1", least_remaining(100), one),
-        ("one scheduler, ageing 0.5", least_remaining(500), one),
-    ];
-    println!("way | load | answered | mean | p50 | p99 | messages per task");
-    for (name, order, routing) in ways {
-        for load in [0.5, 0.8, 0.95] {
-            let outcome = experiment::run(Policy { order, routing }, load, seconds, seed);
-            println!(
-                "{name} | {load} | {} | {:.3} | {:.3} | {:.3} | {:.2}",
-                outcome.answered, outcome.mean, outcome.p50, outcome.p99, outcome.messages_per_task
-            );
-        }
-    }
-}
--- a/laurelstile-sim/src/prove.rs
+++ b/laurelstile-sim/src/prove.rs
@@ -1,6 +1,5 @@
 //! Seeded runs under faults, judged by the history checker.
 
-use laurelstile_core::gateway::Policy;
 use laurelstile_history::check::{Bounds, Report, check};
 use laurelstile_history::event::Record;
 use rand::{Rng, SeedableRng};
@@ -47,7 +46,6 @@
         deadline: DEADLINE,
         latency: 500,
         caller_latency: 3_000,
-        policy: Policy::default(),
         sabotage,
     };
     let result = World::new(plan, jobs, faults).run(FAULTY + SETTLING);
--- a/laurelstile-sim/src/replay.rs
+++ b/laurelstile-sim/src/replay.rs
@@ -3,19 +3,39 @@
 
 use std::collections::BTreeMap;
 
-use laurelstile_core::gateway::Policy;
+use hdrhistogram::Histogram;
 use laurelstile_history::event::{Event, Record};
 use laurelstile_types::configuration::Configuration;
+use serde::Serialize;
 
-use crate::experiment::{Outcome, outcome_of};
 use crate::workload::SimJob;
-use crate::world::{World, WorldPlan};
+use crate::world::{RunResult, World, WorldPlan};
 
 /// Gateways of the emulated cell.
 const GATEWAYS: usize = 3;
 const DEADLINE: u64 = 300_000_000;
 const LATENCY: u64 = 500;
 const CALLER_LATENCY: u64 = 3_000;
+/// Largest ratio that is told apart, in thousandths.
+const LARGEST_RATIO: u64 = 1_000_000;
+const THOUSAND: f64 = 1_000.0;
+
+/// What a replay gave.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Jobs answered.
+    pub answered: u64,
+    /// Mean of response over ideal.
+    pub mean: f64,
+    /// Median of response over ideal.
+    pub p50: f64,
+    /// 99th percentile of response over ideal.
+    pub p99: f64,
+    /// Messages between nodes for each task start.
+    pub messages_per_task: f64,
+    /// Messages by kind.
+    pub messages: BTreeMap<&'static str, u64>,
+}
 
 /// The jobs of a recorded run whose tasks all ran to their end.
 pub fn jobs_of(records: &[Record]) -> Vec<SimJob> {
@@ -74,7 +94,6 @@
         deadline: DEADLINE,
         latency: LATENCY,
         caller_latency: CALLER_LATENCY,
-        policy: Policy::default(),
         sabotage: None,
     };
     let ideals: Vec<u64> = jobs.iter().map(|job| job.ideal(slots)).collect();
@@ -82,3 +101,32 @@
     let result = World::new(plan, jobs, Vec::new()).run(last + DEADLINE);
     outcome_of(&ideals, result)
 }
+
+/// The figures of a run whose jobs have these ideal times.
+fn outcome_of(ideals: &[u64], result: RunResult) -> Outcome {
+    let mut ratios = Histogram::<u64>::new_with_max(LARGEST_RATIO, 3)
+        .unwrap_or_else(|_| unreachable!("three digits are within the histogram's range"));
+    for (job, response) in &result.responses {
+        let ratio = response * 1_000 / ideals[*job].max(1);
+        ratios.saturating_record(ratio);
+    }
+    let messages: u64 = result.messages.values().sum();
+    Outcome {
+        answered: ratios.len(),
+        mean: ratios.mean() / THOUSAND,
+        p50: to_ratio(ratios.value_at_quantile(0.5)),
+        p99: to_ratio(ratios.value_at_quantile(0.99)),
+        messages_per_task: divide(messages, result.starts),
+        messages: result.messages,
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a figure for people")]
+fn to_ratio(permille: u64) -> f64 {
+    permille as f64 / THOUSAND
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a figure for people")]
+fn divide(one: u64, other: u64) -> f64 {
+    one as f64 / other.max(1) as f64
+}
--- a/laurelstile-sim/src/world/mod.rs
+++ b/laurelstile-sim/src/world/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use laurelstile_core::agent::{AgentEvent, RunEnd};
-use laurelstile_core::gateway::{GatewayEvent, Policy};
+use laurelstile_core::gateway::GatewayEvent;
 use laurelstile_core::messages::agent::{FromAgent, ToAgent};
 use laurelstile_core::messages::peer::ToPeer;
 use laurelstile_history::event::{Event, PLATFORM, Record};
@@ -60,8 +60,6 @@
     pub latency: u64,
     /// One-way latency between callers and gateways, in microseconds.
     pub caller_latency: u64,
-    /// How gateways schedule.
-    pub policy: Policy,
     /// A mechanism that is switched off, to show what it is for.
     pub sabotage: Option<Sabotage>,
 }
--- a/laurelstile-sim/src/world/nodes.rs
+++ b/laurelstile-sim/src/world/nodes.rs
@@ -96,7 +96,7 @@
             zone: format!("zone-{}", index % 3).as_str().into(),
         };
         let node = &mut self.gateways[index];
-        node.machine = Some(Gateway::new(identity, self.plan.policy));
+        node.machine = Some(Gateway::new(identity));
         node.incarnation = incarnation;
         node.started = self.now;
         node.known_revision = 0;
--- a/laurelstile-sim/tests/young_agents.rs
+++ b/laurelstile-sim/tests/young_agents.rs
@@ -1,6 +1,5 @@
 //! Jobs that were delegated before any agent joined the pool are still run.
 
-use laurelstile_core::gateway::Policy;
 use laurelstile_history::event::Event;
 use laurelstile_sim::faults::{Fault, ScheduledFault};
 use laurelstile_sim::workload::SimJob;
@@ -20,7 +19,6 @@
         deadline: 20 * SECOND,
         latency: 500,
         caller_latency: 3_000,
-        policy: Policy::default(),
         sabotage: None,
     };
     let jobs = (0..12)
--- a/laurelstiled/src/gateway/mod.rs
+++ b/laurelstiled/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use laurelstile_core::gateway::{Gateway, Identity, Policy};
+use laurelstile_core::gateway::{Gateway, Identity};
 use laurelstile_history::file::HistoryWriter;
 use laurelstile_store::client::HttpPlatform;
 use laurelstile_types::id::{GatewayName, Incarnation};
@@ -70,7 +70,7 @@
         incarnation,
         zone: node.zone.clone(),
     };
-    let machine = Gateway::new(identity, Policy::default());
+    let machine = Gateway::new(identity);
     let dialer = dial::AgentDialer::new(dialing);
     Driver::new(clock, machine, dialer, claims, history)
         .run(inputs)
