The gateway whose task ended hears of the room before the others

Each bit of room that became free was told to all gateways at once; all that had tasks waiting sent one, and all but one came back after 4 ms.

Change: more room is told to the gateway whose task left it with that task's end, and to the others 6 ms later if it is still there. Less room is told as before.

--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -11,8 +11,6 @@
 use super::owner::Owner;
 use super::{AgentEffect, LeasedAgent};
 
-/// Pause between two reports that have no other reason than a change of room.
-const REPORT_PAUSE: Span = Span::from_millis(5);
 /// How long a gateway without a session is remembered.
 const OWNER_MEMORY: Span = Span::from_secs(4);
 /// How long a planned stop waits for the last ends to be acknowledged.
@@ -72,14 +70,19 @@
         };
         let report = self.report(now, owner);
         let is_new = owner.last_report != Some(report);
+        if let Some(owner) = self.owners.get_mut(&gateway) {
+            owner.compare(now, &report);
+        }
+        let Some(owner) = self.owners.get(&gateway) else {
+            return;
+        };
         // Ends go before the snapshot, which tells what is left.
         let body = if owner.has_unsent() {
             None
         } else if is_in_control && !owner.has_snapshot {
             Some(FromAgentBody::Snapshot(self.snapshot(gateway)))
         } else {
-            let is_report_due =
-                is_new && owner.has_snapshot && now >= owner.reported.after(REPORT_PAUSE);
+            let is_report_due = is_new && owner.has_snapshot && now >= owner.report_due();
             let is_beat_due = now
                 >= owner
                     .last_sent
@@ -96,8 +99,7 @@
         let body = body.unwrap_or_else(|| FromAgentBody::Ends(owner.take_unsent()));
         owner.last_sent = now;
         if is_new {
-            owner.reported = now;
-            owner.last_report = Some(report);
+            owner.note_reported(now, report);
         }
         let message = FromAgent {
             clock: now,
@@ -212,7 +214,7 @@
                         .after(self.beat_interval(now, *gateway, owner)),
                 );
                 if owner.has_snapshot && owner.last_report != Some(self.report(now, owner)) {
-                    wakeups.push(owner.reported.after(REPORT_PAUSE));
+                    wakeups.push(owner.report_due());
                 }
             }
         }
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -14,6 +14,12 @@
 /// this the oldest are dropped.
 const MOST_ENDS: usize = 4_096;
 
+/// Pause between two reports that have no other reason than a change of room.
+const REPORT_PAUSE: Span = Span::from_millis(5);
+/// How much later than the gateway whose task ended the others hear of the room
+/// that it left.
+const HEAD_START: Span = Span::from_millis(6);
+
 /// A gateway with a session, or with runs or ends here.
 #[derive(Debug)]
 pub struct Owner {
@@ -29,6 +35,8 @@
     pub last_report: Option<Report>,
     /// When that was.
     pub reported: Timestamp,
+    /// Since when the worker has had more room than that report said.
+    pub has_more_room_since: Option<Timestamp>,
     /// When it last asked for a start.
     pub asked: Option<Timestamp>,
     /// Whether it was told what the worker is.
@@ -48,6 +56,7 @@
             last_sent: now,
             last_report: None,
             reported: Timestamp::default(),
+            has_more_room_since: None,
             asked: None,
             has_snapshot: false,
             ends: VecDeque::new(),
@@ -63,6 +72,7 @@
         self.echo = now;
         self.processed = 0;
         self.last_report = None;
+        self.has_more_room_since = None;
         self.has_snapshot = false;
         self.unsent = self.ends.len();
     }
@@ -108,6 +118,36 @@
         !self.ends.is_empty()
     }
 
+    /// Notes at `now` how `report` compares with the one that it was last sent.
+    pub fn compare(&mut self, now: Timestamp, report: &Report) {
+        let has_more = self
+            .last_report
+            .is_some_and(|last| !report.free.fits(last.free));
+        if has_more {
+            self.has_more_room_since.get_or_insert(now);
+        } else {
+            self.has_more_room_since = None;
+        }
+    }
+
+    /// When a report that has no other reason than a change may be sent. More room
+    /// is told late to those whose tasks have not made it: the gateway whose task
+    /// ended may fill it first, and the others need not all run for it.
+    pub fn report_due(&self) -> Timestamp {
+        let paused = self.reported.after(REPORT_PAUSE);
+        match self.has_more_room_since {
+            Some(since) => paused.max(since.after(HEAD_START)),
+            None => paused,
+        }
+    }
+
+    /// Notes that `report` is sent at `now`.
+    pub fn note_reported(&mut self, now: Timestamp, report: Report) {
+        self.reported = now;
+        self.last_report = Some(report);
+        self.has_more_room_since = None;
+    }
+
     /// Age of its latest echo.
     pub fn echo_age(&self, now: Timestamp) -> Span {
         now.since(self.echo)
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -8,7 +8,9 @@
 };
 use laurelstile_core::leased::messages::{EndKind, NotStartedReason, ToAgentBody};
 use laurelstile_core::leased::timing::{OWNER_SILENCE, START_FRESHNESS};
-use leased_support::{AgentRig, GATEWAY, at, cpu, lists, run, task, worker_clock};
+use laurelstile_core::session::SessionId;
+use laurelstile_types::id::Incarnation;
+use leased_support::{AgentRig, GATEWAY, SESSION, at, cpu, lists, run, task, worker_clock};
 use rstest::rstest;
 
 #[test]
@@ -338,6 +340,33 @@
     assert_eq!(rig.last_report().map(|report| report.limit), Some(u32::MAX));
 }
 
+/// Found on an overloaded day: every gateway heard of each bit of room at the same
+/// moment, and most of what they sent for it came back.
+#[test]
+fn the_gateway_whose_task_ended_hears_of_the_room_before_the_others() {
+    let other = SessionId(71);
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    rig.open(at(0), other, Incarnation(8));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(11), id, None);
+    rig.tick(at(30));
+    assert_eq!(rig.told_room(other), Some(0));
+    rig.answer_watch(at(100), lists(&[], &[(1, id, WorkerEndKind::Done)]));
+    assert_eq!(rig.told_room(SESSION), Some(1_000));
+    assert_eq!(rig.told_room(other), Some(0));
+    let batch = rig.batch(2, 1, 4);
+    rig.message(at(103), batch);
+    rig.tick(at(120));
+    assert_eq!(rig.told_room(other), Some(0), "it is taken again");
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(121), id, None);
+    rig.answer_watch(at(200), lists(&[], &[(2, id, WorkerEndKind::Done)]));
+    rig.tick(at(210));
+    assert_eq!(rig.told_room(other), Some(1_000), "nobody has taken it");
+}
+
 #[test]
 fn the_same_task_of_another_gateway_ends_the_earlier_run_first() {
     let mut rig = AgentRig::in_control(cpu(4_000));
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -351,6 +351,18 @@
         rig
     }
 
+    /// Another gateway opens a session.
+    pub fn open(&mut self, now: Timestamp, session: SessionId, gateway: Incarnation) {
+        self.event(now, AgentEvent::Opened { session, gateway });
+    }
+
+    /// Free room that a session was last told of, in thousandths of a core.
+    pub fn told_room(&self, session: SessionId) -> Option<u32> {
+        let reports = self.sent.iter().rev().filter(|(to, _)| *to == session);
+        let mut rooms = reports.filter_map(|(_, message)| message.report);
+        rooms.next().map(|report| report.free.cpu_millis)
+    }
+
     /// An agent with its worker, of so much room, under control.
     pub fn in_control(capacity: Room) -> Self {
         let mut rig = Self::new();
