Give a silent machine up after 150 ms and dial again closely at first

Cause: after a loss of power of all machines agents that were back first dialed gateways that were not; the opening packet is lost and repeated after a second, and the dial was given up after 600 ms, then paused 100, 200, 400 ms.

Change: opening a connection has a limit of its own, 150 ms; the pause between dials doubles only after every fifth failure in a row.

--- a/laurelstile-wire/src/session.rs
+++ b/laurelstile-wire/src/session.rs
@@ -1,6 +1,7 @@
 //! Opening sessions and moving messages over them.
 
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
@@ -31,6 +32,11 @@
 /// Metric: bytes of messages sent, without the frames around them.
 pub const SENT_BYTES: &str = "laurelstile_sent_bytes_total";
 
+/// Longest that the opening of a connection may take, which is the systems' own work
+/// and no process's. A machine that is off says nothing, and the first packet to it
+/// would be repeated after a second only.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Most messages that go out with one flush.
 const WRITE_BATCH: usize = 64;
 
@@ -45,7 +51,7 @@
     local: &LocalNode,
     expected: NodeRole,
 ) -> Result<(Socket, Remote), WireError> {
-    let connecting = tokio::time::timeout(HELLO_TIMEOUT, connect(address, source));
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address, source));
     let stream = connecting
         .await
         .map_err(|_| WireError::Timeout)?
--- a/laurelstile-wire/tests/sessions.rs
+++ b/laurelstile-wire/tests/sessions.rs
@@ -9,7 +9,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_wire::error::WireError;
 use laurelstile_wire::hello::{LocalNode, NodeRole, SharedSecret};
-use laurelstile_wire::session::{MAX_MESSAGE_BYTES, accept, dial, run};
+use laurelstile_wire::session::{CONNECT_TIMEOUT, MAX_MESSAGE_BYTES, accept, dial, run};
 use rstest::rstest;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -136,3 +136,42 @@
     let error = accepting.await.expect("the task ends");
     assert!(matches!(error, WireError::Garbled(_)), "{error:?}");
 }
+
+/// A listener that takes no connection in: its queue is full, and further opening
+/// packets are dropped, as by a machine without power.
+fn silent_listener() -> (socket2::Socket, Vec<socket2::Socket>, SocketAddr) {
+    let new = || {
+        let socket = socket2::Socket::new(
+            socket2::Domain::IPV4,
+            socket2::Type::STREAM,
+            Some(socket2::Protocol::TCP),
+        );
+        socket.expect("a socket")
+    };
+    let listener = new();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    listener.bind(&any.into()).expect("a port");
+    listener.listen(0).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let fillers = (0..4).map(|_| {
+        let socket = new();
+        socket.set_nonblocking(true).expect("an option");
+        let _ = socket.connect(&address);
+        socket
+    });
+    let fillers = fillers.collect();
+    (listener, fillers, address.as_socket().expect("an address"))
+}
+
+/// Found after a loss of power of all machines: agents that were back first waited
+/// 600 ms for gateways that were not, and only then dialed them again.
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_says_nothing_is_given_up_soon() {
+    let (_listener, _fillers, address) = silent_listener();
+    let local = node(NodeRole::Agent, SECRET);
+    let began = tokio::time::Instant::now();
+    let dialed = dial(address, None, &local, NodeRole::Gateway).await;
+    assert!(matches!(dialed, Err(WireError::Timeout)));
+    // The clock is the test's own: it moves only from timer to timer.
+    assert!(began.elapsed() <= CONNECT_TIMEOUT + Duration::from_millis(1));
+}
--- a/laurelstiled/src/leased/sessions.rs
+++ b/laurelstiled/src/leased/sessions.rs
@@ -18,9 +18,11 @@
 use super::ports::SeedSource;
 use crate::telemetry::SESSION_ERRORS;
 
-/// Pauses between two dials of one address.
+/// Pause between two dials of one address, at first and after some failures.
 const FIRST_REDIAL: Duration = Duration::from_millis(100);
 const LONGEST_REDIAL: Duration = Duration::from_millis(400);
+/// Failures in a row after which the pause doubles, and doubles again.
+const FAILURES_PER_DOUBLING: u32 = 5;
 /// Longest that a dial may take, with its hello.
 const DIAL_LIMIT: Duration = Duration::from_millis(600);
 /// Dials in a row without success after which an address is forgotten; it is
@@ -102,7 +104,6 @@
     dialed: Arc<D>,
 ) {
     let mut last = None;
-    let mut pause = FIRST_REDIAL;
     let mut failures = 0;
     while is_seed || failures < DIALS {
         let dialing = session::dial(address, None, &local, NodeRole::Gateway);
@@ -110,7 +111,6 @@
             Ok(Ok((_, remote))) if remote.name == local.name => return,
             Ok(Ok((socket, remote))) => {
                 last = Some(remote.incarnation);
-                pause = FIRST_REDIAL;
                 failures = 0;
                 dialed.hold(socket, remote).await
             }
@@ -126,11 +126,17 @@
             note_end(&error, &address.to_string());
         }
         failures += 1;
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_REDIAL);
+        tokio::time::sleep(redial_pause(failures)).await;
     }
 }
 
+/// Pause after so many failures in a row. Machines that lost power together come
+/// back within less than a second of each other, so the first dials follow closely.
+pub fn redial_pause(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1) / FAILURES_PER_DOUBLING;
+    (FIRST_REDIAL * 2_u32.saturating_pow(doublings)).min(LONGEST_REDIAL)
+}
+
 /// Logs and counts the end of a session.
 pub fn note_end(error: &WireError, remote: &str) {
     counter!(SESSION_ERRORS, "kind" => error.kind(), "side" => "gateway").increment(1);
