A stopping gateway takes what is sure to be done in time

Change: after the overlap it still takes a job that has twice its objective left until the limit at which all that is left is answered.

--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -11,6 +11,9 @@
 /// When to come back after a refusal for want of room.
 const RETRY_AFTER_OVERLOAD: Span = Span::from_millis(500);
 
+/// A stopping gateway still takes a job if so many times its objective is left.
+const STOPPING_MARGIN: u64 = 2;
+
 impl LeasedGateway {
     pub(super) fn on_submit(
         &mut self,
@@ -70,15 +73,26 @@
         if request.time_left == Span::default() {
             return Some(Refusal::DeadlineOver);
         }
-        let is_closed = self
-            .stopping_since
-            .is_some_and(|since| now >= since.after(self.identity.stop.overlap));
-        if is_closed {
+        if self.is_closed_to(now, request) {
             return Some(Refusal::Stopping);
         }
         (!self.has_worker(now)).then_some(Refusal::NoWorker)
     }
 
+    /// Whether the process stops and the job comes too late. Callers that have kept
+    /// their connections may still hand in, after the overlap, what is sure to be done
+    /// before the limit.
+    fn is_closed_to(&self, now: Timestamp, request: &JobRequest) -> bool {
+        let Some(since) = self.stopping_since else {
+            return false;
+        };
+        let times = self.identity.stop;
+        let objective = request.queue.objective(request.chain());
+        let done_by = now.after(Span(objective.0 * STOPPING_MARGIN));
+        let is_short = done_by <= since.after(times.limit);
+        self.stop_reported || (now >= since.after(times.overlap) && !is_short)
+    }
+
     pub(super) fn on_caller_gone(
         &mut self,
         now: Timestamp,
