--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -2,8 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use laurelstile_core::leased::task::TaskId;
-use laurelstile_history::leased::{Bounds, Record, Seen, TaskName, Told, Violation, judge};
+use laurelstile_history::leased::{Bounds, Record, Seen, Told, Violation, judge};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -98,15 +97,6 @@
     jobs
 }
 
-/// A task, as the judge names it.
-pub fn name_of(task: TaskId) -> TaskName {
-    TaskName {
-        job: task.job.0,
-        step: task.step,
-        index: task.index,
-    }
-}
-
 fn count_answers(records: &[Record]) -> BTreeMap<&'static str, u64> {
     let mut told = BTreeMap::new();
     for record in records {
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -7,7 +7,7 @@
 };
 use laurelstile_core::leased::agent::{OrderAnswer, OrderKind};
 use laurelstile_core::leased::task::{RunId, RunNumber, TaskId};
-use laurelstile_history::leased::{Life, RunEnd};
+use laurelstile_history::leased::{Life, RunEnd, Seen, TaskName};
 
 /// Longest lease, on the worker's clock, in milliseconds.
 const LONGEST_LEASE: u64 = 1_000;
@@ -45,6 +45,32 @@
     Ended(TaskId, RunEnd),
 }
 
+impl Change {
+    /// What is seen of it, at a worker of that life and room.
+    pub fn seen(self, life: Life, capacity: u32) -> Seen {
+        match self {
+            Self::Started(task) => Seen::Started {
+                life,
+                task: name_of(task),
+                capacity,
+            },
+            Self::Ended(task, how) => Seen::Ended {
+                life,
+                task: name_of(task),
+                how,
+            },
+        }
+    }
+}
+
+fn name_of(task: TaskId) -> TaskName {
+    TaskName {
+        job: task.job.0,
+        step: task.step,
+        index: task.index,
+    }
+}
+
 /// A worker and its present life.
 #[derive(Debug)]
 pub struct SimWorker {
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -572,19 +572,7 @@
     pub fn see_changes(&mut self, life: u64, worker: usize, changes: &[Change]) {
         let capacity = self.workers[worker].capacity;
         for change in changes {
-            let seen = match change {
-                Change::Started(task) => Seen::Started {
-                    life,
-                    task: super::run::name_of(*task),
-                    capacity,
-                },
-                Change::Ended(task, how) => Seen::Ended {
-                    life,
-                    task: super::run::name_of(*task),
-                    how: *how,
-                },
-            };
-            self.see(seen);
+            self.see(change.seen(life, capacity));
         }
     }
 
