--- a/laurelstile-core/src/leased/agent/health.rs
+++ b/laurelstile-core/src/leased/agent/health.rs
@@ -32,10 +32,10 @@
 const PACE_HALF_LIFE: Span = Span::from_millis(1_000);
 /// Bounds of a sample of the pace.
 const PACE_BOUNDS: (f64, f64) = (0.2, 20.0);
-/// How long a task that was done at a normal pace speaks for its worker.
-const WITNESS_AGE: Span = Span::from_millis(150);
+/// How long a task that was done at a normal pace proves that its worker is not slow.
+const NORMAL_END_AGE: Span = Span::from_millis(150);
 /// Most such tasks that are remembered.
-const MOST_WITNESSES: usize = 8;
+const MOST_NORMAL_ENDS: usize = 8;
 
 /// A task that is done.
 #[derive(Clone, Copy, Debug)]
@@ -52,7 +52,7 @@
 
 /// A task that was done at a normal pace.
 #[derive(Clone, Copy, Debug)]
-struct Witness {
+struct NormalEnd {
     job: JobId,
     sent: Timestamp,
     ended: Timestamp,
@@ -65,7 +65,7 @@
     probation: Option<Probation>,
     pace: f64,
     sampled: Timestamp,
-    witnesses: VecDeque<Witness>,
+    normal_ends: VecDeque<NormalEnd>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -81,7 +81,7 @@
             probation: None,
             pace: 1.0,
             sampled: Timestamp::default(),
-            witnesses: VecDeque::new(),
+            normal_ends: VecDeque::new(),
         }
     }
 }
@@ -96,7 +96,7 @@
         }
         let sample = ratio(run.elapsed, run.estimate).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
         if sample <= SLOW_PACE {
-            self.remember(now, run);
+            self.note_normal_end(now, run);
         }
         let weight = if self.pace > SLOW_PACE && sample < self.pace {
             0.5
@@ -107,11 +107,11 @@
         self.sampled = now;
     }
 
-    fn remember(&mut self, now: Timestamp, run: &FinishedRun) {
-        if self.witnesses.len() == MOST_WITNESSES {
-            self.witnesses.pop_front();
+    fn note_normal_end(&mut self, now: Timestamp, run: &FinishedRun) {
+        if self.normal_ends.len() == MOST_NORMAL_ENDS {
+            self.normal_ends.pop_front();
         }
-        self.witnesses.push_back(Witness {
+        self.normal_ends.push_back(NormalEnd {
             job: run.job,
             sent: run.sent,
             ended: now,
@@ -121,10 +121,10 @@
     /// Whether a task of another job that was started no earlier than `sent` was
     /// done at a normal pace lately: a task of `job` that crawls does so by its
     /// own fault.
-    pub fn is_vouched_for(&self, now: Timestamp, job: JobId, sent: Timestamp) -> bool {
-        self.witnesses.iter().any(|witness| {
-            witness.job != job && witness.sent >= sent && now.since(witness.ended) <= WITNESS_AGE
-        })
+    pub fn has_normal_pace_since(&self, now: Timestamp, job: JobId, sent: Timestamp) -> bool {
+        self.normal_ends
+            .iter()
+            .any(|end| end.job != job && end.sent >= sent && now.since(end.ended) <= NORMAL_END_AGE)
     }
 
     /// A task failed.
@@ -142,7 +142,7 @@
     }
 
     /// A task is so slow that it would take `projected` where `estimate` was
-    /// guessed, and nothing speaks for the worker.
+    /// guessed, and nothing shows that the worker is not to blame.
     pub fn on_slow(&mut self, now: Timestamp, projected: Span, estimate: Span) {
         let sample = ratio(projected, estimate).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
         self.pace = self.pace.max(sample);
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// The report for a gateway, once it is noted whether it has more room than the
+    /// last one.
+    fn note_room_for(&mut self, now: Timestamp, gateway: Incarnation) -> Option<Report> {
+        let report = self.report(now, self.owners.get(&gateway)?);
+        self.owners.get_mut(&gateway)?.note_room(now, &report);
+        Some(report)
+    }
+
     fn send_to(
         &mut self,
         now: Timestamp,
@@ -62,20 +70,16 @@
         is_in_control: bool,
         effects: &mut Vec<AgentEffect>,
     ) {
+        let Some(report) = self.note_room_for(now, gateway) else {
+            return;
+        };
         let Some(owner) = self.owners.get(&gateway) else {
             return;
         };
         let Some(session) = owner.session else {
             return;
         };
-        let report = self.report(now, owner);
         let is_new = owner.last_report != Some(report);
-        if let Some(owner) = self.owners.get_mut(&gateway) {
-            owner.compare(now, &report);
-        }
-        let Some(owner) = self.owners.get(&gateway) else {
-            return;
-        };
         // Ends go before the snapshot, which tells what is left.
         let body = if owner.has_unsent() {
             None
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -118,8 +118,8 @@
         !self.ends.is_empty()
     }
 
-    /// Notes at `now` how `report` compares with the one that it was last sent.
-    pub fn compare(&mut self, now: Timestamp, report: &Report) {
+    /// Notes whether `report` has more room than the one that it was last sent.
+    pub fn note_room(&mut self, now: Timestamp, report: &Report) {
         let has_more = self
             .last_report
             .is_some_and(|last| !report.free.fits(last.free));
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -230,7 +230,7 @@
         let projected = Span(elapsed.0 * 100 / u64::from(run.percent));
         let is_slow = projected.0 > run.estimate.0 * SLOW_FACTOR
             && projected.0.saturating_sub(elapsed.0) > SOON_DONE.0;
-        if is_slow && !self.health.is_vouched_for(now, task.job, run.sent) {
+        if is_slow && !self.health.has_normal_pace_since(now, task.job, run.sent) {
             self.health.on_slow(now, projected, run.estimate);
             self.stop_run(now, task, StopReason::TooSlow { projected }, effects);
         }
