Back after a loss of power: calls wait for the first configuration, jobs for the first worker

Change: calls wait up to 250 ms after the start for the first configuration; jobs that come while there is no worker wait as if the workers were full, unless that has lasted a second; agents read the list of gateways at their start; dials begin with 50 ms + 25 ms and double after five failures.

What is refused less is in part late instead, since callers have waited before their connection was taken.

Ruled out: the store (8 ms an answer), the workers' lists (2 ms after the agent's start).

--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -11,6 +11,11 @@
 /// When to come back after a refusal for want of room.
 const RETRY_AFTER_OVERLOAD: Span = Span::from_millis(500);
 
+/// How long a gateway without any worker lets jobs wait for one, as if the workers
+/// were full. After a loss of power the agents are back within this time; a longer
+/// outage is told to callers at once.
+const WORKER_PATIENCE: Span = Span::from_millis(1_000);
+
 /// A stopping gateway still takes a job if so many times its objective is left.
 const STOPPING_MARGIN: u64 = 2;
 
@@ -30,6 +35,7 @@
         }
         let id = request.id;
         let queue = request.queue.clone();
+        self.note_workers(now);
         if let Some(reason) = self.refusal_of(now, &request) {
             let answer = Answer::Refused {
                 reason,
@@ -76,7 +82,17 @@
         if self.is_closed_to(now, request) {
             return Some(Refusal::Stopping);
         }
-        (!self.has_worker(now)).then_some(Refusal::NoWorker)
+        let patience_ends = self.without_worker_since?.after(WORKER_PATIENCE);
+        (now > patience_ends).then_some(Refusal::NoWorker)
+    }
+
+    /// Notes since when there is no worker at all.
+    fn note_workers(&mut self, now: Timestamp) {
+        if self.has_worker(now) {
+            self.without_worker_since = None;
+        } else {
+            self.without_worker_since.get_or_insert(now);
+        }
     }
 
     /// Whether the process stops and the job comes too late. Callers that have kept
@@ -204,6 +220,18 @@
         }
     }
 
+    fn refusal_for_want_of_room(&self, now: Timestamp) -> Answer {
+        let (reason, retry_after) = if self.has_worker(now) {
+            (Refusal::Overloaded, RETRY_AFTER_OVERLOAD)
+        } else {
+            (Refusal::NoWorker, RETRY_SOON)
+        };
+        Answer::Refused {
+            reason,
+            retry_after,
+        }
+    }
+
     /// Ends a job that has had its time.
     pub(super) fn refuse_or_give_up(
         &mut self,
@@ -216,10 +244,7 @@
         };
         let is_over = now >= job.deadline;
         if job.is_untouched() && (now >= job.refuse_at || is_over) {
-            let answer = Answer::Refused {
-                reason: Refusal::Overloaded,
-                retry_after: RETRY_AFTER_OVERLOAD,
-            };
+            let answer = self.refusal_for_want_of_room(now);
             self.finish(now, id, answer, effects);
         } else if is_over {
             self.finish(now, id, Answer::GivenUp, effects);
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -279,6 +279,8 @@
     waiting: BTreeSet<(Timestamp, JobId)>,
     /// When to look at a job again: it is refused, given up, or tried again.
     timers: BTreeSet<(Timestamp, JobId)>,
+    /// When a job first came while there was no worker at all.
+    without_worker_since: Option<Timestamp>,
     stopping_since: Option<Timestamp>,
     stop_reported: bool,
 }
@@ -298,6 +300,7 @@
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
             timers: BTreeSet::new(),
+            without_worker_since: None,
             stopping_since: None,
             stop_reported: false,
         }
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -46,6 +46,37 @@
     assert!(retry_after.0 > 0);
 }
 
+/// Found after losses of power: agents were back some 100 ms after the gateway, and
+/// what came in between was refused.
+#[test]
+fn a_job_that_comes_before_the_workers_waits_for_them() {
+    let mut rig = GatewayRig::new();
+    rig.submit(at(10), 1, job(1, 1, 200));
+    assert!(rig.answers.is_empty(), "not refused: {:?}", rig.answers);
+    rig.join(at(60), 1, "agent-1", cpu(1_000));
+    assert_eq!(rig.next_start().1.job, JobId(1));
+}
+
+#[test]
+fn a_job_without_any_worker_is_refused_in_time_and_later_ones_at_once() {
+    let mut rig = GatewayRig::new();
+    let no_worker = |answer| {
+        matches!(
+            answer,
+            Some(Answer::Refused {
+                reason: Refusal::NoWorker,
+                ..
+            })
+        )
+    };
+    rig.submit(at(10), 1, job(1, 1, 200));
+    rig.tick(at(95));
+    assert!(no_worker(rig.last_answer()), "{:?}", rig.answers);
+    rig.submit(at(1_020), 2, job(2, 1, 200));
+    assert_eq!(rig.answers.len(), 2, "the outage is long: refused at once");
+    assert!(no_worker(rig.last_answer()), "{:?}", rig.answers);
+}
+
 #[test]
 fn a_job_that_may_have_started_is_never_refused() {
     let mut rig = GatewayRig::new();
--- a/laurelstile-wire/src/session.rs
+++ b/laurelstile-wire/src/session.rs
@@ -51,7 +51,22 @@
     local: &LocalNode,
     expected: NodeRole,
 ) -> Result<(Socket, Remote), WireError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address, source));
+    dial_within(CONNECT_TIMEOUT, address, source, local, expected).await
+}
+
+/// Dials as [`dial`] does, and gives the opening of the connection up after
+/// `limit`.
+///
+/// # Errors
+/// Any [`WireError`].
+pub async fn dial_within(
+    limit: Duration,
+    address: SocketAddr,
+    source: Option<IpAddr>,
+    local: &LocalNode,
+    expected: NodeRole,
+) -> Result<(Socket, Remote), WireError> {
+    let connecting = tokio::time::timeout(limit, connect(address, source));
     let stream = connecting
         .await
         .map_err(|_| WireError::Timeout)?
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -103,6 +103,8 @@
         decisions: DecisionLog::default(),
         is_stopped: false,
     };
+    // The seeds name a few gateways only, and may be stale.
+    driver.look_up(&store);
     let mut lookup =
         tokio::time::interval_at(tokio::time::Instant::now() + LOOKUP_PAUSE, LOOKUP_PAUSE);
     let mut batch = Vec::with_capacity(INPUT_BATCH);
--- a/laurelstiled/src/leased/gate.rs
+++ b/laurelstiled/src/leased/gate.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
 use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
@@ -10,10 +11,14 @@
 use laurelstile_types::time::Span;
 use metrics::counter;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 use super::gateway::Input;
 use crate::telemetry::REFUSED_UNCONFIGURED;
 
+/// How long after its start a gateway lets calls wait for its first configuration.
+/// Reading it takes some 10 ms; after a loss of power callers are there before that.
+const FIRST_CONFIGURATION_WAIT: Duration = Duration::from_millis(250);
 /// When to come back to a gateway that cannot say more.
 const RETRY_LATER: Span = Span::from_millis(1_000);
 
@@ -50,6 +55,8 @@
     view: watch::Receiver<View>,
     calls: Arc<AtomicU64>,
     unconfigured: Arc<AtomicU64>,
+    /// Until when calls wait for the first configuration.
+    waits_until: Instant,
 }
 
 impl Gate {
@@ -60,6 +67,7 @@
             view,
             calls: Arc::default(),
             unconfigured: Arc::default(),
+            waits_until: Instant::now() + FIRST_CONFIGURATION_WAIT,
         }
     }
 
@@ -68,8 +76,10 @@
         self.view.borrow()
     }
 
-    /// The queue of a request.
-    pub fn find(&self, host: &str, path: &str) -> Lookup {
+    /// The queue of a request. Shortly after the gateway's start the first
+    /// configuration is waited for.
+    pub async fn find(&self, host: &str, path: &str) -> Lookup {
+        self.wait_for_configuration().await;
         match &self.view().configuration {
             None => {
                 self.note_unconfigured(path);
@@ -81,6 +91,16 @@
         }
     }
 
+    async fn wait_for_configuration(&self) {
+        if self.view().configuration.is_some() {
+            return;
+        }
+        let mut view = self.view.clone();
+        let configured = view.wait_for(|view| view.configuration.is_some());
+        // Past the wait the call is refused; the caller is told when to come back.
+        let _ = tokio::time::timeout_at(self.waits_until, configured).await;
+    }
+
     /// Writes that a call is refused for want of a configuration; the path holds the
     /// job's id.
     fn note_unconfigured(&self, path: &str) {
--- a/laurelstiled/src/leased/sessions.rs
+++ b/laurelstiled/src/leased/sessions.rs
@@ -19,9 +19,14 @@
 use crate::telemetry::SESSION_ERRORS;
 
 /// Pause between two dials of one address, at first and after some failures.
-const FIRST_REDIAL: Duration = Duration::from_millis(100);
+const FIRST_REDIAL: Duration = Duration::from_millis(25);
 const LONGEST_REDIAL: Duration = Duration::from_millis(400);
-/// Failures in a row after which the pause doubles, and doubles again.
+/// Longest that the opening of a connection may take, at first and after some
+/// failures. A machine that is off answers no packet, and the system repeats the
+/// first one only after a second; a far machine answers within the longest.
+const FIRST_CONNECT_LIMIT: Duration = Duration::from_millis(50);
+const LONGEST_CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Failures in a row after which pause and limit double, and double again.
 const FAILURES_PER_DOUBLING: u32 = 5;
 /// Longest that a dial may take, with its hello.
 const DIAL_LIMIT: Duration = Duration::from_millis(600);
@@ -106,7 +111,8 @@
     let mut last = None;
     let mut failures = 0;
     while is_seed || failures < DIALS {
-        let dialing = session::dial(address, None, &local, NodeRole::Gateway);
+        let limit = connect_limit(failures);
+        let dialing = session::dial_within(limit, address, None, &local, NodeRole::Gateway);
         let error = match tokio::time::timeout(DIAL_LIMIT, dialing).await {
             Ok(Ok((_, remote))) if remote.name == local.name => return,
             Ok(Ok((socket, remote))) => {
@@ -133,8 +139,17 @@
 /// Pause after so many failures in a row. Machines that lost power together come
 /// back within less than a second of each other, so the first dials follow closely.
 pub fn redial_pause(failures: u32) -> Duration {
+    doubled(FIRST_REDIAL, failures).min(LONGEST_REDIAL)
+}
+
+/// Longest that the opening of a connection may take after so many failures in a row.
+pub fn connect_limit(failures: u32) -> Duration {
+    doubled(FIRST_CONNECT_LIMIT, failures).min(LONGEST_CONNECT_LIMIT)
+}
+
+fn doubled(first: Duration, failures: u32) -> Duration {
     let doublings = failures.saturating_sub(1) / FAILURES_PER_DOUBLING;
-    (FIRST_REDIAL * 2_u32.saturating_pow(doublings)).min(LONGEST_REDIAL)
+    first.saturating_mul(2_u32.saturating_pow(doublings))
 }
 
 /// Logs and counts the end of a session.
