Room is offered by rank: announcements, offers, shares by queue and size, learned run times

Hypothesis: wide jobs are started in part and end late, because room is given to whoever hears of it first and each gateway refills what its own tasks leave; a common order over all gateways lets a job that has begun finish, and the worst-served go first.

Change: gateways announce tasks that wait, with a rank (0 for a job that has begun, else the share of its queue and size that was served in time lately); an agent holds room that becomes free for the best rank and offers it; the gateway answers with a batch or a refusal. Guesses are corrected by queue.

--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod ledger;
 mod lives;
+mod offers;
 mod outgoing;
 mod owner;
 mod starting;
@@ -135,6 +136,7 @@
         self.end_lapsed(now, effects);
         self.start_waiting(now, effects);
         self.end_waits(now, effects);
+        self.offer_room(now);
         self.repeat_stops(now, effects);
         self.watch(now, effects);
         self.finish_stop(now, effects);
@@ -188,7 +190,7 @@
             return;
         };
         if let Some(owner) = self.owners.get_mut(&gateway) {
-            owner.session = None;
+            owner.close();
         }
     }
 
@@ -226,6 +228,14 @@
                 }
             }
             ToAgentBody::Members(members) => effects.push(AgentEffect::Members(members)),
+            ToAgentBody::Announce(announcements) => {
+                self.on_announced(now, gateway, &announcements);
+            }
+            ToAgentBody::Decline(offers) => {
+                for number in offers {
+                    owner.end_offer(number);
+                }
+            }
         }
     }
 
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -91,7 +91,7 @@
                 >= owner
                     .last_sent
                     .after(self.beat_interval(now, gateway, owner));
-            if !is_report_due && !is_beat_due {
+            if !is_report_due && !is_beat_due && !owner.has_unsent_offer() {
                 return;
             }
             Some(FromAgentBody::Heartbeat)
@@ -102,12 +102,18 @@
         owner.has_snapshot |= matches!(body, Some(FromAgentBody::Snapshot(_)));
         let body = body.unwrap_or_else(|| FromAgentBody::Ends(owner.take_unsent()));
         owner.last_sent = now;
+        let offers = if owner.has_snapshot {
+            owner.take_unsent_offers()
+        } else {
+            Vec::new()
+        };
         if is_new {
             owner.note_reported(now, report);
         }
         let message = FromAgent {
             clock: now,
             report: is_new.then_some(report),
+            offers,
             body,
         };
         effects.push(AgentEffect::Send { session, message });
@@ -208,6 +214,7 @@
             .map(|(_, run)| run.wait_until);
         wakeups.extend(waits);
         for (gateway, owner) in &self.owners {
+            wakeups.extend(owner.next_offer_end());
             if self.owns_runs(*gateway) && now <= owner.silent_at() {
                 wakeups.push(owner.silent_at().after(Span(1)));
             }
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -1,12 +1,13 @@
-//! A gateway, as the agent sees it: its session, its echo, and the ends that
-//! it has not acknowledged.
+//! A gateway, as the agent sees it: its session, its echo, the ends that it has not
+//! acknowledged, the tasks that wait there, and the room that is held for it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::super::messages::{EndKind, Report, TaskEnd};
-use super::super::task::RunId;
+use super::super::messages::{Announcement, EndKind, Offer, Report, TaskEnd};
+use super::super::room::Room;
+use super::super::task::{JobId, RunId};
 use super::super::timing::OWNER_SILENCE;
 use crate::session::SessionId;
 
@@ -20,6 +21,33 @@
 /// that it left.
 const HEAD_START: Span = Span::from_millis(6);
 
+/// A step of a job at a gateway.
+pub type StepKey = (JobId, u32);
+
+/// Tasks of a step that wait at a gateway.
+#[derive(Clone, Copy, Debug)]
+pub struct AnnouncedStep {
+    /// What each needs.
+    pub room: Room,
+    /// How many wait, less those for which room was offered.
+    pub count: u32,
+    /// Rank; the lowest goes first.
+    pub rank: u32,
+    /// When they stop to wait.
+    pub until: Timestamp,
+}
+
+/// Room that is held for a gateway.
+#[derive(Clone, Copy, Debug)]
+struct PendingOffer {
+    offer: Offer,
+    until: Timestamp,
+    is_sent: bool,
+}
+
+/// Most steps of a gateway that are remembered as waiting.
+const MOST_ANNOUNCED: usize = 512;
+
 /// A gateway with a session, or with runs or ends here.
 #[derive(Debug)]
 pub struct Owner {
@@ -44,6 +72,9 @@
     ends: VecDeque<TaskEnd>,
     unsent: usize,
     last_number: u64,
+    announced: BTreeMap<StepKey, AnnouncedStep>,
+    offers: Vec<PendingOffer>,
+    last_offer: u64,
 }
 
 impl Owner {
@@ -62,6 +93,9 @@
             ends: VecDeque::new(),
             unsent: 0,
             last_number: 0,
+            announced: BTreeMap::new(),
+            offers: Vec::new(),
+            last_offer: 0,
         }
     }
 
@@ -75,6 +109,105 @@
         self.has_more_room_since = None;
         self.has_snapshot = false;
         self.unsent = self.ends.len();
+        self.forget_waiting();
+    }
+
+    /// The session is closed.
+    pub fn close(&mut self) {
+        self.session = None;
+        self.forget_waiting();
+    }
+
+    fn forget_waiting(&mut self) {
+        self.announced.clear();
+        self.offers.clear();
+    }
+
+    /// Takes in which tasks wait there.
+    pub fn announce(&mut self, now: Timestamp, announcement: &Announcement) {
+        let key = (announcement.job, announcement.step);
+        if announcement.count == 0 {
+            self.announced.remove(&key);
+            return;
+        }
+        self.announced.retain(|_, step| step.until > now);
+        if self.announced.len() >= MOST_ANNOUNCED {
+            return;
+        }
+        let step = AnnouncedStep {
+            room: announcement.room,
+            count: announcement.count,
+            rank: announcement.rank,
+            until: now.after(Span::from_millis(u64::from(announcement.lasts_millis))),
+        };
+        self.announced.insert(key, step);
+    }
+
+    /// The steps that wait there.
+    pub fn announced(&self, now: Timestamp) -> impl Iterator<Item = (StepKey, AnnouncedStep)> {
+        self.announced
+            .iter()
+            .map(|(key, step)| (*key, *step))
+            .filter(move |(_, step)| step.count > 0 && step.until > now)
+    }
+
+    /// Holds `room` for `tasks` tasks of a step until `until`.
+    pub fn offer(&mut self, key: StepKey, room: Room, tasks: u32, until: Timestamp) {
+        if let Some(step) = self.announced.get_mut(&key) {
+            step.count = step.count.saturating_sub(tasks);
+        }
+        self.last_offer += 1;
+        let offer = Offer {
+            number: self.last_offer,
+            room,
+        };
+        self.offers.push(PendingOffer {
+            offer,
+            until,
+            is_sent: false,
+        });
+    }
+
+    /// An offer was answered.
+    pub fn end_offer(&mut self, number: u64) {
+        self.offers.retain(|pending| pending.offer.number != number);
+    }
+
+    /// Ends the offers that were not answered in time. What waits at a gateway that
+    /// does not answer is forgotten.
+    pub fn expire_offers(&mut self, now: Timestamp) {
+        if self.offers.iter().any(|pending| now >= pending.until) {
+            self.forget_waiting();
+        }
+    }
+
+    /// When the next offer ends.
+    pub fn next_offer_end(&self) -> Option<Timestamp> {
+        self.offers.iter().map(|pending| pending.until).min()
+    }
+
+    /// Room that is held for it.
+    pub fn offered_room(&self) -> Room {
+        self.offers
+            .iter()
+            .map(|pending| pending.offer.room)
+            .fold(Room::default(), Room::plus)
+    }
+
+    /// The offers that were not sent yet.
+    pub fn take_unsent_offers(&mut self) -> Vec<Offer> {
+        let unsent = self.offers.iter_mut().filter(|pending| !pending.is_sent);
+        unsent
+            .map(|pending| {
+                pending.is_sent = true;
+                pending.offer
+            })
+            .collect()
+    }
+
+    /// Whether an offer waits to be sent.
+    pub fn has_unsent_offer(&self) -> bool {
+        self.offers.iter().any(|pending| !pending.is_sent)
     }
 
     /// Adds an end.
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -29,6 +29,9 @@
         if let Some(owner) = self.owners.get_mut(&gateway) {
             owner.processed = owner.processed.max(batch.number);
             owner.asked = Some(now);
+            if let Some(offer) = batch.offer {
+                owner.end_offer(offer);
+            }
         }
         for (index, number) in &batch.tasks {
             let task = TaskId {
@@ -106,6 +109,7 @@
         self.capacity()
             .minus(self.ledger.taken())
             .minus(self.ledger.waiting_room())
+            .minus(self.offered_room())
     }
 
     /// Tasks that may still be taken in, by the worker's health.
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -81,12 +81,19 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        if let Some(task) = job.task_mut(id) {
-            task.state = TaskState::Done;
-        }
+        let Some(task) = job.task_mut(id) else {
+            return;
+        };
+        task.state = TaskState::Done;
+        let taken = now.since(task.placed);
         let step = &mut job.steps[id.step as usize];
         step.done += 1;
+        step.longest = step.longest.max(taken);
         let is_step_done = step.is_done();
+        if is_step_done {
+            self.run_times
+                .note(&job.queue.name, step.guess, step.longest);
+        }
         if job.is_done() {
             self.finish(now, id.job, Answer::Completed, effects);
         } else if is_step_done {
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -51,7 +51,8 @@
             }));
             return;
         }
-        let job = Job::new(now, call, request);
+        let mut job = Job::new(now, call, request, &self.run_times);
+        job.group = self.shares.group_of(&job.queue.name, job.work());
         effects.push(GatewayEffect::Decided(GatewayDecision::Taken {
             job: id,
             queue,
@@ -166,13 +167,19 @@
                 answer,
             });
         }
+        let age = now.since(job.arrival);
         effects.push(GatewayEffect::Decided(GatewayDecision::Answered {
             job: id,
             queue: job.queue.clone(),
             answer,
-            age: now.since(job.arrival),
+            age,
             objective: job.objective,
         }));
+        let is_in_time = answer == Answer::Completed && age <= job.objective;
+        if answer != Answer::Cancelled {
+            self.shares
+                .note(now, &job.queue.name, job.group, is_in_time);
+        }
         self.remove_job(now, id, effects);
     }
 
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -8,6 +8,8 @@
 use super::super::room::Room;
 use super::super::task::{JobId, RunNumber, TaskId};
 use super::queues::QueueSettings;
+use super::run_times::RunTimes;
+use super::shares::SizeGroup;
 
 /// Number of a caller's request, new in this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -124,6 +126,8 @@
     pub run: RunNumber,
     /// Runs that failed by its own fault, as far as can be told.
     pub failures: u32,
+    /// When it was last placed.
+    pub placed: Timestamp,
 }
 
 /// A step under way.
@@ -137,16 +141,23 @@
     pub waiting: BTreeSet<u32>,
     /// Tasks that are done.
     pub done: u32,
+    /// How long its caller guessed that each task takes.
+    pub guess: Span,
+    /// The longest that a task has taken from its placement to its end.
+    pub longest: Span,
 }
 
 impl Step {
-    fn new(request: StepRequest) -> Self {
+    fn new(request: StepRequest, guess: Span) -> Self {
         let task = Task {
             state: TaskState::Waiting,
             run: RunNumber(0),
             failures: 0,
+            placed: Timestamp::default(),
         };
         Self {
+            guess,
+            longest: Span::default(),
             tasks: vec![task; request.count as usize],
             waiting: (0..request.count).collect(),
             done: 0,
@@ -199,6 +210,8 @@
     pub bounces: u32,
     /// When that last happened.
     pub bounced: Option<Timestamp>,
+    /// Its size, among the jobs of its queue.
+    pub group: SizeGroup,
     /// Its steps.
     pub steps: Vec<Step>,
 }
@@ -211,8 +224,17 @@
 const ANSWER_MARGIN: Span = Span::from_millis(20);
 
 impl Job {
-    /// A job that has just come.
-    pub fn new(now: Timestamp, call: CallNumber, request: JobRequest) -> Self {
+    /// A job that has just come; `run_times` correct its caller's guesses.
+    pub fn new(
+        now: Timestamp,
+        call: CallNumber,
+        mut request: JobRequest,
+        run_times: &RunTimes,
+    ) -> Self {
+        let guesses: Vec<Span> = request.steps.iter().map(|step| step.estimate).collect();
+        for step in &mut request.steps {
+            step.estimate = run_times.expected(&request.queue.name, step.estimate);
+        }
         let chain = request.chain();
         let objective = request.queue.objective(chain);
         let slack = Span(objective.0.saturating_sub(chain.0 + CALLER_DISTANCE.0));
@@ -232,7 +254,13 @@
             placed: 0,
             bounces: 0,
             bounced: None,
-            steps: request.steps.into_iter().map(Step::new).collect(),
+            group: SizeGroup::Ordinary,
+            steps: request
+                .steps
+                .into_iter()
+                .zip(guesses)
+                .map(|(step, guess)| Step::new(step, guess))
+                .collect(),
         }
     }
 
@@ -250,6 +278,15 @@
             .all(|before| self.steps[*before].is_done())
     }
 
+    /// All work by the estimates, in core-milliseconds.
+    pub fn work(&self) -> u64 {
+        let of_step = |step: &Step| {
+            let cores = u64::from(step.request.room.cpu_millis) * u64::from(step.request.count);
+            cores * step.request.estimate.as_millis() / 1_000
+        };
+        self.steps.iter().map(of_step).sum()
+    }
+
     /// Steps with tasks that may be placed now.
     pub fn placeable(&self) -> Vec<usize> {
         (0..self.steps.len())
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -8,9 +8,12 @@
 mod ends;
 mod intake;
 pub mod job;
+mod offers;
 mod peers;
 mod placement;
 pub mod queues;
+pub mod run_times;
+pub mod shares;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,7 +27,10 @@
 use super::timing::BUSY_HEARTBEAT;
 use crate::session::{Remote, SessionId};
 use job::{CallNumber, Feature, Job, JobRequest};
+use offers::AnnouncedJob;
 use queues::QueueConfiguration;
+use run_times::RunTimes;
+use shares::Shares;
 use workers::Worker;
 
 /// What happens to a gateway.
@@ -279,6 +285,12 @@
     waiting: BTreeSet<(Timestamp, JobId)>,
     /// When to look at a job again: it is refused, given up, or tried again.
     timers: BTreeSet<(Timestamp, JobId)>,
+    /// Waiting jobs of which agents were told.
+    announced: BTreeMap<JobId, AnnouncedJob>,
+    /// How long tasks take.
+    run_times: RunTimes,
+    /// Who was served lately.
+    shares: Shares,
     /// When a job first came while there was no worker at all.
     without_worker_since: Option<Timestamp>,
     stopping_since: Option<Timestamp>,
@@ -300,6 +312,9 @@
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
             timers: BTreeSet::new(),
+            announced: BTreeMap::new(),
+            run_times: RunTimes::default(),
+            shares: Shares::default(),
             without_worker_since: None,
             stopping_since: None,
             stop_reported: false,
@@ -377,8 +392,10 @@
     /// Does what the events since the last flush, or time, gave rise to.
     pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         self.end_lapsed_agents(now, effects);
+        self.use_offers(now, effects);
         self.place_waiting(now, effects);
         self.run_timers(now, effects);
+        self.announce_waiting(now, effects);
         self.tell_members(now, effects);
         self.send_heartbeats(now, effects);
         self.finish_stop(now, effects);
@@ -434,6 +451,7 @@
         };
         if let Some(worker) = self.workers.get_mut(&agent) {
             worker.session = None;
+            worker.offers.clear();
         }
     }
 
@@ -455,6 +473,7 @@
         if let Some(report) = message.report {
             worker.on_report(report);
         }
+        worker.offers.extend(message.offers);
         match message.body {
             FromAgentBody::Heartbeat => {}
             FromAgentBody::Ends(ends) => {
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -0,0 +1,256 @@
+//! Room that agents offer, and the announcements by which they know who waits.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::LeasedGateway;
+use super::job::Job;
+use super::placement::{Candidate, wanted_of};
+use super::workers::Worker;
+use crate::leased::gateway::GatewayEffect;
+use crate::leased::messages::{Announcement, Offer, ToAgentBody};
+use crate::leased::task::JobId;
+
+/// Workers that are told of a waiting task, and a few beyond.
+const AGENTS_PER_TASK: usize = 2;
+const AGENTS_BEYOND: usize = 2;
+/// After so long a job that still waits is announced anew: agents have counted their
+/// offers against it, and its rank has changed.
+const REFRESH: Span = Span::from_millis(25);
+
+/// A job that was announced.
+#[derive(Clone, Debug)]
+pub struct AnnouncedJob {
+    at: Timestamp,
+    rank: u32,
+    agents: Vec<(Incarnation, u32)>,
+}
+
+/// What is to be announced, by agent.
+type News = BTreeMap<Incarnation, Vec<Announcement>>;
+
+impl LeasedGateway {
+    /// Rank of a job among those that wait: 0 for one that has begun, since it takes
+    /// room for nothing until it is done; else the share of its like that was served.
+    pub(super) fn rank(&self, now: Timestamp, job: &Job) -> u32 {
+        if job.is_untouched() {
+            1 + self.shares.permille(now, &job.queue.name, job.group)
+        } else {
+            0
+        }
+    }
+
+    /// Jobs with tasks to be placed, in order.
+    pub(super) fn waiting_in_order(&self, now: Timestamp) -> Vec<JobId> {
+        let mut order: Vec<(u32, Timestamp, JobId)> = self
+            .waiting
+            .iter()
+            .filter_map(|(latest_start, id)| {
+                let job = self.jobs.get(id)?;
+                Some((self.rank(now, job), *latest_start, *id))
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    /// Answers each offer: with the tasks of the first job in order that can use it,
+    /// else by declining it.
+    pub(super) fn use_offers(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        let offers: Vec<(Incarnation, Offer)> = self
+            .workers
+            .iter_mut()
+            .flat_map(|(agent, worker)| {
+                let agent = *agent;
+                worker.offers.drain(..).map(move |offer| (agent, offer))
+            })
+            .collect();
+        for (agent, offer) in offers {
+            if !self.use_offer(now, agent, offer, effects) {
+                let decline = ToAgentBody::Decline(vec![offer.number]);
+                self.send(now, agent, decline, effects);
+            }
+        }
+    }
+
+    fn use_offer(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        offer: Offer,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> bool {
+        for id in self.waiting_in_order(now) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if now < job.not_before {
+                continue;
+            }
+            for step in job.placeable() {
+                let Some(tasks) = self.tasks_for(now, id, step, agent, offer) else {
+                    continue;
+                };
+                let candidate = Candidate::offered(agent, tasks, offer.number);
+                self.place(now, id, step, candidate, effects);
+                self.drop_if_placed(id);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Tasks of a step that the offered room is good for.
+    fn tasks_for(
+        &self,
+        now: Timestamp,
+        id: JobId,
+        step: usize,
+        agent: Incarnation,
+        offer: Offer,
+    ) -> Option<u32> {
+        let job = self.jobs.get(&id)?;
+        let worker = self.workers.get(&agent)?;
+        let wanted = self.wanted_from(now, job, step, worker)?;
+        let request = &job.steps[step].request;
+        let tasks = request.room.times_in(offer.room).min(wanted);
+        (tasks > 0).then_some(tasks)
+    }
+
+    /// Tasks of a step that `worker` would be given, if it had room for all.
+    fn wanted_from(&self, now: Timestamp, job: &Job, step: usize, worker: &Worker) -> Option<u32> {
+        let service = &job.queue.service;
+        let request = &job.steps[step].request;
+        let has_label = request
+            .label
+            .as_ref()
+            .is_none_or(|label| worker.has_label(label));
+        if !worker.is_usable(now, service) || !has_label {
+            return None;
+        }
+        let waiting = u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX);
+        let best_pace = self.best_pace(now, service)?;
+        wanted_of(job, request, waiting, best_pace, worker)
+    }
+
+    fn drop_if_placed(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get(&id)
+            && !job.has_placeable()
+        {
+            self.waiting.remove(&(job.latest_start, id));
+        }
+    }
+
+    /// Tells agents which jobs wait for room, and which no longer do.
+    pub(super) fn announce_waiting(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        if self.waiting.is_empty() && self.announced.is_empty() {
+            return;
+        }
+        let mut news = News::new();
+        self.withdraw_placed(&mut news);
+        for id in self.waiting_in_order(now) {
+            self.announce(now, id, &mut news);
+        }
+        for (agent, announcements) in news {
+            self.send(now, agent, ToAgentBody::Announce(announcements), effects);
+        }
+    }
+
+    fn withdraw_placed(&mut self, news: &mut News) {
+        let waiting: std::collections::BTreeSet<JobId> =
+            self.waiting.iter().map(|(_, id)| *id).collect();
+        let over: Vec<JobId> = self
+            .announced
+            .keys()
+            .filter(|id| !waiting.contains(id))
+            .copied()
+            .collect();
+        for id in over {
+            let Some(announced) = self.announced.remove(&id) else {
+                continue;
+            };
+            for (agent, step) in announced.agents {
+                news.entry(agent)
+                    .or_default()
+                    .push(Announcement::withdrawn(id, step));
+            }
+        }
+    }
+
+    fn announce(&mut self, now: Timestamp, id: JobId, news: &mut News) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let rank = self.rank(now, job);
+        let is_told = self.announced.get(&id).is_some_and(|announced| {
+            let has_begun_since = rank == 0 && announced.rank > 0;
+            now.since(announced.at) < REFRESH && !has_begun_since
+        });
+        if is_told || now < job.not_before {
+            return;
+        }
+        let mut agents = Vec::new();
+        for step in job.placeable() {
+            let index = u32::try_from(step).unwrap_or(u32::MAX);
+            let announcement = announcement_of(now, job, step, rank);
+            for agent in self.agents_to_tell(now, job, step) {
+                news.entry(agent).or_default().push(announcement);
+                agents.push((agent, index));
+            }
+        }
+        let announced = AnnouncedJob {
+            at: now,
+            rank,
+            agents,
+        };
+        let earlier = self.announced.insert(id, announced.clone());
+        for (agent, step) in earlier.map(|earlier| earlier.agents).unwrap_or_default() {
+            if !announced.agents.contains(&(agent, step)) {
+                let withdrawn = Announcement::withdrawn(id, step);
+                news.entry(agent).or_default().push(withdrawn);
+            }
+        }
+    }
+
+    /// The agents that are told of a waiting step: enough that some have room soon,
+    /// others for other jobs.
+    fn agents_to_tell(&self, now: Timestamp, job: &Job, step: usize) -> Vec<Incarnation> {
+        let waiting = job.steps[step].waiting.len();
+        let mut agents: Vec<Incarnation> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| self.wanted_from(now, job, step, worker).is_some())
+            .map(|(agent, _)| *agent)
+            .collect();
+        agents.sort_unstable_by_key(|agent| Reverse(affinity(job.id, *agent)));
+        agents.truncate(waiting * AGENTS_PER_TASK + AGENTS_BEYOND);
+        agents
+    }
+}
+
+fn announcement_of(now: Timestamp, job: &Job, step: usize, rank: u32) -> Announcement {
+    let until = if job.is_untouched() {
+        job.refuse_at
+    } else {
+        job.deadline
+    };
+    Announcement {
+        job: job.id,
+        step: u32::try_from(step).unwrap_or(u32::MAX),
+        room: job.steps[step].request.room,
+        count: u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX),
+        rank,
+        lasts_millis: u32::try_from(until.since(now).as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+/// Spreads jobs over agents: the same for the same pair, without order otherwise.
+fn affinity(job: JobId, agent: Incarnation) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (job.0, agent.0).hash(&mut hasher);
+    hasher.finish()
+}
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -68,6 +68,9 @@
         }
         let configuration = Arc::new(configuration);
         self.configuration = Some(Arc::clone(&configuration));
+        let is_kept = |name: &str| configuration.queues.iter().any(|queue| queue.name == name);
+        self.run_times.retain(is_kept);
+        self.shares.retain(is_kept);
         for session in self
             .peers
             .keys()
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -32,13 +32,28 @@
 
 /// A worker that could take tasks of a step.
 #[derive(Clone, Copy, Debug)]
-struct Candidate {
+pub(super) struct Candidate {
     agent: Incarnation,
     /// Whether it is fast enough for the job's objective.
     is_fast: bool,
     /// Tasks that it has room for, no more than are wanted.
     tasks: u32,
     cost: u64,
+    /// The offer whose room is used, if it is not room that was reported as free.
+    offer: Option<u64>,
+}
+
+impl Candidate {
+    /// The worker whose agent made an offer that has room for `tasks` tasks.
+    pub(super) fn offered(agent: Incarnation, tasks: u32, offer: u64) -> Self {
+        Self {
+            agent,
+            is_fast: true,
+            tasks,
+            cost: 0,
+            offer: Some(offer),
+        }
+    }
 }
 
 /// A task that found no room.
@@ -62,18 +77,17 @@
     /// Places what waits, the most urgent first. A task that finds no room holds
     /// up those only that ask for as much of the same workers.
     pub(super) fn place_waiting(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
-        let order: Vec<(Timestamp, JobId)> = self.waiting.iter().copied().collect();
         let mut shortages = Vec::new();
-        for (key, id) in order {
+        for id in self.waiting_in_order(now) {
             let Some(job) = self.jobs.get(&id) else {
-                self.waiting.remove(&(key, id));
                 continue;
             };
             if now < job.not_before {
                 continue;
             }
+            let latest_start = job.latest_start;
             if self.place_job(now, id, &mut shortages, effects) {
-                self.waiting.remove(&(key, id));
+                self.waiting.remove(&(latest_start, id));
             }
         }
     }
@@ -132,17 +146,12 @@
     fn best_worker(&self, now: Timestamp, id: JobId, step: usize) -> Option<Candidate> {
         let job = self.jobs.get(&id)?;
         let wanted = u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX);
-        let usable = || {
-            let service = &job.queue.service;
-            self.workers
-                .iter()
-                .filter(move |(_, worker)| worker.is_usable(now, service))
-        };
-        let best_pace = usable()
-            .map(|(_, worker)| worker.report.pace_percent)
-            .min()?;
+        let service = &job.queue.service;
+        let best_pace = self.best_pace(now, service)?;
         let request = &job.steps[step].request;
-        usable()
+        self.workers
+            .iter()
+            .filter(|(_, worker)| worker.is_usable(now, service))
             .filter_map(|(agent, worker)| {
                 let wanted = wanted_of(job, request, wanted, best_pace, worker)?;
                 self.candidate(job, request, wanted, *agent, worker)
@@ -153,6 +162,15 @@
             })
     }
 
+    /// Pace of the fastest worker that may be given tasks of `service`.
+    pub(super) fn best_pace(&self, now: Timestamp, service: &str) -> Option<u32> {
+        self.workers
+            .values()
+            .filter(|worker| worker.is_usable(now, service))
+            .map(|worker| worker.report.pace_percent)
+            .min()
+    }
+
     fn candidate(
         &self,
         job: &Job,
@@ -198,10 +216,11 @@
             is_fast,
             tasks,
             cost: run_time + zone + FULLNESS_MICROS * taken / capacity,
+            offer: None,
         })
     }
 
-    fn place(
+    pub(super) fn place(
         &mut self,
         now: Timestamp,
         id: JobId,
@@ -215,10 +234,15 @@
         ) else {
             return;
         };
-        let tasks = take_tasks(job, step, candidate.tasks);
+        let tasks = take_tasks(now, job, step, candidate.tasks);
         let request = &job.steps[step].request;
         let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
-        let number = worker.next_batch(request.room.times(count), count);
+        let reported = if candidate.offer.is_some() {
+            Room::default()
+        } else {
+            request.room.times(count)
+        };
+        let number = worker.next_batch(reported, count);
         for (index, run) in &tasks {
             let task = task_id(id, step, *index);
             worker.tasks.insert(task, *run);
@@ -232,6 +256,7 @@
             estimate_millis: u32::try_from(request.estimate.as_millis()).unwrap_or(u32::MAX),
             patience_millis: u32::try_from(PATIENCE.as_millis()).unwrap_or(u32::MAX),
             tasks,
+            offer: candidate.offer,
         };
         effects.push(GatewayEffect::Decided(GatewayDecision::Placed {
             job: id,
@@ -247,7 +272,7 @@
 /// Tasks that a worker may be given of `wanted`. One that is far slower than the
 /// best, and too slow for the objective, gets a single task while it is idle,
 /// which shows how it does now; where all are slow the estimates are to blame.
-fn wanted_of(
+pub(super) fn wanted_of(
     job: &Job,
     request: &StepRequest,
     wanted: u32,
@@ -274,7 +299,7 @@
     }
 }
 
-fn take_tasks(job: &mut Job, step: usize, count: u32) -> Vec<(u32, RunNumber)> {
+fn take_tasks(now: Timestamp, job: &mut Job, step: usize, count: u32) -> Vec<(u32, RunNumber)> {
     let step = &mut job.steps[step];
     let mut taken = Vec::with_capacity(count as usize);
     while taken.len() < count as usize {
@@ -283,6 +308,7 @@
         };
         let task = &mut step.tasks[index as usize];
         task.state = TaskState::Placed;
+        task.placed = now;
         task.run = RunNumber(task.run.0 + 1);
         taken.push((index, task.run));
     }
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -4,7 +4,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::super::messages::{Report, Snapshot};
+use super::super::messages::{Offer, Report, Snapshot};
 use super::super::room::Room;
 use super::super::task::{RunNumber, TaskId};
 use super::super::timing::{BUSY_SUSPICION, IDLE_SUSPICION, LAPSE_AFTER_SILENCE};
@@ -43,6 +43,8 @@
     pub acknowledged: u64,
     /// This gateway's tasks there.
     pub tasks: BTreeMap<TaskId, RunNumber>,
+    /// Room that its agent holds for this gateway, not answered yet.
+    pub offers: Vec<Offer>,
     batches: u64,
     unreported: VecDeque<Unreported>,
 }
@@ -67,6 +69,7 @@
             seen: 0,
             acknowledged: 0,
             tasks: BTreeMap::new(),
+            offers: Vec::new(),
             batches: 0,
             unreported: VecDeque::new(),
         }
@@ -80,6 +83,7 @@
         self.heard = now;
         self.last_sent = now;
         self.batches = 0;
+        self.offers.clear();
         self.unreported.clear();
     }
 
@@ -95,8 +99,8 @@
         }
     }
 
-    /// Number of the next batch, which has `tasks` tasks that need `room`
-    /// together.
+    /// Number of the next batch, which has `tasks` tasks that take `room` together of
+    /// what was reported as free.
     pub fn next_batch(&mut self, room: Room, tasks: u32) -> u64 {
         self.batches += 1;
         self.unreported.push_back(Unreported {
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -40,6 +40,60 @@
     /// The gateways that the sender knows.
     #[serde(rename = "m")]
     Members(Vec<Member>),
+    /// Tasks that wait for room at the gateway.
+    #[serde(rename = "a")]
+    Announce(Vec<Announcement>),
+    /// Offers, by number, that the gateway has no use for.
+    #[serde(rename = "d")]
+    Decline(Vec<u64>),
+}
+
+/// Tasks of a step that wait for room. It replaces what was announced of the step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// The job.
+    #[serde(rename = "j")]
+    pub job: JobId,
+    /// The step.
+    #[serde(rename = "t")]
+    pub step: u32,
+    /// What each task needs.
+    #[serde(rename = "o")]
+    pub room: Room,
+    /// Number of tasks; 0 if none waits any more.
+    #[serde(rename = "k")]
+    pub count: u32,
+    /// Rank among all that wait, of all gateways; the lowest goes first.
+    #[serde(rename = "q")]
+    pub rank: u32,
+    /// How long the tasks wait at most, in milliseconds.
+    #[serde(rename = "w")]
+    pub lasts_millis: u32,
+}
+
+impl Announcement {
+    /// Tells that no task of a step waits any more.
+    pub fn withdrawn(job: JobId, step: u32) -> Self {
+        Self {
+            job,
+            step,
+            room: Room::default(),
+            count: 0,
+            rank: 0,
+            lasts_millis: 0,
+        }
+    }
+}
+
+/// Room that an agent holds for a gateway for a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Number of the offer in its session, rising from 1.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// The room.
+    #[serde(rename = "o")]
+    pub room: Room,
 }
 
 /// Tasks of one step of a job, for one worker.
@@ -69,6 +123,9 @@
     /// Index and run of each task.
     #[serde(rename = "k")]
     pub tasks: Vec<(u32, RunNumber)>,
+    /// The offer that the batch answers, if any.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub offer: Option<u64>,
 }
 
 /// From an agent to a gateway.
@@ -80,6 +137,9 @@
     /// The worker's state, if it has changed since it was last told.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Report>,
+    /// Room that is held for the gateway; the report does not count it as free.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub offers: Vec<Offer>,
     /// What it is about.
     #[serde(rename = "b")]
     pub body: FromAgentBody,
--- /dev/null
+++ b/laurelstile-core/tests/leased_offers.rs
@@ -0,0 +1,201 @@
+//! Room that agents offer to the gateways whose tasks wait for it.
+
+mod leased_support;
+
+use laurelstile_core::leased::agent::worker::WorkerEndKind;
+use laurelstile_core::leased::gateway::Answer;
+use laurelstile_core::leased::messages::{
+    Announcement, EndKind, FromAgentBody, Offer, ToAgentBody,
+};
+use laurelstile_core::leased::room::Room;
+use laurelstile_core::leased::task::JobId;
+use laurelstile_core::session::SessionId;
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Timestamp;
+use leased_support::{AgentRig, GatewayRig, SESSION, at, cpu, job, lists, run};
+use rstest::rstest;
+
+/// Session of a gateway beside the one that the rig plays.
+const OTHER: SessionId = SessionId(80);
+
+fn waiting(job: u64, count: u32, rank: u32) -> Announcement {
+    Announcement {
+        job: JobId(job),
+        step: 0,
+        room: cpu(1_000),
+        count,
+        rank,
+        lasts_millis: 200,
+    }
+}
+
+/// An agent whose worker is full with a task of the first of two gateways.
+fn full_agent() -> AgentRig {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    rig.open(at(0), OTHER, Incarnation(8));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(1), batch);
+    let started = rig.take_starts();
+    rig.answer_start(at(2), started[0], None);
+    rig
+}
+
+fn end_run(rig: &mut AgentRig, now: Timestamp) {
+    rig.answer_watch(now, lists(&[], &[(1, run(1, 0), WorkerEndKind::Done)]));
+}
+
+#[test]
+fn freed_room_is_offered_to_the_best_rank_and_told_to_nobody_else() {
+    let mut rig = full_agent();
+    rig.message(at(10), ToAgentBody::Announce(vec![waiting(2, 1, 900)]));
+    rig.message_from(
+        at(10),
+        OTHER,
+        ToAgentBody::Announce(vec![waiting(3, 1, 400)]),
+    );
+    end_run(&mut rig, at(30));
+    assert_eq!(rig.offers(OTHER), vec![cpu(1_000)]);
+    assert!(rig.offers(SESSION).is_empty());
+    assert_eq!(rig.told_room(SESSION), Some(0));
+}
+
+#[test]
+fn a_batch_that_answers_an_offer_gets_its_room() {
+    let mut rig = full_agent();
+    rig.message_from(
+        at(10),
+        OTHER,
+        ToAgentBody::Announce(vec![waiting(3, 1, 400)]),
+    );
+    end_run(&mut rig, at(30));
+    rig.take_starts();
+    let offer = rig.last_offer(OTHER);
+    let batch = rig.batch(3, 1, 0);
+    rig.message_from(at(31), OTHER, answering(batch, offer));
+    assert_eq!(rig.take_starts(), vec![run(3, 0)]);
+}
+
+#[rstest]
+#[case::declined(true, 31)]
+#[case::not_answered(false, 41)]
+fn room_that_is_not_used_goes_to_the_next(#[case] is_declined: bool, #[case] millis: u64) {
+    let mut rig = full_agent();
+    rig.message(at(10), ToAgentBody::Announce(vec![waiting(2, 1, 900)]));
+    rig.message_from(
+        at(10),
+        OTHER,
+        ToAgentBody::Announce(vec![waiting(3, 1, 400)]),
+    );
+    end_run(&mut rig, at(30));
+    if is_declined {
+        let offer = rig.last_offer(OTHER);
+        rig.message_from(at(millis), OTHER, ToAgentBody::Decline(vec![offer.number]));
+    } else {
+        rig.tick(at(millis));
+    }
+    assert_eq!(rig.offers(SESSION), vec![cpu(1_000)]);
+}
+
+#[test]
+fn a_gateway_that_does_not_answer_is_offered_nothing_until_it_speaks_again() {
+    let mut rig = full_agent();
+    rig.message_from(
+        at(10),
+        OTHER,
+        ToAgentBody::Announce(vec![waiting(3, 5, 400)]),
+    );
+    end_run(&mut rig, at(30));
+    rig.tick(at(41));
+    rig.tick(at(60));
+    assert_eq!(rig.offers(OTHER).len(), 1, "one offer, and no second");
+    assert_eq!(rig.told_room(OTHER), Some(1_000), "the room is free again");
+}
+
+#[test]
+fn what_is_withdrawn_is_not_offered_room() {
+    let mut rig = full_agent();
+    rig.message_from(
+        at(10),
+        OTHER,
+        ToAgentBody::Announce(vec![waiting(3, 1, 400)]),
+    );
+    let withdrawn = Announcement::withdrawn(JobId(3), 0);
+    rig.message_from(at(11), OTHER, ToAgentBody::Announce(vec![withdrawn]));
+    end_run(&mut rig, at(30));
+    assert!(rig.offers(OTHER).is_empty());
+}
+
+#[test]
+fn a_draining_worker_is_offered_to_nobody() {
+    let mut rig = full_agent();
+    rig.message_from(
+        at(10),
+        OTHER,
+        ToAgentBody::Announce(vec![waiting(3, 1, 400)]),
+    );
+    rig.register(at(20), "life-1", cpu(1_000), true);
+    end_run(&mut rig, at(30));
+    assert!(rig.offers(OTHER).is_empty());
+}
+
+fn answering(batch: ToAgentBody, offer: Offer) -> ToAgentBody {
+    match batch {
+        ToAgentBody::Start(mut batch) => {
+            batch.offer = Some(offer.number);
+            ToAgentBody::Start(batch)
+        }
+        other => other,
+    }
+}
+
+fn offer(rig: &mut GatewayRig, now: Timestamp, number: u64, room: Room) {
+    rig.offer(now, 1, Offer { number, room });
+}
+
+#[test]
+fn a_job_without_room_is_announced_and_withdrawn_once_it_is_placed() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(0));
+    rig.submit(at(10), 1, job(1, 1, 200));
+    assert_eq!(rig.announced.len(), 1);
+    assert_eq!(rig.announced[0].count, 1);
+    offer(&mut rig, at(12), 1, cpu(1_000));
+    let batch = rig.next_start();
+    assert_eq!((batch.1.job, batch.1.offer), (JobId(1), Some(1)));
+    assert_eq!(rig.announced.last().map(|last| last.count), Some(0));
+    rig.end(at(200), &batch, EndKind::Done, cpu(0));
+    assert_eq!(rig.last_answer(), Some(Answer::Completed));
+}
+
+#[test]
+fn an_offer_without_use_is_declined_at_once() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(0));
+    offer(&mut rig, at(12), 4, cpu(1_000));
+    assert_eq!(rig.declined, vec![4]);
+}
+
+/// A job of which a part runs earns nothing until the rest does.
+#[test]
+fn a_job_that_has_begun_goes_before_all_others() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 2, 200));
+    assert_eq!(rig.next_start().1.tasks.len(), 1);
+    let rank = rig.announced.last().map(|announced| announced.rank);
+    assert_eq!(rank, Some(0), "it was announced as begun");
+    // More urgent by its objective, and its like was served as well.
+    rig.submit(at(11), 2, job(2, 1, 20));
+    offer(&mut rig, at(12), 1, cpu(1_000));
+    assert_eq!(rig.next_start().1.job, JobId(1));
+}
+
+#[test]
+fn an_offer_lost_with_its_session_is_not_used() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(0));
+    rig.submit(at(10), 1, job(1, 1, 200));
+    rig.join(at(11), 2, "agent-1", cpu(0));
+    rig.report(at(12), 2, 0, cpu(0), FromAgentBody::Heartbeat);
+    assert!(rig.starts.is_empty());
+}
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -9,7 +9,7 @@
     AgentEffect, AgentEvent, AgentOptions, LeasedAgent, Order, OrderAnswer, OrderKind, WatchAnswer,
 };
 use laurelstile_core::leased::messages::{
-    EndKind, FromAgent, FromAgentBody, Report, StartBatch, ToAgent, ToAgentBody,
+    EndKind, FromAgent, FromAgentBody, Offer, Report, StartBatch, ToAgent, ToAgentBody,
 };
 use laurelstile_core::leased::room::Room;
 use laurelstile_core::leased::task::{JobId, RunId, RunNumber, TaskId};
@@ -77,6 +77,36 @@
         rooms.next().map(|report| report.free.cpu_millis)
     }
 
+    /// Rooms that a session was offered, in order.
+    pub fn offers(&self, session: SessionId) -> Vec<Room> {
+        self.offers_to(session).map(|offer| offer.room).collect()
+    }
+
+    /// The last offer to a session.
+    ///
+    /// # Panics
+    /// If there was none.
+    pub fn last_offer(&self, session: SessionId) -> Offer {
+        self.offers_to(session).last().expect("an offer")
+    }
+
+    fn offers_to(&self, session: SessionId) -> impl Iterator<Item = Offer> {
+        self.sent
+            .iter()
+            .filter(move |(to, _)| *to == session)
+            .flat_map(|(_, message)| message.offers.iter().copied())
+    }
+
+    /// A message of a session, with a fresh echo.
+    pub fn message_from(&mut self, now: Timestamp, session: SessionId, body: ToAgentBody) {
+        let message = ToAgent {
+            echo: now,
+            seen: 0,
+            body,
+        };
+        self.event(now, AgentEvent::Message { session, message });
+    }
+
     /// An agent with its worker, of so much room, under control.
     pub fn in_control(capacity: Room) -> Self {
         let mut rig = Self::new();
@@ -186,6 +216,7 @@
             estimate_millis: 100,
             patience_millis,
             tasks: (0..tasks).map(|index| (index, RunNumber(1))).collect(),
+            offer: None,
         })
     }
 
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -7,8 +7,8 @@
     Answer, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
 };
 use laurelstile_core::leased::messages::{
-    EndKind, FromAgent, FromAgentBody, Member, Report, Snapshot, StartBatch, TaskEnd, ToAgentBody,
-    UNLIMITED,
+    Announcement, EndKind, FromAgent, FromAgentBody, Member, Offer, Report, Snapshot, StartBatch,
+    TaskEnd, ToAgentBody, UNLIMITED,
 };
 use laurelstile_core::leased::room::Room;
 use laurelstile_core::leased::task::TaskId;
@@ -28,6 +28,10 @@
     pub starts: VecDeque<(SessionId, StartBatch)>,
     /// Tasks to be stopped.
     pub stops: Vec<TaskId>,
+    /// What was announced to agents, in order.
+    pub announced: Vec<Announcement>,
+    /// Numbers of the offers that were declined.
+    pub declined: Vec<u64>,
     /// Whether the machine has stopped.
     pub stopped: bool,
     /// Versions put in force.
@@ -51,6 +55,8 @@
             answers: Vec::new(),
             starts: VecDeque::new(),
             stops: Vec::new(),
+            announced: Vec::new(),
+            declined: Vec::new(),
             stopped: false,
             in_force: Vec::new(),
             ends: 0,
@@ -70,6 +76,10 @@
                 GatewayEffect::ToAgent { session, message } => match message.body {
                     ToAgentBody::Start(batch) => self.starts.push_back((session, batch)),
                     ToAgentBody::Stop(tasks) => self.stops.extend(tasks),
+                    ToAgentBody::Announce(announcements) => {
+                        self.announced.extend(announcements);
+                    }
+                    ToAgentBody::Decline(offers) => self.declined.extend(offers),
                     ToAgentBody::Heartbeat | ToAgentBody::Members(_) => {}
                 },
                 GatewayEffect::InForce(configuration) => {
@@ -137,6 +147,7 @@
                 limit: UNLIMITED,
                 pace_percent: 100,
             }),
+            offers: Vec::new(),
             body,
         };
         self.event(
@@ -165,6 +176,19 @@
                 limit: UNLIMITED,
                 pace_percent,
             }),
+            offers: Vec::new(),
+            body: FromAgentBody::Heartbeat,
+        };
+        let session = SessionId(session);
+        self.event(now, GatewayEvent::AgentMessage { session, message });
+    }
+
+    /// An agent offers room.
+    pub fn offer(&mut self, now: Timestamp, session: u64, offer: Offer) {
+        let message = FromAgent {
+            clock: now,
+            report: None,
+            offers: vec![offer],
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(session);
