laurelstile loss: an account of what became of all jobs, from the logs; a job is refused at once if its caller cannot wait for it

The answered line tells the job's size group and work, the gateway's first line its zone; what reads log lines stands in one place for explain and loss.

--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -16,6 +16,10 @@
 /// outage is told to callers at once.
 const WORKER_PATIENCE: Span = Span::from_millis(1_000);
 
+/// A job is refused at once if its caller will wait for less than this part of the
+/// time that it is expected to run: half, since the expectation is rough.
+const LEAST_TIME_DIVISOR: u64 = 2;
+
 /// A stopping gateway still takes a job if so many times its objective is left.
 const STOPPING_MARGIN: u64 = 2;
 
@@ -48,6 +52,8 @@
                 answer,
                 age: Span::default(),
                 objective: Span::default(),
+                size: None,
+                work: 0,
             }));
             return;
         }
@@ -77,7 +83,7 @@
         if let Some(feature) = request.unsupported.first() {
             return Some(Refusal::Unsupported(*feature));
         }
-        if request.time_left == Span::default() {
+        if request.time_left < self.least_time(request) {
             return Some(Refusal::DeadlineOver);
         }
         if self.is_closed_to(now, request) {
@@ -96,6 +102,15 @@
         }
     }
 
+    /// A job whose caller goes before this has passed is not worth a start: callers
+    /// whose connection was taken late have waited elsewhere already.
+    fn least_time(&self, request: &JobRequest) -> Span {
+        let expected = self
+            .run_times
+            .expected(&request.queue.name, request.chain());
+        Span((expected.0 / LEAST_TIME_DIVISOR).max(1))
+    }
+
     /// Whether the process stops and the job comes too late. Callers that have kept
     /// their connections may still hand in, after the overlap, what is sure to be done
     /// before the limit.
@@ -174,6 +189,8 @@
             answer,
             age,
             objective: job.objective,
+            size: Some(job.group),
+            work: job.work(),
         }));
         let is_in_time = answer == Answer::Completed && age <= job.objective;
         if answer != Answer::Cancelled {
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -30,7 +30,7 @@
 use offers::AnnouncedJob;
 use queues::QueueConfiguration;
 use run_times::RunTimes;
-use shares::Shares;
+use shares::{Shares, SizeGroup};
 use workers::Worker;
 
 /// What happens to a gateway.
@@ -229,6 +229,10 @@
         age: Span,
         /// Objective by the estimates.
         objective: Span,
+        /// Its size, if it was taken in.
+        size: Option<SizeGroup>,
+        /// All its work by the estimates, in core-milliseconds.
+        work: u64,
     },
     /// A job's callers have gone.
     Abandoned {
--- a/laurelstile-core/src/leased/gateway/shares.rs
+++ b/laurelstile-core/src/leased/gateway/shares.rs
@@ -29,6 +29,17 @@
     Largest,
 }
 
+impl SizeGroup {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ordinary => "ordinary",
+            Self::Large => "large",
+            Self::Largest => "largest",
+        }
+    }
+}
+
 /// The groups of one queue, and the bounds between them.
 #[derive(Debug, Default)]
 struct QueueShares {
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -11,6 +11,7 @@
 use laurelstile_core::leased::task::JobId;
 use laurelstile_core::leased::timing::LAPSE_AFTER_SILENCE;
 use laurelstile_core::session::SessionId;
+use laurelstile_types::time::Span;
 use leased_support::{GatewayRig, at, configuration, cpu, job, queue};
 use rstest::rstest;
 
@@ -347,3 +348,28 @@
     rig.submit(at(10), 1, job(1, 4, 200));
     assert_eq!(rig.next_start().1.tasks.len(), 4);
 }
+
+/// Found after a loss of power: callers that had waited for most of their time were
+/// taken, run in part and given up, and fresh ones went without the room.
+#[rstest]
+#[case::too_little(99, true)]
+#[case::enough(150, false)]
+fn a_job_that_its_caller_cannot_wait_for_is_refused_at_once(
+    #[case] time_left_millis: u64,
+    #[case] is_refused: bool,
+) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    let mut request = job(1, 1, 200);
+    request.time_left = Span::from_millis(time_left_millis);
+    rig.submit(at(10), 1, request);
+    let refused = matches!(
+        rig.last_answer(),
+        Some(Answer::Refused {
+            reason: Refusal::DeadlineOver,
+            ..
+        })
+    );
+    assert_eq!(refused, is_refused, "{:?}", rig.answers);
+    assert_eq!(rig.starts.is_empty(), is_refused);
+}
--- a/laurelstile/src/commands.rs
+++ b/laurelstile/src/commands.rs
@@ -1,10 +1,12 @@
 //! The commands.
 
+use std::io::BufReader;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use laurelstile::error::OperatorError;
 use laurelstile::explain::explain;
+use laurelstile::loss::Accountant;
 use laurelstile::operator::{ChangeOrder, Operator, draw_change_id};
 use laurelstile::plan::Plan;
 use laurelstile_history::check::{Bounds, check};
@@ -38,6 +40,7 @@
             run_change(&flags, &order, apply.wait).await
         }
         LaurelstileCmd::Explain(flags) => run_explain(&flags.job, &flags.logs, json),
+        LaurelstileCmd::Loss(flags) => run_loss(&flags.logs, json),
         LaurelstileCmd::Drain(drain) => {
             let change = Change::Drain(drain.backend.as_str().into());
             let order = order(change, drain.change_id.as_deref(), None, drain.timeout);
@@ -276,6 +279,26 @@
     Ok(())
 }
 
+fn run_loss(logs: &[PathBuf], json: bool) -> Result<(), OperatorError> {
+    let mut accountant = Accountant::default();
+    for path in logs {
+        let unreadable = |source| OperatorError::Log {
+            path: path.clone(),
+            source,
+        };
+        let log = std::fs::File::open(path).map_err(unreadable)?;
+        accountant
+            .read(&path.display().to_string(), BufReader::new(log))
+            .map_err(unreadable)?;
+    }
+    let account = accountant.finish();
+    if json {
+        return print_json(&account);
+    }
+    println!("{account}");
+    Ok(())
+}
+
 fn run_explain(job: &str, logs: &[PathBuf], json: bool) -> Result<(), OperatorError> {
     let mut texts = Vec::with_capacity(logs.len());
     for path in logs {
--- a/laurelstile/src/explain.rs
+++ b/laurelstile/src/explain.rs
@@ -6,16 +6,10 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use serde_json::{Map, Value};
 
-/// A log line.
-#[derive(Clone, Debug, Deserialize)]
-struct LogLine {
-    timestamp: String,
-    #[serde(default)]
-    kvs: Map<String, Value>,
-}
+use crate::log_line::LogLine;
 
 /// Something that a process wrote of the job.
 #[derive(Clone, Debug, Serialize)]
@@ -94,24 +88,17 @@
 }
 
 fn entry(job: &str, name: &str, line: &str) -> Option<Entry> {
-    let begin = line.find('{')?;
-    let (prefix, json) = line.split_at(begin);
-    let parsed: LogLine = serde_json::from_str(json).ok()?;
-    let mut fields = parsed.kvs;
-    let is_of_job = ["job", "task"].iter().any(|field| {
-        let value = fields.get(*field).and_then(Value::as_str);
-        value.is_some_and(|value| value.split('.').next() == Some(job))
-    });
-    if !is_of_job {
+    let mut line = LogLine::parse(line)?;
+    if line.job() != Some(job) {
         return None;
     }
-    let event = fields.remove("event")?.as_str()?.to_owned();
-    let source = prefix.split_whitespace().last().unwrap_or(name);
+    let event = line.event()?.to_owned();
+    line.fields.remove("event");
     Some(Entry {
-        time: parsed.timestamp,
-        source: source.to_owned(),
+        time: line.timestamp,
+        source: line.source.unwrap_or_else(|| name.to_owned()),
         event,
-        fields,
+        fields: line.fields,
     })
 }
 
--- a/laurelstile/src/flags.rs
+++ b/laurelstile/src/flags.rs
@@ -79,6 +79,11 @@
             /// The logs.
             repeated logs: PathBuf
         }
+        /// Account for what became of all jobs, from the logs of all processes.
+        cmd loss {
+            /// The logs.
+            repeated logs: PathBuf
+        }
         /// Show what applying a file would change.
         cmd plan {
             /// The file.
--- a/laurelstile/src/lib.rs
+++ b/laurelstile/src/lib.rs
@@ -4,5 +4,7 @@
 
 pub mod error;
 pub mod explain;
+pub mod log_line;
+pub mod loss;
 pub mod operator;
 pub mod plan;
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use laurelstile_core::leased::agent::AgentDecision;
+use laurelstile_core::leased::gateway::shares::SizeGroup;
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
 use metrics::{counter, histogram};
 
@@ -68,9 +69,12 @@
                 answer,
                 age,
                 objective,
+                size,
+                work,
             } => {
                 let answer = answer_name(answer);
-                log::info!(event = "answered", job:% = job, queue = queue.name.as_str(), answer = answer.as_str(), age_ms = age.as_millis(), objective_ms = objective.as_millis(); "");
+                let size = size.map_or("unknown", SizeGroup::name);
+                log::info!(event = "answered", job:% = job, queue = queue.name.as_str(), answer = answer.as_str(), age_ms = age.as_millis(), objective_ms = objective.as_millis(), size = size, work_core_ms = *work; "");
             }
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -156,7 +156,7 @@
         decisions: DecisionLog::default(),
         is_stopped: false,
     };
-    log::info!(event = "started", node = settings.node.name.as_str(), incarnation:% = local.incarnation; "gateway started");
+    log::info!(event = "started", node = settings.node.name.as_str(), incarnation:% = local.incarnation, zone = settings.node.zone.0.as_str(); "gateway started");
     let done = tokio::spawn(async move {
         driver.run(inputs).await;
         membership::withdraw(store.as_ref(), &member).await;
