--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -160,6 +160,8 @@
 /// A decision of the agent, for the logs.
 #[derive(Clone, Debug)]
 pub enum AgentDecision {
+    /// A gateway did not answer an offer of room in time.
+    OfferExpired,
     /// A worker's life is under this agent's control.
     InControl {
         /// The life.
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -136,7 +136,7 @@
         self.end_lapsed(now, effects);
         self.start_waiting(now, effects);
         self.end_waits(now, effects);
-        self.offer_room(now);
+        self.offer_room(now, effects);
         self.repeat_stops(now, effects);
         self.watch(now, effects);
         self.finish_stop(now, effects);
--- a/laurelstile-core/src/leased/agent/offers.rs
+++ b/laurelstile-core/src/leased/agent/offers.rs
@@ -10,8 +10,8 @@
 
 use super::super::messages::{Announcement, UNLIMITED};
 use super::super::room::Room;
-use super::LeasedAgent;
-use super::owner::AnnouncedStep;
+use super::owner::{AnnouncedStep, Owner, StepKey};
+use super::{AgentDecision, AgentEffect, LeasedAgent};
 
 /// How long room is held for a gateway that does not answer an offer: several times
 /// the way there and back.
@@ -35,14 +35,16 @@
     pub(super) fn offered_room(&self) -> Room {
         self.owners
             .values()
-            .map(super::owner::Owner::offered_room)
+            .map(Owner::offered_room)
             .fold(Room::default(), Room::plus)
     }
 
     /// Offers free room to the gateways that wait for it, the best rank first.
-    pub(super) fn offer_room(&mut self, now: Timestamp) {
+    pub(super) fn offer_room(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         for owner in self.owners.values_mut() {
-            owner.expire_offers(now);
+            if owner.expire_offers(now) {
+                effects.push(AgentEffect::Decided(AgentDecision::OfferExpired));
+            }
         }
         if !self.is_available() || self.limit_left(now) != UNLIMITED {
             return;
@@ -63,10 +65,7 @@
     }
 
     /// The announced step of the best rank that fits into the free room.
-    fn first_in_rank(
-        &self,
-        now: Timestamp,
-    ) -> Option<(Incarnation, super::owner::StepKey, AnnouncedStep)> {
+    fn first_in_rank(&self, now: Timestamp) -> Option<(Incarnation, StepKey, AnnouncedStep)> {
         let free = self.free_room();
         self.owners
             .iter()
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -173,12 +173,14 @@
         self.offers.retain(|pending| pending.offer.number != number);
     }
 
-    /// Ends the offers that were not answered in time. What waits at a gateway that
-    /// does not answer is forgotten.
-    pub fn expire_offers(&mut self, now: Timestamp) {
-        if self.offers.iter().any(|pending| now >= pending.until) {
+    /// Ends the offers if one was not answered in time, and says so. What waits at a
+    /// gateway that does not answer is forgotten.
+    pub fn expire_offers(&mut self, now: Timestamp) -> bool {
+        let is_expired = self.offers.iter().any(|pending| now >= pending.until);
+        if is_expired {
             self.forget_waiting();
         }
+        is_expired
     }
 
     /// When the next offer ends.
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -1,6 +1,8 @@
 //! What becomes of tasks at agents: done, failed, come back, or lost with
 //! their agent.
 
+use std::sync::Arc;
+
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
@@ -93,6 +95,11 @@
         if is_step_done {
             self.run_times
                 .note(&job.queue.name, step.guess, step.longest);
+            effects.push(GatewayEffect::Decided(GatewayDecision::StepDone {
+                queue: Arc::clone(&job.queue),
+                expected: step.request.estimate,
+                longest: step.longest,
+            }));
         }
         if job.is_done() {
             self.finish(now, id.job, Answer::Completed, effects);
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -234,6 +234,20 @@
         /// All its work by the estimates, in core-milliseconds.
         work: u64,
     },
+    /// An agent's offer of room was answered.
+    OfferAnswered {
+        /// Whether tasks were sent for it.
+        is_used: bool,
+    },
+    /// A step is done.
+    StepDone {
+        /// Its queue.
+        queue: Arc<queues::QueueSettings>,
+        /// How long its slowest task was expected to take.
+        expected: Span,
+        /// How long it took.
+        longest: Span,
+    },
     /// A job's callers have gone.
     Abandoned {
         /// The job.
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -1,17 +1,16 @@
 //! Room that agents offer, and the announcements by which they know who waits.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::LeasedGateway;
 use super::job::Job;
 use super::placement::{Candidate, wanted_of};
 use super::workers::Worker;
-use crate::leased::gateway::GatewayEffect;
+use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::{Announcement, Offer, ToAgentBody};
 use crate::leased::task::JobId;
 
@@ -25,8 +24,11 @@
 /// A job that was announced.
 #[derive(Clone, Debug)]
 pub struct AnnouncedJob {
+    /// When it was last announced.
     at: Timestamp,
+    /// The rank that was told.
     rank: u32,
+    /// Agents that were told, and the steps of which.
     agents: Vec<(Incarnation, u32)>,
 }
 
@@ -70,7 +72,10 @@
             })
             .collect();
         for (agent, offer) in offers {
-            if !self.use_offer(now, agent, offer, effects) {
+            let is_used = self.use_offer(now, agent, offer, effects);
+            let decision = GatewayDecision::OfferAnswered { is_used };
+            effects.push(GatewayEffect::Decided(decision));
+            if !is_used {
                 let decline = ToAgentBody::Decline(vec![offer.number]);
                 self.send(now, agent, decline, effects);
             }
@@ -161,8 +166,7 @@
     }
 
     fn withdraw_placed(&mut self, news: &mut News) {
-        let waiting: std::collections::BTreeSet<JobId> =
-            self.waiting.iter().map(|(_, id)| *id).collect();
+        let waiting: BTreeSet<JobId> = self.waiting.iter().map(|(_, id)| *id).collect();
         let over: Vec<JobId> = self
             .announced
             .keys()
--- a/laurelstile/src/loss/mod.rs
+++ b/laurelstile/src/loss/mod.rs
@@ -17,18 +17,13 @@
 
 use crate::log_line::LogLine;
 
-/// What a gateway said at its start.
-#[derive(Clone, Debug, Default)]
-struct Gateway {
-    zone: String,
-}
-
 /// Takes lines in and accounts for what they tell.
 #[derive(Debug, Default)]
 pub struct Accountant {
     account: Account,
     open: BTreeMap<String, OpenJob>,
-    gateways: BTreeMap<String, Gateway>,
+    /// Zones of the gateways, by the name that stands before their lines.
+    zones: BTreeMap<String, String>,
 }
 
 impl Accountant {
@@ -82,8 +77,7 @@
 
     fn on_started(&mut self, source: &str, line: &LogLine) {
         if let Some(zone) = line.text("zone") {
-            let zone = zone.to_owned();
-            self.gateways.insert(source.to_owned(), Gateway { zone });
+            self.zones.insert(source.to_owned(), zone.to_owned());
             self.account.second(&line.timestamp).starts += 1;
         }
         // What its earlier process had under way is over.
@@ -134,8 +128,8 @@
     }
 
     fn zone_of(&self, gateway: &str) -> String {
-        let known = self.gateways.get(gateway);
-        known.map_or_else(|| "unknown".to_owned(), |gateway| gateway.zone.clone())
+        let known = self.zones.get(gateway).cloned();
+        known.unwrap_or_else(|| "unknown".to_owned())
     }
 }
 
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -12,7 +12,10 @@
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
 use metrics::{counter, histogram};
 
-use crate::telemetry::{CAME_BACK, JOB_SECONDS, RUNS_ENDED, RUNS_STOPPED, WORKER_SILENT};
+use crate::telemetry::{
+    CAME_BACK, JOB_SECONDS, JOBS_ANSWERED, OFFERS, OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED,
+    RUNS_STOPPED, WORKER_SILENT,
+};
 
 /// Most lines of steps in a period.
 const STEPS: u32 = 400;
@@ -34,6 +37,9 @@
     /// A decision of a gateway.
     pub fn gateway(&mut self, decision: &GatewayDecision) {
         count_gateway(decision);
+        if is_counted_only(decision) {
+            return;
+        }
         let is_outcome = matches!(
             decision,
             GatewayDecision::Answered { .. } | GatewayDecision::Abandoned { .. }
@@ -42,6 +48,7 @@
             return;
         }
         match decision {
+            GatewayDecision::OfferAnswered { .. } | GatewayDecision::StepDone { .. } => {}
             GatewayDecision::Taken {
                 job,
                 queue,
@@ -92,6 +99,9 @@
     /// A decision of an agent.
     pub fn agent(&mut self, decision: &AgentDecision) {
         count_agent(decision);
+        if matches!(decision, AgentDecision::OfferExpired) {
+            return;
+        }
         let is_step = matches!(
             decision,
             AgentDecision::Stopping { .. } | AgentDecision::Ended { .. }
@@ -100,6 +110,7 @@
             return;
         }
         match decision {
+            AgentDecision::OfferExpired => {}
             AgentDecision::InControl { life, token } => {
                 log::info!(event = "worker_in_control", life:% = life, token = token.0; "");
             }
@@ -150,17 +161,53 @@
     }
 }
 
+/// Whether a decision is too frequent, and says too little of a job, for the log.
+fn is_counted_only(decision: &GatewayDecision) -> bool {
+    matches!(
+        decision,
+        GatewayDecision::OfferAnswered { .. } | GatewayDecision::StepDone { .. }
+    )
+}
+
+#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52")]
 fn count_gateway(decision: &GatewayDecision) {
     match decision {
         GatewayDecision::Answered {
-            queue, answer, age, ..
+            queue,
+            answer,
+            age,
+            objective,
+            size,
+            ..
         } => {
+            let outcome = match answer {
+                Answer::Completed if age <= objective => "in_time",
+                Answer::Completed => "late",
+                Answer::Refused { .. } => "refused",
+                _ => "other",
+            };
+            let size = size.map_or("unknown", SizeGroup::name);
+            let name = queue.name.clone();
+            counter!(JOBS_ANSWERED, "queue" => name, "size" => size, "outcome" => outcome)
+                .increment(1);
             let labels = [
                 ("queue", queue.name.clone()),
                 ("answer", answer_name(answer)),
             ];
             histogram!(JOB_SECONDS, &labels).record(Duration::from_micros(age.0));
         }
+        GatewayDecision::OfferAnswered { is_used } => {
+            let outcome = if *is_used { "used" } else { "declined" };
+            counter!(OFFERS, "outcome" => outcome).increment(1);
+        }
+        GatewayDecision::StepDone {
+            queue,
+            expected,
+            longest,
+        } => {
+            let ratio = longest.0 as f64 / expected.0.max(1) as f64;
+            histogram!(RUN_TIME_RATIO, "queue" => queue.name.clone()).record(ratio);
+        }
         GatewayDecision::CameBack { how, .. } => {
             counter!(CAME_BACK, "how" => how.name()).increment(1);
         }
@@ -176,6 +223,7 @@
         AgentDecision::Stopping { reason, .. } => {
             counter!(RUNS_STOPPED, "reason" => *reason).increment(1);
         }
+        AgentDecision::OfferExpired => counter!(OFFERS_EXPIRED).increment(1),
         AgentDecision::WorkerSilent { .. } => counter!(WORKER_SILENT).increment(1),
         _ => {}
     }
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -35,6 +35,15 @@
 /// Jobs of leased workers that were answered, by time since they came; labels
 /// `queue`, `answer`.
 pub const JOB_SECONDS: &str = "laurelstile_job_seconds";
+/// Jobs of leased workers that were answered; labels `queue`, `size`, `outcome`
+/// (`in_time`, `late`, `refused`, `other`).
+pub const JOBS_ANSWERED: &str = "laurelstile_jobs_answered_total";
+/// Offers of room that this gateway answered; label `outcome` (`used`, `declined`).
+pub const OFFERS: &str = "laurelstile_offers_total";
+/// Offers of room that no gateway answered in time, at this agent.
+pub const OFFERS_EXPIRED: &str = "laurelstile_offers_expired_total";
+/// Run time of a step's slowest task over what was expected; label `queue`.
+pub const RUN_TIME_RATIO: &str = "laurelstile_run_time_ratio";
 /// Tasks that came back from an agent without being done; label `how`.
 pub const CAME_BACK: &str = "laurelstile_tasks_came_back_total";
 /// Runs that ended otherwise than done at this agent; label `how`.
