--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -0,0 +1,245 @@
+//! What happens to a gateway, what it wants done, and what it decides.
+
+use std::sync::Arc;
+
+use laurelstile_types::time::Span;
+
+use super::job::{CallNumber, Feature, JobRequest};
+use super::queues::{QueueConfiguration, QueueSettings};
+use super::shares::SizeGroup;
+use crate::leased::messages::{EndKind, FromAgent, Member, ToAgent, ToPeer};
+use crate::leased::task::{JobId, RunId};
+use crate::session::{Remote, SessionId};
+
+/// What happens to a gateway.
+#[derive(Debug)]
+pub enum GatewayEvent {
+    /// A caller hands in a job.
+    Submit {
+        /// The call.
+        call: CallNumber,
+        /// The job.
+        request: JobRequest,
+    },
+    /// A caller's connection closed before its answer.
+    CallerGone {
+        /// The call.
+        call: CallNumber,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        /// The call.
+        call: CallNumber,
+        /// The job.
+        job: JobId,
+    },
+    /// A session to an agent is open.
+    AgentOpened {
+        /// The session.
+        session: SessionId,
+        /// The agent.
+        remote: Remote,
+    },
+    /// A session to an agent is closed.
+    AgentClosed {
+        /// The session.
+        session: SessionId,
+    },
+    /// A message from an agent came.
+    AgentMessage {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: FromAgent,
+    },
+    /// A session to a peer is open.
+    PeerOpened {
+        /// The session.
+        session: SessionId,
+    },
+    /// A session to a peer is closed.
+    PeerClosed {
+        /// The session.
+        session: SessionId,
+    },
+    /// A message from a peer came.
+    PeerMessage {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToPeer,
+    },
+    /// A configuration was read.
+    Configuration(QueueConfiguration),
+    /// The list of members was read from the store.
+    Listed(Vec<Member>),
+    /// The process is asked to stop in a planned way.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// What a gateway wants done.
+#[derive(Debug)]
+pub enum GatewayEffect {
+    /// Send to an agent.
+    ToAgent {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToAgent,
+    },
+    /// Send to a peer.
+    ToPeer {
+        /// The session.
+        session: SessionId,
+        /// The message.
+        message: ToPeer,
+    },
+    /// Close a session.
+    Close(SessionId),
+    /// Answer a caller.
+    Answer {
+        /// The call.
+        call: CallNumber,
+        /// The answer.
+        answer: Answer,
+    },
+    /// A configuration is in force here.
+    InForce(Arc<QueueConfiguration>),
+    /// Gateways that are known; those without a session are to be dialed.
+    Members(Vec<Member>),
+    /// Something was decided that operators may want to know.
+    Decided(GatewayDecision),
+    /// No job is left; the process may exit.
+    Stopped,
+}
+
+/// The final answer to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The job is done.
+    Completed,
+    /// The job has failed: a task of it failed as often as its queue allows.
+    Failed,
+    /// The job was given up after a task had been started: it may be handed in
+    /// again, and may then run anew.
+    GivenUp,
+    /// Nothing of the job was started, and nothing of this call will be.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When to come back.
+        retry_after: Span,
+    },
+    /// The job was cancelled.
+    Cancelled,
+    /// There is no such job here.
+    Unknown,
+}
+
+/// Why a job was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// There is no configuration yet.
+    NotConfigured,
+    /// No worker of its service can be reached.
+    NoWorker,
+    /// There was no room in time.
+    Overloaded,
+    /// The process stops.
+    Stopping,
+    /// It asks for something that is not built.
+    Unsupported(Feature),
+    /// Its steps are not in order.
+    Malformed,
+    /// Its caller's deadline was over.
+    DeadlineOver,
+}
+
+/// A decision of the gateway, for the logs.
+#[derive(Clone, Debug)]
+pub enum GatewayDecision {
+    /// A job was taken in.
+    Taken {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Arc<QueueSettings>,
+        /// Tasks in all.
+        tasks: u32,
+        /// Objective by the estimates.
+        objective: Span,
+        /// Version of the configuration that named the queue.
+        version: u64,
+    },
+    /// Tasks were placed.
+    Placed {
+        /// The job.
+        job: JobId,
+        /// Name of the agent.
+        agent: String,
+        /// Number of tasks.
+        tasks: u32,
+        /// Age of the report that the choice rests on.
+        report_age: Span,
+        /// Time since the job came.
+        age: Span,
+    },
+    /// A task came back and will be placed again.
+    CameBack {
+        /// The run.
+        run: RunId,
+        /// Name of the agent.
+        agent: String,
+        /// How its time there ended.
+        how: EndKind,
+    },
+    /// A job was answered.
+    Answered {
+        /// The job.
+        job: JobId,
+        /// Name of its queue.
+        queue: Arc<QueueSettings>,
+        /// The answer.
+        answer: Answer,
+        /// Time since the job came.
+        age: Span,
+        /// Objective by the estimates.
+        objective: Span,
+        /// Its size, if it was taken in.
+        size: Option<SizeGroup>,
+        /// All its work by the estimates, in core-milliseconds.
+        work: u64,
+    },
+    /// An agent's offer of room was answered.
+    OfferAnswered {
+        /// Whether tasks were sent for it.
+        is_used: bool,
+    },
+    /// A step is done.
+    StepDone {
+        /// Its queue.
+        queue: Arc<QueueSettings>,
+        /// How long its slowest task was expected to take.
+        expected: Span,
+        /// How long it took.
+        longest: Span,
+    },
+    /// A job's callers have gone.
+    Abandoned {
+        /// The job.
+        job: JobId,
+        /// Time since the job came.
+        age: Span,
+    },
+    /// An agent's tasks are over because nothing was heard of it.
+    AgentLapsed {
+        /// Name of the agent.
+        agent: String,
+        /// Tasks that were there.
+        tasks: usize,
+        /// Time since it was heard.
+        silence: Span,
+    },
+}
--- a/laurelstile-sim/src/world/callers.rs
+++ b/laurelstile-sim/src/world/callers.rs
@@ -9,7 +9,7 @@
 use laurelstile_types::outcome::{Failure, Reason};
 use rand::Rng;
 
-use super::nodes::gateway_name;
+use super::names::gateway_name;
 use super::{Sabotage, SimEvent, World};
 
 /// Most submissions of one job.
--- a/laurelstile-sim/src/world/effects.rs
+++ b/laurelstile-sim/src/world/effects.rs
@@ -10,8 +10,8 @@
 use laurelstile_types::id::DispatchId;
 
 use super::callers::TaskTag;
+use super::names::{agent_name, gateway_name};
 use super::network::SimMessage;
-use super::nodes::{agent_name, gateway_name};
 use super::table::TableCall;
 use super::{SimEvent, World};
 
--- a/laurelstile-sim/src/world/faulting.rs
+++ b/laurelstile-sim/src/world/faulting.rs
@@ -5,8 +5,8 @@
 use laurelstile_history::event::Event;
 use laurelstile_types::revision::Change;
 
+use super::names::{agent_name, gateway_name};
 use super::network::LinkKey;
-use super::nodes::{agent_name, gateway_name};
 use super::{Sabotage, SimEvent, World, node_of_fault};
 use crate::faults::Fault;
 
--- a/laurelstile-sim/src/world/mod.rs
+++ b/laurelstile-sim/src/world/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod effects;
 mod faulting;
+mod names;
 mod network;
 mod nodes;
 mod table;
@@ -298,7 +299,7 @@
                 max_queued_tasks: 20_000,
                 backends: (0..self.plan.agents)
                     .map(|index| Backend {
-                        name: nodes::agent_name(index).as_str().into(),
+                        name: names::agent_name(index).as_str().into(),
                         agent: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
                         zone: format!("zone-{}", index % 3).as_str().into(),
                         rack: format!("rack-{}", index / 3).as_str().into(),
@@ -362,21 +363,21 @@
 fn node_of_fault(fault: Fault) -> Vec<String> {
     match fault {
         Fault::KillGateway(gateway) | Fault::FreezeGateway(gateway) => {
-            vec![nodes::gateway_name(gateway)]
+            vec![names::gateway_name(gateway)]
         }
-        Fault::KillAgent(agent) | Fault::FreezeAgent(agent) => vec![nodes::agent_name(agent)],
+        Fault::KillAgent(agent) | Fault::FreezeAgent(agent) => vec![names::agent_name(agent)],
         Fault::CutAgentLink(gateway, agent)
         | Fault::CutTowardsAgent(gateway, agent)
         | Fault::CutFromAgent(gateway, agent)
         | Fault::SeverAgentLink(gateway, agent) => {
-            vec![nodes::gateway_name(gateway), nodes::agent_name(agent)]
+            vec![names::gateway_name(gateway), names::agent_name(agent)]
         }
         Fault::CutPeerLink(one, other) | Fault::SeverPeerLink(one, other) => {
-            vec![nodes::gateway_name(one), nodes::gateway_name(other)]
+            vec![names::gateway_name(one), names::gateway_name(other)]
         }
         Fault::TableDown | Fault::TableLosesReplies => vec![PLATFORM.to_owned()],
         Fault::Straggler(agent) | Fault::KillBackend(agent) => {
-            vec![format!("{}-backend", nodes::agent_name(agent))]
+            vec![format!("{}-backend", names::agent_name(agent))]
         }
         _ => vec!["lab".to_owned()],
     }
--- a/laurelstile-sim/src/world/network.rs
+++ b/laurelstile-sim/src/world/network.rs
@@ -12,7 +12,7 @@
 use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::{BackendName, Incarnation};
 
-use super::nodes::{agent_name, gateway_name};
+use super::names::{agent_name, gateway_name};
 use super::{REDIAL, Sabotage, SimEvent, World, kind_from_agent, kind_to_agent, kind_to_peer};
 
 /// Time between two dials of an agent that does not listen, in microseconds.
--- a/laurelstile-sim/src/world/nodes.rs
+++ b/laurelstile-sim/src/world/nodes.rs
@@ -7,6 +7,7 @@
 use laurelstile_types::id::{DispatchId, Incarnation};
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::names::{agent_name, gateway_name};
 use super::network::LinkKey;
 use super::{SimEvent, TICK, World};
 
@@ -37,14 +38,6 @@
     pub(super) runs: BTreeMap<DispatchId, u64>,
 }
 
-pub(super) fn gateway_name(index: usize) -> String {
-    format!("gateway-{}", index + 1)
-}
-
-pub(super) fn agent_name(index: usize) -> String {
-    format!("worker-{}", index + 1)
-}
-
 impl World {
     pub(super) fn start_nodes(&mut self) {
         for index in 0..self.plan.gateways {
--- a/laurelstile-sim/src/world/table.rs
+++ b/laurelstile-sim/src/world/table.rs
@@ -10,7 +10,7 @@
 use laurelstile_types::platform::{Machine, MachineList, MachineRole, MachineState};
 use rand::Rng;
 
-use super::nodes::{agent_name, gateway_name};
+use super::names::{agent_name, gateway_name};
 use super::{CONFIGURATION_POLL, MACHINES_POLL, Sabotage, SimEvent, World};
 
 /// Time of one call, in microseconds.
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -18,6 +18,7 @@
 
 use super::decisions::DecisionLog;
 use super::gateway::sleep_until;
+use super::input::AgentInput;
 use super::ports::{RecordStore, SeedSource, WorkerNews, WorkerPort};
 use super::sessions::{Dialed, Dialer};
 use super::settings::{LeasedAgentSettings, LeasedSettings};
@@ -35,28 +36,10 @@
 const WATCH_LIMIT: Duration = Duration::from_millis(25);
 /// How long messages may take to leave at the end.
 const LAST_MESSAGES: Duration = Duration::from_millis(100);
-/// How long an agent looks for a gateway by its seeds before it reads the
-/// store's list, and how often it reads it again.
+/// How often an agent without a session reads the store's list of gateways again,
+/// after it has read it at its start.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(2_000);
 
-/// What the driver's task is told.
-#[derive(Debug)]
-pub enum Input {
-    /// Something for the machine.
-    Event(AgentEvent),
-    /// A session to a gateway is open.
-    Opened {
-        /// The session.
-        session: SessionId,
-        /// Incarnation of the gateway.
-        gateway: Incarnation,
-        /// Where its messages go.
-        outgoing: mpsc::UnboundedSender<FromAgent>,
-    },
-    /// Gateways that the store lists.
-    Listed(Vec<laurelstile_core::leased::messages::Member>),
-}
-
 /// Runs an agent until it has stopped in a planned way.
 ///
 /// # Errors
@@ -115,11 +98,11 @@
             _ = inputs.recv_many(&mut batch, INPUT_BATCH) => {}
             Some(news) = news.recv() => {
                 record(&news, &mut recorded, &store, &name);
-                batch.push(Input::Event(event_of(news)));
+                batch.push(AgentInput::Event(event_of(news)));
             }
             _ = terminate.recv() => {
                 log::info!(event = "stopping"; "planned stop");
-                batch.push(Input::Event(AgentEvent::Stop));
+                batch.push(AgentInput::Event(AgentEvent::Stop));
             }
             _ = hangup.recv() => driver.dialer.reseed(&seed_source),
             _ = lookup.tick(), if driver.sessions.is_empty() => {
@@ -177,14 +160,14 @@
 
 /// Sessions to gateways.
 struct GatewaySessions {
-    input: mpsc::UnboundedSender<Input>,
+    input: mpsc::UnboundedSender<AgentInput>,
 }
 
 impl Dialed for GatewaySessions {
     async fn hold(&self, socket: Socket, remote: Remote) -> WireError {
         let session = next_session();
         let (outgoing, messages) = mpsc::unbounded_channel();
-        let _ = self.input.send(Input::Opened {
+        let _ = self.input.send(AgentInput::Opened {
             session,
             gateway: remote.incarnation,
             outgoing,
@@ -192,19 +175,19 @@
         let error = session::run(socket, messages, |message| {
             let _ = self
                 .input
-                .send(Input::Event(AgentEvent::Message { session, message }));
+                .send(AgentInput::Event(AgentEvent::Message { session, message }));
         })
         .await;
         let _ = self
             .input
-            .send(Input::Event(AgentEvent::Closed { session }));
+            .send(AgentInput::Event(AgentEvent::Closed { session }));
         error
     }
 
     fn on_refused(&self, gateway: Incarnation) {
         let _ = self
             .input
-            .send(Input::Event(AgentEvent::GatewayEnded { gateway }));
+            .send(AgentInput::Event(AgentEvent::GatewayEnded { gateway }));
     }
 }
 
@@ -214,17 +197,17 @@
     machine: LeasedAgent,
     dialer: Dialer<GatewaySessions>,
     worker: Arc<W>,
-    input: mpsc::UnboundedSender<Input>,
+    input: mpsc::UnboundedSender<AgentInput>,
     sessions: HashMap<SessionId, mpsc::UnboundedSender<FromAgent>>,
     decisions: DecisionLog,
     is_stopped: bool,
 }
 
 impl<W: WorkerPort> Driver<W> {
-    fn take(&mut self, input: Input, effects: &mut Vec<AgentEffect>) {
+    fn take(&mut self, input: AgentInput, effects: &mut Vec<AgentEffect>) {
         let event = match input {
-            Input::Event(event) => event,
-            Input::Opened {
+            AgentInput::Event(event) => event,
+            AgentInput::Opened {
                 session,
                 gateway,
                 outgoing,
@@ -232,7 +215,7 @@
                 self.sessions.insert(session, outgoing);
                 AgentEvent::Opened { session, gateway }
             }
-            Input::Listed(members) => {
+            AgentInput::Listed(members) => {
                 self.dialer.learn(&members);
                 return;
             }
@@ -265,7 +248,7 @@
         let (worker, input) = (Arc::clone(&self.worker), self.input.clone());
         tokio::spawn(async move {
             let event = give(worker.as_ref(), order).await;
-            let _ = input.send(Input::Event(event));
+            let _ = input.send(AgentInput::Event(event));
         });
     }
 
@@ -275,7 +258,7 @@
         tokio::spawn(async move {
             if let Ok(members) = membership::read(store.as_ref()).await {
                 log::info!(event = "looked_up", members = members.len(); "gateways read from the store");
-                let _ = input.send(Input::Listed(members));
+                let _ = input.send(AgentInput::Listed(members));
             }
         });
     }
--- a/laurelstiled/src/leased/configuration.rs
+++ b/laurelstiled/src/leased/configuration.rs
@@ -7,7 +7,7 @@
 use laurelstile_core::leased::gateway::GatewayEvent;
 use tokio::sync::mpsc;
 
-use super::gateway::Input;
+use super::input::GatewayInput;
 use super::ports::{ConfigurationNews, ConfigurationSource, StoreError};
 
 /// How long the store may hold a wait for changes. Short, since a wait whose
@@ -20,7 +20,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// Follows the configuration until the gateway has ended.
-pub async fn follow<S: ConfigurationSource>(source: Arc<S>, input: mpsc::UnboundedSender<Input>) {
+pub async fn follow<S: ConfigurationSource>(
+    source: Arc<S>,
+    input: mpsc::UnboundedSender<GatewayInput>,
+) {
     let mut cursor = None;
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
@@ -35,7 +38,7 @@
                 cursor = Some(news.cursor);
                 if let Some(configuration) = news.configuration {
                     let event = GatewayEvent::Configuration(configuration);
-                    let _ = input.send(Input::Event(event));
+                    let _ = input.send(GatewayInput::Event(event));
                 }
             }
             Err(error) => {
--- a/laurelstiled/src/leased/gate.rs
+++ b/laurelstiled/src/leased/gate.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
-use super::gateway::Input;
+use super::input::GatewayInput;
 use crate::telemetry::REFUSED_UNCONFIGURED;
 
 /// How long after its start a gateway lets calls wait for its first configuration.
@@ -51,7 +51,7 @@
 /// A handle to a gateway for its front end.
 #[derive(Clone, Debug)]
 pub struct Gate {
-    input: mpsc::UnboundedSender<Input>,
+    input: mpsc::UnboundedSender<GatewayInput>,
     view: watch::Receiver<View>,
     calls: Arc<AtomicU64>,
     unconfigured: Arc<AtomicU64>,
@@ -61,7 +61,7 @@
 
 impl Gate {
     /// A gate to the gateway that takes `input` and shows `view`.
-    pub fn new(input: mpsc::UnboundedSender<Input>, view: watch::Receiver<View>) -> Self {
+    pub fn new(input: mpsc::UnboundedSender<GatewayInput>, view: watch::Receiver<View>) -> Self {
         Self {
             input,
             view,
@@ -116,7 +116,7 @@
     pub async fn submit(&self, request: JobRequest) -> Answer {
         let call = self.next_call();
         let (reply, answer) = oneshot::channel();
-        let _ = self.input.send(Input::Submit {
+        let _ = self.input.send(GatewayInput::Submit {
             call,
             request,
             reply,
@@ -137,14 +137,14 @@
     pub async fn cancel(&self, job: JobId) -> Answer {
         let call = self.next_call();
         let (reply, answer) = oneshot::channel();
-        let _ = self.input.send(Input::Cancel { call, job, reply });
+        let _ = self.input.send(GatewayInput::Cancel { call, job, reply });
         answer.await.unwrap_or(Answer::Unknown)
     }
 
     /// Whether a job is here and has not ended.
     pub async fn has_job(&self, job: JobId) -> bool {
         let (reply, answer) = oneshot::channel();
-        let _ = self.input.send(Input::HasJob { job, reply });
+        let _ = self.input.send(GatewayInput::HasJob { job, reply });
         answer.await.unwrap_or(false)
     }
 
@@ -156,13 +156,15 @@
 /// Tells the gateway when a caller goes before its answer.
 struct CallGuard {
     call: CallNumber,
-    input: Option<mpsc::UnboundedSender<Input>>,
+    input: Option<mpsc::UnboundedSender<GatewayInput>>,
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
         if let Some(input) = self.input.take() {
-            let _ = input.send(Input::Event(GatewayEvent::CallerGone { call: self.call }));
+            let _ = input.send(GatewayInput::Event(GatewayEvent::CallerGone {
+                call: self.call,
+            }));
         }
     }
 }
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
+use laurelstile_core::leased::gateway::job::CallNumber;
 use laurelstile_core::leased::gateway::{
     Answer, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
 };
 use laurelstile_core::leased::messages::{Member, ToAgent, ToPeer};
-use laurelstile_core::leased::task::JobId;
 use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Timestamp;
@@ -22,6 +21,7 @@
 
 use super::decisions::DecisionLog;
 use super::gate::{Gate, View};
+use super::input::GatewayInput;
 use super::ports::{ConfigurationSource, RecordStore, SeedSource};
 use super::sessions::{Dialed, Dialer, note_end};
 use super::settings::{LeasedGatewaySettings, LeasedSettings};
@@ -40,56 +40,6 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// What the driver's task is told.
-#[derive(Debug)]
-pub enum Input {
-    /// Something for the machine.
-    Event(GatewayEvent),
-    /// A caller hands in a job.
-    Submit {
-        /// The call.
-        call: CallNumber,
-        /// The job.
-        request: JobRequest,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Answer>,
-    },
-    /// A caller cancels a job.
-    Cancel {
-        /// The call.
-        call: CallNumber,
-        /// The job.
-        job: JobId,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Answer>,
-    },
-    /// A caller asks for a job.
-    HasJob {
-        /// The job.
-        job: JobId,
-        /// Where the answer goes.
-        reply: oneshot::Sender<bool>,
-    },
-    /// A session to an agent is open.
-    AgentOpened {
-        /// The session.
-        session: SessionId,
-        /// The agent.
-        remote: Remote,
-        /// Where its messages go.
-        outgoing: mpsc::UnboundedSender<ToAgent>,
-    },
-    /// A session to a peer is open.
-    PeerOpened {
-        /// The session.
-        session: SessionId,
-        /// Where its messages go.
-        outgoing: mpsc::UnboundedSender<ToPeer>,
-    },
-    /// The settings may have changed.
-    Reload,
-}
-
 /// A gateway that runs.
 pub struct Running {
     /// For the front end.
@@ -169,14 +119,14 @@
     })
 }
 
-fn take_signals(input: mpsc::UnboundedSender<Input>) -> Result<(), DaemonError> {
+fn take_signals(input: mpsc::UnboundedSender<GatewayInput>) -> Result<(), DaemonError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(DaemonError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
     tokio::spawn(async move {
         loop {
             let news = tokio::select! {
-                _ = terminate.recv() => Input::Event(GatewayEvent::Stop),
-                _ = hangup.recv() => Input::Reload,
+                _ = terminate.recv() => GatewayInput::Event(GatewayEvent::Stop),
+                _ = hangup.recv() => GatewayInput::Reload,
             };
             if input.send(news).is_err() {
                 return;
@@ -186,7 +136,11 @@
     Ok(())
 }
 
-async fn accept(listener: TcpListener, local: LocalNode, input: mpsc::UnboundedSender<Input>) {
+async fn accept(
+    listener: TcpListener,
+    local: LocalNode,
+    input: mpsc::UnboundedSender<GatewayInput>,
+) {
     loop {
         let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -203,7 +157,7 @@
 async fn hold_accepted(
     stream: TcpStream,
     local: &LocalNode,
-    input: &mpsc::UnboundedSender<Input>,
+    input: &mpsc::UnboundedSender<GatewayInput>,
 ) -> WireError {
     let expected = [NodeRole::Agent, NodeRole::Gateway];
     match session::accept_any(stream, local, &expected).await {
@@ -216,41 +170,44 @@
 async fn hold_agent(
     socket: Socket,
     remote: Remote,
-    input: &mpsc::UnboundedSender<Input>,
+    input: &mpsc::UnboundedSender<GatewayInput>,
 ) -> WireError {
     let session = next_session();
     let (outgoing, messages) = mpsc::unbounded_channel();
-    let _ = input.send(Input::AgentOpened {
+    let _ = input.send(GatewayInput::AgentOpened {
         session,
         remote,
         outgoing,
     });
     let error = session::run(socket, messages, |message| {
-        let _ = input.send(Input::Event(GatewayEvent::AgentMessage {
+        let _ = input.send(GatewayInput::Event(GatewayEvent::AgentMessage {
             session,
             message,
         }));
     })
     .await;
-    let _ = input.send(Input::Event(GatewayEvent::AgentClosed { session }));
+    let _ = input.send(GatewayInput::Event(GatewayEvent::AgentClosed { session }));
     error
 }
 
-async fn hold_peer(socket: Socket, input: &mpsc::UnboundedSender<Input>) -> WireError {
+async fn hold_peer(socket: Socket, input: &mpsc::UnboundedSender<GatewayInput>) -> WireError {
     let session = next_session();
     let (outgoing, messages) = mpsc::unbounded_channel();
-    let _ = input.send(Input::PeerOpened { session, outgoing });
+    let _ = input.send(GatewayInput::PeerOpened { session, outgoing });
     let error = session::run(socket, messages, |message| {
-        let _ = input.send(Input::Event(GatewayEvent::PeerMessage { session, message }));
+        let _ = input.send(GatewayInput::Event(GatewayEvent::PeerMessage {
+            session,
+            message,
+        }));
     })
     .await;
-    let _ = input.send(Input::Event(GatewayEvent::PeerClosed { session }));
+    let _ = input.send(GatewayInput::Event(GatewayEvent::PeerClosed { session }));
     error
 }
 
 /// Sessions to peers that this gateway has dialed.
 struct PeerSessions {
-    input: mpsc::UnboundedSender<Input>,
+    input: mpsc::UnboundedSender<GatewayInput>,
 }
 
 impl Dialed for PeerSessions {
@@ -276,7 +233,7 @@
 }
 
 impl Driver {
-    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+    async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<GatewayInput>) {
         let mut batch = Vec::with_capacity(INPUT_BATCH);
         let mut effects = Vec::new();
         while !self.is_stopped {
@@ -296,10 +253,10 @@
         }
     }
 
-    fn take(&mut self, input: Input, effects: &mut Vec<GatewayEffect>) {
+    fn take(&mut self, input: GatewayInput, effects: &mut Vec<GatewayEffect>) {
         let event = match input {
-            Input::Event(event) => event,
-            Input::Submit {
+            GatewayInput::Event(event) => event,
+            GatewayInput::Submit {
                 call,
                 request,
                 reply,
@@ -307,15 +264,15 @@
                 self.calls.insert(call, reply);
                 GatewayEvent::Submit { call, request }
             }
-            Input::Cancel { call, job, reply } => {
+            GatewayInput::Cancel { call, job, reply } => {
                 self.calls.insert(call, reply);
                 GatewayEvent::Cancel { call, job }
             }
-            Input::HasJob { job, reply } => {
+            GatewayInput::HasJob { job, reply } => {
                 let _ = reply.send(self.machine.has_job(job));
                 return;
             }
-            Input::AgentOpened {
+            GatewayInput::AgentOpened {
                 session,
                 remote,
                 outgoing,
@@ -323,11 +280,11 @@
                 self.agents.insert(session, outgoing);
                 GatewayEvent::AgentOpened { session, remote }
             }
-            Input::PeerOpened { session, outgoing } => {
+            GatewayInput::PeerOpened { session, outgoing } => {
                 self.peers.insert(session, outgoing);
                 GatewayEvent::PeerOpened { session }
             }
-            Input::Reload => {
+            GatewayInput::Reload => {
                 self.dialer.reseed(&self.seed_source);
                 return;
             }
--- a/laurelstiled/src/leased/membership.rs
+++ b/laurelstiled/src/leased/membership.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-use super::gateway::Input;
+use super::input::GatewayInput;
 use super::ports::{RecordStore, StoreError};
 
 /// Table of the records.
@@ -35,12 +35,12 @@
 pub async fn keep<S: RecordStore>(
     store: Arc<S>,
     member: Member,
-    input: mpsc::UnboundedSender<Input>,
+    input: mpsc::UnboundedSender<GatewayInput>,
 ) {
     while !input.is_closed() {
         let pause = match renew(store.as_ref(), &member).await {
             Ok(members) => {
-                let _ = input.send(Input::Event(GatewayEvent::Listed(members)));
+                let _ = input.send(GatewayInput::Event(GatewayEvent::Listed(members)));
                 RENEWAL
             }
             Err(error) => {
--- a/laurelstiled/src/leased/mod.rs
+++ b/laurelstiled/src/leased/mod.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 pub mod gate;
 pub mod gateway;
+pub mod input;
 pub mod log_output;
 pub mod membership;
 pub mod ports;
--- a/laurelstiled/src/leased/recall.rs
+++ b/laurelstiled/src/leased/recall.rs
@@ -12,7 +12,7 @@
 use laurelstile_core::leased::agent::worker::Registration;
 use tokio::sync::mpsc;
 
-use super::agent::Input;
+use super::input::AgentInput;
 use super::ports::RecordStore;
 
 /// Table of the records.
@@ -30,7 +30,7 @@
 pub async fn recall<S: RecordStore>(
     store: Arc<S>,
     name: String,
-    input: mpsc::UnboundedSender<Input>,
+    input: mpsc::UnboundedSender<AgentInput>,
 ) {
     let reading = async { tokio::join!(store.get(TABLE, &name), store.get(DRAINING_TABLE, &name)) };
     let Ok((Ok(Some(record)), Ok(draining))) = tokio::time::timeout(CALL_LIMIT, reading).await
@@ -42,7 +42,7 @@
         registration.draining |=
             draining.is_some_and(|mark| mark.value == registration.life.as_bytes());
         log::info!(event = "worker_recalled", life = registration.life.as_str(), version = record.version; "worker known from the store");
-        let _ = input.send(Input::Event(AgentEvent::Recalled(registration)));
+        let _ = input.send(AgentInput::Event(AgentEvent::Recalled(registration)));
     }
 }
 
--- a/laurelstiled/tests/recall.rs
+++ b/laurelstiled/tests/recall.rs
@@ -6,7 +6,7 @@
 use laurelstile_core::leased::agent::AgentEvent;
 use laurelstile_core::leased::agent::worker::{Registration, WorkerClock};
 use laurelstile_core::leased::room::Room;
-use laurelstiled::leased::agent::Input;
+use laurelstiled::leased::input::AgentInput;
 use laurelstiled::leased::ports::{Listing, Record, RecordStore, StoreError};
 use laurelstiled::leased::recall::{recall, remember, remember_draining};
 use rstest::rstest;
@@ -65,7 +65,7 @@
     let (input, mut inputs) = mpsc::unbounded_channel();
     recall(Arc::clone(store), "agent-1".into(), input).await;
     match inputs.recv().await {
-        Some(Input::Event(AgentEvent::Recalled(registration))) => Some(registration),
+        Some(AgentInput::Event(AgentEvent::Recalled(registration))) => Some(registration),
         _ => None,
     }
 }
