Read the change once more: the fastest pace once for each step, one entry of a map, no twin of reading a text

Telling agents of a waiting step looked for the fastest worker once for each worker, which grows with their square; it is looked for once now. What was dead or stood twice is gone (a second look-up of a queue, a reading of log values beside LogLine's own). No behaviour changes.

--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -38,7 +38,7 @@
 impl LeasedGateway {
     /// Rank of a job among those that wait: 0 for one that has begun, since it takes
     /// room for nothing until it is done; else the share of its like that was served.
-    pub(super) fn rank(&self, now: Timestamp, job: &Job) -> u32 {
+    fn rank(&self, now: Timestamp, job: &Job) -> u32 {
         if job.is_untouched() {
             1 + self.shares.permille(now, &job.queue.name, job.group)
         } else {
@@ -120,28 +120,13 @@
     ) -> Option<u32> {
         let job = self.jobs.get(&id)?;
         let worker = self.workers.get(&agent)?;
-        let wanted = self.wanted_from(now, job, step, worker)?;
+        let best_pace = self.best_pace(now, &job.queue.service)?;
+        let wanted = wanted_from(now, job, step, best_pace, worker)?;
         let request = &job.steps[step].request;
         let tasks = request.room.times_in(offer.room).min(wanted);
         (tasks > 0).then_some(tasks)
     }
 
-    /// Tasks of a step that `worker` would be given, if it had room for all.
-    fn wanted_from(&self, now: Timestamp, job: &Job, step: usize, worker: &Worker) -> Option<u32> {
-        let service = &job.queue.service;
-        let request = &job.steps[step].request;
-        let has_label = request
-            .label
-            .as_ref()
-            .is_none_or(|label| worker.has_label(label));
-        if !worker.is_usable(now, service) || !has_label {
-            return None;
-        }
-        let waiting = u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX);
-        let best_pace = self.best_pace(now, service)?;
-        wanted_of(job, request, waiting, best_pace, worker)
-    }
-
     fn drop_if_placed(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get(&id)
             && !job.has_placeable()
@@ -224,10 +209,13 @@
     /// others for other jobs.
     fn agents_to_tell(&self, now: Timestamp, job: &Job, step: usize) -> Vec<Incarnation> {
         let waiting = job.steps[step].waiting.len();
+        let Some(best_pace) = self.best_pace(now, &job.queue.service) else {
+            return Vec::new();
+        };
         let mut agents: Vec<Incarnation> = self
             .workers
             .iter()
-            .filter(|(_, worker)| self.wanted_from(now, job, step, worker).is_some())
+            .filter(|(_, worker)| wanted_from(now, job, step, best_pace, worker).is_some())
             .map(|(agent, _)| *agent)
             .collect();
         agents.sort_unstable_by_key(|agent| Reverse(affinity(job.id, *agent)));
@@ -236,6 +224,28 @@
     }
 }
 
+/// Tasks of a step that `worker` would be given, if it had room for all; `best_pace` is
+/// that of the fastest worker of the service.
+fn wanted_from(
+    now: Timestamp,
+    job: &Job,
+    step: usize,
+    best_pace: u32,
+    worker: &Worker,
+) -> Option<u32> {
+    let step = &job.steps[step];
+    let has_label = step
+        .request
+        .label
+        .as_ref()
+        .is_none_or(|label| worker.has_label(label));
+    if !worker.is_usable(now, &job.queue.service) || !has_label {
+        return None;
+    }
+    let waiting = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+    wanted_of(job, &step.request, waiting, best_pace, worker)
+}
+
 fn announcement_of(now: Timestamp, job: &Job, step: usize, rank: u32) -> Announcement {
     let until = if job.is_untouched() {
         job.refuse_at
--- a/laurelstile-core/src/leased/gateway/run_times.rs
+++ b/laurelstile-core/src/leased/gateway/run_times.rs
@@ -42,14 +42,10 @@
         if guess.0 == 0 || longest.0 == 0 {
             return;
         }
-        if !self.queues.contains_key(queue) {
-            self.queues.insert(queue.to_owned(), Fit::default());
-        }
-        if let Some(fit) = self.queues.get_mut(queue) {
-            let guess = logarithm(guess);
-            let off = logarithm(longest) - guess;
-            fit.note(guess, guess + off.clamp(-MOST_OFF.ln(), MOST_OFF.ln()));
-        }
+        let guess = logarithm(guess);
+        let off = logarithm(longest) - guess;
+        let fit = self.queues.entry(queue.to_owned()).or_default();
+        fit.note(guess, guess + off.clamp(-MOST_OFF.ln(), MOST_OFF.ln()));
     }
 
     /// How long the slowest task of a step will take, guessed to take `guess`.
--- a/laurelstile-core/src/leased/gateway/shares.rs
+++ b/laurelstile-core/src/leased/gateway/shares.rs
@@ -101,9 +101,6 @@
     }
 
     fn queue(&mut self, queue: &str) -> &mut QueueShares {
-        if !self.queues.contains_key(queue) {
-            self.queues.insert(queue.to_owned(), QueueShares::default());
-        }
         self.queues.entry(queue.to_owned()).or_default()
     }
 }
--- a/laurelstile/src/loss/job.rs
+++ b/laurelstile/src/loss/job.rs
@@ -2,7 +2,6 @@
 
 use serde::Serialize;
 
-use super::as_text;
 use crate::log_line::LogLine;
 
 /// A job was placed in part if its last task was placed so many percent of the
@@ -159,7 +158,7 @@
                 self.last_placed = self.last_placed.max(age);
             }
             Some("came_back") => {
-                let how = line.fields.get("how").map(as_text).unwrap_or_default();
+                let how = line.text("how").unwrap_or_default();
                 self.was_lost |= how == "Lost";
                 self.has_straggled |= ["TooSlow", "Stalled", "Failed"]
                     .iter()
--- a/laurelstile/src/loss/mod.rs
+++ b/laurelstile/src/loss/mod.rs
@@ -9,8 +9,6 @@
 use std::collections::BTreeMap;
 use std::io::BufRead;
 
-use serde_json::Value;
-
 pub use account::{Account, Group, Second};
 use job::OpenJob;
 pub use job::{Cause, Outcome};
@@ -132,11 +130,3 @@
         known.unwrap_or_else(|| "unknown".to_owned())
     }
 }
-
-/// A value of a log line as a text, for names that may be numbers.
-fn as_text(value: &Value) -> String {
-    match value {
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
