Evacuated zones, late heartbeats, silent connections: served, judged, soaked

Now the adapter translates the rows of evacuated zones, gateways read them with the configuration, tell peers and agents at once (new sessions first of all) and place nothing there; an agent refuses starts in an evacuated zone whatever gateway they come from. A job that only evacuated workers could run is refused at once. Weighed: gateways alone (a gateway without the store would go on: the emulator's late reader breaks the rule) and agents that read the store themselves (one long read each 2 s for each of 782 agents, against one for each gateway). Emulator: evacuations with one late gateway; the judge rejects a bad history; the rule breaks where agents do not hear of it.

Now the present life is asked first, and only what begins is remembered in the store. One test asked for the old way (a heartbeat alone ends the old life's runs); it now asks that nothing ends before the worker says that the life is over, and that it does then.

Ruled out: a sequence of lives in the record of the store (it may be unreadable when it counts).

--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -152,6 +152,10 @@
     Order(Order),
     /// A gateway told of the gateways that it knows.
     Members(Vec<Member>),
+    /// A later agent must know of this life of the worker.
+    Remember(Registration),
+    /// A later agent must know that this life of the worker drains.
+    RememberDraining(Arc<str>),
     /// Something was decided that operators may want to know.
     Decided(AgentDecision),
     /// Nothing runs any more; the process may exit.
@@ -170,6 +174,20 @@
         /// The token.
         token: FenceToken,
     },
+    /// A heartbeat came of a life that has ended: the present one still answers.
+    LateHeartbeat {
+        /// The ended life.
+        life: String,
+        /// The present life.
+        present: Arc<str>,
+    },
+    /// Nothing came over a session for so long that it was closed.
+    SessionSilent {
+        /// Incarnation of its gateway.
+        gateway: Incarnation,
+        /// How long.
+        silence: Span,
+    },
     /// A worker's life is over.
     LifeOver {
         /// The life.
@@ -182,6 +200,13 @@
         /// The life.
         life: Arc<str>,
     },
+    /// The worker's zone was evacuated, or taken back.
+    Evacuated {
+        /// Which of the two.
+        is_evacuated: bool,
+        /// Revision of the store that says so.
+        revision: u64,
+    },
     /// The worker does not answer.
     WorkerSilent {
         /// The life.
--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -12,6 +12,14 @@
 use super::worker::{ClockEstimate, FenceToken, Registration, WorkerClock};
 use super::{AgentDecision, AgentEffect, LeasedAgent, Life};
 
+/// A life that has registered while another was present.
+#[derive(Debug)]
+pub struct Challenger {
+    registration: Registration,
+    /// When it first did.
+    since: Timestamp,
+}
+
 impl LeasedAgent {
     pub(super) fn on_registered(
         &mut self,
@@ -32,12 +40,77 @@
             if registration.draining && !life.draining {
                 life.draining = true;
                 let name = Arc::clone(&life.name);
+                effects.push(AgentEffect::RememberDraining(Arc::clone(&name)));
                 effects.push(AgentEffect::Decided(AgentDecision::Draining { life: name }));
             }
             return;
         }
-        if let Some(old) = self.life.as_ref().map(|life| Arc::clone(&life.name)) {
-            self.on_life_over(now, &old, effects);
+        if self.life.is_some() {
+            self.challenge(now, registration);
+        } else {
+            self.begin_registered_life(now, registration, effects);
+        }
+    }
+
+    /// Another life than the present one has registered. Either the present one is over,
+    /// or a cut has held back a heartbeat of a life that ended before it. Its name does
+    /// not tell, but the worker does: it answers no order for a life that is over. So the
+    /// present life is asked before its runs, which may well go on, are given up.
+    fn challenge(&mut self, now: Timestamp, registration: Registration) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let known = life.challenger.take();
+        let known = known.filter(|known| known.registration.life == registration.life);
+        let was_draining = known
+            .as_ref()
+            .is_some_and(|known| known.registration.draining);
+        let draining = registration.draining || was_draining;
+        life.challenger = Some(Challenger {
+            registration: Registration {
+                draining,
+                ..registration
+            },
+            since: known.map_or(now, |known| known.since),
+        });
+        life.watch_from = now;
+    }
+
+    /// The present life has answered what it was asked at `asked`: whoever had registered
+    /// before that, instead of it, has ended.
+    pub(super) fn dismiss_challenger(&mut self, asked: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let is_earlier = |challenger: &mut Challenger| challenger.since < asked;
+        let Some(challenger) = life.challenger.take_if(is_earlier) else {
+            return;
+        };
+        effects.push(AgentEffect::Decided(AgentDecision::LateHeartbeat {
+            life: challenger.registration.life.clone(),
+            present: Arc::clone(&life.name),
+        }));
+        self.ended_lives.insert(challenger.registration.life);
+    }
+
+    /// Gives the present life up if it has let its runs lapse and another has registered.
+    pub(super) fn give_way(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let challenged = self.life.as_ref().filter(|life| life.challenger.is_some());
+        if let Some(name) = challenged.map(|life| Arc::clone(&life.name)) {
+            self.on_life_over(now, &name, effects);
+        }
+    }
+
+    fn begin_registered_life(
+        &mut self,
+        now: Timestamp,
+        registration: Registration,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        effects.push(AgentEffect::Remember(registration.clone()));
+        if registration.draining {
+            let life = registration.life.as_str().into();
+            effects.push(AgentEffect::RememberDraining(life));
         }
         self.begin_life(now, registration);
         if let Some(life) = &mut self.life {
@@ -75,6 +148,7 @@
             renewed: now,
             foreign: BTreeMap::new(),
             has_news: false,
+            challenger: None,
         });
         self.health = Health::default();
         for owner in self.owners.values_mut() {
@@ -82,7 +156,8 @@
         }
     }
 
-    /// A life of the worker is over: all that it ran has ended.
+    /// A life of the worker is over: all that it ran has ended. The life that has
+    /// registered since, if any, begins.
     pub(super) fn on_life_over(
         &mut self,
         now: Timestamp,
@@ -108,6 +183,9 @@
             self.end_run(now, task, EndKind::Lost, effects);
         }
         self.ended_lives.insert(life.to_owned());
+        if let Some(challenger) = present.challenger {
+            self.begin_registered_life(now, challenger.registration, effects);
+        }
     }
 
     pub(super) fn is_present(&self, life: &str) -> bool {
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -9,6 +9,7 @@
 mod offers;
 mod outgoing;
 mod owner;
+mod silence;
 mod starting;
 mod watching;
 pub mod worker;
@@ -19,6 +20,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::evacuation::Evacuations;
 use super::messages::{EndKind, NotStartedReason, ToAgent, ToAgentBody};
 use super::room::Room;
 use super::task::{RunId, TaskId};
@@ -28,6 +30,7 @@
 };
 use health::{FinishedRun, Health};
 use ledger::{Ledger, RunState, StopReason};
+use lives::Challenger;
 use owner::Owner;
 use worker::{ClockEstimate, FenceToken};
 
@@ -60,6 +63,8 @@
     foreign: BTreeMap<RunId, Timestamp>,
     /// Ends to be acknowledged to the worker.
     has_news: bool,
+    /// Another life that has registered since.
+    challenger: Option<Challenger>,
 }
 
 /// Settings of an agent's machine.
@@ -80,10 +85,14 @@
     ended_lives: BTreeSet<String>,
     ledger: Ledger,
     health: Health,
+    evacuations: Evacuations,
     owners: BTreeMap<Incarnation, Owner>,
     sessions: BTreeMap<SessionId, Incarnation>,
     stopping_since: Option<Timestamp>,
     stop_reported: bool,
+    last_flush: Timestamp,
+    /// Since when the agent has run without standing still.
+    awake_since: Timestamp,
 }
 
 impl LeasedAgent {
@@ -95,10 +104,13 @@
             ended_lives: BTreeSet::new(),
             ledger: Ledger::default(),
             health: Health::default(),
+            evacuations: Evacuations::default(),
             owners: BTreeMap::new(),
             sessions: BTreeMap::new(),
             stopping_since: None,
             stop_reported: false,
+            last_flush: Timestamp::default(),
+            awake_since: Timestamp::default(),
         }
     }
 
@@ -132,7 +144,9 @@
 
     /// Does what the events since the last flush, or time, gave rise to.
     pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        self.note_awake(now);
         self.end_silent_owners(now, effects);
+        self.close_silent_sessions(now, effects);
         self.end_lapsed(now, effects);
         self.start_waiting(now, effects);
         self.end_waits(now, effects);
@@ -159,12 +173,30 @@
             return false;
         };
         self.stopping_since.is_none()
+            && !self.is_evacuated()
             && !life.draining
             && life.has_synced
             && life.foreign.is_empty()
             && life.unanswered_watches == 0
     }
 
+    /// Whether the worker's zone is evacuated, as far as any gateway has told.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuations.covers(&self.options.zone)
+    }
+
+    fn on_evacuations(&mut self, news: Evacuations, effects: &mut Vec<AgentEffect>) {
+        let was_evacuated = self.is_evacuated();
+        self.evacuations.update(news);
+        let is_evacuated = self.is_evacuated();
+        if is_evacuated != was_evacuated {
+            effects.push(AgentEffect::Decided(AgentDecision::Evacuated {
+                is_evacuated,
+                revision: self.evacuations.revision,
+            }));
+        }
+    }
+
     /// Tells the gateway of a session that there is no room for it, before the session is
     /// closed, or takes that back. What it has sent meanwhile still starts.
     pub fn release(&mut self, session: SessionId, is_released: bool) {
@@ -253,6 +285,7 @@
             ToAgentBody::Announce(announcements) => {
                 self.on_announced(now, gateway, &announcements);
             }
+            ToAgentBody::Evacuations(news) => self.on_evacuations(news, effects),
             ToAgentBody::Decline(offers) => {
                 for number in offers {
                     owner.end_offer(number);
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -11,38 +11,10 @@
 use super::owner::Owner;
 use super::{AgentEffect, LeasedAgent};
 
-/// How long a gateway without a session is remembered.
-const OWNER_MEMORY: Span = Span::from_secs(4);
 /// How long a planned stop waits for the last ends to be acknowledged.
 const LAST_ENDS: Span = Span::from_millis(400);
 
 impl LeasedAgent {
-    /// Stops what gateways that are silent have left here.
-    pub(super) fn end_silent_owners(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
-        let silent: Vec<Incarnation> = self
-            .owners
-            .iter()
-            .filter(|(_, owner)| now > owner.silent_at())
-            .map(|(gateway, _)| *gateway)
-            .collect();
-        for gateway in &silent {
-            self.stop_runs_of(now, *gateway, effects);
-        }
-        for gateway in silent {
-            let is_over = self
-                .owners
-                .get(&gateway)
-                .is_some_and(|owner| owner.session.is_none() && owner.echo_age(now) > OWNER_MEMORY);
-            if is_over && !self.owns_runs(gateway) {
-                self.owners.remove(&gateway);
-            }
-        }
-    }
-
-    pub(super) fn owns_runs(&self, gateway: Incarnation) -> bool {
-        self.ledger.iter().any(|(_, run)| run.owner == gateway)
-    }
-
     /// Sends ends, reports and heartbeats that are due.
     pub(super) fn send_all(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         let is_in_control = self
@@ -127,7 +99,12 @@
         }
     }
 
-    fn beat_interval(&self, now: Timestamp, gateway: Incarnation, owner: &Owner) -> Span {
+    pub(super) fn beat_interval(
+        &self,
+        now: Timestamp,
+        gateway: Incarnation,
+        owner: &Owner,
+    ) -> Span {
         let is_recent = owner.asked.is_some_and(|asked| now.since(asked) <= RECENT);
         let is_busy = is_recent || owner.has_unacknowledged() || self.owns_runs(gateway);
         if is_busy {
@@ -199,6 +176,7 @@
         wakeups.extend(self.health.next_change(now));
         wakeups.extend(self.lapse_at());
         wakeups.extend(self.repeat_at(now));
+        wakeups.extend(self.look_for_silence_at(now));
         if let Some(since) = self.stopping_since {
             let patience_ends = since.after(self.options.stop_patience);
             wakeups.push(if now < patience_ends {
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -59,13 +59,17 @@
             || !life.foreign.is_empty()
             || life.has_news
             || !life.has_synced
+            || life.challenger.is_some()
             || life.unanswered_watches > 0;
         if life.watching.is_some() || !is_wanted || now < life.watch_from {
             return;
         }
         let is_renewing = active > 0 && life.unanswered_watches < UNANSWERED_WATCHES;
-        let may_wait =
-            active > 0 && life.has_synced && life.unanswered_watches == 0 && !awaits_proof;
+        let may_wait = active > 0
+            && life.has_synced
+            && life.challenger.is_none()
+            && life.unanswered_watches == 0
+            && !awaits_proof;
         life.watching = Some(now);
         life.has_news = false;
         if is_renewing {
@@ -109,6 +113,7 @@
             }
             Ok(WatchAnswer { clock, lists }) => {
                 life.unanswered_watches = 0;
+                self.dismiss_challenger(asked, effects);
                 self.note_clock(now, clock);
                 match lists {
                     Ok(lists) => self.on_lists(now, asked, &lists, effects),
@@ -292,6 +297,7 @@
         for task in self.ledger.tasks_where(Run::takes_room) {
             self.end_run(now, task, EndKind::Lost, effects);
         }
+        self.give_way(now, effects);
     }
 
     /// When a watch or stop may be sent again.
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -193,6 +193,7 @@
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
         let is_first = worker.snapshot.is_none();
         worker.snapshot = Some(snapshot);
+        worker.note_evacuations(&self.evacuations);
         self.without_worker_since = None;
         if is_first {
             let lost: Vec<TaskId> = worker
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -7,6 +7,7 @@
 use super::job::{CallNumber, Feature, JobRequest};
 use super::queues::{QueueConfiguration, QueueSettings};
 use super::shares::SizeGroup;
+use crate::leased::evacuation::Evacuations;
 use crate::leased::messages::{EndKind, FromAgent, Member, ToAgent, ToPeer};
 use crate::leased::task::{JobId, RunId};
 use crate::session::{Remote, SessionId};
@@ -71,6 +72,8 @@
     },
     /// A configuration was read.
     Configuration(QueueConfiguration),
+    /// It was read which zones are evacuated.
+    Evacuations(Evacuations),
     /// The list of members was read from the store.
     Listed(Vec<Member>),
     /// The process is asked to stop in a planned way.
@@ -145,6 +148,8 @@
     NotConfigured,
     /// No worker of its service can be reached.
     NoWorker,
+    /// All workers of its service are in evacuated zones.
+    Evacuated,
     /// There was no room in time.
     Overloaded,
     /// The process stops.
@@ -226,6 +231,8 @@
         /// How long it took.
         longest: Span,
     },
+    /// Which zones are evacuated has changed.
+    Evacuated(Evacuations),
     /// A job's callers have gone.
     Abandoned {
         /// The job.
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -7,7 +7,7 @@
 use crate::leased::task::JobId;
 
 /// When to come back after a refusal that time alone mends.
-const RETRY_SOON: Span = Span::from_millis(1_000);
+pub(super) const RETRY_SOON: Span = Span::from_millis(1_000);
 /// When to come back after a refusal for want of room.
 const RETRY_AFTER_OVERLOAD: Span = Span::from_millis(500);
 
@@ -89,6 +89,9 @@
         if self.is_closed_to(now, request) {
             return Some(Refusal::Stopping);
         }
+        if self.is_evacuated(now, &request.queue.service) {
+            return Some(Refusal::Evacuated);
+        }
         let patience_ends = self.without_worker_since?.after(WORKER_PATIENCE);
         (now > patience_ends).then_some(Refusal::NoWorker)
     }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! agents stop, and its callers hand in again.
 
 mod ends;
+mod evacuation;
 pub mod events;
 mod intake;
 pub mod job;
@@ -24,6 +25,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::evacuation::Evacuations;
 use super::messages::{FromAgent, FromAgentBody, Member, ToAgent, ToAgentBody};
 use super::task::{JobId, TaskId};
 use super::timing::BUSY_HEARTBEAT;
@@ -61,6 +63,7 @@
 pub struct LeasedGateway {
     identity: Identity,
     configuration: Option<Arc<QueueConfiguration>>,
+    evacuations: Evacuations,
     workers: BTreeMap<Incarnation, Worker>,
     agent_sessions: BTreeMap<SessionId, Incarnation>,
     peers: BTreeMap<SessionId, Peer>,
@@ -92,6 +95,7 @@
         let mut gateway = Self {
             identity,
             configuration: None,
+            evacuations: Evacuations::default(),
             workers: BTreeMap::new(),
             agent_sessions: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -166,11 +170,12 @@
             GatewayEvent::PeerOpened { session } => self.on_peer_opened(session, effects),
             GatewayEvent::PeerClosed { session } => self.on_peer_closed(session),
             GatewayEvent::PeerMessage { session, message } => {
-                self.on_peer_message(session, message, effects);
+                self.on_peer_message(now, session, message, effects);
             }
             GatewayEvent::Configuration(configuration) => {
                 self.adopt(configuration, effects);
             }
+            GatewayEvent::Evacuations(news) => self.on_evacuations(now, news, effects),
             GatewayEvent::Listed(members) => {
                 self.listed = members.into_iter().collect();
                 self.note_members();
@@ -235,6 +240,7 @@
         worker.open(now, session);
         self.agent_sessions.insert(session, remote.incarnation);
         self.members.open(session);
+        self.tell_agent_evacuations(now, session, effects);
     }
 
     fn on_agent_closed(&mut self, session: SessionId) {
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -43,6 +43,7 @@
         self.members.open(session);
         let message = ToPeer::Introduction(self.identity.member.clone());
         effects.push(GatewayEffect::ToPeer { session, message });
+        self.tell_peer_evacuations(session, effects);
         if let Some(configuration) = &self.configuration {
             let message = ToPeer::InForce(configuration.version);
             effects.push(GatewayEffect::ToPeer { session, message });
@@ -51,6 +52,7 @@
 
     pub(super) fn on_peer_message(
         &mut self,
+        now: Timestamp,
         session: SessionId,
         message: ToPeer,
         effects: &mut Vec<GatewayEffect>,
@@ -68,6 +70,7 @@
                 }
             }
             ToPeer::Configuration(configuration) => self.adopt(configuration, effects),
+            ToPeer::Evacuations(news) => self.on_evacuations(now, news, effects),
             ToPeer::Members(members) => effects.push(GatewayEffect::Members(members)),
             ToPeer::Introduction(member) => {
                 if let Some(peer) = self.peers.get_mut(&session) {
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -4,6 +4,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::super::evacuation::Evacuations;
 use super::super::messages::{Offer, Report, Snapshot};
 use super::super::room::Room;
 use super::super::task::{RunNumber, TaskId};
@@ -45,6 +46,8 @@
     pub tasks: BTreeMap<TaskId, RunNumber>,
     /// Room that its agent holds for this gateway, not answered yet.
     pub offers: Vec<Offer>,
+    /// Whether its zone is evacuated.
+    pub is_evacuated: bool,
     batches: u64,
     unreported: VecDeque<Unreported>,
 }
@@ -70,6 +73,7 @@
             acknowledged: 0,
             tasks: BTreeMap::new(),
             offers: Vec::new(),
+            is_evacuated: false,
             batches: 0,
             unreported: VecDeque::new(),
         }
@@ -127,6 +131,12 @@
             })
     }
 
+    /// Takes in which zones are evacuated.
+    pub fn note_evacuations(&mut self, evacuations: &Evacuations) {
+        let snapshot = self.snapshot.as_ref();
+        self.is_evacuated = snapshot.is_some_and(|known| evacuations.covers(&known.zone));
+    }
+
     /// Whether it may be given tasks of `service` now.
     pub fn is_usable(&self, now: Timestamp, service: &str) -> bool {
         let silence = now.since(self.heard);
@@ -136,6 +146,7 @@
             BUSY_SUSPICION
         };
         self.session.is_some()
+            && !self.is_evacuated
             && silence <= bound
             && self.report.limit > 0
             && self
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -12,6 +12,7 @@
             ToAgentBody::Members(_) => "members_to_agent",
             ToAgentBody::Announce(_) => "announce",
             ToAgentBody::Decline(_) => "decline",
+            ToAgentBody::Evacuations(_) => "evacuations_to_agent",
         }
     }
 }
@@ -33,6 +34,7 @@
         match self {
             Self::Introduction(_) => "introduction",
             Self::Members(_) => "members_to_peer",
+            Self::Evacuations(_) => "evacuations_to_peer",
             Self::InForce(_) => "in_force",
             Self::ConfigurationWanted => "configuration_wanted",
             Self::Configuration(_) => "configuration",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -6,6 +6,7 @@
 use laurelstile_types::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use super::evacuation::Evacuations;
 use super::gateway::queues::QueueConfiguration;
 use super::input::JobInput;
 use super::room::Room;
@@ -51,6 +52,9 @@
     /// Offers, by number, that the gateway has no use for.
     #[serde(rename = "d")]
     Decline(Vec<u64>),
+    /// Zones that are evacuated, as the gateway knows it.
+    #[serde(rename = "v")]
+    Evacuations(Evacuations),
 }
 
 impl ToAgentBody {
@@ -378,6 +382,8 @@
     Introduction(Member),
     /// Gateways that the sender knows and has not named on this session yet.
     Members(Vec<Member>),
+    /// Zones that are evacuated, as the sender knows it.
+    Evacuations(Evacuations),
     /// Version of the configuration that is in force at the sender.
     InForce(u64),
     /// The receiver's configuration is wanted: the sender has an older one.
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -28,6 +28,8 @@
     pub orders: VecDeque<Order>,
     /// Messages to gateways.
     pub sent: Vec<(SessionId, FromAgent)>,
+    /// Sessions that were closed, in order.
+    pub closed: Vec<SessionId>,
     /// Whether the machine has stopped.
     pub stopped: bool,
     batches: u64,
@@ -54,6 +56,7 @@
             machine: LeasedAgent::new(options),
             orders: VecDeque::new(),
             sent: Vec::new(),
+            closed: Vec::new(),
             stopped: false,
             batches: 0,
         };
@@ -124,6 +127,7 @@
             match effect {
                 AgentEffect::Order(order) => self.orders.push_back(order),
                 AgentEffect::Send { session, message } => self.sent.push((session, message)),
+                AgentEffect::Close(session) => self.closed.push(session),
                 AgentEffect::Stopped => self.stopped = true,
                 _ => {}
             }
@@ -342,6 +346,18 @@
         );
     }
 
+    /// The worker, asked by the watch that is under way, answers that its life is over.
+    pub fn end_life(&mut self, now: Timestamp) {
+        self.take_watches();
+        self.event(
+            now,
+            AgentEvent::Watched {
+                life: "life-1".into(),
+                answer: Err(OrderFailure::LifeOver),
+            },
+        );
+    }
+
     /// Ends that the gateway was told, in order.
     pub fn ends(&self) -> Vec<(TaskId, EndKind)> {
         self.sent
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use laurelstile_core::leased::evacuation::Evacuations;
 use laurelstile_core::leased::gateway::StopTimes;
 use laurelstile_core::leased::gateway::job::{JobRequest, StepRequest};
 use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
@@ -47,6 +48,14 @@
     }
 }
 
+/// Evacuated zones as of a revision.
+pub fn evacuations(revision: u64, zones: &[&str]) -> Evacuations {
+    Evacuations {
+        revision,
+        zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+    }
+}
+
 /// The queue of that configuration.
 pub fn queue() -> QueueSettings {
     QueueSettings {
--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -9,12 +9,16 @@
 pub struct Bounds {
     /// From the acknowledgement of a drain to the last start, in microseconds.
     pub drain_micros: u64,
+    /// From the acknowledgement of a zone's evacuation to the last start there, in
+    /// microseconds.
+    pub evacuate_micros: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
         Self {
             drain_micros: 2_000_000,
+            evacuate_micros: 1_500_000,
         }
     }
 }
@@ -37,6 +41,8 @@
     done: BTreeSet<TaskName>,
     failures: BTreeMap<TaskName, u32>,
     drained: BTreeMap<Life, u64>,
+    zones: BTreeMap<Life, String>,
+    evacuated: BTreeMap<String, u64>,
     versions: BTreeMap<u64, u64>,
     violations: Vec<Violation>,
 }
@@ -66,6 +72,15 @@
                 told,
                 in_planned_stop,
             } => self.on_answered(at, *job, *told, *in_planned_stop),
+            Seen::Began { life, zone } => {
+                self.zones.insert(*life, zone.clone());
+            }
+            Seen::Evacuated { zone } => {
+                self.evacuated.entry(zone.clone()).or_insert(at);
+            }
+            Seen::TakenBack { zone } => {
+                self.evacuated.remove(zone);
+            }
             Seen::Started {
                 life,
                 task,
@@ -149,6 +164,19 @@
             let message = format!("{task:?} started on worker {life}, which drains");
             self.break_rule(Rule::Drain, at, message);
         }
+        self.check_evacuation(at, life, task, bounds);
+    }
+
+    fn check_evacuation(&mut self, at: u64, life: Life, task: TaskName, bounds: Bounds) {
+        let Some(zone) = self.zones.get(&life) else {
+            return;
+        };
+        let evacuated = self.evacuated.get(zone).copied();
+        if evacuated.is_some_and(|since| at > since + bounds.evacuate_micros) {
+            let message =
+                format!("{task:?} started on worker {life} of {zone}, which is evacuated");
+            self.break_rule(Rule::Evacuation, at, message);
+        }
     }
 
     fn on_ended(&mut self, life: Life, task: TaskName, how: RunEnd) {
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -73,6 +73,23 @@
         /// Whether the gateway was in a planned stop, and nothing else.
         in_planned_stop: bool,
     },
+    /// A life of a worker begins.
+    Began {
+        /// Life of the worker.
+        life: Life,
+        /// Its zone.
+        zone: String,
+    },
+    /// The operator's word that a zone is evacuated was acknowledged.
+    Evacuated {
+        /// The zone.
+        zone: String,
+    },
+    /// The operator takes an evacuated zone back.
+    TakenBack {
+        /// The zone.
+        zone: String,
+    },
     /// A worker starts a run.
     Started {
         /// Life of the worker.
@@ -125,6 +142,8 @@
     OneRun,
     /// No start after a drain's bound.
     Drain,
+    /// No start in a zone after the bound of its evacuation.
+    Evacuation,
     /// A job whose every call was refused has no start.
     RefusedIsTrue,
     /// Only what was handed in starts.
--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -83,6 +83,24 @@
     assert!(rules(history).is_empty());
 }
 
+#[test]
+fn a_zone_that_is_taken_back_may_be_used() {
+    let evacuated = |zone: &str| Seen::Evacuated { zone: zone.into() };
+    let history = vec![
+        submitted(),
+        Seen::Began {
+            life: LIFE,
+            zone: "a".into(),
+        },
+        evacuated("a"),
+        evacuated("b"),
+        answered(Told::Nothing),
+        Seen::TakenBack { zone: "a".into() },
+        started(LIFE, 0),
+    ];
+    assert!(rules(history).is_empty());
+}
+
 #[rstest]
 #[case::room(vec![submitted(), started(LIFE, 0), started(LIFE, 1), started(LIFE, 2)], Rule::Room)]
 #[case::one_run(vec![submitted(), started(LIFE, 0), started(OTHER_LIFE, 0)], Rule::OneRun)]
@@ -96,6 +114,17 @@
     ],
     Rule::Drain
 )]
+#[case::evacuation(
+    vec![
+        submitted(),
+        Seen::Began { life: LIFE, zone: "a".into() },
+        Seen::Evacuated { zone: "a".into() },
+        started(LIFE, 0),
+        answered(Told::Nothing),
+        started(LIFE, 1),
+    ],
+    Rule::Evacuation
+)]
 #[case::refused(
     vec![submitted(), started(LIFE, 0), answered(Told::Refused)],
     Rule::RefusedIsTrue
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -21,7 +21,8 @@
             required --seeds seeds: String
             /// Print the histories.
             optional --verbose
-            /// Switch a mechanism off: owner-silence, leases, takeover or drains.
+            /// Switch a mechanism off: owner-silence, leases, takeover,
+        /// drains or evacuations.
             optional --without mechanism: String
         }
     }
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -3,6 +3,8 @@
 use rand::Rng;
 use rand_pcg::Pcg64;
 
+use super::nodes::WORKER_ZONES;
+
 /// Something that goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -34,6 +36,10 @@
     LateOrders,
     /// The configuration changes, and an older version is read once more.
     Configure,
+    /// A zone of workers is evacuated and taken back; one gateway hears of it late.
+    Evacuate(usize),
+    /// A heartbeat of a life that has ended arrives.
+    LateHeartbeat(usize),
 }
 
 impl Fault {
@@ -54,6 +60,8 @@
             Self::Slow(_) => "slow",
             Self::LateOrders => "late_orders",
             Self::Configure => "configure",
+            Self::Evacuate(_) => "evacuate",
+            Self::LateHeartbeat(_) => "late_heartbeat",
         }
     }
 }
@@ -81,6 +89,8 @@
     NoTakeover,
     /// Agents do not hear that their worker drains.
     NoDrains,
+    /// Agents do not hear of evacuated zones.
+    NoEvacuations,
 }
 
 /// Draws `count` faults within `length`.
@@ -102,6 +112,21 @@
     faults
 }
 
+/// Draws evacuations, some of one zone soon after each other, and late heartbeats.
+pub fn draw_of_operators(length: u64, workers: usize, random: &mut Pcg64) -> Vec<ScheduledFault> {
+    let count = random.random_range(0..5);
+    (0..count)
+        .map(|_| ScheduledFault {
+            at: random.random_range(500_000..length),
+            length: random.random_range(1_000_000..8_000_000),
+            fault: match random.random_bool(0.6) {
+                true => Fault::Evacuate(random.random_range(0..WORKER_ZONES)),
+                false => Fault::LateHeartbeat(random.random_range(0..workers)),
+            },
+        })
+        .collect()
+}
+
 fn draw_one(gateways: usize, workers: usize, random: &mut Pcg64) -> Fault {
     let gateway = random.random_range(0..gateways);
     let worker = random.random_range(0..workers);
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::faults::{Sabotage, draw};
+use super::faults::{Sabotage, draw, draw_of_operators};
 use super::worker::SimWorker;
 use super::world::{SimJob, TASK_ROOM, World};
 
@@ -19,6 +19,8 @@
 /// Callers hand in until so long after the faults.
 const CALM_CALLS: u64 = 9_000_000;
 const SEED_STREAM: u64 = 0x1ea5ed;
+/// Of its own, so that the other faults of a seed stay as they are.
+const OPERATORS_STREAM: u64 = 0x0e7ac;
 
 /// What became of a seed.
 #[derive(Debug)]
@@ -45,7 +47,9 @@
         .collect();
     let jobs = draw_jobs(&mut random);
     let count = random.random_range(2..22);
-    let faults = draw(count, FAULTY, GATEWAYS, WORKERS, &mut random);
+    let mut faults = draw(count, FAULTY, GATEWAYS, WORKERS, &mut random);
+    let mut operators = Pcg64::seed_from_u64(seed ^ OPERATORS_STREAM);
+    faults.extend(draw_of_operators(FAULTY, WORKERS, &mut operators));
     let mut kinds = BTreeMap::new();
     for fault in &faults {
         *kinds.entry(fault.fault.kind()).or_default() += 1;
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -1,5 +1,6 @@
 //! Faults as they begin and end.
 
+use laurelstile_core::leased::agent::AgentEvent;
 use laurelstile_core::leased::gateway::GatewayEvent;
 use laurelstile_history::leased::{Seen, Told};
 use rand::Rng;
@@ -10,6 +11,9 @@
 use super::super::worker::Mood;
 use super::{GRACE, Happening, RESEND, RESTART, USER_TIMEOUT, World};
 
+/// How late the last gateway reads which zones are evacuated.
+const LATE_READING: u64 = 4_000_000;
+
 impl World {
     /// A gateway's process is over: its callers' connections break, unless it
     /// went dark, and they hand in again later.
@@ -46,10 +50,9 @@
         let incarnation = self.fresh();
         self.gateways[index] = Process::begin(nodes::gateway(index), incarnation, self.now);
         let version = self.version;
-        self.schedule(
-            self.now + 20_000,
-            Happening::ReadConfiguration(index, version),
-        );
+        let read_at = self.now + 20_000;
+        self.schedule(read_at, Happening::ReadEvacuations(index));
+        self.schedule(read_at, Happening::ReadConfiguration(index, version));
     }
 
     pub(super) fn fault_begins(&mut self, scheduled: ScheduledFault) {
@@ -110,10 +113,40 @@
                     self.schedule(self.now + delay + 50_000, old);
                 }
             }
+            Fault::Evacuate(zone) => {
+                let zone = format!("zone-{zone}");
+                if self.evacuations.zones.insert(zone.clone()) {
+                    self.see(Seen::Evacuated { zone });
+                    self.evacuations_changed();
+                    self.end_fault_later(scheduled, end);
+                }
+            }
+            Fault::LateHeartbeat(worker) => {
+                let is_deaf =
+                    !self.agents[worker].is_up || self.agents[worker].frozen_until > self.now;
+                if !is_deaf && let Some(registration) = self.ended_lives[worker].clone() {
+                    self.agent_event(worker, AgentEvent::Registered(registration));
+                }
+            }
             _ => {}
         }
     }
 
+    /// Gateways read soon which zones are evacuated; one of them hears of it so late that
+    /// agents have to hold out until then.
+    fn evacuations_changed(&mut self) {
+        self.evacuations.revision += 1;
+        let late = self.random.random_range(0..self.gateways.len());
+        for index in 0..self.gateways.len() {
+            let delay = if index == late {
+                LATE_READING
+            } else {
+                self.random.random_range(1_000..500_000)
+            };
+            self.schedule(self.now + delay, Happening::ReadEvacuations(index));
+        }
+    }
+
     pub(super) fn set_mood(&mut self, scheduled: ScheduledFault, worker: usize, mood: Mood) {
         self.workers[worker].mood = mood;
         self.end_fault_later(scheduled, self.now + scheduled.length);
@@ -134,6 +167,12 @@
             Fault::Failing(worker) | Fault::Hanging(worker) | Fault::Slow(worker) => {
                 self.workers[worker].mood = Mood::Well;
             }
+            Fault::Evacuate(zone) => {
+                let zone = format!("zone-{zone}");
+                self.evacuations.zones.remove(&zone);
+                self.see(Seen::TakenBack { zone });
+                self.evacuations_changed();
+            }
             Fault::DrainWorker(worker) if self.workers[worker].life != 0 => {
                 self.crash_worker(worker);
                 self.schedule(self.now + RESTART, Happening::WorkerBegins(worker));
@@ -154,6 +193,7 @@
 
     pub(super) fn crash_worker(&mut self, worker: usize) {
         let life = self.workers[worker].life;
+        self.ended_lives[worker] = Some(self.registration(worker));
         let changes = self.workers[worker].crash();
         self.watches[worker] = None;
         self.see_changes(life, worker, &changes);
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -19,8 +19,9 @@
         Some("leases") => Some(Sabotage::NoLeases),
         Some("takeover") => Some(Sabotage::NoTakeover),
         Some("drains") => Some(Sabotage::NoDrains),
+        Some("evacuations") => Some(Sabotage::NoEvacuations),
         Some(_) => {
-            eprintln!("--without takes owner-silence, leases, takeover or drains");
+            eprintln!("--without takes owner-silence, leases, takeover, drains or evacuations");
             return ExitCode::from(2);
         }
     };
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -24,6 +24,8 @@
 /// Seeds that broke something once, each for another cause.
 #[rstest]
 #[case::watch_lost_while_nothing_runs(117)]
+#[case::heartbeat_of_an_ended_life(345)]
+#[case::heartbeat_of_an_ended_life_beside_a_freeze(381)]
 fn mended_seed_keeps_every_rule(#[case] seed: u64) {
     let outcome = run_seed(seed, None);
     assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
@@ -40,6 +42,7 @@
 #[case::leases(Sabotage::NoLeases, Rule::OneRun)]
 #[case::takeover(Sabotage::NoTakeover, Rule::Room)]
 #[case::drains(Sabotage::NoDrains, Rule::Drain)]
+#[case::evacuations(Sabotage::NoEvacuations, Rule::Evacuation)]
 fn a_rule_breaks_without_its_mechanism(#[case] sabotage: Sabotage, #[case] rule: Rule) {
     let is_broken = (0..80).any(|seed| {
         let outcome = run_seed(seed, Some(sabotage));
--- a/laurelstile-wire/src/session.rs
+++ b/laurelstile-wire/src/session.rs
@@ -34,6 +34,9 @@
 /// would be repeated after a second only.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long the other side may take to take in that the session is closed.
+const CLOSE_LIMIT: Duration = Duration::from_millis(200);
+
 /// Most messages that go out with one flush.
 const WRITE_BATCH: usize = 64;
 
@@ -149,7 +152,8 @@
     let mut batch = Vec::with_capacity(WRITE_BATCH);
     loop {
         if outgoing.recv_many(&mut batch, WRITE_BATCH).await == 0 {
-            let closed = sink.close().await;
+            let closing = tokio::time::timeout(CLOSE_LIMIT, sink.close()).await;
+            let closed = closing.unwrap_or(Ok(()));
             return closed.map_or_else(WireError::from, |()| WireError::Closed);
         }
         for message in batch.drain(..) {
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -84,7 +84,6 @@
         input.clone(),
     ));
     tokio::spawn(traffic_log::write());
-    let mut recorded = Recorded::default();
     let mut driver = Driver {
         clock,
         machine: LeasedAgent::new(options),
@@ -93,6 +92,8 @@
             Subset::new(name.clone(), settings.node.zone.0.clone()),
         ),
         worker,
+        store: Arc::clone(&store),
+        name: name.clone(),
         input,
         decisions: DecisionLog::default(),
         is_stopped: false,
@@ -108,7 +109,6 @@
         tokio::select! {
             _ = inputs.recv_many(&mut batch, INPUT_BATCH) => {}
             Some(news) = news.recv() => {
-                record(&news, &mut recorded, &store, &name);
                 batch.push(AgentInput::Event(event_of(news)));
             }
             _ = terminate.recv() => {
@@ -119,7 +119,7 @@
             _ = review.tick() => driver.links.review(clock.now(), &mut driver.machine),
             _ = lookup.tick(), if driver.links.is_empty() => {
                 driver.links.reseed(&seed_source);
-                driver.look_up(&store);
+                driver.look_up();
             }
             () = tokio::time::sleep(sleep) => {}
         }
@@ -148,31 +148,6 @@
     SEED_PATIENCE + Duration::from_micros(hasher.finish() % spread)
 }
 
-/// Lives of the worker of which the store was told.
-#[derive(Debug, Default)]
-struct Recorded {
-    registered: Option<String>,
-    draining: Option<String>,
-}
-
-/// Writes to the store what a later agent must know: the first registration of a
-/// life, and that it drains.
-fn record<S: RecordStore>(news: &WorkerNews, recorded: &mut Recorded, store: &Arc<S>, name: &str) {
-    let WorkerNews::Registered(registration) = news else {
-        return;
-    };
-    let life = Some(registration.life.clone());
-    let (store, name) = (Arc::clone(store), name.to_owned());
-    if registration.draining && recorded.draining != life {
-        recorded.draining = life;
-        let life = registration.life.clone();
-        tokio::spawn(recall::remember_draining(store, name, life));
-    } else if !registration.draining && recorded.registered != life {
-        recorded.registered = life;
-        tokio::spawn(recall::remember(store, name, registration.clone()));
-    }
-}
-
 fn event_of(news: WorkerNews) -> AgentEvent {
     match news {
         WorkerNews::Registered(registration) => AgentEvent::Registered(registration),
@@ -217,17 +192,19 @@
 }
 
 /// Drives one agent's machine.
-struct Driver<W> {
+struct Driver<W, S> {
     clock: Clock,
     machine: LeasedAgent,
     links: Links<GatewaySessions>,
     worker: Arc<W>,
+    store: Arc<S>,
+    name: String,
     input: mpsc::UnboundedSender<AgentInput>,
     decisions: DecisionLog,
     is_stopped: bool,
 }
 
-impl<W: WorkerPort> Driver<W> {
+impl<W: WorkerPort, S: RecordStore> Driver<W, S> {
     fn take(&mut self, input: AgentInput, effects: &mut Vec<AgentEffect>) {
         let event = match input {
             AgentInput::Event(event) => event,
@@ -264,6 +241,14 @@
             AgentEffect::Close(session) => self.links.on_closed(session),
             AgentEffect::Order(order) => self.give(order),
             AgentEffect::Members(members) => self.links.learn(self.clock.now(), members),
+            AgentEffect::Remember(registration) => {
+                let (store, name) = (Arc::clone(&self.store), self.name.clone());
+                tokio::spawn(recall::remember(store, name, registration));
+            }
+            AgentEffect::RememberDraining(life) => {
+                let (store, name) = (Arc::clone(&self.store), self.name.clone());
+                tokio::spawn(recall::remember_draining(store, name, life.to_string()));
+            }
             AgentEffect::Decided(decision) => self.decisions.agent(&decision),
             AgentEffect::Stopped => self.is_stopped = true,
         }
@@ -279,8 +264,8 @@
     }
 
     /// Asks the store which gateways there are.
-    fn look_up<S: RecordStore>(&self, store: &Arc<S>) {
-        let (store, input) = (Arc::clone(store), self.input.clone());
+    fn look_up(&self) {
+        let (store, input) = (Arc::clone(&self.store), self.input.clone());
         tokio::spawn(async move {
             if let Ok(members) = membership::read(store.as_ref()).await {
                 log::info!(event = "looked_up", members = members.len(); "gateways read from the store");
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -10,11 +10,11 @@
 use laurelstile_core::leased::agent::AgentDecision;
 use laurelstile_core::leased::gateway::shares::SizeGroup;
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 
 use crate::telemetry::{
-    CAME_BACK, JOB_SECONDS, JOBS_ANSWERED, OFFERS, OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED,
-    RUNS_STOPPED, WORKER_SILENT,
+    CAME_BACK, EVACUATED_ZONES, JOB_SECONDS, JOBS_ANSWERED, OFFERS, OFFERS_EXPIRED, RUN_TIME_RATIO,
+    RUNS_ENDED, RUNS_STOPPED, WORKER_SILENT,
 };
 
 /// Most lines of steps in a period.
@@ -42,7 +42,9 @@
         }
         let is_outcome = matches!(
             decision,
-            GatewayDecision::Answered { .. } | GatewayDecision::Abandoned { .. }
+            GatewayDecision::Answered { .. }
+                | GatewayDecision::Abandoned { .. }
+                | GatewayDecision::Evacuated(_)
         );
         if !self.admits(is_outcome) {
             return;
@@ -83,6 +85,10 @@
                 let size = size.map_or("unknown", SizeGroup::name);
                 log::info!(event = "answered", job:% = job, queue = queue.name.as_str(), answer = answer.as_str(), age_ms = age.as_millis(), objective_ms = objective.as_millis(), size = size, work_core_ms = *work; "");
             }
+            GatewayDecision::Evacuated(evacuations) => {
+                let zones: Vec<&str> = evacuations.zones.iter().map(String::as_str).collect();
+                log::info!(event = "zones_evacuated", zones = zones.join(","), revision = evacuations.revision; "");
+            }
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
             }
@@ -114,12 +120,24 @@
             AgentDecision::InControl { life, token } => {
                 log::info!(event = "worker_in_control", life:% = life, token = token.0; "");
             }
+            AgentDecision::LateHeartbeat { life, present } => {
+                log::warn!(event = "late_heartbeat", life = life.as_str(), present:% = present; "a heartbeat of an ended life came; it is ignored");
+            }
+            AgentDecision::SessionSilent { gateway, silence } => {
+                log::warn!(event = "session_silent", gateway:% = gateway, silence_ms = silence.as_millis(); "closed, to be dialed anew");
+            }
             AgentDecision::LifeOver { life, runs } => {
                 log::warn!(event = "worker_life_over", life:% = life, runs = runs; "");
             }
             AgentDecision::Draining { life } => {
                 log::info!(event = "worker_draining", life:% = life; "");
             }
+            AgentDecision::Evacuated {
+                is_evacuated,
+                revision,
+            } => {
+                log::info!(event = "worker_evacuated", is_evacuated = *is_evacuated, revision = *revision; "");
+            }
             AgentDecision::WorkerSilent { life } => {
                 log::warn!(event = "worker_silent", life:% = life; "");
             }
@@ -208,6 +226,9 @@
             let ratio = longest.0 as f64 / expected.0.max(1) as f64;
             histogram!(RUN_TIME_RATIO, "queue" => queue.name.clone()).record(ratio);
         }
+        GatewayDecision::Evacuated(evacuations) => {
+            gauge!(EVACUATED_ZONES).set(evacuations.zones.len() as f64);
+        }
         GatewayDecision::CameBack { how, .. } => {
             counter!(CAME_BACK, "how" => how.name()).increment(1);
         }
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -23,10 +23,10 @@
 use super::decisions::DecisionLog;
 use super::gate::{Gate, View};
 use super::input::GatewayInput;
-use super::ports::{ConfigurationSource, RecordStore, SeedSource};
+use super::ports::{OperatorSource, RecordStore, SeedSource};
 use super::sessions::{Dialed, Dialer, note_end};
 use super::settings::{LeasedGatewaySettings, LeasedSettings};
-use super::{configuration, membership, traffic_log};
+use super::{membership, operator, traffic_log};
 use crate::clock::Clock;
 use crate::error::DaemonError;
 use crate::gateway::{listen, local_node};
@@ -60,7 +60,7 @@
     seed_source: SeedSource,
 ) -> Result<Running, DaemonError>
 where
-    S: RecordStore + ConfigurationSource,
+    S: RecordStore + OperatorSource,
 {
     let clock = Clock::start();
     let local = local_node(&settings.node, NodeRole::Gateway, clock);
@@ -82,7 +82,7 @@
         input: input.clone(),
     };
     let dialer = Dialer::new(local.clone(), seeds, peers);
-    tokio::spawn(configuration::follow(Arc::clone(&store), input.clone()));
+    tokio::spawn(operator::follow(Arc::clone(&store), input.clone()));
     tokio::spawn(membership::keep(
         Arc::clone(&store),
         member.clone(),
--- a/laurelstiled/src/leased/mod.rs
+++ b/laurelstiled/src/leased/mod.rs
@@ -3,7 +3,6 @@
 //! callers, to the worker and to the record store.
 
 pub mod agent;
-pub mod configuration;
 pub mod decisions;
 pub mod gate;
 pub mod gateway;
@@ -11,6 +10,7 @@
 mod links;
 pub mod log_output;
 pub mod membership;
+pub mod operator;
 pub mod ports;
 pub mod recall;
 pub mod sessions;
--- a/laurelstiled/src/leased/ports.rs
+++ b/laurelstiled/src/leased/ports.rs
@@ -102,24 +102,36 @@
     -> impl Future<Output = Result<(), StoreError>> + Send;
 }
 
-/// A reading of the configuration.
-#[derive(Clone, Debug)]
-pub struct ConfigurationNews {
+/// A zone that operators have evacuated, or taken back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EvacuationChange {
+    /// Name of the zone.
+    pub zone: String,
+    /// Whether its workers are to be given nothing.
+    pub is_evacuated: bool,
+}
+
+/// A reading of what operators have left.
+#[derive(Clone, Debug, Default)]
+pub struct OperatorNews {
     /// The newest configuration, if there is a new one.
     pub configuration: Option<QueueConfiguration>,
+    /// Zones whose evacuation has begun or ended, in order; of a whole reading, all that
+    /// are evacuated.
+    pub evacuations: Vec<EvacuationChange>,
     /// Version of the store to go on from.
     pub cursor: u64,
 }
 
-/// Where operators leave the configuration.
-pub trait ConfigurationSource: Send + Sync + 'static {
-    /// Reads the configuration.
-    fn read(&self) -> impl Future<Output = Result<ConfigurationNews, StoreError>> + Send;
+/// Where operators leave the configuration and say which zones are evacuated.
+pub trait OperatorSource: Send + Sync + 'static {
+    /// Reads all of it.
+    fn read_all(&self) -> impl Future<Output = Result<OperatorNews, StoreError>> + Send;
 
     /// Waits for a change after `cursor`, for `wait` at the most.
     fn changes(
         &self,
         cursor: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<ConfigurationNews, StoreError>> + Send;
+    ) -> impl Future<Output = Result<OperatorNews, StoreError>> + Send;
 }
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -38,6 +38,8 @@
 /// Jobs of leased workers that were answered; labels `queue`, `size`, `outcome`
 /// (`in_time`, `late`, `refused`, `other`).
 pub const JOBS_ANSWERED: &str = "laurelstile_jobs_answered_total";
+/// Zones that are evacuated, as this gateway knows it.
+pub const EVACUATED_ZONES: &str = "laurelstile_evacuated_zones";
 /// Offers of room that this gateway answered; label `outcome` (`used`, `declined`).
 pub const OFFERS: &str = "laurelstile_offers_total";
 /// Offers of room that no gateway answered in time, at this agent.
