Starts under way are bounded by the delay of their reports

Change: a window in bytes on starts under way, raised while reports come within 60 ms, lowered by the part by which they are late; the shortest of eight delays counts. What waits for it waits in the gateway, by rank, and can be refused as not run. What starts brings reports and ends over the way in, which callers fill as well.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -213,6 +213,7 @@
         for old in predecessors {
             self.lose_all(now, old, effects);
             self.workers.remove(&old);
+            self.start_window.forget(old);
         }
     }
 
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod queues;
 pub mod run_times;
 pub mod shares;
+pub mod start_window;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,6 +39,7 @@
 use queues::QueueConfiguration;
 use run_times::RunTimes;
 use shares::Shares;
+use start_window::StartWindow;
 use workers::Worker;
 
 /// What distinguishes one gateway process from another.
@@ -83,6 +85,8 @@
     run_times: RunTimes,
     /// Who was served lately.
     shares: Shares,
+    /// Starts under way to agents.
+    start_window: StartWindow,
     /// When a job first came while there was no worker at all.
     without_worker_since: Option<Timestamp>,
     stopping_since: Option<Timestamp>,
@@ -109,6 +113,7 @@
             announced: BTreeMap::new(),
             run_times: RunTimes::default(),
             shares: Shares::default(),
+            start_window: StartWindow::default(),
             without_worker_since: None,
             stopping_since: None,
             stop_reported: false,
@@ -190,6 +195,7 @@
     /// Does what the events since the last flush, or time, gave rise to.
     pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         self.end_lapsed_agents(now, effects);
+        self.start_window.expire(now);
         self.use_offers(now, effects);
         self.place_waiting(now, effects);
         self.run_timers(now, effects);
@@ -215,9 +221,11 @@
             let is_empty = self.jobs.is_empty();
             since.after(if is_empty { times.overlap } else { times.limit })
         });
+        let opening = self.start_window.opens_at();
+        let opening = opening.filter(|_| !self.waiting.is_empty());
         let members = self.members.due_at();
         let peers = self.ask_again_at();
-        let others = [timer, stop, members, peers].into_iter().flatten();
+        let others = [timer, stop, opening, members, peers].into_iter().flatten();
         workers.flatten().chain(others).min()
     }
 
@@ -238,6 +246,7 @@
             effects.push(GatewayEffect::Close(old));
         }
         worker.open(now, session);
+        self.start_window.forget(remote.incarnation);
         self.agent_sessions.insert(session, remote.incarnation);
         self.members.open(session);
         self.tell_agent_evacuations(now, session, effects);
@@ -248,6 +257,7 @@
             return;
         };
         self.members.close(session);
+        self.start_window.forget(agent);
         if let Some(worker) = self.workers.get_mut(&agent) {
             worker.session = None;
             worker.offers.clear();
@@ -271,6 +281,7 @@
         worker.clock = worker.clock.max(message.clock);
         if let Some(report) = message.report {
             worker.on_report(report);
+            self.start_window.on_report(now, agent, report.processed);
         }
         worker.offers.extend(message.offers);
         match message.body {
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -92,6 +92,9 @@
         offer: Offer,
         effects: &mut Vec<GatewayEffect>,
     ) -> bool {
+        if !self.start_window.is_open() {
+            return false;
+        }
         for id in self.waiting_in_order(now) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
@@ -145,8 +148,12 @@
         }
         let mut news = News::new();
         self.withdraw_placed(&mut news);
+        // With a full way out, jobs do not wait for room.
+        let is_open = self.start_window.is_open();
         for id in self.waiting_in_order(now) {
-            self.announce(now, id, &mut news);
+            if is_open {
+                self.announce(now, id, &mut news);
+            }
         }
         for (agent, announcements) in news {
             self.send(now, agent, ToAgentBody::Announce(announcements), effects);
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -77,6 +77,9 @@
     /// Places what waits, the most urgent first. A task that finds no room holds
     /// up those only that ask for as much of the same workers.
     pub(super) fn place_waiting(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        if !self.start_window.is_open() {
+            return;
+        }
         let mut shortages = Vec::new();
         for id in self.waiting_in_order(now) {
             let Some(job) = self.jobs.get(&id) else {
@@ -126,6 +129,10 @@
             if waiting.is_empty() {
                 return true;
             }
+            if !self.start_window.is_open() {
+                self.start_window.note_full();
+                return false;
+            }
             let is_short = |shortage: &Shortage| shortage.covers(&job.queue, request);
             if shortages.iter().any(is_short) {
                 return false;
@@ -265,6 +272,9 @@
             report_age: now.since(worker.heard),
             age: now.since(job.arrival),
         }));
+        let bytes = batch.bytes();
+        self.start_window
+            .on_sent(now, candidate.agent, number, bytes);
         self.send(now, candidate.agent, ToAgentBody::Start(batch), effects);
     }
 }
--- a/laurelstile-core/src/leased/input.rs
+++ b/laurelstile-core/src/leased/input.rs
@@ -46,6 +46,11 @@
         &self.0.text
     }
 
+    /// Bytes that it takes in a message.
+    pub fn wire_bytes(&self) -> usize {
+        self.packed().map_or(self.0.text.len(), <[u8]>::len)
+    }
+
     /// The packed form, if it is shorter.
     fn packed(&self) -> Option<&[u8]> {
         let packed = self.0.packed.get_or_init(|| pack(&self.0.text));
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -143,6 +143,19 @@
     pub offer: Option<u64>,
 }
 
+/// Bytes of a batch besides its input and its tasks, with the frame and the packet that
+/// carry it.
+const BATCH_BYTES: u64 = 150;
+/// Bytes of each of its tasks.
+const TASK_BYTES: u64 = 4;
+
+impl StartBatch {
+    /// Bytes that it takes on the wire, roughly.
+    pub fn bytes(&self) -> u64 {
+        BATCH_BYTES + self.input.wire_bytes() as u64 + TASK_BYTES * self.tasks.len() as u64
+    }
+}
+
 /// From an agent to a gateway.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FromAgent {
