Jobs count from when their callers sent them, as agents' messages tell

Cause: in a burst over thin links calls wait on the way in, unseen: jobs were held until a quarter of an objective that had begun long before, and refused late. Change: agents' messages carry their clock; the least difference lately stands for an undelayed way, and what comes later than that has waited. The shortest of eight delays of the last 200 ms counts. A job's arrival, its time left and so its refusal count from then.

The emulator's links get a rate and a queue. A surge of 3x and 4x for 5 s over 2 Mbit/s is a regression: over 90% in time from 2 s after it. With the window held open it fails: nothing at all is served in time until the end of the run. Links moved to a module of their own.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -214,6 +214,7 @@
             self.lose_all(now, old, effects);
             self.workers.remove(&old);
             self.start_window.forget(old);
+            self.way_in.forget(old);
         }
     }
 
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -28,7 +28,7 @@
         &mut self,
         now: Timestamp,
         call: CallNumber,
-        request: JobRequest,
+        mut request: JobRequest,
         effects: &mut Vec<GatewayEffect>,
     ) {
         if let Some(job) = self.jobs.get_mut(&request.id) {
@@ -39,6 +39,8 @@
         }
         let id = request.id;
         let queue = request.queue.clone();
+        let waited = self.way_in.delay(now);
+        request.time_left = Span(request.time_left.0.saturating_sub(waited.0));
         self.note_workers(now);
         if let Some(reason) = self.refusal_of(now, &request) {
             let answer = Answer::Refused {
@@ -57,7 +59,8 @@
             }));
             return;
         }
-        let mut job = Job::new(now, call, request, &self.run_times);
+        let arrival = Timestamp(now.0.saturating_sub(waited.0));
+        let mut job = Job::new(arrival, call, request, &self.run_times);
         job.group = self.shares.group_of(&job.queue.name, job.work());
         effects.push(GatewayEffect::Decided(GatewayDecision::Taken {
             job: id,
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -12,12 +12,14 @@
 pub mod job;
 mod member_log;
 mod offers;
+pub mod path_delay;
 mod peers;
 mod placement;
 pub mod queues;
 pub mod run_times;
 pub mod shares;
 pub mod start_window;
+pub mod way_in;
 mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,6 +42,7 @@
 use run_times::RunTimes;
 use shares::Shares;
 use start_window::StartWindow;
+use way_in::WayIn;
 use workers::Worker;
 
 /// What distinguishes one gateway process from another.
@@ -85,6 +88,8 @@
     run_times: RunTimes,
     /// Who was served lately.
     shares: Shares,
+    /// How long messages and calls wait on the way in.
+    way_in: WayIn,
     /// Starts under way to agents.
     start_window: StartWindow,
     /// When a job first came while there was no worker at all.
@@ -113,6 +118,7 @@
             announced: BTreeMap::new(),
             run_times: RunTimes::default(),
             shares: Shares::default(),
+            way_in: WayIn::default(),
             start_window: StartWindow::default(),
             without_worker_since: None,
             stopping_since: None,
@@ -277,6 +283,7 @@
         let Some(worker) = self.workers.get_mut(&agent) else {
             return;
         };
+        self.way_in.note(now, agent, message.clock);
         worker.heard = now;
         worker.clock = worker.clock.max(message.clock);
         if let Some(report) = message.report {
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -6,8 +6,10 @@
 mod nodes;
 mod orders;
 mod run;
+mod surge;
 pub mod worker;
 mod world;
 
 pub use faults::{Fault, Sabotage, ScheduledFault};
 pub use run::{Outcome, run_seed};
+pub use surge::{Surge, run_surge};
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -40,7 +40,7 @@
         let request = JobRequest {
             id,
             queue: Arc::new(nodes::queue()),
-            input: "input".into(),
+            input: self.input.clone(),
             steps: vec![StepRequest {
                 count: job.tasks,
                 room: Room {
@@ -59,7 +59,8 @@
         let call = CallNumber(index as u64);
         let incarnation = self.gateways[gateway].incarnation;
         let request = Happening::Request(gateway, incarnation, call, Box::new(request));
-        self.schedule(self.now, request);
+        let at = self.call_arrives(gateway, &request);
+        self.schedule(at, request);
     }
 
     pub(super) fn answer(&mut self, call: CallNumber, answer: Answer) {
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod faulting;
+mod links;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -11,22 +12,21 @@
 use laurelstile_core::leased::evacuation::Evacuations;
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent, LeasedGateway};
+use laurelstile_core::leased::input::JobInput;
 use laurelstile_core::leased::messages::{FromAgent, ToAgent, ToAgentBody};
 use laurelstile_core::leased::room::Room;
 use laurelstile_core::leased::task::JobId;
-use laurelstile_core::session::{Remote, SessionId};
+use laurelstile_core::session::SessionId;
 use laurelstile_history::leased::{Record, Seen};
 use laurelstile_types::id::Incarnation;
-use laurelstile_types::time::Span;
-use rand::Rng;
 use rand_pcg::Pcg64;
 
+use links::ThinLinks;
+
 use super::faults::{Sabotage, ScheduledFault};
 use super::nodes::{self, Process};
 use super::worker::{Change, SimWorker};
 
-/// Pause between two dials.
-const REDIAL: u64 = 100_000;
 /// After so long a link that is cut ends its session.
 const USER_TIMEOUT: u64 = 2_000_000;
 /// Interval of workers' heartbeats.
@@ -157,6 +157,10 @@
     last_delivery: BTreeMap<(SessionId, bool), u64>,
     version: u64,
     evacuations: Evacuations,
+    /// The links of the gateways, if they are thin.
+    thin_links: Option<ThinLinks>,
+    /// Input of every job.
+    input: JobInput,
 }
 
 impl World {
@@ -179,6 +183,8 @@
             recorded: vec![None; workers.len()],
             ended_lives: vec![None; workers.len()],
             evacuations: Evacuations::default(),
+            thin_links: None,
+            input: "input".into(),
             workers,
             late_orders_until: 0,
             records: Vec::new(),
@@ -218,6 +224,13 @@
         world
     }
 
+    /// Gives each gateway's link a rate, in bytes a second each way, and every job an
+    /// input that takes room there.
+    pub fn thin_links(&mut self, rate: u64, input: JobInput) {
+        self.thin_links = Some(ThinLinks::new(rate, self.gateways.len()));
+        self.input = input;
+    }
+
     /// Runs until `end`.
     pub fn run(&mut self, end: u64) {
         while let Some(Reverse((at, sequence))) = self.queue.pop() {
@@ -474,84 +487,6 @@
         }
     }
 
-    /// Sends a message over a session: in order, after the latency, or when
-    /// its link heals; if that takes too long, the session ends.
-    fn transmit(
-        &mut self,
-        agent: usize,
-        gateway: usize,
-        session: SessionId,
-        is_to_gateway: bool,
-        happening: Happening,
-    ) {
-        let latency = self.random.random_range(200..1_500);
-        let cut_until = self.cuts.get(&(agent, gateway)).copied().unwrap_or(0);
-        let sent = self.now.max(cut_until);
-        if sent - self.now > USER_TIMEOUT {
-            let at = self.now + USER_TIMEOUT;
-            let (a, g) = (
-                self.agents[agent].incarnation,
-                self.gateways[gateway].incarnation,
-            );
-            self.schedule(at, Happening::AgentSessionEnds(agent, a, session));
-            self.schedule(at, Happening::GatewaySessionEnds(gateway, g, session));
-            return;
-        }
-        let last = self
-            .last_delivery
-            .entry((session, is_to_gateway))
-            .or_default();
-        let at = (sent + latency).max(*last);
-        *last = at;
-        self.schedule(at, happening);
-    }
-
-    fn dial(&mut self, index: usize) {
-        self.schedule(self.now + REDIAL, Happening::Dial(index));
-        if !self.agents[index].is_up {
-            return;
-        }
-        for gateway in 0..self.gateways.len() {
-            let is_cut = self
-                .cuts
-                .get(&(index, gateway))
-                .is_some_and(|until| *until > self.now);
-            let has_session = self.agents[index]
-                .sessions
-                .values()
-                .any(|to| *to == gateway);
-            if is_cut || has_session {
-                continue;
-            }
-            let other = &self.gateways[gateway];
-            if other.is_up && other.frozen_until <= self.now {
-                self.connect(index, gateway);
-            } else if other.refuses {
-                let gateway = other.incarnation;
-                self.agent_event(index, AgentEvent::GatewayEnded { gateway });
-            }
-        }
-    }
-
-    fn connect(&mut self, index: usize, gateway: usize) {
-        let session = SessionId(self.fresh());
-        let incarnation = self.agents[index].incarnation;
-        let remote = Remote {
-            name: format!("agent-{index}"),
-            incarnation,
-            uptime: Span(self.now - self.agents[index].started),
-        };
-        self.agents[index].sessions.insert(session, gateway);
-        self.gateways[gateway].sessions.insert(session, index);
-        let to = self.gateways[gateway].incarnation;
-        self.gateway_event(gateway, GatewayEvent::AgentOpened { session, remote });
-        let opened = AgentEvent::Opened {
-            session,
-            gateway: to,
-        };
-        self.agent_event(index, opened);
-    }
-
     fn heartbeat(&mut self, worker: usize, life: u64) {
         if self.workers[worker].life != life {
             return;
