--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -7,6 +7,7 @@
 use super::job::{CallNumber, Feature, JobRequest};
 use super::queues::{QueueConfiguration, QueueSettings};
 use super::shares::SizeGroup;
+use super::stages::StageTimes;
 use crate::leased::evacuation::Evacuations;
 use crate::leased::messages::{EndKind, FromAgent, Member, ToAgent, ToPeer};
 use crate::leased::task::{JobId, RunId};
@@ -216,6 +217,8 @@
         size: Option<SizeGroup>,
         /// All its work by the estimates, in core-milliseconds.
         work: u64,
+        /// Where its time went.
+        stages: StageTimes,
     },
     /// An agent's offer of room was answered.
     OfferAnswered {
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -3,6 +3,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::job::{CallNumber, Job, JobRequest};
+use super::stages::StageTimes;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway, Refusal};
 use crate::leased::task::JobId;
 
@@ -56,11 +57,16 @@
                 objective: Span::default(),
                 size: None,
                 work: 0,
+                stages: StageTimes {
+                    way_in: waited,
+                    ..StageTimes::default()
+                },
             }));
             return;
         }
         let arrival = Timestamp(now.0.saturating_sub(waited.0));
         let mut job = Job::new(arrival, call, request, &self.run_times);
+        job.way_in = waited;
         job.group = self.shares.group_of(&job.queue.name, job.work());
         effects.push(GatewayEffect::Decided(GatewayDecision::Taken {
             job: id,
@@ -197,6 +203,7 @@
             objective: job.objective,
             size: Some(job.group),
             work: job.work(),
+            stages: job.stages(now),
         }));
         let is_in_time = answer == Answer::Completed && age <= job.objective;
         if answer != Answer::Cancelled {
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -11,6 +11,7 @@
 use super::queues::QueueSettings;
 use super::run_times::RunTimes;
 use super::shares::SizeGroup;
+use super::stages::StageTimes;
 
 /// Number of a caller's request, new in this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -191,8 +192,12 @@
     pub queue: Arc<QueueSettings>,
     /// Its input.
     pub input: JobInput,
-    /// When it came.
+    /// When its caller sent it.
     pub arrival: Timestamp,
+    /// How long it had waited on the way in when the gateway saw it.
+    pub way_in: Span,
+    /// When the first of its tasks was sent to an agent.
+    pub first_placed: Option<Timestamp>,
     /// Response time at which it is aimed, by the estimates.
     pub objective: Span,
     /// When the tasks of a ready step must start to meet the objective.
@@ -225,7 +230,7 @@
 const ANSWER_MARGIN: Span = Span::from_millis(20);
 
 impl Job {
-    /// A job that has just come; `run_times` correct its caller's guesses.
+    /// A job that its caller sent now; `run_times` correct its caller's guesses.
     pub fn new(
         now: Timestamp,
         call: CallNumber,
@@ -246,6 +251,8 @@
             queue: request.queue,
             input: request.input,
             arrival: now,
+            way_in: Span::default(),
+            first_placed: None,
             objective,
             latest_start: now.after(slack),
             refuse_at: now.after(decision),
@@ -265,6 +272,17 @@
         }
     }
 
+    /// Where its time has gone until `now`.
+    pub fn stages(&self, now: Timestamp) -> StageTimes {
+        let seen = self.arrival.after(self.way_in);
+        let first_placed = self.first_placed.unwrap_or(now);
+        StageTimes {
+            way_in: self.way_in,
+            waiting: first_placed.since(seen),
+            working: now.since(first_placed),
+        }
+    }
+
     /// Whether all steps are done.
     pub fn is_done(&self) -> bool {
         self.steps.iter().all(Step::is_done)
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod queues;
 pub mod run_times;
 pub mod shares;
+pub mod stages;
 pub mod start_window;
 pub mod way_in;
 mod workers;
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -242,6 +242,7 @@
             return;
         };
         let tasks = take_tasks(now, job, step, candidate.tasks);
+        job.first_placed.get_or_insert(now);
         let request = &job.steps[step].request;
         let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
         let reported = if candidate.offer.is_some() {
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -6,6 +6,7 @@
 
 use laurelstile_core::leased::gateway::job::{CallNumber, Feature};
 use laurelstile_core::leased::gateway::queues::QueueSettings;
+use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
 use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason};
 use laurelstile_core::leased::task::JobId;
@@ -28,6 +29,24 @@
     assert_eq!(rig.answers, vec![(CallNumber(1), Answer::Completed)]);
 }
 
+#[test]
+fn the_time_of_a_job_is_told_by_stage() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 200));
+    rig.submit(at(15), 2, job(2, 1, 200));
+    let first = rig.next_start();
+    rig.end(at(60), &first, EndKind::Done, cpu(1_000));
+    let second = rig.next_start();
+    rig.end(at(260), &second, EndKind::Done, cpu(1_000));
+    let stages = |waiting, working| StageTimes {
+        way_in: Span::default(),
+        waiting: Span::from_millis(waiting),
+        working: Span::from_millis(working),
+    };
+    assert_eq!(rig.stages, [stages(0, 50), stages(45, 200)]);
+}
+
 #[test]
 fn a_job_without_room_is_refused_as_not_run_in_time() {
     let mut rig = GatewayRig::new();
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -4,8 +4,9 @@
 
 use laurelstile_core::leased::evacuation::Evacuations;
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
+use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{
-    Answer, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
+    Answer, GatewayDecision, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
 };
 use laurelstile_core::leased::messages::{
     Announcement, EndKind, FromAgent, FromAgentBody, Member, Offer, Report, Snapshot, StartBatch,
@@ -39,6 +40,8 @@
     pub declined: Vec<u64>,
     /// What agents were told of evacuated zones, in order.
     pub evacuations: Vec<(SessionId, Evacuations)>,
+    /// Where the time of the jobs that were answered went, in order.
+    pub stages: Vec<StageTimes>,
     /// Whether the machine has stopped.
     pub stopped: bool,
     /// Versions put in force.
@@ -67,6 +70,7 @@
             to_peers: Vec::new(),
             declined: Vec::new(),
             evacuations: Vec::new(),
+            stages: Vec::new(),
             stopped: false,
             in_force: Vec::new(),
             ends: 0,
@@ -100,6 +104,9 @@
                 GatewayEffect::InForce(configuration) => {
                     self.in_force.push(configuration.version);
                 }
+                GatewayEffect::Decided(GatewayDecision::Answered { stages, .. }) => {
+                    self.stages.push(stages);
+                }
                 GatewayEffect::Stopped => self.stopped = true,
                 _ => {}
             }
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -9,12 +9,13 @@
 
 use laurelstile_core::leased::agent::AgentDecision;
 use laurelstile_core::leased::gateway::shares::SizeGroup;
+use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
 use metrics::{counter, gauge, histogram};
 
 use crate::telemetry::{
-    CAME_BACK, EVACUATED_ZONES, JOB_SECONDS, JOBS_ANSWERED, OFFERS, OFFERS_EXPIRED, RUN_TIME_RATIO,
-    RUNS_ENDED, RUNS_STOPPED, WORKER_SILENT,
+    CAME_BACK, EVACUATED_ZONES, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED, OFFERS,
+    OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, WORKER_SILENT,
 };
 
 /// Most lines of steps in a period.
@@ -80,10 +81,11 @@
                 objective,
                 size,
                 work,
+                stages,
             } => {
                 let answer = answer_name(answer);
                 let size = size.map_or("unknown", SizeGroup::name);
-                log::info!(event = "answered", job:% = job, queue = queue.name.as_str(), answer = answer.as_str(), age_ms = age.as_millis(), objective_ms = objective.as_millis(), size = size, work_core_ms = *work; "");
+                log::info!(event = "answered", job:% = job, queue = queue.name.as_str(), answer = answer.as_str(), age_ms = age.as_millis(), objective_ms = objective.as_millis(), size = size, work_core_ms = *work, way_in_ms = stages.way_in.as_millis(), waiting_ms = stages.waiting.as_millis(); "");
             }
             GatewayDecision::Evacuated(evacuations) => {
                 let zones: Vec<&str> = evacuations.zones.iter().map(String::as_str).collect();
@@ -196,8 +198,10 @@
             age,
             objective,
             size,
+            stages,
             ..
         } => {
+            count_stages(&queue.name, stages);
             let outcome = match answer {
                 Answer::Completed if age <= objective => "in_time",
                 Answer::Completed => "late",
@@ -236,6 +240,18 @@
     }
 }
 
+fn count_stages(queue: &str, stages: &StageTimes) {
+    let spans = [
+        ("way_in", stages.way_in),
+        ("waiting", stages.waiting),
+        ("working", stages.working),
+    ];
+    for (stage, span) in spans {
+        let labels = [("queue", queue.to_owned()), ("stage", stage.to_owned())];
+        histogram!(JOB_STAGE_SECONDS, &labels).record(Duration::from_micros(span.0));
+    }
+}
+
 fn count_agent(decision: &AgentDecision) {
     match decision {
         AgentDecision::Ended { how, .. } => {
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -35,6 +35,9 @@
 /// Jobs of leased workers that were answered, by time since they came; labels
 /// `queue`, `answer`.
 pub const JOB_SECONDS: &str = "laurelstile_job_seconds";
+/// Where the time of those jobs went; labels `queue`, `stage` (`way_in`: before the
+/// gateway saw it; `waiting`: until its first task was sent out; `working`: from then on).
+pub const JOB_STAGE_SECONDS: &str = "laurelstile_job_stage_seconds";
 /// Jobs of leased workers that were answered; labels `queue`, `size`, `outcome`
 /// (`in_time`, `late`, `refused`, `other`).
 pub const JOBS_ANSWERED: &str = "laurelstile_jobs_answered_total";
