--- a/laurelstile/src/commands.rs
+++ b/laurelstile/src/commands.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 
 use crate::flags::{Laurelstile, LaurelstileCmd};
+use crate::output::say;
 
 const DEFAULT_TIMEOUT_SECONDS: u64 = 30;
 const TOKEN_VARIABLE: &str = "LAURELSTILE_TOKEN";
@@ -69,7 +70,7 @@
     if json {
         return print_json(&checked);
     }
-    println!(
+    say!(
         "{}: {} pools, {} back ends, {} services, {} tenants",
         file.display(),
         checked.pools,
@@ -137,7 +138,7 @@
     } else {
         "accepted"
     };
-    println!("revision {revision} {state}");
+    say!("revision {revision} {state}");
     Ok(())
 }
 
@@ -175,13 +176,17 @@
 fn print_status(gateway: &GatewayStatus) {
     let Some(status) = &gateway.status else {
         let error = gateway.error.as_deref().unwrap_or("no answer");
-        println!("{}: {error}", gateway.address);
+        say!("{}: {error}", gateway.address);
         return;
     };
     let state = if status.ready { "ready" } else { "not ready" };
-    println!(
+    say!(
         "gateway {} at {}: {state}, revision {}, {} submissions, {} queued tasks",
-        status.gateway, gateway.address, status.revision, status.submissions, status.queued_tasks
+        status.gateway,
+        gateway.address,
+        status.revision,
+        status.submissions,
+        status.queued_tasks
     );
     for peer in &status.peers {
         print_node("peer", peer);
@@ -197,9 +202,11 @@
         (true, true) => "draining",
         (true, false) => "live",
     };
-    println!(
+    say!(
         "  {kind} {}: {state}, revision {}, {} free slots",
-        node.name, node.revision, node.free_slots
+        node.name,
+        node.revision,
+        node.free_slots
     );
 }
 
@@ -214,7 +221,7 @@
     if flags.json {
         return print_json(&plan);
     }
-    print!("{plan}");
+    crate::output::write(format_args!("{plan}"));
     Ok(())
 }
 
@@ -226,10 +233,13 @@
     if json {
         return print_json(&outcome);
     }
-    println!(
+    say!(
         "{count} jobs: response over ideal mean {:.3}, p50 {:.3}, p99 {:.3}; \
          {:.2} messages per task",
-        outcome.mean, outcome.p50, outcome.p99, outcome.messages_per_task
+        outcome.mean,
+        outcome.p50,
+        outcome.p99,
+        outcome.messages_per_task
     );
     Ok(())
 }
@@ -239,7 +249,7 @@
     if json {
         print_json(&report)?;
     } else {
-        println!(
+        say!(
             "{} submissions: {} answered, {} refused as not run, {} failed, {} lost; {} starts",
             report.submissions,
             report.answered,
@@ -249,9 +259,9 @@
             report.starts
         );
         for violation in &report.violations {
-            println!("broken: {:?}: {}", violation.point, violation.message);
+            say!("broken: {:?}: {}", violation.point, violation.message);
             for event in &violation.events {
-                println!("  {}", serde_json::to_string(event)?);
+                say!("  {}", serde_json::to_string(event)?);
             }
         }
     }
@@ -275,7 +285,7 @@
 }
 
 fn print_json<T: Serialize>(value: &T) -> Result<(), OperatorError> {
-    println!("{}", serde_json::to_string_pretty(value)?);
+    say!("{}", serde_json::to_string_pretty(value)?);
     Ok(())
 }
 
@@ -295,7 +305,7 @@
     if json {
         return print_json(&account);
     }
-    println!("{account}");
+    say!("{account}");
     Ok(())
 }
 
@@ -315,6 +325,6 @@
     if json {
         return print_json(&explanation);
     }
-    println!("{explanation}");
+    say!("{explanation}");
     Ok(())
 }
--- a/laurelstile/src/main.rs
+++ b/laurelstile/src/main.rs
@@ -4,6 +4,7 @@
 
 mod commands;
 mod flags;
+mod output;
 
 use std::process::ExitCode;
 
--- a/laurelstile/tests/command_line.rs
+++ b/laurelstile/tests/command_line.rs
@@ -82,3 +82,23 @@
     assert!(String::from_utf8_lossy(&unavailable.stderr).contains("--change-id"));
     std::fs::remove_dir_all(&directory).expect("the directory can be removed");
 }
+
+/// Found with `loss LOG | head`: the tool ended with a stack trace.
+#[test]
+fn a_reader_that_goes_away_ends_the_tool_quietly() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let log = directory.path().join("gateway.log");
+    std::fs::write(&log, "").expect("the log is written");
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    let output = Command::new(env!("CARGO_BIN_EXE_laurelstile"))
+        .arg("loss")
+        .arg(&log)
+        .stdout(writer)
+        .stderr(std::process::Stdio::piped())
+        .output()
+        .expect("the tool can be started");
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{}: {told}", output.status);
+    assert!(told.is_empty(), "{told}");
+}
