Readings of evacuated zones are always told on; a silent store does not hold a stopping gateway

What it reads itself is told always now, what a peer confirms is not passed on.

A planned stop kept half a second for withdrawal (up to 1.5 s), last answers (0.2 s) and last calls (0.5 s): processes were killed at the end of the grace time.

--- a/laurelstile-core/src/leased/evacuation.rs
+++ b/laurelstile-core/src/leased/evacuation.rs
@@ -19,6 +19,17 @@
     pub zones: BTreeSet<String>,
 }
 
+/// What news have changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// Nothing: newer ones are known.
+    Late,
+    /// The revision only.
+    Confirmed,
+    /// The zones.
+    Changed,
+}
+
 impl Evacuations {
     /// Whether the workers of `zone` are to be given nothing.
     pub fn covers(&self, zone: &str) -> bool {
@@ -26,13 +37,16 @@
     }
 
     /// Takes over what is known as of a later revision; news that come late are ignored.
-    /// Gives whether the zones have changed.
-    pub fn update(&mut self, news: Self) -> bool {
+    pub fn update(&mut self, news: Self) -> Update {
         if news.revision <= self.revision {
-            return false;
+            return Update::Late;
         }
         let has_changed = news.zones != self.zones;
         *self = news;
-        has_changed
+        if has_changed {
+            Update::Changed
+        } else {
+            Update::Confirmed
+        }
     }
 }
--- a/laurelstile-core/src/leased/gateway/evacuation.rs
+++ b/laurelstile-core/src/leased/gateway/evacuation.rs
@@ -4,7 +4,7 @@
 
 use super::job::Job;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway, Refusal};
-use crate::leased::evacuation::Evacuations;
+use crate::leased::evacuation::{Evacuations, Update};
 use crate::leased::gateway::intake::RETRY_SOON;
 use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::leased::task::JobId;
@@ -16,17 +16,34 @@
         &self.evacuations
     }
 
-    /// Takes in which zones are evacuated, and tells agents and peers at once if that has
-    /// changed.
-    pub(super) fn on_evacuations(
+    /// Takes in what was read from the store, and tells agents and peers at once. Also if
+    /// it says what was known already: in between they may have heard of a change that was
+    /// missed here, and of nothing since.
+    pub(super) fn on_evacuations_read(
         &mut self,
         now: Timestamp,
         news: Evacuations,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        if !self.evacuations.update(news) {
-            return;
+        if self.evacuations.update(news) != Update::Late {
+            self.spread_evacuations(now, effects);
         }
+    }
+
+    /// Takes in what a peer tells, and passes on what has changed. What only confirms is
+    /// not passed on: each gateway that reads would make all others speak.
+    pub(super) fn on_evacuations_told(
+        &mut self,
+        now: Timestamp,
+        news: Evacuations,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if self.evacuations.update(news) == Update::Changed {
+            self.spread_evacuations(now, effects);
+        }
+    }
+
+    fn spread_evacuations(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         let decision = GatewayDecision::Evacuated(self.evacuations.clone());
         effects.push(GatewayEffect::Decided(decision));
         for worker in self.workers.values_mut() {
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -187,7 +187,7 @@
             GatewayEvent::Configuration(configuration) => {
                 self.adopt(configuration, effects);
             }
-            GatewayEvent::Evacuations(news) => self.on_evacuations(now, news, effects),
+            GatewayEvent::Evacuations(news) => self.on_evacuations_read(now, news, effects),
             GatewayEvent::Listed(members) => {
                 self.listed = members.into_iter().collect();
                 self.note_members();
--- a/laurelstile-core/tests/leased_evacuation.rs
+++ b/laurelstile-core/tests/leased_evacuation.rs
@@ -69,6 +69,31 @@
     assert_eq!(rig.next_start().0, SessionId(2));
 }
 
+/// A zone was taken back and evacuated again while this gateway did not read. Found by the
+/// emulator: agents that others had told of the first knew of the second from nobody.
+#[test]
+fn a_reading_is_told_also_if_it_says_what_was_known() {
+    let mut rig = gateway_of_two_zones();
+    rig.event(at(1), GatewayEvent::Evacuations(evacuations(5, &["here"])));
+    rig.evacuations.clear();
+    let again = evacuations(9, &["here"]);
+    rig.event(at(2), GatewayEvent::Evacuations(again.clone()));
+    let told = [SessionId(1), SessionId(2)].map(|session| (session, again.clone()));
+    assert_eq!(rig.evacuations, told);
+}
+
+#[test]
+fn what_a_peer_confirms_is_not_passed_on() {
+    let mut rig = gateway_of_two_zones();
+    let session = SessionId(9);
+    rig.event(at(0), GatewayEvent::PeerOpened { session });
+    rig.event(at(1), GatewayEvent::Evacuations(evacuations(5, &["here"])));
+    rig.evacuations.clear();
+    let message = ToPeer::Evacuations(evacuations(9, &["here"]));
+    rig.event(at(2), GatewayEvent::PeerMessage { session, message });
+    assert!(rig.evacuations.is_empty());
+}
+
 #[test]
 fn a_job_is_refused_at_once_where_every_zone_is_evacuated() {
     let mut rig = GatewayRig::new();
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -103,6 +103,8 @@
     ReadConfiguration(usize, u64),
     /// A gateway reads which zones are evacuated.
     ReadEvacuations(usize),
+    /// A gateway that is to hear of that late hears of it now if no other in service has.
+    ReadIfAlone(usize),
 }
 
 /// A caller and its job.
@@ -382,6 +384,11 @@
                 let configuration = nodes::configuration(version);
                 self.gateway_event(index, GatewayEvent::Configuration(configuration));
             }
+            Happening::ReadIfAlone(index) => {
+                if !self.is_evacuation_known() {
+                    self.schedule(self.now, Happening::ReadEvacuations(index));
+                }
+            }
             Happening::ReadEvacuations(index) => {
                 let news = GatewayEvent::Evacuations(self.evacuations.clone());
                 self.gateway_event(index, news);
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -26,6 +26,9 @@
 #[case::watch_lost_while_nothing_runs(117)]
 #[case::heartbeat_of_an_ended_life(345)]
 #[case::heartbeat_of_an_ended_life_beside_a_freeze(381)]
+#[case::evacuated_again_while_a_gateway_did_not_read(30384)]
+#[case::evacuated_again_beside_a_freeze(30574)]
+#[case::evacuated_beside_a_dark_gateway(30334)]
 fn mended_seed_keeps_every_rule(#[case] seed: u64) {
     let outcome = run_seed(seed, None);
     assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -111,8 +111,10 @@
     log::info!(event = "started", node = settings.node.name.as_str(), incarnation:% = local.incarnation, zone = settings.node.zone.0.as_str(); "gateway started");
     let done = tokio::spawn(async move {
         driver.run(inputs).await;
-        membership::withdraw(store.as_ref(), &member).await;
-        tokio::time::sleep(LAST_ANSWERS).await;
+        // Together with the front end's last calls within what a planned stop leaves after
+        // the last job: a store that was silent for 1.5 s had processes killed.
+        let withdrawal = membership::withdraw(store.as_ref(), &member);
+        tokio::join!(withdrawal, tokio::time::sleep(LAST_ANSWERS));
         log::info!(event = "stopped"; "gateway stopped");
     });
     Ok(Running {
--- a/laurelstiled/src/leased/membership.rs
+++ b/laurelstiled/src/leased/membership.rs
@@ -20,6 +20,8 @@
 const EXPIRY_MILLIS: u64 = 30_000;
 /// Longest that a call to the store may take.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Longest that the removal of a record may take; the store answers within some 5 ms.
+const WITHDRAWAL_LIMIT: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -52,10 +54,14 @@
     }
 }
 
-/// Removes the record of `member` before a planned end.
+/// Removes the record of `member` before a planned end. The last moments of a planned stop
+/// belong to callers, and a record that stays expires: the store gets little time.
 pub async fn withdraw<S: RecordStore>(store: &S, member: &Member) {
     let removal = store.remove(TABLE, &member.name);
-    if !matches!(tokio::time::timeout(CALL_LIMIT, removal).await, Ok(Ok(()))) {
+    if !matches!(
+        tokio::time::timeout(WITHDRAWAL_LIMIT, removal).await,
+        Ok(Ok(()))
+    ) {
         log::warn!(event = "withdrawal_failed"; "the record of this gateway will expire");
     }
 }
