--- a/laurelstile-core/tests/leased_start_window.rs
+++ b/laurelstile-core/tests/leased_start_window.rs
@@ -101,17 +101,29 @@
     assert!(window.is_open());
 }
 
+/// Hands jobs in to a gateway with one large worker until one has to wait; gives how many
+/// were started.
+fn fill(rig: &mut GatewayRig) -> u64 {
+    rig.join(at(0), 1, "agent-1", cpu(8_000_000));
+    for number in 1.. {
+        rig.submit(at(10), number, job(number, 1, 200));
+        let started = rig.starts.len() as u64;
+        if started < number {
+            return started;
+        }
+    }
+    unreachable!("the window has no bound")
+}
+
 /// Nothing of a job that waits for the way out was sent, so it can be refused in time.
 #[test]
 fn a_job_that_waits_for_the_way_out_is_refused_as_not_run() {
     let mut rig = GatewayRig::new();
-    rig.join(at(0), 1, "agent-1", cpu(8_000_000));
-    let mut jobs = 0;
-    while rig.starts.len() == jobs {
-        jobs += 1;
-        rig.submit(at(10), jobs as u64, job(jobs as u64, 1, 200));
-    }
-    assert!(jobs > 10, "the first bound is no hindrance to some jobs");
+    let started = fill(&mut rig);
+    assert!(
+        started >= 10,
+        "the first bound is no hindrance to some jobs"
+    );
     rig.tick(at(95));
     let refused = Answer::Refused {
         reason: Refusal::Overloaded,
@@ -123,14 +135,8 @@
 #[test]
 fn a_report_opens_the_way_out_for_what_waits() {
     let mut rig = GatewayRig::new();
-    rig.join(at(0), 1, "agent-1", cpu(8_000_000));
-    let mut jobs = 0;
-    while rig.starts.len() == jobs {
-        jobs += 1;
-        rig.submit(at(10), jobs as u64, job(jobs as u64, 1, 200));
-    }
-    let sent = rig.starts.len();
+    let started = fill(&mut rig);
     let room = cpu(8_000_000);
-    rig.report(at(15), 1, sent as u64, room, FromAgentBody::Heartbeat);
-    assert_eq!(rig.starts.len(), sent + 1);
+    rig.report(at(15), 1, started, room, FromAgentBody::Heartbeat);
+    assert_eq!(rig.starts.len() as u64, started + 1);
 }
