--- a/laurelstiled/src/gateway/api.rs
+++ b/laurelstiled/src/gateway/api.rs
@@ -27,7 +27,7 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
 
-use super::driver::Input;
+use super::input::Input;
 use crate::error::DaemonError;
 use crate::settings::GatewaySettings;
 
--- a/laurelstiled/src/gateway/dial.rs
+++ b/laurelstiled/src/gateway/dial.rs
@@ -13,7 +13,7 @@
 use metrics::counter;
 use tokio::sync::{mpsc, watch};
 
-use super::driver::Input;
+use super::input::Input;
 use crate::session::next_session;
 use crate::telemetry::SESSION_ERRORS;
 
--- a/laurelstiled/src/gateway/driver.rs
+++ b/laurelstiled/src/gateway/driver.rs
@@ -4,20 +4,18 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use laurelstile_core::gateway::{Answer, Gateway, GatewayEffect, GatewayEvent, JobRequest};
+use laurelstile_core::gateway::{Answer, Gateway, GatewayEffect, GatewayEvent};
 use laurelstile_core::messages::agent::{FromAgentBody, ToAgent};
 use laurelstile_core::messages::peer::ToPeer;
-use laurelstile_core::session::{MessageKind, Remote, SessionId};
+use laurelstile_core::session::{MessageKind, SessionId};
 use laurelstile_history::event::Event;
 use laurelstile_history::file::HistoryWriter;
-use laurelstile_types::api::Status;
-use laurelstile_types::revision::Revision;
 use metrics::{counter, gauge, histogram};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
 use super::dial::AgentDialer;
-use super::platform::ClaimCall;
+use super::input::{ClaimCall, Input};
 use crate::clock::Clock;
 use crate::telemetry::{
     LATE_RESULTS, MESSAGES, QUEUED_TASKS, RESPONSE_SECONDS, REVISION, SUBMISSIONS, TASK_SECONDS,
@@ -30,46 +28,6 @@
 /// Ticks between two updates of the gauges.
 const GAUGE_TICKS: u32 = 25;
 
-/// What the driver's task is told.
-#[derive(Debug)]
-pub enum Input {
-    /// Something for the machine.
-    Event(GatewayEvent),
-    /// A caller's job.
-    Submit {
-        /// Number of the submission.
-        number: u64,
-        /// The job.
-        request: JobRequest,
-        /// Where the answer goes.
-        reply: oneshot::Sender<Box<Answer>>,
-    },
-    /// A session to an agent is open.
-    AgentOpened {
-        /// The session.
-        session: SessionId,
-        /// The agent.
-        remote: Remote,
-        /// Where its messages go.
-        outgoing: mpsc::UnboundedSender<ToAgent>,
-    },
-    /// A session to a peer is open.
-    PeerOpened {
-        /// The session.
-        session: SessionId,
-        /// The peer.
-        remote: Remote,
-        /// Where its messages go.
-        outgoing: mpsc::UnboundedSender<ToPeer>,
-    },
-    /// An operator asks for the status.
-    Status(oneshot::Sender<Status>),
-    /// An operator asks for the configuration in force.
-    InForce(oneshot::Sender<Option<Revision>>),
-    /// A planned stop.
-    Stop,
-}
-
 /// Drives one gateway's machine.
 pub struct Driver {
     clock: Clock,
--- a/laurelstiled/src/gateway/mesh.rs
+++ b/laurelstiled/src/gateway/mesh.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::dial::Dialing;
-use super::driver::Input;
+use super::input::Input;
 use crate::session::next_session;
 use crate::settings::PeerSettings;
 use crate::telemetry::SESSION_ERRORS;
--- a/laurelstiled/src/gateway/mod.rs
+++ b/laurelstiled/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 pub mod api;
 mod dial;
 mod driver;
+mod input;
 mod mesh;
 mod platform;
 
@@ -23,7 +24,8 @@
 use crate::error::DaemonError;
 use crate::settings::{GatewaySettings, Node};
 use crate::telemetry;
-use driver::{Driver, Input};
+use driver::Driver;
+use input::Input;
 
 /// How long answers may take to leave once nothing is in flight any more.
 const LAST_ANSWERS: std::time::Duration = std::time::Duration::from_millis(300);
--- a/laurelstiled/src/gateway/platform.rs
+++ b/laurelstiled/src/gateway/platform.rs
@@ -15,7 +15,7 @@
 use metrics::counter;
 use tokio::sync::{mpsc, watch};
 
-use super::driver::Input;
+use super::input::{ClaimCall, Input};
 use crate::settings::GatewaySettings;
 use crate::telemetry::PLATFORM_ERRORS;
 
@@ -28,15 +28,6 @@
 /// How often a release is tried. A claim that stays costs its key, no safety.
 const RELEASE_TRIES: u32 = 120;
 
-/// What the claims' task is asked to do.
-#[derive(Debug)]
-pub enum ClaimCall {
-    /// Claim a key.
-    Claim(ClaimRequest),
-    /// Give a claim back.
-    Release(ClaimRequest),
-}
-
 /// Starts the polls.
 pub fn start_polling(
     settings: &GatewaySettings,
