--- a/laurelstile-core/src/leased/gateway/evacuation.rs
+++ b/laurelstile-core/src/leased/gateway/evacuation.rs
@@ -2,10 +2,11 @@
 
 use laurelstile_types::time::Timestamp;
 
+use super::intake::RETRY_SOON;
 use super::job::Job;
+use super::workers::Worker;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway, Refusal};
 use crate::leased::evacuation::{Evacuations, Update};
-use crate::leased::gateway::intake::RETRY_SOON;
 use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::leased::task::JobId;
 use crate::session::SessionId;
@@ -94,7 +95,7 @@
         if self.evacuations.zones.is_empty() {
             return false;
         }
-        let serves = |worker: &&super::workers::Worker| {
+        let serves = |worker: &&Worker| {
             let snapshot = worker.snapshot.as_ref();
             worker.is_present(now) && snapshot.is_some_and(|known| known.service == service)
         };
--- a/laurelstile-core/src/leased/gateway/path_delay.rs
+++ b/laurelstile-core/src/leased/gateway/path_delay.rs
@@ -1,9 +1,8 @@
-//! How much longer than at best messages take between this gateway and an agent, each way
-//! by itself.
+//! How much longer than at best messages take from one process to another.
 //!
 //! Two clocks without a common zero tell the time on the way but for a constant, and the
 //! least that was seen lately stands for that constant, as LEDBAT does it (RFC 6817). So a
-//! queue on the way out shows, whatever waits on the way in.
+//! queue on the way in shows, whatever waits on the way out.
 
 use laurelstile_types::time::{Span, Timestamp};
 
@@ -23,9 +22,9 @@
 impl PathDelay {
     /// A message that left at `sent`, by its sender's clock, was taken in at `taken_in`, by
     /// its receiver's. Gives how much longer it took than the fastest one lately.
-    pub fn note(&mut self, now: Timestamp, sent: Timestamp, taken_in: Timestamp) -> Span {
-        if now.since(self.period_began) > BASE_PERIOD {
-            self.period_began = now;
+    pub fn note(&mut self, sent: Timestamp, taken_in: Timestamp) -> Span {
+        if taken_in.since(self.period_began) > BASE_PERIOD {
+            self.period_began = taken_in;
             self.last_least = self.least.take();
         }
         let difference = signed(taken_in) - signed(sent);
--- a/laurelstile-core/src/leased/gateway/way_in.rs
+++ b/laurelstile-core/src/leased/gateway/way_in.rs
@@ -29,7 +29,7 @@
     /// A message that an agent sent at `clock`, its own clock, is taken in.
     pub fn note(&mut self, now: Timestamp, agent: Incarnation, clock: Timestamp) {
         let path = self.paths.entry(agent).or_default();
-        let delay = path.note(now, clock, now);
+        let delay = path.note(clock, now);
         self.delays.push_back((now, delay));
         if self.delays.len() > SAMPLES {
             self.delays.pop_front();
@@ -38,15 +38,13 @@
 
     /// How long what comes now has waited; none if too little came lately to tell.
     pub fn delay(&self, now: Timestamp) -> Span {
-        let recent = self
-            .delays
-            .iter()
-            .filter(|(at, _)| now.since(*at) <= SAMPLE_AGE);
-        let delays: Vec<Span> = recent.map(|(_, delay)| *delay).collect();
-        if delays.len() < SAMPLES {
+        let oldest = self.delays.front();
+        let are_recent = oldest.is_some_and(|(at, _)| now.since(*at) <= SAMPLE_AGE);
+        if self.delays.len() < SAMPLES || !are_recent {
             return Span::default();
         }
-        delays.into_iter().min().unwrap_or_default()
+        let delays = self.delays.iter().map(|(_, delay)| *delay);
+        delays.min().unwrap_or_default()
     }
 
     /// An agent is gone for good.
--- a/laurelstile-core/tests/leased_way_in.rs
+++ b/laurelstile-core/tests/leased_way_in.rs
@@ -21,26 +21,20 @@
 #[test]
 fn clocks_need_no_common_zero() {
     let mut path = PathDelay::default();
-    assert_eq!(
-        path.note(at(10), agent_clock(at(8)), at(10)),
-        Span::default()
-    );
-    let delay = path.note(at(400), agent_clock(at(98)), at(400));
+    assert_eq!(path.note(agent_clock(at(8)), at(10)), Span::default());
+    let delay = path.note(agent_clock(at(98)), at(400));
     assert_eq!(delay, Span::from_millis(300));
-    assert_eq!(
-        path.note(at(500), agent_clock(at(499)), at(500)),
-        Span::default()
-    );
+    assert_eq!(path.note(agent_clock(at(499)), at(500)), Span::default());
 }
 
 #[test]
 fn an_old_best_time_is_forgotten() {
     let mut path = PathDelay::default();
-    path.note(at(0), agent_clock(at(0)), at(0));
+    path.note(agent_clock(at(0)), at(0));
     let mut delay = Span::default();
     for second in 1..100 {
         let now = at(second * 1_000);
-        delay = path.note(now, agent_clock(at(second * 1_000 - 20)), now);
+        delay = path.note(agent_clock(at(second * 1_000 - 20)), now);
     }
     assert_eq!(delay, Span::default(), "the way is 20 ms longer now");
 }
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -22,7 +22,7 @@
             /// Print the histories.
             optional --verbose
             /// Switch a mechanism off: owner-silence, leases, takeover,
-        /// drains or evacuations.
+            /// drains or evacuations.
             optional --without mechanism: String
         }
     }
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -93,7 +93,12 @@
 
 /// Zone of a worker and its agent: every second is in the same.
 pub fn worker_zone(index: usize) -> String {
-    format!("zone-{}", index % WORKER_ZONES)
+    zone_name(index % WORKER_ZONES)
+}
+
+/// Name of a zone of workers.
+pub fn zone_name(zone: usize) -> String {
+    format!("zone-{zone}")
 }
 
 /// An agent's machine.
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -116,7 +116,7 @@
                 }
             }
             Fault::Evacuate(zone) => {
-                let zone = format!("zone-{zone}");
+                let zone = nodes::zone_name(zone);
                 if self.evacuations.zones.insert(zone.clone()) {
                     self.see(Seen::Evacuated { zone });
                     self.evacuations_changed();
@@ -124,9 +124,9 @@
                 }
             }
             Fault::LateHeartbeat(worker) => {
-                let is_deaf =
-                    !self.agents[worker].is_up || self.agents[worker].frozen_until > self.now;
-                if !is_deaf && let Some(registration) = self.ended_lives[worker].clone() {
+                if !self.is_deaf(worker)
+                    && let Some(registration) = self.ended_lives[worker].clone()
+                {
                     self.agent_event(worker, AgentEvent::Registered(registration));
                 }
             }
@@ -180,7 +180,7 @@
                 self.workers[worker].mood = Mood::Well;
             }
             Fault::Evacuate(zone) => {
-                let zone = format!("zone-{zone}");
+                let zone = nodes::zone_name(zone);
                 self.evacuations.zones.remove(&zone);
                 self.see(Seen::TakenBack { zone });
                 self.evacuations_changed();
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -525,10 +525,15 @@
         }
     }
 
+    /// Whether the agent beside a worker takes nothing in now.
+    fn is_deaf(&self, worker: usize) -> bool {
+        let agent = &self.agents[worker];
+        !agent.is_up || agent.frozen_until > self.now
+    }
+
     /// A worker tells its agent of itself.
     fn tell_agent(&mut self, worker: usize) {
-        let is_deaf = !self.agents[worker].is_up || self.agents[worker].frozen_until > self.now;
-        if is_deaf {
+        if self.is_deaf(worker) {
             return;
         }
         let registration = self.registration(worker);
