Sight: the line of a dead worker names its runs by age, and how its end became known

Cause: worker_life_over gave a number of runs only, and the lines of the single runs are bounded, so nobody could tell a worker that died by itself from one that a task took down. Change: the line names up to 40 runs, the youngest first, each with its number and age, and whether the worker crashed, deregistered, or was replaced while silent; a counter of crashes. No decision changes.

--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -162,6 +162,37 @@
     Stopped,
 }
 
+/// How an agent learns that a life of its worker is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeEnd {
+    /// Its host refuses connections, or answers for another life: the process died.
+    Crashed,
+    /// The worker said so itself.
+    Deregistered,
+    /// It was silent until its runs had lapsed, and another life has registered.
+    Replaced,
+}
+
+impl LifeEnd {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Crashed => "crashed",
+            Self::Deregistered => "deregistered",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+/// A run that ended with its worker's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostRun {
+    /// The run.
+    pub run: RunId,
+    /// Time since its start was sent.
+    pub age: Span,
+}
+
 /// A decision of the agent, for the logs.
 #[derive(Clone, Debug)]
 pub enum AgentDecision {
@@ -192,8 +223,10 @@
     LifeOver {
         /// The life.
         life: Arc<str>,
+        /// How that became known.
+        end: LifeEnd,
         /// Runs that ended with it.
-        runs: usize,
+        runs: Vec<LostRun>,
     },
     /// The worker drains.
     Draining {
--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -7,10 +7,11 @@
 
 use super::super::messages::EndKind;
 use super::super::room::Room;
+use super::super::task::RunId;
 use super::super::timing::LEASE;
 use super::health::Health;
 use super::worker::{ClockEstimate, FenceToken, Registration, WorkerClock};
-use super::{AgentDecision, AgentEffect, LeasedAgent, Life};
+use super::{AgentDecision, AgentEffect, LeasedAgent, Life, LifeEnd, LostRun};
 
 /// A life that has registered while another was present.
 #[derive(Debug)]
@@ -97,7 +98,7 @@
     pub(super) fn give_way(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         let challenged = self.life.as_ref().filter(|life| life.challenger.is_some());
         if let Some(name) = challenged.map(|life| Arc::clone(&life.name)) {
-            self.on_life_over(now, &name, effects);
+            self.on_life_over(now, &name, LifeEnd::Replaced, effects);
         }
     }
 
@@ -162,6 +163,7 @@
         &mut self,
         now: Timestamp,
         life: &str,
+        end: LifeEnd,
         effects: &mut Vec<AgentEffect>,
     ) {
         if self
@@ -174,12 +176,13 @@
         let Some(present) = self.life.take() else {
             return;
         };
-        let tasks = self.ledger.tasks_where(|_| true);
+        let runs = self.runs_at_worker(now);
         effects.push(AgentEffect::Decided(AgentDecision::LifeOver {
             life: present.name,
-            runs: tasks.len(),
+            end,
+            runs,
         }));
-        for task in tasks {
+        for task in self.ledger.tasks_where(|_| true) {
             self.end_run(now, task, EndKind::Lost, effects);
         }
         self.ended_lives.insert(life.to_owned());
@@ -188,6 +191,20 @@
         }
     }
 
+    /// Runs that the worker may have begun.
+    fn runs_at_worker(&self, now: Timestamp) -> Vec<LostRun> {
+        let begun = self.ledger.iter().filter(|(_, run)| run.takes_room());
+        begun
+            .map(|(task, run)| LostRun {
+                run: RunId {
+                    task,
+                    run: run.number,
+                },
+                age: now.since(run.sent),
+            })
+            .collect()
+    }
+
     pub(super) fn is_present(&self, life: &str) -> bool {
         self.life
             .as_ref()
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -26,7 +26,8 @@
 use super::task::{RunId, TaskId};
 use crate::session::SessionId;
 pub use events::{
-    AgentDecision, AgentEffect, AgentEvent, Order, OrderAnswer, OrderKind, WatchAnswer,
+    AgentDecision, AgentEffect, AgentEvent, LifeEnd, LostRun, Order, OrderAnswer, OrderKind,
+    WatchAnswer,
 };
 use health::{FinishedRun, Health};
 use ledger::{Ledger, RunState, StopReason};
@@ -127,7 +128,9 @@
             }
             AgentEvent::Registered(registration) => self.on_registered(now, registration, effects),
             AgentEvent::Recalled(registration) => self.on_recalled(now, registration),
-            AgentEvent::Deregistered { life } => self.on_life_over(now, &life, effects),
+            AgentEvent::Deregistered { life } => {
+                self.on_life_over(now, &life, LifeEnd::Deregistered, effects);
+            }
             AgentEvent::StartAnswered { run, life, answer } => {
                 self.on_start_answered(now, run, &life, answer, effects);
             }
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -9,7 +9,7 @@
 use super::super::timing::START_FRESHNESS;
 use super::ledger::{Run, RunState, StopReason};
 use super::worker::{FenceToken, OrderFailure, Rejection, WorkerClock};
-use super::{AgentEffect, LeasedAgent, OrderAnswer, OrderKind};
+use super::{AgentEffect, LeasedAgent, LifeEnd, OrderAnswer, OrderKind};
 
 /// Most tasks that wait here for room.
 const MOST_WAITING: usize = 64;
@@ -191,7 +191,7 @@
         }
         let state = self.ledger.run(id).map(|run| run.state);
         match answer {
-            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, effects),
+            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, LifeEnd::Crashed, effects),
             Err(OrderFailure::NoAnswer) => {
                 if state == Some(RunState::Starting) {
                     self.stop_run(now, id.task, StopReason::Unanswered, effects);
@@ -260,7 +260,7 @@
             return;
         }
         match answer {
-            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, effects),
+            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, LifeEnd::Crashed, effects),
             Err(OrderFailure::NoAnswer) => {
                 if self.ledger.run(id).is_some() {
                     self.ledger.note(id.task, |run| {
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -11,7 +11,7 @@
 use super::super::timing::{LEASE_AT_MOST, STOP_AT_MOST};
 use super::ledger::{Run, RunState, StopReason};
 use super::worker::{OrderFailure, Rejection, WorkerClock, WorkerEnd, WorkerEndKind, WorkerLists};
-use super::{AgentDecision, AgentEffect, LeasedAgent, OrderKind, WatchAnswer};
+use super::{AgentDecision, AgentEffect, LeasedAgent, LifeEnd, OrderKind, WatchAnswer};
 
 /// How long the worker may wait for an end before it answers.
 const WATCH_WAIT: Span = Span::from_millis(30);
@@ -102,7 +102,7 @@
         };
         let asked = life.watching.take().unwrap_or(now);
         match answer {
-            Err(OrderFailure::LifeOver) => self.on_life_over(now, name, effects),
+            Err(OrderFailure::LifeOver) => self.on_life_over(now, name, LifeEnd::Crashed, effects),
             Err(OrderFailure::NoAnswer) => {
                 life.unanswered_watches += 1;
                 life.watch_from = now.after(watch_pause(life.unanswered_watches));
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use laurelstile_core::leased::agent::AgentDecision;
+use laurelstile_core::leased::agent::{AgentDecision, LifeEnd, LostRun};
 use laurelstile_core::leased::gateway::shares::SizeGroup;
 use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
@@ -15,13 +15,16 @@
 
 use crate::telemetry::{
     CAME_BACK, EVACUATED_ZONES, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED, OFFERS,
-    OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, WORKER_SILENT,
+    OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, WORKER_CRASHES, WORKER_SILENT,
 };
 
 /// Most lines of steps in a period.
 const STEPS: u32 = 400;
 /// Most lines of outcomes in a period.
 const OUTCOMES: u32 = 600;
+/// Most runs that the line of a dead worker names: a line has a bounded length, and a task
+/// that kills its worker is among the youngest.
+const LOST_RUNS_NAMED: usize = 40;
 /// That period.
 const PERIOD: Duration = Duration::from_secs(1);
 
@@ -128,8 +131,9 @@
             AgentDecision::SessionSilent { gateway, silence } => {
                 log::warn!(event = "session_silent", gateway:% = gateway, silence_ms = silence.as_millis(); "closed, to be dialed anew");
             }
-            AgentDecision::LifeOver { life, runs } => {
-                log::warn!(event = "worker_life_over", life:% = life, runs = runs; "");
+            AgentDecision::LifeOver { life, end, runs } => {
+                let tasks = names_of(runs);
+                log::warn!(event = "worker_life_over", life:% = life, end = end.name(), runs = runs.len(), tasks = tasks.as_str(); "");
             }
             AgentDecision::Draining { life } => {
                 log::info!(event = "worker_draining", life:% = life; "");
@@ -262,10 +266,26 @@
         }
         AgentDecision::OfferExpired => counter!(OFFERS_EXPIRED).increment(1),
         AgentDecision::WorkerSilent { .. } => counter!(WORKER_SILENT).increment(1),
+        AgentDecision::LifeOver {
+            end: LifeEnd::Crashed,
+            ..
+        } => counter!(WORKER_CRASHES).increment(1),
         _ => {}
     }
 }
 
+/// The runs that ended with a worker, each with its number and its age, the youngest first:
+/// a task that takes its worker down is among them.
+fn names_of(runs: &[LostRun]) -> String {
+    let mut runs = runs.to_vec();
+    runs.sort_unstable_by_key(|lost| lost.age);
+    let names = runs.iter().take(LOST_RUNS_NAMED).map(|lost| {
+        let (run, age) = (lost.run, lost.age.as_millis());
+        format!("{}/{}@{age}ms", run.task, run.run.0)
+    });
+    names.collect::<Vec<_>>().join(" ")
+}
+
 fn answer_name(answer: &Answer) -> String {
     match answer {
         Answer::Refused { reason, .. } => format!("refused:{reason:?}"),
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -55,6 +55,8 @@
 pub const RUNS_ENDED: &str = "laurelstile_runs_ended_total";
 /// Runs that this agent stopped for a reason of its own; label `reason`.
 pub const RUNS_STOPPED: &str = "laurelstile_runs_stopped_total";
+/// Lives of the worker that ended without its word.
+pub const WORKER_CRASHES: &str = "laurelstile_worker_crashes_total";
 /// Times that the worker did not answer.
 pub const WORKER_SILENT: &str = "laurelstile_worker_silent_total";
 
