Emulator, judge: tasks that take their workers down; a test that fails

The judge counts a task's starts after its third crash, and takes two crashes by a task as a cause for a failed job. An order that reaches a worker as it dies is no longer carried out on the dead one (the emulator's fault).

--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -108,6 +108,13 @@
         /// How.
         how: RunEnd,
     },
+    /// A life of a worker ends by the doing of one of its runs.
+    Crashed {
+        /// Life of the worker.
+        life: Life,
+        /// The task whose run took it down.
+        by: TaskName,
+    },
     /// An agent has acknowledged that a worker drains.
     DrainAcknowledged {
         /// Life of the worker.
@@ -150,8 +157,11 @@
     Asked,
     /// A job shown as done has all its tasks done.
     WholeAnswer,
-    /// A job shown as failed has a task that failed as often as allowed.
+    /// A job shown as failed has a task that failed as often as allowed, or that took two
+    /// workers down.
     FailedForCause,
+    /// A task that takes its workers down is not started again and again.
+    CrashBudget,
     /// A planned stop ends no call without an answer.
     StopCutsNothing,
     /// A configuration never reverts within a process.
--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -49,6 +49,25 @@
     }
 }
 
+/// So many starts of task 0, each of which takes its worker down.
+fn crashes(count: u64) -> Vec<Seen> {
+    let crash = |life| {
+        let how = RunEnd::Broken;
+        vec![
+            started(life, 0),
+            Seen::Crashed { life, by: task(0) },
+            Seen::Ended {
+                life,
+                task: task(0),
+                how,
+            },
+        ]
+    };
+    std::iter::once(submitted())
+        .chain((0..count).flat_map(|index| crash(LIFE + index)))
+        .collect()
+}
+
 fn rules(seen: Vec<Seen>) -> Vec<Rule> {
     let records: Vec<Record> = seen
         .into_iter()
@@ -102,6 +121,26 @@
 }
 
 #[rstest]
+#[case::two_more(5, Told::Nothing)]
+#[case::given_up(2, Told::Failed)]
+fn a_task_that_crashes_workers_may_be_started_some_times_and_given_up(
+    #[case] count: u64,
+    #[case] told: Told,
+) {
+    let mut history = crashes(count);
+    history.push(answered(told));
+    assert!(rules(history).is_empty());
+}
+
+#[test]
+fn a_job_is_not_failed_for_one_crash() {
+    let mut history = crashes(1);
+    history.push(answered(Told::Failed));
+    assert_eq!(rules(history), [Rule::FailedForCause]);
+}
+
+#[rstest]
+#[case::crash_budget(crashes(6), Rule::CrashBudget)]
 #[case::room(vec![submitted(), started(LIFE, 0), started(LIFE, 1), started(LIFE, 2)], Rule::Room)]
 #[case::one_run(vec![submitted(), started(LIFE, 0), started(OTHER_LIFE, 0)], Rule::OneRun)]
 #[case::drain(
--- /dev/null
+++ b/laurelstile-sim/src/leased/crashing.rs
@@ -0,0 +1,150 @@
+//! Tasks that take each worker down that starts them, beside sound ones: how many workers
+//! each takes, and how the others are served meanwhile.
+
+use std::collections::BTreeMap;
+
+use laurelstile_history::leased::{Bounds, Seen, TaskName, Told, Violation, judge};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::worker::SimWorker;
+use super::world::{SimJob, TASK_ROOM, World};
+
+const GATEWAYS: usize = 3;
+const WORKERS: usize = 11;
+/// Tasks that a worker has room for.
+const TASKS_PER_WORKER: u32 = 10;
+const SECOND: u64 = 1_000_000;
+/// Seconds of calls.
+const LENGTH: u64 = 16;
+/// In time is what is answered within this many percent of its run time, and some.
+const OBJECTIVE_PERCENT: u64 = 160;
+const OBJECTIVE_SLACK: u64 = 60_000;
+/// Jobs a second, tasks of each and their duration: 79 tasks at a time on average, where
+/// all workers have room for 110.
+const KINDS: [(u64, u32, u64); 3] = [(34, 8, 60_000), (6, 4, 900_000), (100, 2, 200_000)];
+
+/// Which jobs have a task that takes workers down.
+#[derive(Clone, Debug)]
+pub enum Culprits {
+    /// One job each, handed in at these times, in microseconds.
+    At(Vec<u64>),
+    /// So many in a thousand of the most frequent kind, between two seconds.
+    Share {
+        /// How many in a thousand.
+        permille: u32,
+        /// The first second.
+        from: u64,
+        /// The second after the last.
+        until: u64,
+    },
+}
+
+/// What became of a run.
+#[derive(Debug)]
+pub struct CrashOutcome {
+    /// Rules that were broken.
+    pub violations: Vec<Violation>,
+    /// Workers that each task has taken down.
+    pub crashes: BTreeMap<TaskName, u32>,
+    /// Most workers that were down at a time.
+    pub most_down: usize,
+    /// Share of the sound jobs that were answered in time, in percent, by the second in
+    /// which they came; 100 where none came.
+    pub served: Vec<u64>,
+    /// Sound jobs that were shown as failed.
+    pub innocents_failed: u64,
+    /// Jobs with a task that takes workers down.
+    pub culprits: u64,
+}
+
+/// Plays jobs of three kinds with culprits among them.
+pub fn run_crashing(seed: u64, culprits: &Culprits) -> CrashOutcome {
+    let mut random = Pcg64::seed_from_u64(seed);
+    let workers = (0..WORKERS)
+        .map(|_| SimWorker::new(TASKS_PER_WORKER * TASK_ROOM, 1_000, 0))
+        .collect();
+    let jobs = draw_jobs(culprits, &mut random);
+    let mut world = World::new(random, None, GATEWAYS, workers, jobs.clone(), Vec::new());
+    world.run((LENGTH + 6) * SECOND);
+    let records = world.records;
+    let mut outcome = CrashOutcome {
+        violations: judge(&records, Bounds::default()),
+        crashes: BTreeMap::new(),
+        most_down: 0,
+        served: Vec::new(),
+        innocents_failed: 0,
+        culprits: jobs.iter().filter(|job| job.crashing.is_some()).count() as u64,
+    };
+    let seconds = usize::try_from(LENGTH).unwrap_or(0) + 1;
+    let (mut came, mut in_time) = (vec![0; seconds], vec![0; seconds]);
+    let second = |job: &SimJob| usize::try_from(job.at / SECOND).unwrap_or(0);
+    for job in jobs.iter().filter(|job| job.crashing.is_none()) {
+        came[second(job)] += 1;
+    }
+    let mut down = 0;
+    for record in &records {
+        match &record.seen {
+            Seen::Crashed { by, .. } => {
+                *outcome.crashes.entry(*by).or_default() += 1;
+                down += 1;
+                outcome.most_down = outcome.most_down.max(down);
+            }
+            Seen::Began { .. } if record.at > SECOND => down = down.saturating_sub(1),
+            Seen::Answered { job, told, .. } => {
+                let job = &jobs[usize::try_from(*job).unwrap_or(0)];
+                if job.crashing.is_some() {
+                    continue;
+                }
+                let objective = job.duration * OBJECTIVE_PERCENT / 100 + OBJECTIVE_SLACK;
+                let is_in_time = *told == Told::Completed && record.at <= job.at + objective;
+                in_time[second(job)] += u64::from(is_in_time);
+                outcome.innocents_failed += u64::from(*told == Told::Failed);
+            }
+            _ => {}
+        }
+    }
+    let percent = |(came, served): (&u64, &u64)| (served * 100).checked_div(*came).unwrap_or(100);
+    outcome.served = came.iter().zip(&in_time).map(percent).collect();
+    outcome
+}
+
+fn draw_jobs(culprits: &Culprits, random: &mut Pcg64) -> Vec<SimJob> {
+    let most_frequent = KINDS.len() - 1;
+    let mut jobs = Vec::new();
+    for (kind, (rate, tasks, duration)) in KINDS.into_iter().enumerate() {
+        let mut at = SECOND;
+        while at < LENGTH * SECOND {
+            at += random.random_range(1..2 * SECOND / rate);
+            let is_culprit = match culprits {
+                Culprits::At(_) => false,
+                Culprits::Share {
+                    permille,
+                    from,
+                    until,
+                } => {
+                    kind == most_frequent
+                        && (*from..*until).contains(&(at / SECOND))
+                        && random.random_ratio(*permille, 1_000)
+                }
+            };
+            jobs.push(SimJob {
+                at,
+                tasks,
+                duration,
+                crashing: is_culprit.then_some(0),
+            });
+        }
+    }
+    if let Culprits::At(times) = culprits {
+        let (_, tasks, duration) = KINDS[most_frequent];
+        jobs.extend(times.iter().map(|at| SimJob {
+            at: *at,
+            tasks,
+            duration,
+            crashing: Some(0),
+        }));
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -2,6 +2,7 @@
 //! that lease, fence and lie, a network that cuts, callers that hand in again,
 //! and seeded faults; judged by `laurelstile_history::leased`.
 
+mod crashing;
 mod faults;
 mod nodes;
 mod orders;
@@ -10,6 +11,7 @@
 pub mod worker;
 mod world;
 
+pub use crashing::{CrashOutcome, Culprits, run_crashing};
 pub use faults::{Fault, Sabotage, ScheduledFault};
 pub use run::{Outcome, run_seed};
 pub use surge::{Surge, run_surge};
--- a/laurelstile-sim/src/leased/orders.rs
+++ b/laurelstile-sim/src/leased/orders.rs
@@ -4,10 +4,12 @@
 
 use laurelstile_core::leased::agent::worker::{OrderFailure, WorkerLists};
 use laurelstile_core::leased::agent::{AgentEvent, Order, OrderAnswer, OrderKind, WatchAnswer};
+use laurelstile_history::leased::{Seen, TaskName};
 use laurelstile_types::id::Incarnation;
 use rand::Rng;
 
 use super::faults::Sabotage;
+use super::worker::RunPlan;
 use super::world::{Happening, PendingWatch, World};
 
 /// Way to the worker beside an agent.
@@ -18,6 +20,9 @@
 const WATCH_LIMIT: u64 = 25_000;
 /// Chance that an order is not answered, in permille, while orders are late.
 const LOST_PERMILLE: u32 = 150;
+/// How long a worker stays away that one of its runs has taken down.
+const SHORTEST_AWAY: u64 = 2_000_000;
+const LONGEST_AWAY: u64 = 4_000_000;
 /// Interval at which a busy worker looks for what has ended.
 const SETTLE: u64 = 2_000;
 
@@ -63,6 +68,8 @@
         order: &Order,
         is_lost: bool,
     ) {
+        // What is due first may end the life.
+        self.settle(worker);
         let life = self.workers[worker].life;
         if life == 0 || life.to_string() != *order.life {
             if !is_lost {
@@ -71,7 +78,6 @@
             }
             return;
         }
-        self.settle(worker);
         match &order.kind {
             OrderKind::Watch {
                 last_seen,
@@ -115,11 +121,14 @@
     }
 
     fn carry_out_order(&mut self, worker: usize, order: &Order, kind: &OrderKind) -> RunAnswer {
-        let duration = match kind {
-            OrderKind::Start { run, .. } => self.duration_of(run.task.job),
-            _ => 0,
+        let plan = match kind {
+            OrderKind::Start { run, .. } => self.plan_of(run.task),
+            _ => RunPlan {
+                duration: 0,
+                crashes: false,
+            },
         };
-        let (answer, changes) = self.workers[worker].order(self.now, order.token, kind, duration);
+        let (answer, changes) = self.workers[worker].order(self.now, order.token, kind, plan);
         RunAnswer { answer, changes }
     }
 
@@ -129,6 +138,10 @@
         if life == 0 {
             return;
         }
+        if let Some(task) = self.workers[worker].crashing(self.now) {
+            self.crash_by(worker, task);
+            return;
+        }
         let changes = self.workers[worker].settle(self.now);
         self.see_changes(life, worker, &changes);
         if !changes.is_empty()
@@ -139,6 +152,23 @@
         self.settle_later(worker);
     }
 
+    /// A run takes its worker down: the connection breaks on which the agent waits.
+    fn crash_by(&mut self, worker: usize, task: TaskName) {
+        let life = self.workers[worker].life;
+        self.see(Seen::Crashed { life, by: task });
+        let watch = self.watches[worker].take();
+        self.crash_worker(worker);
+        let away = self.random.random_range(SHORTEST_AWAY..LONGEST_AWAY);
+        self.schedule(self.now + away, Happening::WorkerBegins(worker));
+        if let Some(watch) = watch {
+            let event = AgentEvent::Watched {
+                life: life.to_string().into(),
+                answer: Err(OrderFailure::NoAnswer),
+            };
+            self.answer_agent(worker, watch.agent, NEARBY, event);
+        }
+    }
+
     fn settle_later(&mut self, worker: usize) {
         if self.workers[worker].is_busy() && !self.settles[worker] {
             self.settles[worker] = true;
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -96,6 +96,7 @@
             at,
             tasks,
             duration,
+            crashing: None,
         });
     }
     jobs
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -14,6 +14,9 @@
 /// How long a stop takes, in microseconds.
 const STOP_TIME: u64 = 30_000;
 
+/// How long after its start a run takes its worker down that does, in microseconds.
+pub const CRASH_AFTER: u64 = 10_000;
+
 /// How a worker treats what it is told to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mood {
@@ -27,9 +30,19 @@
     Slow,
 }
 
+/// What a run does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunPlan {
+    /// How long it takes, in microseconds.
+    pub duration: u64,
+    /// Whether it takes its worker down, after [`CRASH_AFTER`].
+    pub crashes: bool,
+}
+
 #[derive(Clone, Debug)]
 struct SimRun {
     number: RunNumber,
+    crashes_at: Option<u64>,
     started: u64,
     duration: u64,
     ends_at: Option<(u64, WorkerEndKind)>,
@@ -140,13 +153,20 @@
         WorkerClock(self.offset + now * self.clock_permille / 1_000_000)
     }
 
-    /// Carries out a start or stop that takes `duration`.
+    /// The task that takes the worker down now, if one does.
+    pub fn crashing(&self, now: u64) -> Option<TaskName> {
+        let is_due = |run: &SimRun| run.crashes_at.is_some_and(|at| at <= now);
+        let mut due = self.runs.iter().filter(|(_, run)| is_due(run));
+        due.next().map(|(task, _)| name_of(*task))
+    }
+
+    /// Carries out a start or stop; a run does what `plan` says.
     pub fn order(
         &mut self,
         now: u64,
         token: FenceToken,
         kind: &OrderKind,
-        duration: u64,
+        plan: RunPlan,
     ) -> (OrderAnswer, Vec<Change>) {
         let mut changes = Vec::new();
         let rejection = if token < self.token {
@@ -156,7 +176,7 @@
             match kind {
                 OrderKind::Start {
                     run, lease_until, ..
-                } => self.start(now, *run, *lease_until, duration, &mut changes),
+                } => self.start(now, *run, *lease_until, plan, &mut changes),
                 OrderKind::Stop { run } => {
                     self.stop(now, *run);
                     None
@@ -173,7 +193,7 @@
         now: u64,
         id: RunId,
         until: WorkerClock,
-        duration: u64,
+        plan: RunPlan,
         changes: &mut Vec<Change>,
     ) -> Option<Rejection> {
         self.renew(now, until);
@@ -190,6 +210,7 @@
         {
             return Some(Rejection::OldRun);
         }
+        let duration = plan.duration;
         let (duration, end) = match self.mood {
             Mood::Well => (duration, Some(WorkerEndKind::Done)),
             Mood::Failing => (duration / 4, Some(WorkerEndKind::Failed)),
@@ -200,6 +221,7 @@
             number: id.run,
             started: now,
             duration,
+            crashes_at: plan.crashes.then_some(now + CRASH_AFTER),
             ends_at: end.map(|how| (now + duration, how)),
             stops_at: None,
         };
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -203,7 +203,8 @@
         }
     }
 
-    pub(super) fn crash_worker(&mut self, worker: usize) {
+    /// A worker's life ends, with all that it ran.
+    pub fn crash_worker(&mut self, worker: usize) {
         let life = self.workers[worker].life;
         self.ended_lives[worker] = Some(self.registration(worker));
         let changes = self.workers[worker].crash();
