--- a/laurelstile-core/src/leased/agent/ledger.rs
+++ b/laurelstile-core/src/leased/agent/ledger.rs
@@ -76,6 +76,8 @@
     pub stop_again: Option<Timestamp>,
     /// Stops that got no answer.
     pub lost_stops: u32,
+    /// Whether the worker is to run nothing beside it.
+    pub is_alone: bool,
     /// Its progress, in percent.
     pub percent: u32,
     /// When it was started, by the worker's clock.
@@ -98,6 +100,7 @@
     taken: Room,
     waiting_room: Room,
     waiting: usize,
+    alone: usize,
 }
 
 impl Ledger {
@@ -156,6 +159,11 @@
             .collect()
     }
 
+    /// Whether a run is here that is to be alone.
+    pub fn has_alone(&self) -> bool {
+        self.alone > 0
+    }
+
     /// Number of runs.
     pub fn len(&self) -> usize {
         self.runs.len()
@@ -187,6 +195,12 @@
     }
 
     fn count(&mut self, run: &Run, is_added: bool) {
+        let alone = usize::from(run.is_alone);
+        self.alone = if is_added {
+            self.alone + alone
+        } else {
+            self.alone - alone
+        };
         let sum = if run.takes_room() {
             &mut self.taken
         } else {
--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -5,10 +5,12 @@
 
 use laurelstile_types::time::Timestamp;
 
+use super::super::crashes::CrashedTask;
 use super::super::messages::EndKind;
 use super::super::room::Room;
 use super::super::task::RunId;
 use super::super::timing::LEASE;
+use super::crash_memory::is_early;
 use super::health::Health;
 use super::worker::{ClockEstimate, FenceToken, Registration, WorkerClock};
 use super::{AgentDecision, AgentEffect, LeasedAgent, Life, LifeEnd, LostRun};
@@ -149,6 +151,7 @@
             renewed: now,
             foreign: BTreeMap::new(),
             has_news: false,
+            lapsed: Vec::new(),
             challenger: None,
         });
         self.health = Health::default();
@@ -177,6 +180,8 @@
             return;
         };
         let runs = self.runs_at_worker(now);
+        let begun = self.begun_tasks(now).chain(present.lapsed).collect();
+        self.note_life_end(life, present.draining, end, begun);
         effects.push(AgentEffect::Decided(AgentDecision::LifeOver {
             life: present.name,
             end,
@@ -191,6 +196,15 @@
         }
     }
 
+    /// The tasks of those runs.
+    fn begun_tasks(&self, now: Timestamp) -> impl Iterator<Item = CrashedTask> {
+        let begun = self.ledger.iter().filter(|(_, run)| run.takes_room());
+        begun.map(move |(task, run)| CrashedTask {
+            task,
+            is_early: is_early(run, now.since(run.sent)),
+        })
+    }
+
     /// Runs that the worker may have begun.
     fn runs_at_worker(&self, now: Timestamp) -> Vec<LostRun> {
         let begun = self.ledger.iter().filter(|(_, run)| run.takes_room());
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -2,6 +2,7 @@
 //! alone decides what starts; it renews the leases of what runs, and ends what
 //! nobody answers for.
 
+mod crash_memory;
 pub mod events;
 mod health;
 mod ledger;
@@ -20,11 +21,13 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::crashes::CrashedTask;
 use super::evacuation::Evacuations;
 use super::messages::{EndKind, NotStartedReason, ToAgent, ToAgentBody};
 use super::room::Room;
 use super::task::{RunId, TaskId};
 use crate::session::SessionId;
+use crash_memory::CrashMemory;
 pub use events::{
     AgentDecision, AgentEffect, AgentEvent, LifeEnd, LostRun, Order, OrderAnswer, OrderKind,
     WatchAnswer,
@@ -64,6 +67,9 @@
     foreign: BTreeMap<RunId, Timestamp>,
     /// Ends to be acknowledged to the worker.
     has_news: bool,
+    /// Tasks that it had begun when it fell silent for so long that they have lapsed. It
+    /// may have crashed then, or be cut off.
+    lapsed: Vec<CrashedTask>,
     /// Another life that has registered since.
     challenger: Option<Challenger>,
 }
@@ -86,6 +92,7 @@
     ended_lives: BTreeSet<String>,
     ledger: Ledger,
     health: Health,
+    crash_memory: CrashMemory,
     evacuations: Evacuations,
     owners: BTreeMap<Incarnation, Owner>,
     sessions: BTreeMap<SessionId, Incarnation>,
@@ -105,6 +112,7 @@
             ended_lives: BTreeSet::new(),
             ledger: Ledger::default(),
             health: Health::default(),
+            crash_memory: CrashMemory::default(),
             evacuations: Evacuations::default(),
             owners: BTreeMap::new(),
             sessions: BTreeMap::new(),
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -10,6 +10,7 @@
 use super::ledger::{RunState, StopReason};
 use super::owner::Owner;
 use super::{AgentEffect, LeasedAgent};
+use crate::session::SessionId;
 
 /// How long a planned stop waits for the last ends to be acknowledged.
 const LAST_ENDS: Span = Span::from_millis(400);
@@ -52,6 +53,10 @@
             return;
         };
         let is_new = owner.last_report != Some(report);
+        self.tell_crashes(now, gateway, session, effects);
+        let Some(owner) = self.owners.get(&gateway) else {
+            return;
+        };
         // Ends go before the snapshot, which tells what is left.
         let body = if owner.has_unsent() {
             None
@@ -99,6 +104,33 @@
         }
     }
 
+    /// Tells a gateway of crashes of the worker, before it hears that its runs have ended:
+    /// it may place them again at once.
+    fn tell_crashes(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        session: SessionId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(owner) = self.owners.get_mut(&gateway) else {
+            return;
+        };
+        let news = self.crash_memory.after(owner.told_crashes);
+        if news.is_empty() {
+            return;
+        }
+        owner.told_crashes = self.crash_memory.last();
+        owner.last_sent = now;
+        let message = FromAgent {
+            clock: now,
+            report: None,
+            offers: Vec::new(),
+            body: FromAgentBody::Crashes(news),
+        };
+        effects.push(AgentEffect::Send { session, message });
+    }
+
     pub(super) fn beat_interval(
         &self,
         now: Timestamp,
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -73,6 +73,8 @@
     pub is_released: bool,
     /// Whether it was told what the worker is.
     pub has_snapshot: bool,
+    /// Number of the last crash of the worker that it was told of, on this session.
+    pub told_crashes: u64,
     ends: VecDeque<TaskEnd>,
     unsent: usize,
     last_number: u64,
@@ -95,6 +97,7 @@
             asked: None,
             is_released: false,
             has_snapshot: false,
+            told_crashes: 0,
             ends: VecDeque::new(),
             unsent: 0,
             last_number: 0,
@@ -114,6 +117,7 @@
         self.has_more_room_since = None;
         self.is_released = false;
         self.has_snapshot = false;
+        self.told_crashes = 0;
         self.unsent = self.ends.len();
         self.forget_waiting();
     }
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -51,6 +51,7 @@
                 state: RunState::Waiting,
                 stop_again: None,
                 lost_stops: 0,
+                is_alone: batch.is_alone,
                 percent: 0,
                 started: WorkerClock::default(),
                 progressed: WorkerClock::default(),
@@ -99,6 +100,9 @@
         if !self.is_available() || self.limit_left(now) == 0 {
             return Some(NotStartedReason::Unavailable);
         }
+        if run.is_alone && run.room.fits(self.capacity()) {
+            return None;
+        }
         let fits_at_once = run.room.fits(self.free_room());
         let may_wait = run.wait_until > now && self.ledger.waiting() < MOST_WAITING;
         (!fits_at_once && !may_wait).then_some(NotStartedReason::Full)
@@ -112,8 +116,12 @@
             .minus(self.offered_room())
     }
 
-    /// Tasks that may still be taken in, by the worker's health.
+    /// Tasks that may still be taken in, by the worker's health; none beside one that is
+    /// to be alone.
     pub(super) fn limit_left(&self, now: Timestamp) -> u32 {
+        if self.ledger.has_alone() {
+            return 0;
+        }
         let count = self.ledger.len();
         self.health.limit(now, count)
     }
@@ -140,7 +148,8 @@
         let Some(run) = self.ledger.get(task) else {
             return;
         };
-        if !run.room.fits(free) {
+        let must_wait = run.is_alone && self.ledger.active() > 0;
+        if must_wait || !run.room.fits(free) {
             return;
         }
         let kind = OrderKind::Start {
@@ -191,7 +200,13 @@
         }
         let state = self.ledger.run(id).map(|run| run.state);
         match answer {
-            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, LifeEnd::Crashed, effects),
+            Err(OrderFailure::LifeOver) => {
+                // The life was over before the order came: the run has no part in that.
+                if state == Some(RunState::Starting) {
+                    self.end_run(now, id.task, EndKind::Lost, effects);
+                }
+                self.on_life_over(now, life, LifeEnd::Crashed, effects);
+            }
             Err(OrderFailure::NoAnswer) => {
                 if state == Some(RunState::Starting) {
                     self.stop_run(now, id.task, StopReason::Unanswered, effects);
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -6,6 +6,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::super::crashes::CrashedTask;
 use super::super::messages::EndKind;
 use super::super::task::{RunId, TaskId};
 use super::super::timing::{LEASE_AT_MOST, STOP_AT_MOST};
@@ -113,6 +114,7 @@
             }
             Ok(WatchAnswer { clock, lists }) => {
                 life.unanswered_watches = 0;
+                life.lapsed.clear();
                 self.dismiss_challenger(asked, effects);
                 self.note_clock(now, clock);
                 match lists {
@@ -294,7 +296,13 @@
             return;
         }
         life.has_synced = false;
-        for task in self.ledger.tasks_where(Run::takes_room) {
+        let tasks = self.ledger.tasks_where(Run::takes_room);
+        let lapsed = tasks.iter().map(|task| CrashedTask {
+            task: *task,
+            is_early: false,
+        });
+        life.lapsed.extend(lapsed);
+        for task in tasks {
             self.end_run(now, task, EndKind::Lost, effects);
         }
         self.give_way(now, effects);
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -8,6 +8,7 @@
 
 use super::job::TaskState;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
+use crate::leased::crashes::Standing;
 use crate::leased::messages::{EndKind, NotStartedReason, Snapshot, TaskEnd};
 use crate::leased::task::{JobId, RunId, RunNumber, TaskId};
 
@@ -141,6 +142,10 @@
         }
         let step = &mut job.steps[id.step as usize];
         step.waiting.insert(id.index);
+        if self.crashes.standing(id) != Standing::Clear {
+            job.set_apart(id);
+        }
+        let step = &mut job.steps[id.step as usize];
         if let EndKind::TooSlow { projected_millis } = how {
             step.raise_estimate(Span::from_millis(u64::from(projected_millis)));
         }
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -10,7 +10,7 @@
 use super::stages::StageTimes;
 use crate::leased::evacuation::Evacuations;
 use crate::leased::messages::{EndKind, FromAgent, Member, ToAgent, ToPeer};
-use crate::leased::task::{JobId, RunId};
+use crate::leased::task::{JobId, RunId, TaskId};
 use crate::session::{Remote, SessionId};
 
 /// What happens to a gateway.
@@ -124,7 +124,8 @@
 pub enum Answer {
     /// The job is done.
     Completed,
-    /// The job has failed: a task of it failed as often as its queue allows.
+    /// The job has failed: a task of it failed as often as its queue allows, or takes its
+    /// workers down.
     Failed,
     /// The job was given up after a task had been started: it may be handed in
     /// again, and may then run anew.
@@ -236,6 +237,15 @@
     },
     /// Which zones are evacuated has changed.
     Evacuated(Evacuations),
+    /// Several workers have crashed under a task.
+    Suspected {
+        /// The task.
+        task: TaskId,
+        /// Whether its job is given up for it; else it runs alone next.
+        is_given_up: bool,
+        /// The lives that have ended.
+        workers: Vec<Arc<str>>,
+    },
     /// A job's callers have gone.
     Abandoned {
         /// The job.
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -48,25 +48,17 @@
                 reason,
                 retry_after: RETRY_SOON,
             };
-            effects.push(GatewayEffect::Answer { call, answer });
-            effects.push(GatewayEffect::Decided(GatewayDecision::Answered {
-                job: id,
-                queue,
-                answer,
-                age: Span::default(),
-                objective: Span::default(),
-                size: None,
-                work: 0,
-                stages: StageTimes {
-                    way_in: waited,
-                    ..StageTimes::default()
-                },
-            }));
+            self.answer_at_once(call, &request, waited, answer, effects);
+            return;
+        }
+        if self.culprit_of(id).is_some() {
+            self.answer_at_once(call, &request, waited, Answer::Failed, effects);
             return;
         }
         let arrival = Timestamp(now.0.saturating_sub(waited.0));
         let mut job = Job::new(arrival, call, request, &self.run_times);
         job.way_in = waited;
+        self.set_known_apart(&mut job);
         job.group = self.shares.group_of(&job.queue.name, job.work());
         effects.push(GatewayEffect::Decided(GatewayDecision::Taken {
             job: id,
@@ -82,6 +74,31 @@
         self.jobs.insert(id, job);
     }
 
+    /// Answers a call whose job is not taken.
+    fn answer_at_once(
+        &self,
+        call: CallNumber,
+        request: &JobRequest,
+        way_in: Span,
+        answer: Answer,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        effects.push(GatewayEffect::Answer { call, answer });
+        effects.push(GatewayEffect::Decided(GatewayDecision::Answered {
+            job: request.id,
+            queue: request.queue.clone(),
+            answer,
+            age: Span::default(),
+            objective: Span::default(),
+            size: None,
+            work: 0,
+            stages: StageTimes {
+                way_in,
+                ..StageTimes::default()
+            },
+        }));
+    }
+
     fn refusal_of(&self, now: Timestamp, request: &JobRequest) -> Option<Refusal> {
         if self.configuration.is_none() {
             return Some(Refusal::NotConfigured);
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -139,8 +139,10 @@
     pub request: StepRequest,
     /// Its tasks.
     pub tasks: Vec<Task>,
-    /// Tasks that wait, by index.
+    /// Tasks that wait and may be placed together, by index.
     pub waiting: BTreeSet<u32>,
+    /// Tasks that wait and go one by one: workers have crashed under them.
+    pub apart: BTreeSet<u32>,
     /// Tasks that are done.
     pub done: u32,
     /// How long its caller guessed that each task takes.
@@ -162,6 +164,7 @@
             longest: Span::default(),
             tasks: vec![task; request.count as usize],
             waiting: (0..request.count).collect(),
+            apart: BTreeSet::new(),
             done: 0,
             request,
         }
@@ -172,6 +175,16 @@
         self.done == self.request.count
     }
 
+    /// Number of its tasks that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len() + self.apart.len()
+    }
+
+    /// Whether tasks of it wait.
+    fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty() || !self.apart.is_empty()
+    }
+
     /// A run of a task was stopped since it would have taken `projected`. The
     /// worker may be slow, or the caller's guess too short: the next worker
     /// gets that much time, so that no task is stopped for slowness again and
@@ -181,6 +194,16 @@
     }
 }
 
+/// The name of a task of a job that runs once.
+pub fn task_id(job: JobId, step: usize, index: u32) -> TaskId {
+    TaskId {
+        job,
+        repetition: 0,
+        step: u32::try_from(step).unwrap_or(u32::MAX),
+        index,
+    }
+}
+
 /// A job that has not ended.
 #[derive(Debug)]
 pub struct Job {
@@ -309,14 +332,13 @@
     /// Steps with tasks that may be placed now.
     pub fn placeable(&self) -> Vec<usize> {
         (0..self.steps.len())
-            .filter(|step| !self.steps[*step].waiting.is_empty() && self.is_ready(*step))
+            .filter(|step| self.steps[*step].has_waiting() && self.is_ready(*step))
             .collect()
     }
 
     /// Whether a task may be placed now.
     pub fn has_placeable(&self) -> bool {
-        (0..self.steps.len())
-            .any(|step| !self.steps[step].waiting.is_empty() && self.is_ready(step))
+        (0..self.steps.len()).any(|step| self.steps[step].has_waiting() && self.is_ready(step))
     }
 
     /// Whether it can still be refused as not run: nothing is at an agent, and
@@ -325,6 +347,26 @@
         self.placed == 0 && !self.may_have_started
     }
 
+    /// From now on a task goes by itself.
+    pub fn set_apart(&mut self, id: TaskId) {
+        let step = self.steps.get_mut(id.step as usize);
+        if let Some(step) = step
+            && step.waiting.remove(&id.index)
+        {
+            step.apart.insert(id.index);
+        }
+    }
+
+    /// The tasks that wait and go one by one.
+    pub fn waiting_apart(&self) -> impl Iterator<Item = TaskId> {
+        let id = self.id;
+        let steps = self.steps.iter().enumerate();
+        steps.flat_map(move |(step, state)| {
+            let tasks = state.apart.iter();
+            tasks.map(move |index| task_id(id, step, *index))
+        })
+    }
+
     /// The task `id`.
     pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
         let step = self.steps.get_mut(id.step as usize)?;
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod shares;
 pub mod stages;
 pub mod start_window;
+mod suspects;
 pub mod way_in;
 mod workers;
 
@@ -29,6 +30,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::crashes::CrashLog;
 use super::evacuation::Evacuations;
 use super::messages::{FromAgent, FromAgentBody, Member, ToAgent, ToAgentBody};
 use super::task::{JobId, TaskId};
@@ -93,6 +95,8 @@
     way_in: WayIn,
     /// Starts under way to agents.
     start_window: StartWindow,
+    /// Workers that have crashed, and what ran there.
+    crashes: CrashLog,
     /// When a job first came while there was no worker at all.
     without_worker_since: Option<Timestamp>,
     stopping_since: Option<Timestamp>,
@@ -121,6 +125,7 @@
             shares: Shares::default(),
             way_in: WayIn::default(),
             start_window: StartWindow::default(),
+            crashes: CrashLog::default(),
             without_worker_since: None,
             stopping_since: None,
             stop_reported: false,
@@ -302,6 +307,9 @@
             FromAgentBody::Snapshot(snapshot) => {
                 self.on_snapshot(now, agent, snapshot, effects);
             }
+            FromAgentBody::Crashes(crashes) => {
+                self.on_crashes_at_agent(now, &crashes, effects);
+            }
         }
     }
 
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -103,10 +103,9 @@
                 continue;
             }
             for step in job.placeable() {
-                let Some(tasks) = self.tasks_for(now, id, step, agent, offer) else {
+                let Some(candidate) = self.candidate_for(now, id, step, agent, offer) else {
                     continue;
                 };
-                let candidate = Candidate::offered(agent, tasks, offer.number);
                 self.place(now, id, step, candidate, effects);
                 self.drop_if_placed(id);
                 return true;
@@ -116,21 +115,30 @@
     }
 
     /// Tasks of a step that the offered room is good for.
-    fn tasks_for(
+    fn candidate_for(
         &self,
         now: Timestamp,
         id: JobId,
         step: usize,
         agent: Incarnation,
         offer: Offer,
-    ) -> Option<u32> {
+    ) -> Option<Candidate> {
         let job = self.jobs.get(&id)?;
         let worker = self.workers.get(&agent)?;
         let best_pace = self.best_pace(now, &job.queue.service)?;
         let wanted = wanted_from(now, job, step, best_pace, worker)?;
         let request = &job.steps[step].request;
-        let tasks = request.room.times_in(offer.room).min(wanted);
-        (tasks > 0).then_some(tasks)
+        let fitting = request.room.times_in(offer.room);
+        let together = u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX);
+        let tasks = fitting.min(wanted).min(together);
+        if tasks > 0 {
+            return Some(Candidate::offered(agent, tasks, offer.number));
+        }
+        if fitting == 0 || self.has_witness(agent) {
+            return None;
+        }
+        let index = self.first_witness(job, step)?;
+        Some(Candidate::offered(agent, 1, offer.number).apart(index))
     }
 
     fn drop_if_placed(&mut self, id: JobId) {
@@ -218,7 +226,7 @@
     /// The agents that are told of a waiting step: enough that some have room soon,
     /// others for other jobs.
     fn agents_to_tell(&self, now: Timestamp, job: &Job, step: usize) -> Vec<Incarnation> {
-        let waiting = job.steps[step].waiting.len();
+        let waiting = job.steps[step].waiting_count();
         let Some(best_pace) = self.best_pace(now, &job.queue.service) else {
             return Vec::new();
         };
@@ -244,15 +252,10 @@
     worker: &Worker,
 ) -> Option<u32> {
     let step = &job.steps[step];
-    let has_label = step
-        .request
-        .label
-        .as_ref()
-        .is_none_or(|label| worker.has_label(label));
-    if !worker.is_usable(now, &job.queue.service) || !has_label {
+    if !worker.is_usable(now, &job.queue.service) || !worker.fulfils(&step.request) {
         return None;
     }
-    let waiting = u32::try_from(step.waiting.len()).unwrap_or(u32::MAX);
+    let waiting = u32::try_from(step.waiting_count()).unwrap_or(u32::MAX);
     wanted_of(job, &step.request, waiting, best_pace, worker)
 }
 
@@ -266,7 +269,7 @@
         job: job.id,
         step: u32::try_from(step).unwrap_or(u32::MAX),
         room: job.steps[step].request.room,
-        count: u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX),
+        count: u32::try_from(job.steps[step].waiting_count()).unwrap_or(u32::MAX),
         rank,
         lasts_millis: u32::try_from(until.since(now).as_millis()).unwrap_or(u32::MAX),
     }
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -10,13 +10,14 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::job::{Job, Step, StepRequest, TaskState};
+use super::job::{Job, Step, StepRequest, TaskState, task_id};
 use super::queues::QueueSettings;
+use super::suspects::ALONE_PATIENCE;
 use super::workers::Worker;
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::{StartBatch, ToAgentBody};
 use crate::leased::room::Room;
-use crate::leased::task::{JobId, RunNumber, TaskId};
+use crate::leased::task::{JobId, RunNumber};
 
 /// What a worker of another zone costs more, in microseconds of run time.
 const OTHER_ZONE_MICROS: u64 = 10_000;
@@ -41,6 +42,10 @@
     cost: u64,
     /// The offer whose room is used, if it is not room that was reported as free.
     offer: Option<u64>,
+    /// The task that goes by itself, if it is one of those.
+    apart: Option<u32>,
+    /// Whether the worker is to run nothing beside it.
+    is_alone: bool,
 }
 
 impl Candidate {
@@ -52,6 +57,30 @@
             tasks,
             cost: 0,
             offer: Some(offer),
+            apart: None,
+            is_alone: false,
+        }
+    }
+
+    /// The worker on which task `index` runs alone.
+    pub(super) fn alone(agent: Incarnation, index: u32) -> Self {
+        Self {
+            agent,
+            is_fast: true,
+            tasks: 1,
+            cost: 0,
+            offer: None,
+            apart: Some(index),
+            is_alone: true,
+        }
+    }
+
+    /// The same worker, for task `index` by itself.
+    pub(super) fn apart(self, index: u32) -> Self {
+        Self {
+            tasks: 1,
+            apart: Some(index),
+            ..self
         }
     }
 }
@@ -109,6 +138,7 @@
         let mut is_placed = true;
         for step in job.placeable() {
             is_placed &= self.place_step(now, id, step, shortages, effects);
+            is_placed &= self.place_apart(now, id, step, effects);
         }
         is_placed
     }
@@ -153,12 +183,26 @@
     fn best_worker(&self, now: Timestamp, id: JobId, step: usize) -> Option<Candidate> {
         let job = self.jobs.get(&id)?;
         let wanted = u32::try_from(job.steps[step].waiting.len()).unwrap_or(u32::MAX);
+        self.best_worker_of(now, id, step, wanted, |_| true)
+    }
+
+    /// The best worker for `wanted` tasks among those that `is_allowed` names.
+    pub(super) fn best_worker_of(
+        &self,
+        now: Timestamp,
+        id: JobId,
+        step: usize,
+        wanted: u32,
+        is_allowed: impl Fn(Incarnation) -> bool,
+    ) -> Option<Candidate> {
+        let job = self.jobs.get(&id)?;
         let service = &job.queue.service;
         let best_pace = self.best_pace(now, service)?;
         let request = &job.steps[step].request;
         self.workers
             .iter()
             .filter(|(_, worker)| worker.is_usable(now, service))
+            .filter(|(agent, _)| is_allowed(**agent))
             .filter_map(|(agent, worker)| {
                 let wanted = wanted_of(job, request, wanted, best_pace, worker)?;
                 self.candidate(job, request, wanted, *agent, worker)
@@ -186,11 +230,7 @@
         agent: Incarnation,
         worker: &Worker,
     ) -> Option<Candidate> {
-        if request
-            .label
-            .as_ref()
-            .is_some_and(|label| !worker.has_label(label))
-        {
+        if !worker.fulfils(request) {
             return None;
         }
         let free = worker.free_room();
@@ -224,6 +264,8 @@
             tasks,
             cost: run_time + zone + FULLNESS_MICROS * taken / capacity,
             offer: None,
+            apart: None,
+            is_alone: false,
         })
     }
 
@@ -241,7 +283,7 @@
         ) else {
             return;
         };
-        let tasks = take_tasks(now, job, step, candidate.tasks);
+        let tasks = take_tasks(now, job, step, candidate);
         job.first_placed.get_or_insert(now);
         let request = &job.steps[step].request;
         let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
@@ -250,10 +292,18 @@
         } else {
             request.room.times(count)
         };
+        let patience = if candidate.is_alone {
+            ALONE_PATIENCE
+        } else {
+            PATIENCE
+        };
         let number = worker.next_batch(reported, count);
         for (index, run) in &tasks {
             let task = task_id(id, step, *index);
             worker.tasks.insert(task, *run);
+            if candidate.is_alone {
+                worker.alone = Some(task);
+            }
         }
         let batch = StartBatch {
             number,
@@ -262,9 +312,10 @@
             input: job.input.clone(),
             room: request.room,
             estimate_millis: u32::try_from(request.estimate.as_millis()).unwrap_or(u32::MAX),
-            patience_millis: u32::try_from(PATIENCE.as_millis()).unwrap_or(u32::MAX),
+            patience_millis: u32::try_from(patience.as_millis()).unwrap_or(u32::MAX),
             tasks,
             offer: candidate.offer,
+            is_alone: candidate.is_alone,
         };
         effects.push(GatewayEffect::Decided(GatewayDecision::Placed {
             job: id,
@@ -300,21 +351,21 @@
     }
 }
 
-/// The name of a task of a job that runs once.
-pub(super) fn task_id(job: JobId, step: usize, index: u32) -> TaskId {
-    TaskId {
-        job,
-        repetition: 0,
-        step: u32::try_from(step).unwrap_or(u32::MAX),
-        index,
-    }
-}
-
-fn take_tasks(now: Timestamp, job: &mut Job, step: usize, count: u32) -> Vec<(u32, RunNumber)> {
+fn take_tasks(
+    now: Timestamp,
+    job: &mut Job,
+    step: usize,
+    candidate: Candidate,
+) -> Vec<(u32, RunNumber)> {
     let step = &mut job.steps[step];
-    let mut taken = Vec::with_capacity(count as usize);
-    while taken.len() < count as usize {
-        let Some(index) = step.waiting.pop_first() else {
+    let count = candidate.tasks as usize;
+    let mut taken = Vec::with_capacity(count);
+    while taken.len() < count {
+        let next = match candidate.apart {
+            Some(index) => step.apart.take(&index),
+            None => step.waiting.pop_first(),
+        };
+        let Some(index) = next else {
             break;
         };
         let task = &mut step.tasks[index as usize];
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -9,6 +9,7 @@
 use super::super::room::Room;
 use super::super::task::{RunNumber, TaskId};
 use super::super::timing::{BUSY_SUSPICION, IDLE_SUSPICION, LAPSE_AFTER_SILENCE};
+use super::job::StepRequest;
 use crate::session::SessionId;
 
 /// A batch of starts that no report has taken into account yet.
@@ -44,6 +45,8 @@
     pub acknowledged: u64,
     /// This gateway's tasks there.
     pub tasks: BTreeMap<TaskId, RunNumber>,
+    /// The task that is to run alone there.
+    pub alone: Option<TaskId>,
     /// Room that its agent holds for this gateway, not answered yet.
     pub offers: Vec<Offer>,
     /// Whether its zone is evacuated.
@@ -72,6 +75,7 @@
             seen: 0,
             acknowledged: 0,
             tasks: BTreeMap::new(),
+            alone: None,
             offers: Vec::new(),
             is_evacuated: false,
             batches: 0,
@@ -155,6 +159,25 @@
                 .is_some_and(|snapshot| snapshot.service == service)
     }
 
+    /// Whether a task that is to run alone is there.
+    pub fn has_alone(&self) -> bool {
+        self.alone
+            .is_some_and(|task| self.tasks.contains_key(&task))
+    }
+
+    /// How much of its room is free, in thousandths.
+    pub fn free_permille(&self) -> u64 {
+        let capacity = self.snapshot.as_ref().map(|known| known.capacity);
+        let capacity = capacity.unwrap_or_default().cpu_millis.max(1);
+        u64::from(self.free_room().cpu_millis) * 1_000 / u64::from(capacity)
+    }
+
+    /// Whether it has the label that a step asks for, if any.
+    pub fn fulfils(&self, request: &StepRequest) -> bool {
+        let label = request.label.as_ref();
+        label.is_none_or(|label| self.has_label(label))
+    }
+
     /// Whether all its room is free.
     pub fn is_idle(&self) -> bool {
         let capacity = self.snapshot.as_ref().map(|snapshot| snapshot.capacity);
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -22,6 +22,7 @@
         match self.body {
             FromAgentBody::Snapshot(_) => "snapshot",
             FromAgentBody::Ends(_) => "ends",
+            FromAgentBody::Crashes(_) => "crashes_to_gateway",
             FromAgentBody::Heartbeat if !self.offers.is_empty() => "offer",
             FromAgentBody::Heartbeat if self.report.is_some() => "report",
             FromAgentBody::Heartbeat => "agent_heartbeat",
@@ -35,6 +36,7 @@
             Self::Introduction(_) => "introduction",
             Self::Members(_) => "members_to_peer",
             Self::Evacuations(_) => "evacuations_to_peer",
+            Self::Crashes(_) => "crashes_to_peer",
             Self::InForce(_) => "in_force",
             Self::ConfigurationWanted => "configuration_wanted",
             Self::Configuration(_) => "configuration",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -6,6 +6,7 @@
 use laurelstile_types::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use super::crashes::WorkerCrash;
 use super::evacuation::Evacuations;
 use super::gateway::queues::QueueConfiguration;
 use super::input::JobInput;
@@ -141,6 +142,17 @@
     /// The offer that the batch answers, if any.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub offer: Option<u64>,
+    /// Whether the worker is to run nothing beside it. It is the only task of its batch.
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    pub is_alone: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes the field by reference"
+)]
+pub(super) fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 /// Bytes of a batch besides its input and its tasks, with the frame and the packet that
@@ -191,6 +203,9 @@
     /// Tasks that have ended or were not started.
     #[serde(rename = "x")]
     Ends(Vec<TaskEnd>),
+    /// Lives of the worker that have crashed; before the ends of their runs.
+    #[serde(rename = "c")]
+    Crashes(Vec<WorkerCrash>),
 }
 
 impl FromAgentBody {
@@ -397,6 +412,8 @@
     Members(Vec<Member>),
     /// Zones that are evacuated, as the sender knows it.
     Evacuations(Evacuations),
+    /// Workers that have crashed under tasks of the sender's callers.
+    Crashes(Vec<WorkerCrash>),
     /// Version of the configuration that is in force at the sender.
     InForce(u64),
     /// The receiver's configuration is wanted: the sender has an older one.
--- a/laurelstile-core/src/leased/mod.rs
+++ b/laurelstile-core/src/leased/mod.rs
@@ -12,6 +12,7 @@
 //! `next_wakeup` tells when time alone makes something happen.
 
 pub mod agent;
+pub mod crashes;
 pub mod evacuation;
 pub mod gateway;
 pub mod input;
--- /dev/null
+++ b/laurelstile-core/tests/leased_crashes.rs
@@ -0,0 +1,381 @@
+//! Tasks under which workers crash: what agents tell, and what gateways make of it.
+
+mod leased_support;
+
+use laurelstile_core::leased::agent::worker::{OrderFailure, WorkerLists};
+use laurelstile_core::leased::agent::{AgentEvent, Order, OrderKind};
+use laurelstile_core::leased::crashes::{CrashedTask, WorkerCrash};
+use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, StartBatch, ToAgentBody, ToPeer};
+use laurelstile_core::session::SessionId;
+use laurelstile_types::time::Timestamp;
+use leased_support::{AgentRig, GATEWAY, GatewayRig, SESSION, at, cpu, job, run, task};
+use rstest::rstest;
+
+const EARLY: bool = true;
+const LATE: bool = false;
+
+/// A crash of a life under tasks of job 1, by their indices.
+fn crash(life: &str, is_early: bool, runs: u32, indices: &[u32]) -> WorkerCrash {
+    let tasks = indices.iter().map(|index| CrashedTask {
+        task: task(1, *index),
+        is_early,
+    });
+    WorkerCrash {
+        life: life.into(),
+        runs,
+        tasks: tasks.collect(),
+    }
+}
+
+/// A gateway with `workers` empty workers, on sessions from 1 on.
+fn gateway(workers: u64) -> GatewayRig {
+    let mut rig = GatewayRig::new();
+    for session in 1..=workers {
+        rig.join(at(0), session, &format!("agent-{session}"), cpu(8_000));
+    }
+    rig
+}
+
+fn tell(rig: &mut GatewayRig, now: Timestamp, session: SessionId, crash: &WorkerCrash) {
+    let body = FromAgentBody::Crashes(vec![crash.clone()]);
+    rig.report(now, session.0, 0, cpu(0), body);
+}
+
+/// The worker of a batch crashes: its agent tells so, and that its tasks are lost.
+fn crash_under(
+    rig: &mut GatewayRig,
+    now: Timestamp,
+    batch: &(SessionId, StartBatch),
+    is_early: bool,
+    runs: u32,
+) {
+    let indices: Vec<u32> = batch.1.tasks.iter().map(|(index, _)| *index).collect();
+    let life = format!("life-{}-{}", batch.0.0, now.0);
+    tell(rig, now, batch.0, &crash(&life, is_early, runs, &indices));
+    rig.end(now, batch, EndKind::Lost, cpu(0));
+}
+
+/// Each worker of the rig has all its room again.
+fn free(rig: &mut GatewayRig, now: Timestamp, workers: u64) {
+    for session in 1..=workers {
+        rig.report(now, session, 99, cpu(8_000), FromAgentBody::Heartbeat);
+    }
+}
+
+#[test]
+fn the_victims_of_a_crash_go_to_different_workers() {
+    let mut rig = gateway(4);
+    rig.submit(at(10), 1, job(1, 3, 100));
+    let batch = rig.next_start();
+    assert_eq!(batch.1.tasks.len(), 3);
+    crash_under(&mut rig, at(60), &batch, LATE, 3);
+    let mut workers: Vec<SessionId> = (0..3).map(|_| rig.next_start().0).collect();
+    workers.sort_unstable();
+    workers.dedup();
+    assert_eq!(workers.len(), 3, "each by itself");
+    assert!(!workers.contains(&batch.0));
+}
+
+#[test]
+fn a_task_that_kills_its_next_worker_alone_fails_its_job() {
+    let mut rig = gateway(3);
+    rig.submit(at(10), 1, job(1, 1, 100));
+    let first = rig.next_start();
+    assert!(!first.1.is_alone);
+    crash_under(&mut rig, at(20), &first, EARLY, 9);
+    let second = rig.next_start();
+    assert!(second.1.is_alone, "an idle worker is there");
+    crash_under(&mut rig, at(40), &second, EARLY, 1);
+    assert_eq!(rig.last_answer(), Some(Answer::Failed));
+    assert!(rig.starts.is_empty());
+}
+
+/// Beside others, two crashes prove nothing; three early ones do, and five in any case.
+#[rstest]
+#[case::early(EARLY, 3)]
+#[case::late(LATE, 5)]
+fn a_task_is_given_up_after_some_crashes_whatever_ran_beside(
+    #[case] is_early: bool,
+    #[case] most: u64,
+) {
+    let mut rig = gateway(6);
+    rig.submit(at(10), 1, job(1, 1, 100));
+    for crashes in 1..=most {
+        assert!(rig.answers.is_empty(), "given up after {}", crashes - 1);
+        let batch = rig.next_start();
+        assert_eq!(batch.1.is_alone && crashes <= 2, is_early && crashes == 2);
+        crash_under(&mut rig, at(100 * crashes), &batch, is_early, 9);
+    }
+    assert_eq!(rig.last_answer(), Some(Answer::Failed));
+    assert!(rig.starts.is_empty());
+}
+
+#[test]
+fn a_suspect_runs_alone_one_at_a_time() {
+    let mut rig = gateway(6);
+    rig.submit(at(10), 1, job(1, 2, 100));
+    for millis in [50, 90] {
+        let batches: Vec<_> = std::mem::take(&mut rig.starts).into();
+        for batch in batches {
+            crash_under(&mut rig, at(millis), &batch, LATE, 9);
+        }
+    }
+    let alone = rig.next_start();
+    assert!(alone.1.is_alone);
+    assert_eq!(alone.1.tasks.len(), 1);
+    assert!(rig.starts.is_empty(), "the other one waits for its turn");
+    rig.end(at(200), &alone, EndKind::Done, cpu(8_000));
+    assert!(rig.next_start().1.is_alone);
+}
+
+#[test]
+fn a_crash_that_is_told_again_counts_once() {
+    let mut rig = gateway(4);
+    rig.submit(at(10), 1, job(1, 1, 100));
+    let batch = rig.next_start();
+    let told = crash("life-1", LATE, 9, &[0]);
+    for millis in [30, 31, 32, 33, 34] {
+        tell(&mut rig, at(millis), batch.0, &told);
+    }
+    rig.end(at(40), &batch, EndKind::Lost, cpu(0));
+    assert!(!rig.next_start().1.is_alone, "one crash is no suspicion");
+}
+
+/// A caller whose gateway was lost hands in again, at one that has not placed the job.
+#[rstest]
+#[case::alone(&[EARLY, EARLY], 9, None, true)]
+#[case::failed(&[EARLY, EARLY, EARLY], 9, Some(Answer::Failed), false)]
+#[case::failed_alone(&[EARLY, EARLY], 1, Some(Answer::Failed), false)]
+fn crashes_that_peers_tell_of_count_for_a_job_that_comes_later(
+    #[case] crashes: &[bool],
+    #[case] runs: u32,
+    #[case] answer: Option<Answer>,
+    #[case] is_alone: bool,
+) {
+    let mut rig = gateway(4);
+    let session = SessionId(50);
+    rig.event(at(1), GatewayEvent::PeerOpened { session });
+    let told = crashes
+        .iter()
+        .zip(1..)
+        .map(|(is_early, number)| crash(&format!("life-{number}"), *is_early, runs, &[0]));
+    let message = ToPeer::Crashes(told.collect());
+    rig.event(at(2), GatewayEvent::PeerMessage { session, message });
+    rig.submit(at(10), 1, job(1, 1, 100));
+    assert_eq!(rig.last_answer(), answer);
+    assert_eq!(
+        rig.starts.front().is_some_and(|start| start.1.is_alone),
+        is_alone
+    );
+}
+
+#[test]
+fn what_touches_own_jobs_is_passed_on_to_peers() {
+    let mut rig = gateway(2);
+    let session = SessionId(50);
+    rig.event(at(1), GatewayEvent::PeerOpened { session });
+    rig.submit(at(10), 1, job(1, 1, 100));
+    let batch = rig.next_start();
+    let mut told = crash("life-1", EARLY, 2, &[0]);
+    told.tasks.push(CrashedTask {
+        task: task(2, 0),
+        is_early: EARLY,
+    });
+    rig.to_peers.clear();
+    tell(&mut rig, at(20), batch.0, &told);
+    let passed: Vec<&WorkerCrash> = rig
+        .to_peers
+        .iter()
+        .filter_map(|(_, message)| match message {
+            ToPeer::Crashes(crashes) => crashes.first(),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(passed, [&crash("life-1", EARLY, 2, &[0])]);
+}
+
+#[test]
+fn more_suspects_than_can_run_alone_soon_are_given_up_at_once() {
+    let mut rig = gateway(12);
+    for id in 1..=6 {
+        rig.submit(at(10), id, job(id, 1, 100));
+    }
+    for millis in [50, 90] {
+        let batches: Vec<_> = std::mem::take(&mut rig.starts).into();
+        for batch in batches {
+            let life = format!("life-{}-{millis}", batch.0.0);
+            let tasks = vec![CrashedTask {
+                task: task(batch.1.job.0, 0),
+                is_early: LATE,
+            }];
+            tell(
+                &mut rig,
+                at(millis),
+                batch.0,
+                &WorkerCrash {
+                    life,
+                    runs: 9,
+                    tasks,
+                },
+            );
+            rig.end(at(millis), &batch, EndKind::Lost, cpu(0));
+            free(&mut rig, at(millis), 12);
+        }
+    }
+    let given_up = rig
+        .answers
+        .iter()
+        .filter(|(_, answer)| *answer == Answer::GivenUp);
+    assert_eq!(given_up.count(), 2, "{:?}", rig.answers);
+}
+
+/// What a session was told of crashes, and whether that came before any end.
+fn crashes_told(rig: &AgentRig, session: SessionId) -> (Vec<WorkerCrash>, bool) {
+    let bodies = rig.sent.iter().filter(|(to, _)| *to == session);
+    let bodies: Vec<&FromAgentBody> = bodies.map(|(_, message)| &message.body).collect();
+    let position = |wanted: fn(&FromAgentBody) -> bool| bodies.iter().position(|body| wanted(body));
+    let first_crash = position(|body| matches!(body, FromAgentBody::Crashes(_)));
+    let first_end = position(|body| matches!(body, FromAgentBody::Ends(_)));
+    let crashes = bodies.iter().filter_map(|body| match body {
+        FromAgentBody::Crashes(crashes) => Some(crashes.clone()),
+        _ => None,
+    });
+    let crashes = crashes.flatten().collect();
+    (crashes, first_crash.is_some() && first_crash < first_end)
+}
+
+/// An agent whose worker has run task 1/0 since 10 ms, and 1/1 since `second`.
+fn running(second: u64) -> AgentRig {
+    let mut rig = AgentRig::in_control(cpu(4_000));
+    for (millis, index) in [(10, 0), (second, 1)] {
+        let mut batch = rig.batch(1, 1, 50);
+        if let ToAgentBody::Start(batch) = &mut batch {
+            batch.tasks[0].0 = index;
+        }
+        rig.message(at(millis), batch);
+        let started = rig.take_starts();
+        rig.answer_start(at(millis + 1), started[0], None);
+    }
+    rig
+}
+
+#[test]
+fn an_agent_tells_of_a_crash_before_the_ends_and_which_run_was_young() {
+    let mut rig = running(60);
+    rig.end_life(at(70));
+    let crash = WorkerCrash {
+        life: "life-1".into(),
+        runs: 2,
+        tasks: vec![
+            CrashedTask {
+                task: task(1, 0),
+                is_early: LATE,
+            },
+            CrashedTask {
+                task: task(1, 1),
+                is_early: EARLY,
+            },
+        ],
+    };
+    assert_eq!(crashes_told(&rig, SESSION), (vec![crash.clone()], true));
+    rig.open(at(200), SessionId(71), GATEWAY);
+    rig.open(
+        at(200),
+        SessionId(80),
+        laurelstile_types::id::Incarnation(8),
+    );
+    for session in [71, 80] {
+        let told = crashes_told(&rig, SessionId(session)).0;
+        assert_eq!(told, std::slice::from_ref(&crash));
+    }
+}
+
+#[test]
+fn a_worker_that_has_said_that_it_leaves_has_not_crashed() {
+    let mut rig = running(60);
+    rig.register(at(65), "life-1", cpu(4_000), true);
+    rig.end_life(at(70));
+    assert!(crashes_told(&rig, SESSION).0.is_empty());
+    let mut rig = running(60);
+    rig.event(
+        at(70),
+        AgentEvent::Deregistered {
+            life: "life-1".into(),
+        },
+    );
+    assert!(crashes_told(&rig, SESSION).0.is_empty());
+}
+
+/// A cut or a frozen machine is no crash; that another life has come since proves one.
+#[rstest]
+#[case::cut(false)]
+#[case::crashed(true)]
+fn a_silent_worker_has_crashed_once_another_life_shows(#[case] is_replaced: bool) {
+    let mut rig = running(60);
+    for millis in [100, 150, 200] {
+        rig.lose_watch(at(millis));
+    }
+    rig.tick(at(1_200));
+    assert_eq!(rig.ends().len(), 2, "lapsed");
+    assert!(crashes_told(&rig, SESSION).0.is_empty());
+    if is_replaced {
+        rig.register(at(1_300), "life-2", cpu(4_000), false);
+        rig.end_life(at(1_301));
+        let told = crashes_told(&rig, SESSION).0;
+        assert_eq!(told.len(), 1);
+        assert_eq!(told[0].tasks.len(), 2);
+        assert!(told[0].tasks.iter().all(|crashed| !crashed.is_early));
+    } else {
+        rig.answer_watch(at(1_300), WorkerLists::default());
+        rig.end_life(at(1_400));
+        assert!(
+            crashes_told(&rig, SESSION).0.is_empty(),
+            "nothing ran there"
+        );
+    }
+}
+
+#[test]
+fn a_start_that_comes_to_a_dead_worker_has_no_part_in_its_crash() {
+    let mut rig = running(60);
+    let batch = rig.batch(2, 1, 50);
+    rig.message(at(70), batch);
+    rig.take_starts();
+    let refused = AgentEvent::StartAnswered {
+        run: run(2, 0),
+        life: "life-1".into(),
+        answer: Err(OrderFailure::LifeOver),
+    };
+    rig.event(at(71), refused);
+    let told = crashes_told(&rig, SESSION).0;
+    assert_eq!(told[0].tasks.len(), 2);
+    assert!(told[0].tasks.iter().all(|crashed| crashed.task.job.0 == 1));
+}
+
+#[test]
+fn a_run_alone_waits_until_nothing_runs_and_nothing_starts_beside_it() {
+    let mut rig = running(60);
+    let mut alone = rig.batch(3, 1, 1_000);
+    if let ToAgentBody::Start(batch) = &mut alone {
+        batch.is_alone = true;
+    }
+    rig.message(at(70), alone);
+    assert!(rig.take_starts().is_empty());
+    let batch = rig.batch(4, 1, 50);
+    rig.message(at(90), batch);
+    assert!(rig.take_starts().is_empty());
+    assert_eq!(rig.last_report().map(|report| report.limit), Some(0));
+    rig.orders
+        .retain(|order: &Order| !matches!(order.kind, OrderKind::Watch { .. }));
+    let done = [(1, run(1, 0)), (2, run(1, 1))];
+    let done = done.map(|(number, id)| {
+        (
+            number,
+            id,
+            laurelstile_core::leased::agent::worker::WorkerEndKind::Done,
+        )
+    });
+    rig.answer_watch(at(160), leased_support::lists(&[], &done));
+    assert_eq!(rig.take_starts(), [run(3, 0)]);
+}
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -95,6 +95,7 @@
             patience_millis: 4,
             tasks: vec![(0, RunNumber(1)), (1, RunNumber(1))],
             offer: None,
+            is_alone: false,
         }),
     }
 }
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -221,6 +221,7 @@
             patience_millis,
             tasks: (0..tasks).map(|index| (index, RunNumber(1))).collect(),
             offer: None,
+            is_alone: false,
         })
     }
 
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -108,12 +108,12 @@
         /// How.
         how: RunEnd,
     },
-    /// A life of a worker ends by the doing of one of its runs.
+    /// A life of a worker ends without its word, with all that it runs.
     Crashed {
         /// Life of the worker.
         life: Life,
-        /// The task whose run took it down.
-        by: TaskName,
+        /// The task whose run took it down, if one did.
+        by: Option<TaskName>,
     },
     /// An agent has acknowledged that a worker drains.
     DrainAcknowledged {
@@ -157,8 +157,8 @@
     Asked,
     /// A job shown as done has all its tasks done.
     WholeAnswer,
-    /// A job shown as failed has a task that failed as often as allowed, or that took two
-    /// workers down.
+    /// A job shown as failed has a task that failed as often as allowed, or under
+    /// which two workers have crashed.
     FailedForCause,
     /// A task that takes its workers down is not started again and again.
     CrashBudget,
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -15,6 +15,16 @@
             /// hand-over, submission-ids, wholeness or proof.
             optional --without mechanism: String
         }
+        /// Run seeds of leased workers beside tasks that take their workers down.
+        cmd crashes {
+            /// Seeds to run, A..B.
+            required --seeds seeds: String
+            /// Instead of two such tasks: so many in a thousand jobs of the most frequent
+            /// kind, for six seconds.
+            optional --permille permille: u32
+            /// Two workers die by themselves every half second, for six seconds.
+            optional --deaths
+        }
         /// Run seeds of leased workers under faults and judge their histories.
         cmd leased {
             /// Seeds to run, A..B.
@@ -22,7 +32,7 @@
             /// Print the histories.
             optional --verbose
             /// Switch a mechanism off: owner-silence, leases, takeover,
-            /// drains or evacuations.
+            /// drains, evacuations or crash-news.
             optional --without mechanism: String
         }
     }
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -24,6 +24,8 @@
     Cut(usize, usize),
     /// A worker crashes and comes back with a new life.
     CrashWorker(usize),
+    /// A worker's process ends, and its host refuses connections until it is back.
+    KillWorker(usize),
     /// A worker drains, ends, and comes back with a new life.
     DrainWorker(usize),
     /// A worker fails all that it runs.
@@ -54,6 +56,7 @@
             Self::FreezeAgent(_) => "freeze_agent",
             Self::Cut(_, _) => "cut",
             Self::CrashWorker(_) => "crash_worker",
+            Self::KillWorker(_) => "kill_worker",
             Self::DrainWorker(_) => "drain_worker",
             Self::Failing(_) => "failing",
             Self::Hanging(_) => "hanging",
@@ -91,6 +94,8 @@
     NoDrains,
     /// Agents do not hear of evacuated zones.
     NoEvacuations,
+    /// Gateways do not hear which tasks ran on crashed workers.
+    NoCrashNews,
 }
 
 /// Draws `count` faults within `length`.
--- a/laurelstile-sim/src/leased/orders.rs
+++ b/laurelstile-sim/src/leased/orders.rs
@@ -4,7 +4,7 @@
 
 use laurelstile_core::leased::agent::worker::{OrderFailure, WorkerLists};
 use laurelstile_core::leased::agent::{AgentEvent, Order, OrderAnswer, OrderKind, WatchAnswer};
-use laurelstile_history::leased::{Seen, TaskName};
+use laurelstile_history::leased::TaskName;
 use laurelstile_types::id::Incarnation;
 use rand::Rng;
 
@@ -139,7 +139,7 @@
             return;
         }
         if let Some(task) = self.workers[worker].crashing(self.now) {
-            self.crash_by(worker, task);
+            self.kill_worker(worker, Some(task));
             return;
         }
         let changes = self.workers[worker].settle(self.now);
@@ -152,12 +152,11 @@
         self.settle_later(worker);
     }
 
-    /// A run takes its worker down: the connection breaks on which the agent waits.
-    fn crash_by(&mut self, worker: usize, task: TaskName) {
+    /// A worker's process ends: the connection breaks on which its agent waits.
+    pub fn kill_worker(&mut self, worker: usize, by: Option<TaskName>) {
         let life = self.workers[worker].life;
-        self.see(Seen::Crashed { life, by: task });
         let watch = self.watches[worker].take();
-        self.crash_worker(worker);
+        self.crash_worker(worker, by);
         let away = self.random.random_range(SHORTEST_AWAY..LONGEST_AWAY);
         self.schedule(self.now + away, Happening::WorkerBegins(worker));
         if let Some(watch) = watch {
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -2,7 +2,7 @@
 
 use laurelstile_core::leased::agent::AgentEvent;
 use laurelstile_core::leased::gateway::GatewayEvent;
-use laurelstile_history::leased::{Seen, Told};
+use laurelstile_history::leased::{Seen, TaskName, Told};
 use rand::Rng;
 
 use super::super::faults::{Fault, ScheduledFault};
@@ -93,9 +93,12 @@
                 self.cuts.insert((agent, gateway), end);
             }
             Fault::CrashWorker(worker) if self.workers[worker].life != 0 => {
-                self.crash_worker(worker);
+                self.crash_worker(worker, None);
                 self.schedule(end, Happening::WorkerBegins(worker));
             }
+            Fault::KillWorker(worker) if self.workers[worker].life != 0 => {
+                self.kill_worker(worker, None);
+            }
             Fault::DrainWorker(worker) if self.workers[worker].life != 0 => {
                 self.workers[worker].draining = true;
                 self.tell_agent(worker);
@@ -186,7 +189,7 @@
                 self.evacuations_changed();
             }
             Fault::DrainWorker(worker) if self.workers[worker].life != 0 => {
-                self.crash_worker(worker);
+                self.crash_worker(worker, None);
                 self.schedule(self.now + RESTART, Happening::WorkerBegins(worker));
             }
             _ => {}
@@ -204,8 +207,9 @@
     }
 
     /// A worker's life ends, with all that it ran.
-    pub fn crash_worker(&mut self, worker: usize) {
+    pub fn crash_worker(&mut self, worker: usize, by: Option<TaskName>) {
         let life = self.workers[worker].life;
+        self.see(Seen::Crashed { life, by });
         self.ended_lives[worker] = Some(self.registration(worker));
         let changes = self.workers[worker].crash();
         self.watches[worker] = None;
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -13,7 +13,7 @@
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent, LeasedGateway};
 use laurelstile_core::leased::input::JobInput;
-use laurelstile_core::leased::messages::{FromAgent, ToAgent, ToAgentBody};
+use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody};
 use laurelstile_core::leased::room::Room;
 use laurelstile_core::leased::task::TaskId;
 use laurelstile_core::session::SessionId;
@@ -312,7 +312,12 @@
                     self.agent_event(index, AgentEvent::Message { session, message });
                 }
             }
-            Happening::ToGateway(index, incarnation, session, message) => {
+            Happening::ToGateway(index, incarnation, session, mut message) => {
+                if self.sabotage == Some(Sabotage::NoCrashNews)
+                    && matches!(message.body, FromAgentBody::Crashes(_))
+                {
+                    message.body = FromAgentBody::Heartbeat;
+                }
                 let process = &self.gateways[index];
                 if process.incarnation == incarnation && process.is_up {
                     self.gateway_event(index, GatewayEvent::AgentMessage { session, message });
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -20,8 +20,12 @@
         Some("takeover") => Some(Sabotage::NoTakeover),
         Some("drains") => Some(Sabotage::NoDrains),
         Some("evacuations") => Some(Sabotage::NoEvacuations),
+        Some("crash-news") => Some(Sabotage::NoCrashNews),
         Some(_) => {
-            eprintln!("--without takes owner-silence, leases, takeover, drains or evacuations");
+            eprintln!(
+                "--without takes owner-silence, leases, takeover, drains, evacuations or \
+                 crash-news"
+            );
             return ExitCode::from(2);
         }
     };
--- a/laurelstile-sim/src/main.rs
+++ b/laurelstile-sim/src/main.rs
@@ -2,6 +2,7 @@
 #![deny(warnings)]
 #![forbid(unsafe_code)]
 
+mod crashes_command;
 mod flags;
 mod leased_command;
 
@@ -15,6 +16,7 @@
     match LaurelstileSim::from_env_or_exit().subcommand {
         LaurelstileSimCmd::Prove(prove) => run_prove(&prove),
         LaurelstileSimCmd::Leased(flags) => leased_command::run(&flags),
+        LaurelstileSimCmd::Crashes(flags) => crashes_command::run(&flags),
     }
 }
 
--- a/laurelstile/src/explain.rs
+++ b/laurelstile/src/explain.rs
@@ -46,6 +46,11 @@
     },
     /// A task failed as often as its queue allows.
     Failed,
+    /// A task took the workers down that started it.
+    TookWorkersDown {
+        /// Lives of these workers.
+        workers: String,
+    },
     /// It was given up at its caller's deadline.
     GivenUp {
         /// Ends other than done, by kind.
@@ -89,7 +94,7 @@
 
 fn entry(job: &str, name: &str, line: &str) -> Option<Entry> {
     let mut line = LogLine::parse(line)?;
-    if line.job() != Some(job) {
+    if line.job() != Some(job) && !names_run_of(&line, job) {
         return None;
     }
     let event = line.event()?.to_owned();
@@ -102,6 +107,12 @@
     })
 }
 
+/// Whether the line is of a dead worker that had a run of the job.
+fn names_run_of(line: &LogLine, job: &str) -> bool {
+    let is_death = line.event() == Some("worker_life_over");
+    is_death && line.text("tasks").is_some_and(|tasks| tasks.contains(job))
+}
+
 fn cause_of(entries: &[Entry]) -> Cause {
     let find = |event: &str| entries.iter().rev().find(|entry| entry.event == event);
     if let Some(answered) = find("answered") {
@@ -127,7 +138,7 @@
             reason: reason.to_owned(),
             setbacks,
         },
-        None if answer == "failed" => Cause::Failed,
+        None if answer == "failed" => cause_of_failure(entries),
         None if answer == "givenup" => Cause::GivenUp { setbacks },
         None if number(answered, "age_ms") > number(answered, "objective_ms") => Cause::Late {
             last_placed_ms: last_placed(entries),
@@ -137,6 +148,17 @@
     }
 }
 
+fn cause_of_failure(entries: &[Entry]) -> Cause {
+    let is_proof = |entry: &&Entry| {
+        let is_given_up = entry.fields.get("is_given_up");
+        entry.event == "task_suspected" && is_given_up == Some(&Value::Bool(true))
+    };
+    let proof = entries.iter().rev().find(is_proof);
+    proof.map_or(Cause::Failed, |proof| Cause::TookWorkersDown {
+        workers: text(proof, "workers").to_owned(),
+    })
+}
+
 /// Ends other than done that reached the gateway, by kind.
 fn setbacks(entries: &[Entry]) -> BTreeMap<String, u64> {
     let mut counts = BTreeMap::new();
@@ -195,6 +217,12 @@
                 write!(formatter, "refused as {reason}; came back: {setbacks:?}")
             }
             Self::Failed => write!(formatter, "a task failed as often as its queue allows"),
+            Self::TookWorkersDown { workers } => {
+                write!(
+                    formatter,
+                    "a task took the workers down that started it: {workers}"
+                )
+            }
             Self::GivenUp { setbacks } => write!(
                 formatter,
                 "given up at its caller's deadline; came back: {setbacks:?}"
--- a/laurelstile/src/log_line.rs
+++ b/laurelstile/src/log_line.rs
@@ -44,6 +44,11 @@
         self.fields.get(field).and_then(Value::as_u64)
     }
 
+    /// Whether a field is there and true.
+    pub fn flag(&self, field: &str) -> bool {
+        self.fields.get(field) == Some(&Value::Bool(true))
+    }
+
     /// What happened.
     pub fn event(&self) -> Option<&str> {
         self.text("event")
--- a/laurelstile/src/loss/job.rs
+++ b/laurelstile/src/loss/job.rs
@@ -35,6 +35,8 @@
     RanLong,
     /// A task failed as often as its queue allows.
     Failed,
+    /// A task took the workers down that started it.
+    TookWorkersDown,
     /// Given up at its caller's deadline.
     GivenUp,
     /// Its caller left first, or cancelled it.
@@ -57,6 +59,7 @@
             Self::StartedLate => "late: started late",
             Self::RanLong => "late: ran long",
             Self::Failed => "failed",
+            Self::TookWorkersDown => "failed: took workers down",
             Self::GivenUp => "given up",
             Self::CallerGone => "caller gone",
             Self::GatewayLost => "lost with its gateway",
@@ -128,6 +131,7 @@
     last_placed: u64,
     has_straggled: bool,
     was_lost: bool,
+    took_workers_down: bool,
 }
 
 impl OpenJob {
@@ -142,6 +146,7 @@
             last_placed: 0,
             has_straggled: false,
             was_lost: false,
+            took_workers_down: false,
         }
     }
 
@@ -164,6 +169,9 @@
                     .iter()
                     .any(|kind| how.starts_with(kind));
             }
+            Some("task_suspected") => {
+                self.took_workers_down |= line.flag("is_given_up");
+            }
             _ => {}
         }
         false
@@ -200,6 +208,7 @@
         match answer {
             "completed" if held_millis <= objective => Cause::InTime,
             "completed" => self.cause_of_lateness(objective),
+            "failed" if self.took_workers_down => Cause::TookWorkersDown,
             "failed" => Cause::Failed,
             "givenup" => Cause::GivenUp,
             _ if answer.starts_with("refused:") && held_millis == 0 => Cause::RefusedAtOnce,
--- a/laurelstile/src/loss/mod.rs
+++ b/laurelstile/src/loss/mod.rs
@@ -57,7 +57,9 @@
             Some("started") => self.on_started(&source, &line),
             Some("lines_dropped") => self.account.dropped += line.number("count").unwrap_or(0),
             Some("refused_unconfigured") => self.on_unconfigured(&source, &line),
-            Some("taken" | "placed" | "came_back") => self.on_step(&source, &line),
+            Some("taken" | "placed" | "came_back" | "task_suspected") => {
+                self.on_step(&source, &line)
+            }
             Some("answered" | "abandoned") => self.on_end(&source, &line),
             Some("traffic") => {
                 let is_taken = self.account.traffic.take(&source, &line);
--- a/laurelstile/tests/explain.rs
+++ b/laurelstile/tests/explain.rs
@@ -29,6 +29,13 @@
     line("5", &fields)
 }
 
+fn given_up() -> String {
+    let fields = format!(
+        r#""event":"task_suspected","task":"{JOB}.0.0.1","is_given_up":true,"workers":"life-3 life-7""#
+    );
+    line("6", &fields)
+}
+
 fn cause(lines: &[String]) -> Cause {
     let text = lines.join("\n");
     explain(JOB, std::iter::once(("log", text.as_str()))).cause
@@ -40,6 +47,7 @@
 #[case::refused(&[taken(), answered("refused:Overloaded", 20)], "Overloaded")]
 #[case::given_up(&[taken(), came_back("Lost"), answered("givenup", 4_000)], "Lost")]
 #[case::failed(&[taken(), answered("failed", 30)], "failed as often")]
+#[case::took_workers_down(&[taken(), given_up(), answered("failed", 30)], "life-3 life-7")]
 #[case::gateway_lost(&[taken(), came_back("Lost")], "said no more")]
 #[case::unknown(&[], "no line")]
 fn the_cause_is_named(#[case] lines: &[String], #[case] word: &str) {
@@ -47,6 +55,17 @@
     assert!(cause.contains(word), "{cause}");
 }
 
+/// What else ran on a dead worker may be to blame.
+#[test]
+fn the_line_of_a_dead_worker_belongs_to_all_jobs_that_it_names() {
+    let fields = format!(
+        r#""event":"worker_life_over","end":"crashed","tasks":"00000000000000bb.0.0.0/1@10ms {JOB}.0.0.1/2@300ms""#
+    );
+    let text = line("5", &fields);
+    let explanation = explain(JOB, std::iter::once(("log", text.as_str())));
+    assert_eq!(explanation.entries.len(), 1);
+}
+
 #[test]
 fn lines_with_a_prefix_are_read_and_sorted() {
     let text = format!(
--- a/laurelstile/tests/loss.rs
+++ b/laurelstile/tests/loss.rs
@@ -33,6 +33,11 @@
     line(1, &fields)
 }
 
+fn given_up() -> String {
+    let fields = format!(r#""event":"task_suspected","task":"{JOB}.0.0.1","is_given_up":true"#);
+    line(1, &fields)
+}
+
 fn answered(answer: &str, age: u64) -> String {
     let fields = format!(
         r#""event":"answered","job":"{JOB}","queue":"checks","answer":"{answer}","age_ms":{age},"objective_ms":100,"size":"large","work_core_ms":6000"#
@@ -74,6 +79,7 @@
 #[case::started_late(&[taken(), placed(30), answered("completed", 120)], Cause::StartedLate)]
 #[case::ran_long(&[taken(), placed(1), answered("completed", 120)], Cause::RanLong)]
 #[case::failed(&[taken(), placed(1), answered("failed", 20)], Cause::Failed)]
+#[case::took_workers_down(&[taken(), placed(1), given_up(), answered("failed", 20)], Cause::TookWorkersDown)]
 #[case::given_up(&[taken(), placed(1), answered("givenup", 4_000)], Cause::GivenUp)]
 #[case::caller_gone(&[taken(), placed(1), abandoned()], Cause::CallerGone)]
 #[case::cancelled(&[taken(), placed(1), answered("cancelled", 20)], Cause::CallerGone)]
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -15,7 +15,8 @@
 
 use crate::telemetry::{
     CAME_BACK, EVACUATED_ZONES, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED, OFFERS,
-    OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, WORKER_CRASHES, WORKER_SILENT,
+    OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, TASKS_SUSPECTED, WORKER_CRASHES,
+    WORKER_SILENT,
 };
 
 /// Most lines of steps in a period.
@@ -48,6 +49,7 @@
             decision,
             GatewayDecision::Answered { .. }
                 | GatewayDecision::Abandoned { .. }
+                | GatewayDecision::Suspected { .. }
                 | GatewayDecision::Evacuated(_)
         );
         if !self.admits(is_outcome) {
@@ -94,6 +96,14 @@
                 let zones: Vec<&str> = evacuations.zones.iter().map(String::as_str).collect();
                 log::info!(event = "zones_evacuated", zones = zones.join(","), revision = evacuations.revision; "");
             }
+            GatewayDecision::Suspected {
+                task,
+                is_given_up,
+                workers,
+            } => {
+                let (crashes, workers) = (workers.len(), workers.join(" "));
+                log::warn!(event = "task_suspected", task:% = task, is_given_up = *is_given_up, crashes = crashes, workers = workers.as_str(); "workers have crashed under it");
+            }
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
             }
@@ -237,6 +247,10 @@
         GatewayDecision::Evacuated(evacuations) => {
             gauge!(EVACUATED_ZONES).set(evacuations.zones.len() as f64);
         }
+        GatewayDecision::Suspected { is_given_up, .. } => {
+            let standing = if *is_given_up { "given_up" } else { "alone" };
+            counter!(TASKS_SUSPECTED, "standing" => standing).increment(1);
+        }
         GatewayDecision::CameBack { how, .. } => {
             counter!(CAME_BACK, "how" => how.name()).increment(1);
         }
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -55,6 +55,9 @@
 pub const RUNS_ENDED: &str = "laurelstile_runs_ended_total";
 /// Runs that this agent stopped for a reason of its own; label `reason`.
 pub const RUNS_STOPPED: &str = "laurelstile_runs_stopped_total";
+/// Tasks under which several workers have crashed; label `standing` (`alone`: to be run
+/// alone; `given_up`).
+pub const TASKS_SUSPECTED: &str = "laurelstile_tasks_suspected_total";
 /// Lives of the worker that ended without its word.
 pub const WORKER_CRASHES: &str = "laurelstile_worker_crashes_total";
 /// Times that the worker did not answer.
