A queue whose tasks keep a quarter of the workers away is kept to a quarter

Change: gateways count suspects of a queue for 4 s and tell each other; once a quarter of a service's workers is away by crashes, a queue with two or more suspects is kept to a quarter of them, the same at all gateways (by a hash of names), and the others keep to the rest. Where that quarter is away too, the queue's jobs are refused at once, with the time when it may be let go. Gateways of the emulator can tell each other now; jobs have queues. Found by the new test: a queue's shortage of room held up queues with other workers.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -198,6 +198,7 @@
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
         let is_first = worker.snapshot.is_none();
         worker.snapshot = Some(snapshot);
+        worker.has_crashed = false;
         worker.note_evacuations(&self.evacuations);
         self.without_worker_since = None;
         if is_first {
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -152,6 +152,8 @@
     NoWorker,
     /// All workers of its service are in evacuated zones.
     Evacuated,
+    /// Tasks of its queue take workers down, and those that it is kept to are away.
+    Contained,
     /// There was no room in time.
     Overloaded,
     /// The process stops.
@@ -246,6 +248,13 @@
         /// The lives that have ended.
         workers: Vec<Arc<str>>,
     },
+    /// A queue is kept to a part of the workers from now on, or no longer.
+    Contained {
+        /// Its name.
+        queue: String,
+        /// Which of the two.
+        is_contained: bool,
+    },
     /// A job's callers have gone.
     Abandoned {
         /// The job.
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -44,9 +44,10 @@
         request.time_left = Span(request.time_left.0.saturating_sub(waited.0));
         self.note_workers(now);
         if let Some(reason) = self.refusal_of(now, &request) {
+            let until = self.is_shut_out(now, &request.queue).unwrap_or_default();
             let answer = Answer::Refused {
                 reason,
-                retry_after: RETRY_SOON,
+                retry_after: Span(until.since(now).0.max(RETRY_SOON.0)),
             };
             self.answer_at_once(call, &request, waited, answer, effects);
             return;
@@ -118,6 +119,9 @@
         if self.is_evacuated(now, &request.queue.service) {
             return Some(Refusal::Evacuated);
         }
+        if self.is_shut_out(now, &request.queue).is_some() {
+            return Some(Refusal::Contained);
+        }
         let patience_ends = self.without_worker_since?.after(WORKER_PATIENCE);
         (now > patience_ends).then_some(Refusal::NoWorker)
     }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! starts, so gateways need no agreement; what one of them leaves behind its
 //! agents stop, and its callers hand in again.
 
+mod containment;
 mod ends;
 mod evacuation;
 pub mod events;
@@ -36,6 +37,7 @@
 use super::task::{JobId, TaskId};
 use super::timing::BUSY_HEARTBEAT;
 use crate::session::{Remote, SessionId};
+use containment::Containment;
 pub use events::{Answer, GatewayDecision, GatewayEffect, GatewayEvent, Refusal};
 use job::{CallNumber, Job};
 use member_log::MemberLog;
@@ -97,6 +99,8 @@
     start_window: StartWindow,
     /// Workers that have crashed, and what ran there.
     crashes: CrashLog,
+    /// Queues whose tasks take workers down.
+    containment: Containment,
     /// When a job first came while there was no worker at all.
     without_worker_since: Option<Timestamp>,
     stopping_since: Option<Timestamp>,
@@ -126,6 +130,7 @@
             way_in: WayIn::default(),
             start_window: StartWindow::default(),
             crashes: CrashLog::default(),
+            containment: Containment::default(),
             without_worker_since: None,
             stopping_since: None,
             stop_reported: false,
@@ -208,6 +213,7 @@
     pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         self.end_lapsed_agents(now, effects);
         self.start_window.expire(now);
+        self.review_containment(now, effects);
         self.use_offers(now, effects);
         self.place_waiting(now, effects);
         self.run_timers(now, effects);
@@ -308,6 +314,7 @@
                 self.on_snapshot(now, agent, snapshot, effects);
             }
             FromAgentBody::Crashes(crashes) => {
+                worker.has_crashed = true;
                 self.on_crashes_at_agent(now, &crashes, effects);
             }
         }
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -124,6 +124,9 @@
         offer: Offer,
     ) -> Option<Candidate> {
         let job = self.jobs.get(&id)?;
+        if !self.is_open_to(&job.queue, agent) {
+            return None;
+        }
         let worker = self.workers.get(&agent)?;
         let best_pace = self.best_pace(now, &job.queue.service)?;
         let wanted = wanted_from(now, job, step, best_pace, worker)?;
@@ -234,6 +237,7 @@
             .workers
             .iter()
             .filter(|(_, worker)| wanted_from(now, job, step, best_pace, worker).is_some())
+            .filter(|(agent, _)| self.is_open_to(&job.queue, **agent))
             .map(|(agent, _)| *agent)
             .collect();
         agents.sort_unstable_by_key(|agent| Reverse(affinity(job.id, *agent)));
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -72,6 +72,7 @@
             ToPeer::Configuration(configuration) => self.adopt(configuration, effects),
             ToPeer::Evacuations(news) => self.on_evacuations_told(now, news, effects),
             ToPeer::Crashes(crashes) => self.on_crashes(now, &crashes, effects),
+            ToPeer::Suspect { queue, task } => self.on_suspect_told(now, &queue, task),
             ToPeer::Members(members) => effects.push(GatewayEffect::Members(members)),
             ToPeer::Introduction(member) => {
                 if let Some(peer) = self.peers.get_mut(&session) {
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -89,6 +89,8 @@
 #[derive(Debug)]
 struct Shortage {
     queue: Arc<QueueSettings>,
+    /// Whether the queue is contained: it has other workers than the rest of its service.
+    is_contained: bool,
     label: Option<String>,
     room: Room,
 }
@@ -96,9 +98,11 @@
 impl Shortage {
     /// Whether a task of `step` cannot find room either: it asks at least as much
     /// of the same workers, or of some of them.
-    fn covers(&self, queue: &QueueSettings, step: &StepRequest) -> bool {
+    fn covers(&self, queue: &QueueSettings, is_contained: bool, step: &StepRequest) -> bool {
+        let has_same_workers =
+            self.queue.service == queue.service && self.is_contained == is_contained;
         let is_narrower = self.label.is_none() || self.label == step.label;
-        self.queue.service == queue.service && is_narrower && self.room.fits(step.room)
+        has_same_workers && is_narrower && self.room.fits(step.room)
     }
 }
 
@@ -163,13 +167,15 @@
                 self.start_window.note_full();
                 return false;
             }
-            let is_short = |shortage: &Shortage| shortage.covers(&job.queue, request);
+            let is_contained = self.is_contained(&job.queue);
+            let is_short = |shortage: &Shortage| shortage.covers(&job.queue, is_contained, request);
             if shortages.iter().any(is_short) {
                 return false;
             }
             let Some(candidate) = self.best_worker(now, id, step) else {
                 shortages.push(Shortage {
                     queue: Arc::clone(&job.queue),
+                    is_contained,
                     label: request.label.clone(),
                     room: request.room,
                 });
@@ -202,7 +208,7 @@
         self.workers
             .iter()
             .filter(|(_, worker)| worker.is_usable(now, service))
-            .filter(|(agent, _)| is_allowed(**agent))
+            .filter(|(agent, _)| is_allowed(**agent) && self.is_open_to(&job.queue, **agent))
             .filter_map(|(agent, worker)| {
                 let wanted = wanted_of(job, request, wanted, best_pace, worker)?;
                 self.candidate(job, request, wanted, *agent, worker)
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -86,6 +86,7 @@
         };
         job.set_apart(task);
         if standing >= Standing::Suspect {
+            self.note_suspect(now, task, effects);
             effects.push(GatewayEffect::Decided(GatewayDecision::Suspected {
                 task,
                 is_given_up: standing == Standing::Culprit,
@@ -209,9 +210,10 @@
         let job = self.jobs.get(&id)?;
         let request = &job.steps[step].request;
         let service = &job.queue.service;
-        let usable = self.workers.iter().filter(|(_, worker)| {
+        let usable = self.workers.iter().filter(|(agent, worker)| {
             let capacity = worker.snapshot.as_ref().map(|known| known.capacity);
             worker.is_usable(now, service)
+                && self.is_open_to(&job.queue, **agent)
                 && capacity.is_some_and(|capacity| request.room.fits(capacity))
                 && worker.fulfils(request)
         });
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -45,6 +45,8 @@
     pub acknowledged: u64,
     /// This gateway's tasks there.
     pub tasks: BTreeMap<TaskId, RunNumber>,
+    /// Whether its life has crashed and no other is under control yet.
+    pub has_crashed: bool,
     /// The task that is to run alone there.
     pub alone: Option<TaskId>,
     /// Room that its agent holds for this gateway, not answered yet.
@@ -75,6 +77,7 @@
             seen: 0,
             acknowledged: 0,
             tasks: BTreeMap::new(),
+            has_crashed: false,
             alone: None,
             offers: Vec::new(),
             is_evacuated: false,
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -37,6 +37,7 @@
             Self::Members(_) => "members_to_peer",
             Self::Evacuations(_) => "evacuations_to_peer",
             Self::Crashes(_) => "crashes_to_peer",
+            Self::Suspect { .. } => "suspect_to_peer",
             Self::InForce(_) => "in_force",
             Self::ConfigurationWanted => "configuration_wanted",
             Self::Configuration(_) => "configuration",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -414,6 +414,13 @@
     Evacuations(Evacuations),
     /// Workers that have crashed under tasks of the sender's callers.
     Crashes(Vec<WorkerCrash>),
+    /// Several workers have crashed under a task of the sender's callers.
+    Suspect {
+        /// Name of its queue.
+        queue: String,
+        /// The task.
+        task: TaskId,
+    },
     /// Version of the configuration that is in force at the sender.
     InForce(u64),
     /// The receiver's configuration is wanted: the sender has an older one.
--- a/laurelstile-core/tests/leased_crashes.rs
+++ b/laurelstile-core/tests/leased_crashes.rs
@@ -5,7 +5,7 @@
 use laurelstile_core::leased::agent::worker::{OrderFailure, WorkerLists};
 use laurelstile_core::leased::agent::{AgentEvent, Order, OrderKind};
 use laurelstile_core::leased::crashes::{CrashedTask, WorkerCrash};
-use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
+use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
 use laurelstile_core::leased::messages::{EndKind, FromAgentBody, StartBatch, ToAgentBody, ToPeer};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::time::Timestamp;
@@ -379,3 +379,92 @@
     rig.answer_watch(at(160), leased_support::lists(&[], &done));
     assert_eq!(rig.take_starts(), [run(3, 0)]);
 }
+
+/// A gateway with two queues of one service and eight workers, of which two have crashed
+/// under a suspect each of queue `checks`.
+fn harmed() -> GatewayRig {
+    let mut rig = gateway(8);
+    let mut other = leased_support::queue();
+    other.name = "others".into();
+    let mut known = leased_support::configuration(2);
+    known.queues.push(std::sync::Arc::new(other));
+    rig.event(at(1), GatewayEvent::Configuration(known));
+    for id in [1, 2] {
+        rig.submit(at(10), id, job(id, 1, 100));
+    }
+    for millis in [50, 90] {
+        let batches: Vec<_> = std::mem::take(&mut rig.starts).into();
+        for batch in batches {
+            let life = format!("life-{}-{millis}", batch.0.0);
+            let tasks = vec![CrashedTask {
+                task: task(batch.1.job.0, 0),
+                is_early: LATE,
+            }];
+            let crash = WorkerCrash {
+                life,
+                runs: 9,
+                tasks,
+            };
+            tell(&mut rig, at(millis), batch.0, &crash);
+            rig.end(at(millis), &batch, EndKind::Lost, cpu(0));
+        }
+    }
+    rig.starts.clear();
+    rig
+}
+
+/// The workers that jobs of a queue are placed on, one job after the other.
+fn workers_used(
+    rig: &mut GatewayRig,
+    now: Timestamp,
+    queue: &str,
+    ids: std::ops::Range<u64>,
+) -> Vec<u64> {
+    let mut workers = Vec::new();
+    for id in ids {
+        let mut request = job(id, 1, 100);
+        let mut settings = leased_support::queue();
+        settings.name = queue.into();
+        request.queue = std::sync::Arc::new(settings);
+        rig.submit(now, id, request);
+        if let Some((session, _)) = rig.starts.pop_back() {
+            workers.push(session.0);
+        }
+    }
+    workers.sort_unstable();
+    workers.dedup();
+    workers
+}
+
+#[test]
+fn a_queue_whose_tasks_keep_a_quarter_of_the_workers_away_is_kept_to_a_quarter() {
+    let mut rig = harmed();
+    let contained = workers_used(&mut rig, at(95), "checks", 100..140);
+    let others = workers_used(&mut rig, at(95), "others", 200..240);
+    assert!(contained.len() <= 2, "{contained:?}");
+    assert!(others.iter().all(|worker| !contained.contains(worker)));
+    assert!(others.len() >= 2, "{others:?}");
+}
+
+#[test]
+fn a_contained_queue_whose_workers_are_away_is_refused_at_once_and_let_go_later() {
+    let mut rig = harmed();
+    for session in 1..=8 {
+        let session = SessionId(session);
+        rig.event(at(94), GatewayEvent::AgentClosed { session });
+    }
+    let used = workers_used(&mut rig, at(95), "checks", 100..101);
+    assert!(used.is_empty());
+    let Some(Answer::Refused {
+        reason: Refusal::Contained,
+        retry_after,
+    }) = rig.last_answer()
+    else {
+        panic!("not refused: {:?}", rig.answers);
+    };
+    assert!(retry_after.0 >= 1_000_000);
+    let later = at(4_200);
+    rig.join(later, 9, "agent-9", cpu(8_000));
+    let used = workers_used(&mut rig, later, "checks", 101..102);
+    assert_eq!(used, [9], "let go once no more suspects come");
+}
--- a/laurelstile-sim/src/crashes_command.rs
+++ b/laurelstile-sim/src/crashes_command.rs
@@ -1,5 +1,6 @@
 //! The command that plays tasks which take their workers down.
 
+use std::ops::Range;
 use std::process::ExitCode;
 
 use laurelstile_sim::leased::{CrashPlan, Culprits, run_crashing};
@@ -11,6 +12,8 @@
 /// The seconds in which a share of the jobs, or workers that die, come.
 const FROM: u64 = 3;
 const UNTIL: u64 = 9;
+/// The seconds whose service is summed up.
+const FAULTY: Range<usize> = 3..13;
 /// Workers that die at once by themselves.
 const DEATHS: usize = 2;
 /// Times a second.
@@ -36,7 +39,8 @@
         deaths: deaths.collect(),
         ..CrashPlan::of(culprits)
     };
-    let (mut bad, mut culprits_seen, mut crashes, mut innocents, mut served) = (0, 0, 0, 0, 0);
+    let (mut bad, mut culprits_seen, mut crashes, mut innocents) = (0, 0, 0, 0);
+    let (mut served, mut elsewhere) = (0, 0);
     for seed in from..to {
         let outcome = run_crashing(seed, &plan);
         let worst = outcome.crashes.values().max().copied().unwrap_or(0);
@@ -54,14 +58,16 @@
         culprits_seen += outcome.culprits;
         crashes += taken;
         innocents += outcome.innocents_failed;
-        let faulty = &outcome.served[3..13];
-        served += faulty.iter().sum::<u64>();
+        served += outcome.served[FAULTY].iter().sum::<u64>();
+        elsewhere += outcome.served_elsewhere[FAULTY].iter().sum::<u64>();
     }
     let seeds = to.saturating_sub(from).max(1);
     println!(
         "{seeds} seeds, {bad} with violations; {culprits_seen} culprits took {crashes} workers \
-         down; {innocents} sound jobs failed; served in time from 3 to 13 s: {} percent",
-        served / (seeds * 10)
+         down; {innocents} sound jobs failed; served in time from 3 to 13 s: {} percent, \
+         of queues without culprits {} percent",
+        served / (seeds * FAULTY.len() as u64),
+        elsewhere / (seeds * FAULTY.len() as u64)
     );
     if bad == 0 {
         ExitCode::SUCCESS
--- a/laurelstile-sim/src/leased/crashing.rs
+++ b/laurelstile-sim/src/leased/crashing.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use laurelstile_history::leased::{Bounds, Seen, TaskName, Told, Violation, judge};
+use laurelstile_history::leased::{Bounds, Record, Seen, TaskName, Told, Violation, judge};
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -26,6 +26,9 @@
 /// all workers have room for 110.
 const KINDS: [(u64, u32, u64); 3] = [(34, 8, 60_000), (6, 4, 900_000), (100, 2, 200_000)];
 
+/// The kind, and queue, with the culprits.
+const MOST_FREQUENT: usize = KINDS.len() - 1;
+
 /// Which jobs have a task that takes workers down.
 #[derive(Clone, Debug)]
 pub enum Culprits {
@@ -76,6 +79,8 @@
     /// Share of the sound jobs that were answered in time, in percent, by the second in
     /// which they came; 100 where none came.
     pub served: Vec<u64>,
+    /// The same for the jobs of queues without culprits.
+    pub served_elsewhere: Vec<u64>,
     /// Sound jobs that were shown as failed.
     pub innocents_failed: u64,
     /// Jobs with a task that takes workers down.
@@ -98,22 +103,18 @@
         jobs.clone(),
         faults,
     );
+    world.join_peers();
     world.run((LENGTH + 6) * SECOND);
     let records = world.records;
     let mut outcome = CrashOutcome {
         violations: judge(&records, Bounds::default()),
         crashes: BTreeMap::new(),
         most_down: 0,
-        served: Vec::new(),
+        served: served(&jobs, &records, |_| true),
+        served_elsewhere: served(&jobs, &records, |job| job.queue != MOST_FREQUENT),
         innocents_failed: 0,
         culprits: jobs.iter().filter(|job| job.crashing.is_some()).count() as u64,
     };
-    let seconds = usize::try_from(LENGTH).unwrap_or(0) + 1;
-    let (mut came, mut in_time) = (vec![0; seconds], vec![0; seconds]);
-    let second = |job: &SimJob| usize::try_from(job.at / SECOND).unwrap_or(0);
-    for job in jobs.iter().filter(|job| job.crashing.is_none()) {
-        came[second(job)] += 1;
-    }
     let mut down = 0;
     for record in &records {
         match &record.seen {
@@ -125,24 +126,52 @@
                 outcome.most_down = outcome.most_down.max(down);
             }
             Seen::Began { .. } if record.at > SECOND => down = down.saturating_sub(1),
-            Seen::Answered { job, told, .. } => {
-                let job = &jobs[usize::try_from(*job).unwrap_or(0)];
-                if job.crashing.is_some() {
-                    continue;
-                }
-                let objective = job.duration * OBJECTIVE_PERCENT / 100 + OBJECTIVE_SLACK;
-                let is_in_time = *told == Told::Completed && record.at <= job.at + objective;
-                in_time[second(job)] += u64::from(is_in_time);
-                outcome.innocents_failed += u64::from(*told == Told::Failed);
+            Seen::Answered {
+                job,
+                told: Told::Failed,
+                ..
+            } => {
+                let is_sound = jobs[index_of(*job)].crashing.is_none();
+                outcome.innocents_failed += u64::from(is_sound);
             }
             _ => {}
         }
     }
-    let percent = |(came, served): (&u64, &u64)| (served * 100).checked_div(*came).unwrap_or(100);
-    outcome.served = came.iter().zip(&in_time).map(percent).collect();
     outcome
 }
 
+fn index_of(job: u64) -> usize {
+    usize::try_from(job).unwrap_or(usize::MAX)
+}
+
+/// Share of the sound jobs that `is_counted` names which were answered in time, in percent,
+/// by the second in which they came.
+fn served(jobs: &[SimJob], records: &[Record], is_counted: impl Fn(&SimJob) -> bool) -> Vec<u64> {
+    let seconds = usize::try_from(LENGTH).unwrap_or(0) + 1;
+    let (mut came, mut in_time) = (vec![0; seconds], vec![0; seconds]);
+    let second = |job: &SimJob| usize::try_from(job.at / SECOND).unwrap_or(0);
+    let is_counted = |job: &SimJob| job.crashing.is_none() && is_counted(job);
+    for job in jobs.iter().filter(|job| is_counted(job)) {
+        came[second(job)] += 1;
+    }
+    for record in records {
+        let Seen::Answered {
+            job,
+            told: Told::Completed,
+            ..
+        } = &record.seen
+        else {
+            continue;
+        };
+        let job = &jobs[index_of(*job)];
+        let objective = job.duration * OBJECTIVE_PERCENT / 100 + OBJECTIVE_SLACK;
+        let is_in_time = record.at <= job.at + objective;
+        in_time[second(job)] += u64::from(is_counted(job) && is_in_time);
+    }
+    let percent = |(came, served): (&u64, &u64)| (served * 100).checked_div(*came).unwrap_or(100);
+    came.iter().zip(&in_time).map(percent).collect()
+}
+
 fn draw_deaths(deaths: &[(u64, usize)], random: &mut Pcg64) -> Vec<ScheduledFault> {
     let mut faults = Vec::new();
     for (at, count) in deaths {
@@ -158,7 +187,6 @@
 }
 
 fn draw_jobs(culprits: &Culprits, random: &mut Pcg64) -> Vec<SimJob> {
-    let most_frequent = KINDS.len() - 1;
     let mut jobs = Vec::new();
     for (kind, (rate, tasks, duration)) in KINDS.into_iter().enumerate() {
         let mut at = SECOND;
@@ -171,7 +199,7 @@
                     from,
                     until,
                 } => {
-                    kind == most_frequent
+                    kind == MOST_FREQUENT
                         && (*from..*until).contains(&(at / SECOND))
                         && random.random_ratio(*permille, 1_000)
                 }
@@ -180,16 +208,18 @@
                 at,
                 tasks,
                 duration,
+                queue: kind,
                 crashing: is_culprit.then_some(0),
             });
         }
     }
     if let Culprits::At(times) = culprits {
-        let (_, tasks, duration) = KINDS[most_frequent];
+        let (_, tasks, duration) = KINDS[MOST_FREQUENT];
         jobs.extend(times.iter().map(|at| SimJob {
             at: *at,
             tasks,
             duration,
+            queue: MOST_FREQUENT,
             crashing: Some(0),
         }));
     }
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -17,6 +17,8 @@
 pub const WORKER_ZONES: usize = 2;
 /// Service of every worker.
 pub const SERVICE: &str = "service";
+/// Queues.
+pub const QUEUES: usize = 3;
 /// Failures that end a task.
 pub const MAX_ATTEMPTS: u32 = 3;
 
@@ -113,16 +115,16 @@
 pub fn configuration(version: u64) -> QueueConfiguration {
     QueueConfiguration {
         version,
-        queues: vec![Arc::new(queue())],
+        queues: (0..QUEUES).map(|index| Arc::new(queue(index))).collect(),
     }
 }
 
-/// The only queue.
-pub fn queue() -> QueueSettings {
+/// A queue; all have the same service.
+pub fn queue(index: usize) -> QueueSettings {
     QueueSettings {
-        name: "queue".into(),
+        name: format!("queue-{index}"),
         host: "example.test".into(),
-        path_prefix: "/queue/".into(),
+        path_prefix: format!("/queue-{index}/"),
         service: SERVICE.into(),
         priority: 0,
         max_attempts: MAX_ATTEMPTS,
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -96,6 +96,7 @@
             at,
             tasks,
             duration,
+            queue: 0,
             crashing: None,
         });
     }
--- a/laurelstile-sim/src/leased/surge.rs
+++ b/laurelstile-sim/src/leased/surge.rs
@@ -60,6 +60,7 @@
             at,
             tasks: random.random_range(2..9),
             duration: random.random_range(60_000..200_000),
+            queue: 0,
             crashing: None,
         });
     }
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -39,7 +39,7 @@
         self.schedule(first + DEADLINE, Happening::Leave(index));
         let request = JobRequest {
             id,
-            queue: Arc::new(nodes::queue()),
+            queue: Arc::new(nodes::queue(job.queue)),
             input: self.input.clone(),
             steps: vec![StepRequest {
                 count: job.tasks,
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -25,6 +25,7 @@
         self.gateways[index].is_up = false;
         self.gateways[index].refuses = refuses;
         let sessions = std::mem::take(&mut self.gateways[index].sessions);
+        self.close_peers(index);
         let notice = if refuses { 1_000 } else { USER_TIMEOUT };
         for (session, agent) in sessions {
             let to = self.agents[agent].incarnation;
@@ -51,6 +52,7 @@
         }
         let incarnation = self.fresh();
         self.gateways[index] = Process::begin(nodes::gateway(index), incarnation, self.now);
+        self.open_peers(index, 0);
         let version = self.version;
         let read_at = self.now + 20_000;
         self.schedule(read_at, Happening::ReadEvacuations(index));
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod faulting;
 mod links;
+mod peering;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -13,7 +14,7 @@
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent, LeasedGateway};
 use laurelstile_core::leased::input::JobInput;
-use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody};
+use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody, ToPeer};
 use laurelstile_core::leased::room::Room;
 use laurelstile_core::leased::task::TaskId;
 use laurelstile_core::session::SessionId;
@@ -49,6 +50,8 @@
     pub tasks: u32,
     /// How long each takes, in microseconds.
     pub duration: u64,
+    /// Its queue.
+    pub queue: usize,
     /// Index of the task that takes each worker down that starts it, if one does.
     pub crashing: Option<u32>,
 }
@@ -67,6 +70,8 @@
     ToAgent(usize, Incarnation, SessionId, ToAgent),
     /// A message reaches a gateway.
     ToGateway(usize, Incarnation, SessionId, FromAgent),
+    /// A message reaches a gateway from a peer.
+    ToPeer(usize, SessionId, Box<ToPeer>),
     /// An agent notices the end of a session.
     AgentSessionEnds(usize, Incarnation, SessionId),
     /// A gateway notices the end of a session.
@@ -161,6 +166,9 @@
     last_delivery: BTreeMap<(SessionId, bool), u64>,
     version: u64,
     evacuations: Evacuations,
+    /// Whether gateways have sessions to each other, and between which two each is.
+    has_peers: bool,
+    peers: BTreeMap<SessionId, [usize; 2]>,
     /// The links of the gateways, if they are thin.
     thin_links: Option<ThinLinks>,
     /// Input of every job.
@@ -187,6 +195,8 @@
             recorded: vec![None; workers.len()],
             ended_lives: vec![None; workers.len()],
             evacuations: Evacuations::default(),
+            has_peers: false,
+            peers: BTreeMap::new(),
             thin_links: None,
             input: "input".into(),
             workers,
@@ -323,6 +333,7 @@
                     self.gateway_event(index, GatewayEvent::AgentMessage { session, message });
                 }
             }
+            Happening::ToPeer(to, session, message) => self.peer_message(to, session, *message),
             Happening::AgentSessionEnds(index, incarnation, session) => {
                 if self.agents[index].incarnation == incarnation && self.agents[index].is_up {
                     self.agents[index].sessions.remove(&session);
@@ -414,6 +425,7 @@
             Happening::WakeGateway(index)
             | Happening::Request(index, ..)
             | Happening::ToGateway(index, ..)
+            | Happening::ToPeer(index, ..)
             | Happening::GatewaySessionEnds(index, ..)
             | Happening::ReadConfiguration(index, _)
             | Happening::ReadEvacuations(index) => self.gateways[*index].frozen_until,
@@ -489,6 +501,9 @@
                 let happening = Happening::ToAgent(agent, to, session, message);
                 self.transmit(agent, index, session, false, happening);
             }
+            GatewayEffect::ToPeer { session, message } => {
+                self.tell_peer(index, session, message);
+            }
             GatewayEffect::Close(session) => {
                 self.gateways[index].sessions.remove(&session);
             }
--- /dev/null
+++ b/laurelstile-sim/src/leased/world/peering.rs
@@ -0,0 +1,66 @@
+//! Sessions between gateways, where a run has them.
+
+use laurelstile_core::leased::gateway::GatewayEvent;
+use laurelstile_core::leased::messages::ToPeer;
+use laurelstile_core::session::SessionId;
+use rand::Rng;
+
+use super::{Happening, World};
+
+impl World {
+    /// Gateways tell each other from now on.
+    pub fn join_peers(&mut self) {
+        self.has_peers = true;
+        for index in 0..self.gateways.len() {
+            self.open_peers(index, index + 1);
+        }
+    }
+
+    /// A gateway that has started opens sessions to those from `first` on that are up.
+    pub(super) fn open_peers(&mut self, index: usize, first: usize) {
+        if !self.has_peers {
+            return;
+        }
+        for other in first..self.gateways.len() {
+            if other == index || !self.gateways[other].is_up {
+                continue;
+            }
+            let session = SessionId(self.fresh());
+            self.peers.insert(session, [index, other]);
+            for gateway in [index, other] {
+                self.gateway_event(gateway, GatewayEvent::PeerOpened { session });
+            }
+        }
+    }
+
+    /// The others notice that a gateway is gone.
+    pub(super) fn close_peers(&mut self, index: usize) {
+        let ended = self.peers.iter().filter(|(_, ends)| ends.contains(&index));
+        let ended: Vec<(SessionId, [usize; 2])> =
+            ended.map(|(session, ends)| (*session, *ends)).collect();
+        for (session, ends) in ended {
+            self.peers.remove(&session);
+            for gateway in ends {
+                self.gateway_event(gateway, GatewayEvent::PeerClosed { session });
+            }
+        }
+    }
+
+    /// Sends a message from a gateway to a peer.
+    pub(super) fn tell_peer(&mut self, from: usize, session: SessionId, message: ToPeer) {
+        let Some(ends) = self.peers.get(&session) else {
+            return;
+        };
+        let to = if ends[0] == from { ends[1] } else { ends[0] };
+        let latency = self.random.random_range(200..1_500);
+        let happening = Happening::ToPeer(to, session, Box::new(message));
+        self.schedule(self.now + latency, happening);
+    }
+
+    /// A message reaches a gateway from a peer.
+    pub(super) fn peer_message(&mut self, to: usize, session: SessionId, message: ToPeer) {
+        if self.peers.contains_key(&session) {
+            self.gateway_event(to, GatewayEvent::PeerMessage { session, message });
+        }
+    }
+}
--- a/laurelstile-sim/tests/leased_crashing_tasks.rs
+++ b/laurelstile-sim/tests/leased_crashing_tasks.rs
@@ -59,6 +59,24 @@
     assert_bounded(&outcome);
 }
 
+/// Share of the jobs of the other queues that are served in time, from a second after the
+/// first culprit on, while 5% of one queue's jobs take their workers down, in percent.
+const SERVED_ELSEWHERE: u64 = 70;
+
+#[rstest]
+fn a_queue_of_many_culprits_does_not_take_the_others_with_it(#[values(1, 2, 3, 4)] seed: u64) {
+    let plan = CrashPlan::of(Culprits::Share {
+        permille: 50,
+        from: 3,
+        until: 9,
+    });
+    let outcome = run_crashing(seed, &plan);
+    assert_bounded(&outcome);
+    let served = &outcome.served_elsewhere[4..16];
+    let is_served = |share: &u64| *share > SERVED_ELSEWHERE;
+    assert!(served.iter().all(is_served), "{served:?}");
+}
+
 /// Without the agents' word of what ran where, the fault is back.
 #[test]
 fn the_budget_breaks_without_news_of_crashes() {
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -14,9 +14,9 @@
 use metrics::{counter, gauge, histogram};
 
 use crate::telemetry::{
-    CAME_BACK, EVACUATED_ZONES, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED, OFFERS,
-    OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, TASKS_SUSPECTED, WORKER_CRASHES,
-    WORKER_SILENT,
+    CAME_BACK, CONTAINED_QUEUES, EVACUATED_ZONES, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED,
+    OFFERS, OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, TASKS_SUSPECTED,
+    WORKER_CRASHES, WORKER_SILENT,
 };
 
 /// Most lines of steps in a period.
@@ -50,6 +50,7 @@
             GatewayDecision::Answered { .. }
                 | GatewayDecision::Abandoned { .. }
                 | GatewayDecision::Suspected { .. }
+                | GatewayDecision::Contained { .. }
                 | GatewayDecision::Evacuated(_)
         );
         if !self.admits(is_outcome) {
@@ -104,6 +105,12 @@
                 let (crashes, workers) = (workers.len(), workers.join(" "));
                 log::warn!(event = "task_suspected", task:% = task, is_given_up = *is_given_up, crashes = crashes, workers = workers.as_str(); "workers have crashed under it");
             }
+            GatewayDecision::Contained {
+                queue,
+                is_contained,
+            } => {
+                log::warn!(event = "queue_contained", queue = queue.as_str(), is_contained = *is_contained; "tasks of it take workers down");
+            }
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
             }
@@ -247,6 +254,10 @@
         GatewayDecision::Evacuated(evacuations) => {
             gauge!(EVACUATED_ZONES).set(evacuations.zones.len() as f64);
         }
+        GatewayDecision::Contained { is_contained, .. } => {
+            let change = if *is_contained { 1.0 } else { -1.0 };
+            gauge!(CONTAINED_QUEUES).increment(change);
+        }
         GatewayDecision::Suspected { is_given_up, .. } => {
             let standing = if *is_given_up { "given_up" } else { "alone" };
             counter!(TASKS_SUSPECTED, "standing" => standing).increment(1);
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -58,6 +58,8 @@
 /// Tasks under which several workers have crashed; label `standing` (`alone`: to be run
 /// alone; `given_up`).
 pub const TASKS_SUSPECTED: &str = "laurelstile_tasks_suspected_total";
+/// Queues that are kept to a part of the workers, at this gateway.
+pub const CONTAINED_QUEUES: &str = "laurelstile_contained_queues";
 /// Lives of the worker that ended without its word.
 pub const WORKER_CRASHES: &str = "laurelstile_worker_crashes_total";
 /// Times that the worker did not answer.
