--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -7,8 +7,11 @@
 
 use super::super::input::JobInput;
 use super::super::messages::{EndKind, FromAgent, Member, ToAgent};
+use super::super::room::Room;
 use super::super::task::RunId;
-use super::worker::{FenceToken, OrderFailure, Registration, Rejection, WorkerClock, WorkerLists};
+use super::worker::{
+    FenceToken, OrderFailure, Registration, Rejection, ShrunkRoom, WorkerClock, WorkerLists,
+};
 use crate::session::SessionId;
 
 /// What happens to an agent.
@@ -154,6 +157,8 @@
     Members(Vec<Member>),
     /// A later agent must know of this life of the worker.
     Remember(Registration),
+    /// A later agent must know that this life of the worker has had less room.
+    RememberShrunk(ShrunkRoom),
     /// A later agent must know that this life of the worker drains.
     RememberDraining(Arc<str>),
     /// Something was decided that operators may want to know.
@@ -228,6 +233,15 @@
         /// Runs that ended with it.
         runs: Vec<LostRun>,
     },
+    /// The worker has another room than before.
+    CapacityChanged {
+        /// The life.
+        life: Arc<str>,
+        /// The room before.
+        before: Room,
+        /// The room now.
+        now: Room,
+    },
     /// The worker drains.
     Draining {
         /// The life.
--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use laurelstile_types::time::Timestamp;
+use laurelstile_types::time::{Span, Timestamp};
 
 use super::super::crashes::CrashedTask;
 use super::super::messages::EndKind;
@@ -12,7 +12,7 @@
 use super::super::timing::LEASE;
 use super::crash_memory::is_early;
 use super::health::Health;
-use super::worker::{ClockEstimate, FenceToken, Registration, WorkerClock};
+use super::worker::{ClockEstimate, FenceToken, Registration, ShrunkRoom, WorkerClock};
 use super::{AgentDecision, AgentEffect, LeasedAgent, Life, LifeEnd, LostRun};
 
 /// A life that has registered while another was present.
@@ -40,12 +40,18 @@
         {
             life.clock.update(now, registration.clock);
             life.take_token(now);
+            let is_late = registration.sequence < life.sequence;
+            if !is_late {
+                let times = self.options.heartbeats;
+                self.room_knowledge.on_heartbeat(now, times);
+            }
             if registration.draining && !life.draining {
                 life.draining = true;
                 let name = Arc::clone(&life.name);
                 effects.push(AgentEffect::RememberDraining(Arc::clone(&name)));
                 effects.push(AgentEffect::Decided(AgentDecision::Draining { life: name }));
             }
+            self.take_capacity(&registration, effects);
             return;
         }
         if self.life.is_some() {
@@ -55,6 +61,37 @@
         }
     }
 
+    /// The worker says how much room it has. What runs there goes on, but nothing starts
+    /// beyond it; gateways are told what the worker is now.
+    fn take_capacity(&mut self, registration: &Registration, effects: &mut Vec<AgentEffect>) {
+        let Some(life) = &mut self.life else {
+            return;
+        };
+        let is_late = registration.sequence < life.sequence;
+        life.sequence = life.sequence.max(registration.sequence);
+        let capacity = registration.capacity;
+        if is_late || capacity == life.capacity {
+            return;
+        }
+        effects.push(AgentEffect::Decided(AgentDecision::CapacityChanged {
+            life: Arc::clone(&life.name),
+            before: life.capacity,
+            now: capacity,
+        }));
+        life.capacity = capacity;
+        let least = capacity.least(life.least_capacity);
+        if least != life.least_capacity {
+            life.least_capacity = least;
+            effects.push(AgentEffect::RememberShrunk(ShrunkRoom {
+                life: registration.life.clone(),
+                capacity: least,
+            }));
+        }
+        for owner in self.owners.values_mut() {
+            owner.has_snapshot = false;
+        }
+    }
+
     /// Another life than the present one has registered. Either the present one is over,
     /// or a cut has held back a heartbeat of a life that ended before it. Its name does
     /// not tell, but the worker does: it answers no order for a life that is over. So the
@@ -116,6 +153,8 @@
             effects.push(AgentEffect::RememberDraining(life));
         }
         self.begin_life(now, registration);
+        let times = self.options.heartbeats;
+        self.room_knowledge.on_heartbeat(now, times);
         if let Some(life) = &mut self.life {
             life.take_token(now);
         }
@@ -130,6 +169,13 @@
         }
     }
 
+    /// A gateway tells how long ago it heard an earlier agent here. What that one knew of
+    /// the worker is what was recalled.
+    pub(super) fn on_predecessor(&mut self, now: Timestamp, silence: Span) {
+        let times = self.options.heartbeats;
+        self.room_knowledge.on_predecessor(now, silence, times);
+    }
+
     pub(super) fn begin_life(&mut self, now: Timestamp, registration: Registration) {
         let mut clock = ClockEstimate::default();
         clock.update(now, registration.clock);
@@ -137,6 +183,8 @@
             name: registration.life.into(),
             service: registration.service,
             capacity: registration.capacity,
+            least_capacity: registration.capacity,
+            sequence: registration.sequence,
             labels: registration.labels,
             token: FenceToken::default(),
             lacks_token: true,
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -10,6 +10,7 @@
 mod offers;
 mod outgoing;
 mod owner;
+mod room_knowledge;
 mod silence;
 mod starting;
 mod watching;
@@ -36,6 +37,8 @@
 use ledger::{Ledger, RunState, StopReason};
 use lives::Challenger;
 use owner::Owner;
+pub use room_knowledge::HeartbeatTimes;
+use room_knowledge::RoomKnowledge;
 use worker::{ClockEstimate, FenceToken};
 
 /// The worker's present life.
@@ -44,6 +47,10 @@
     name: Arc<str>,
     service: String,
     capacity: Room,
+    /// The least that it has been.
+    least_capacity: Room,
+    /// Number of the latest heartbeat.
+    sequence: u64,
     labels: Vec<String>,
     token: FenceToken,
     /// The worker's clock at the first contact, and so the token, is not known.
@@ -81,6 +88,8 @@
     pub zone: String,
     /// How long a planned stop may wait for runs.
     pub stop_patience: Span,
+    /// How the worker's word about itself ages.
+    pub heartbeats: HeartbeatTimes,
 }
 
 /// The agent's machine.
@@ -93,6 +102,8 @@
     ledger: Ledger,
     health: Health,
     crash_memory: CrashMemory,
+    /// Until when the room of the present life may be relied on.
+    room_knowledge: RoomKnowledge,
     evacuations: Evacuations,
     owners: BTreeMap<Incarnation, Owner>,
     sessions: BTreeMap<SessionId, Incarnation>,
@@ -113,6 +124,7 @@
             ledger: Ledger::default(),
             health: Health::default(),
             crash_memory: CrashMemory::default(),
+            room_knowledge: RoomKnowledge::default(),
             evacuations: Evacuations::default(),
             owners: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -179,12 +191,13 @@
     }
 
     /// Whether the worker may be given tasks, apart from its room.
-    pub fn is_available(&self) -> bool {
+    pub fn is_available(&self, now: Timestamp) -> bool {
         let Some(life) = &self.life else {
             return false;
         };
         self.stopping_since.is_none()
             && !self.is_evacuated()
+            && self.room_knowledge.is_good(now)
             && !life.draining
             && life.has_synced
             && life.foreign.is_empty()
@@ -297,6 +310,7 @@
                 self.on_announced(now, gateway, &announcements);
             }
             ToAgentBody::Evacuations(news) => self.on_evacuations(news, effects),
+            ToAgentBody::Predecessor { silence } => self.on_predecessor(now, silence),
             ToAgentBody::Decline(offers) => {
                 for number in offers {
                     owner.end_offer(number);
--- a/laurelstile-core/src/leased/agent/offers.rs
+++ b/laurelstile-core/src/leased/agent/offers.rs
@@ -46,7 +46,7 @@
                 effects.push(AgentEffect::Decided(AgentDecision::OfferExpired));
             }
         }
-        if !self.is_available() || self.limit_left(now) != UNLIMITED {
+        if !self.is_available(now) || self.limit_left(now) != UNLIMITED {
             return;
         }
         while let Some((gateway, step, announced)) = self.first_in_rank(now) {
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -147,7 +147,7 @@
     }
 
     fn report(&self, now: Timestamp, owner: &Owner) -> Report {
-        let is_available = self.is_available() && !owner.is_released;
+        let is_available = self.is_available(now) && !owner.is_released;
         Report {
             processed: owner.processed,
             free: if is_available {
@@ -206,6 +206,8 @@
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let mut wakeups = Vec::new();
         wakeups.extend(self.health.next_change(now));
+        let room_ends = self.room_knowledge.good_until();
+        wakeups.extend((now < room_ends).then_some(room_ends));
         wakeups.extend(self.lapse_at());
         wakeups.extend(self.repeat_at(now));
         wakeups.extend(self.look_for_silence_at(now));
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -97,7 +97,7 @@
         if now.since(echo) > START_FRESHNESS {
             return Some(NotStartedReason::StaleSender);
         }
-        if !self.is_available() || self.limit_left(now) == 0 {
+        if !self.is_available(now) || self.limit_left(now) == 0 {
             return Some(NotStartedReason::Unavailable);
         }
         if run.is_alone && run.room.fits(self.capacity()) {
@@ -128,7 +128,7 @@
 
     /// Starts what waits and fits, the least patient first.
     pub(super) fn start_waiting(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
-        if self.ledger.waiting() == 0 || !self.is_available() {
+        if self.ledger.waiting() == 0 || !self.is_available(now) {
             return;
         }
         let mut waiting: Vec<(Timestamp, TaskId)> = self
@@ -173,7 +173,7 @@
         if self.ledger.waiting() == 0 {
             return;
         }
-        let is_available = self.is_available();
+        let is_available = self.is_available(now);
         let reason = if is_available {
             NotStartedReason::Full
         } else {
--- a/laurelstile-core/src/leased/agent/worker.rs
+++ b/laurelstile-core/src/leased/agent/worker.rs
@@ -40,6 +40,20 @@
     pub clock: WorkerClock,
     /// Whether it is to be given no more work.
     pub draining: bool,
+    /// Rises with each of its life's heartbeats, so that a late one is known; 0 if the
+    /// worker does not count them.
+    #[serde(default)]
+    pub sequence: u64,
+}
+
+/// The least room that a life has had, for a later agent: what that life said first may
+/// have shrunk since.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShrunkRoom {
+    /// The life.
+    pub life: String,
+    /// The room.
+    pub capacity: Room,
 }
 
 /// How a worker says that a run has ended.
--- /dev/null
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -0,0 +1,75 @@
+//! Cancelled jobs: a caller may cancel at any gateway, not only at the one that has the job.
+
+use std::collections::VecDeque;
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::job::CallNumber;
+use super::{Answer, GatewayEffect, LeasedGateway};
+use crate::leased::messages::ToPeer;
+use crate::leased::task::JobId;
+use crate::session::SessionId;
+
+/// How long a cancel is remembered: a call that hands the job in may be on its way still,
+/// or sent again after a broken connection.
+const MEMORY: Span = Span::from_secs(10);
+/// Most cancels that are remembered, 16 bytes each.
+const MOST_REMEMBERED: usize = 4_096;
+
+/// Jobs that were cancelled of late.
+#[derive(Debug, Default)]
+pub struct Cancels {
+    jobs: VecDeque<(Timestamp, JobId)>,
+}
+
+impl Cancels {
+    fn note(&mut self, now: Timestamp, job: JobId) {
+        let is_old = |(at, _): &(Timestamp, JobId)| now.since(*at) > MEMORY;
+        while self.jobs.front().is_some_and(is_old) || self.jobs.len() >= MOST_REMEMBERED {
+            self.jobs.pop_front();
+        }
+        self.jobs.push_back((now, job));
+    }
+
+    /// Whether a job was cancelled of late.
+    pub fn contains(&self, now: Timestamp, job: JobId) -> bool {
+        let mut jobs = self.jobs.iter();
+        jobs.any(|(at, known)| *known == job && now.since(*at) <= MEMORY)
+    }
+}
+
+impl LeasedGateway {
+    /// A caller cancels a job. If another gateway has it, that one ends it: the answer that
+    /// it is unknown here counts as the acknowledgement all the same.
+    pub(super) fn on_cancel(
+        &mut self,
+        now: Timestamp,
+        call: CallNumber,
+        job: JobId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let answer = if self.jobs.contains_key(&job) {
+            Answer::Cancelled
+        } else {
+            Answer::Unknown
+        };
+        self.on_cancel_told(now, job, effects);
+        let peers: Vec<SessionId> = self.peers.keys().copied().collect();
+        for session in peers {
+            let message = ToPeer::Cancelled(job);
+            effects.push(GatewayEffect::ToPeer { session, message });
+        }
+        effects.push(GatewayEffect::Answer { call, answer });
+    }
+
+    /// A job was cancelled, here or at a peer.
+    pub(super) fn on_cancel_told(
+        &mut self,
+        now: Timestamp,
+        job: JobId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.cancels.note(now, job);
+        self.finish(now, job, Answer::Cancelled, effects);
+    }
+}
--- a/laurelstile-core/src/leased/gateway/containment.rs
+++ b/laurelstile-core/src/leased/gateway/containment.rs
@@ -163,7 +163,8 @@
     fn workers_of(&self, service: &str) -> impl Iterator<Item = (Incarnation, &str)> {
         let workers = self.workers.iter().filter(move |(_, worker)| {
             let snapshot = worker.snapshot.as_ref();
-            snapshot.is_some_and(|known| known.service == service)
+            let is_of_service = snapshot.is_some_and(|known| known.service == service);
+            is_of_service && worker.session.is_some()
         });
         workers.map(|(agent, worker)| (*agent, worker.name.as_str()))
     }
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -18,6 +18,8 @@
 const BOUNCE_PAUSE: Span = Span::from_millis(5);
 /// Pause before a task is placed again whose earlier run is being stopped.
 const DUPLICATE_PAUSE: Span = Span::from_millis(100);
+/// How long an agent without a session is remembered, to tell the next one of its name.
+const AGENT_MEMORY: Span = Span::from_secs(3);
 /// How far run numbers jump past those of an earlier gateway.
 const RUN_JUMP: u32 = 16;
 
@@ -243,8 +245,10 @@
             }
             self.lose_all(now, agent, effects);
         }
-        self.workers
-            .retain(|_, worker| worker.session.is_some() || !worker.tasks.is_empty());
+        self.workers.retain(|_, worker| {
+            let is_recent = now.since(worker.heard) <= AGENT_MEMORY;
+            worker.session.is_some() || !worker.tasks.is_empty() || is_recent
+        });
     }
 
     fn lose_all(&mut self, now: Timestamp, agent: Incarnation, effects: &mut Vec<GatewayEffect>) {
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -52,8 +52,8 @@
             self.answer_at_once(call, &request, waited, answer, effects);
             return;
         }
-        if self.culprit_of(id).is_some() {
-            self.answer_at_once(call, &request, waited, Answer::Failed, effects);
+        if let Some(answer) = self.known_end_of(now, id) {
+            self.answer_at_once(call, &request, waited, answer, effects);
             return;
         }
         let arrival = Timestamp(now.0.saturating_sub(waited.0));
@@ -75,6 +75,14 @@
         self.jobs.insert(id, job);
     }
 
+    /// How a job has ended that is handed in again, if that is known.
+    fn known_end_of(&self, now: Timestamp, id: JobId) -> Option<Answer> {
+        if self.cancels.contains(now, id) {
+            return Some(Answer::Cancelled);
+        }
+        self.culprit_of(id).map(|_| Answer::Failed)
+    }
+
     /// Answers a call whose job is not taken.
     fn answer_at_once(
         &self,
@@ -182,22 +190,6 @@
         self.remove_job(now, id, effects);
     }
 
-    pub(super) fn on_cancel(
-        &mut self,
-        now: Timestamp,
-        call: CallNumber,
-        job: JobId,
-        effects: &mut Vec<GatewayEffect>,
-    ) {
-        let answer = if self.jobs.contains_key(&job) {
-            self.finish(now, job, Answer::Cancelled, effects);
-            Answer::Cancelled
-        } else {
-            Answer::Unknown
-        };
-        effects.push(GatewayEffect::Answer { call, answer });
-    }
-
     /// Answers a job's callers, and stops what is left of it.
     pub(super) fn finish(
         &mut self,
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! starts, so gateways need no agreement; what one of them leaves behind its
 //! agents stop, and its callers hand in again.
 
+mod cancels;
 mod containment;
 mod ends;
 mod evacuation;
@@ -37,6 +38,7 @@
 use super::task::{JobId, TaskId};
 use super::timing::BUSY_HEARTBEAT;
 use crate::session::{Remote, SessionId};
+use cancels::Cancels;
 use containment::Containment;
 pub use events::{Answer, GatewayDecision, GatewayEffect, GatewayEvent, Refusal};
 use job::{CallNumber, Job};
@@ -97,6 +99,8 @@
     way_in: WayIn,
     /// Starts under way to agents.
     start_window: StartWindow,
+    /// Jobs that were cancelled of late.
+    cancels: Cancels,
     /// Workers that have crashed, and what ran there.
     crashes: CrashLog,
     /// Queues whose tasks take workers down.
@@ -129,6 +133,7 @@
             shares: Shares::default(),
             way_in: WayIn::default(),
             start_window: StartWindow::default(),
+            cancels: Cancels::default(),
             crashes: CrashLog::default(),
             containment: Containment::default(),
             without_worker_since: None,
@@ -268,6 +273,25 @@
         self.agent_sessions.insert(session, remote.incarnation);
         self.members.open(session);
         self.tell_agent_evacuations(now, session, effects);
+        self.tell_predecessor(now, remote.incarnation, effects);
+    }
+
+    /// Tells an agent how long ago an earlier one of its name was heard.
+    fn tell_predecessor(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let name = self.workers.get(&agent).map(|worker| &worker.name);
+        let earlier = self.workers.iter().filter(|(other, worker)| {
+            **other != agent && Some(&worker.name) == name && worker.snapshot.is_some()
+        });
+        let heard = earlier.map(|(_, worker)| worker.heard).max();
+        if let Some(heard) = heard {
+            let silence = now.since(heard);
+            self.send(now, agent, ToAgentBody::Predecessor { silence }, effects);
+        }
     }
 
     fn on_agent_closed(&mut self, session: SessionId) {
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -73,6 +73,7 @@
             ToPeer::Evacuations(news) => self.on_evacuations_told(now, news, effects),
             ToPeer::Crashes(crashes) => self.on_crashes(now, &crashes, effects),
             ToPeer::Suspect { queue, task } => self.on_suspect_told(now, &queue, task),
+            ToPeer::Cancelled(job) => self.on_cancel_told(now, job, effects),
             ToPeer::Members(members) => effects.push(GatewayEffect::Members(members)),
             ToPeer::Introduction(member) => {
                 if let Some(peer) = self.peers.get_mut(&session) {
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -12,6 +12,7 @@
             ToAgentBody::Members(_) => "members_to_agent",
             ToAgentBody::Announce(_) => "announce",
             ToAgentBody::Decline(_) => "decline",
+            ToAgentBody::Predecessor { .. } => "predecessor",
             ToAgentBody::Evacuations(_) => "evacuations_to_agent",
         }
     }
@@ -37,6 +38,7 @@
             Self::Members(_) => "members_to_peer",
             Self::Evacuations(_) => "evacuations_to_peer",
             Self::Crashes(_) => "crashes_to_peer",
+            Self::Cancelled(_) => "cancelled_to_peer",
             Self::Suspect { .. } => "suspect_to_peer",
             Self::InForce(_) => "in_force",
             Self::ConfigurationWanted => "configuration_wanted",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use laurelstile_types::time::Timestamp;
+use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use super::crashes::WorkerCrash;
@@ -56,6 +56,13 @@
     /// Zones that are evacuated, as the gateway knows it.
     #[serde(rename = "v")]
     Evacuations(Evacuations),
+    /// An earlier agent of the same name was here.
+    #[serde(rename = "p")]
+    Predecessor {
+        /// How long ago the gateway heard it.
+        #[serde(rename = "s")]
+        silence: Span,
+    },
 }
 
 impl ToAgentBody {
@@ -414,6 +421,8 @@
     Evacuations(Evacuations),
     /// Workers that have crashed under tasks of the sender's callers.
     Crashes(Vec<WorkerCrash>),
+    /// A caller has cancelled a job at the sender, which may not be the gateway that has it.
+    Cancelled(JobId),
     /// Several workers have crashed under a task of the sender's callers.
     Suspect {
         /// Name of its queue.
--- a/laurelstile-core/src/leased/room.rs
+++ b/laurelstile-core/src/leased/room.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Of each kind the smaller amount.
+    pub fn least(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
     /// Both together.
     pub fn plus(self, other: Self) -> Self {
         Self {
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -10,6 +10,7 @@
 use laurelstile_core::leased::timing::{OWNER_SILENCE, START_FRESHNESS};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
 use leased_support::{AgentRig, GATEWAY, SESSION, at, cpu, lists, run, task, worker_clock};
 use rstest::rstest;
 
@@ -31,10 +32,10 @@
     let left = run(9, 0);
     rig.answer_watch(at(1), lists(&[(left, 40)], &[]));
     assert_eq!(rig.take_stops(), vec![left]);
-    assert!(!rig.machine.is_available());
+    assert!(!rig.is_available());
     rig.answer_stop(at(2), left, true);
     rig.answer_watch(at(3), lists(&[], &[(1, left, WorkerEndKind::Stopped)]));
-    assert!(rig.machine.is_available());
+    assert!(rig.is_available());
 }
 
 #[test]
@@ -195,7 +196,7 @@
     assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Lost)]);
     // A late word of the old life changes nothing.
     rig.register(at(12), "life-1", cpu(1_000), false);
-    assert!(!rig.machine.is_available());
+    assert!(!rig.is_available());
 }
 
 #[test]
@@ -234,7 +235,7 @@
     rig.message(at(1_000), ToAgentBody::Heartbeat);
     rig.tick(at(1_020));
     assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Lost)]);
-    assert!(!rig.machine.is_available(), "its room is unknown");
+    assert!(!rig.is_available(), "its room is unknown");
 }
 
 #[test]
@@ -415,11 +416,13 @@
     rig.lose_watch(at(100));
     assert_eq!(rig.take_watches(), vec![(1, false)]);
     rig.answer_watch(at(101), WorkerLists::default());
-    assert!(rig.machine.is_available());
+    assert!(rig.is_available());
 }
 
 /// A new agent need not wait for the worker's next heartbeat: it tries the
-/// life that the record names, and takes its token from the first answer.
+/// life that the record names, and takes its token from the first answer. That
+/// the worker has the recorded room still is known once a gateway tells that an
+/// earlier agent was there a moment ago.
 #[test]
 fn a_recalled_worker_is_under_control_without_a_heartbeat() {
     let mut rig = AgentRig::new();
@@ -428,7 +431,10 @@
     rig.tick(at(5_002));
     assert!(rig.last_token() >= Some(worker_clock(at(5_001)).0));
     rig.answer_watch(at(5_003), WorkerLists::default());
-    assert!(rig.machine.is_available());
+    assert!(!rig.is_available(), "its room may have shrunk");
+    let silence = Span::from_millis(300);
+    rig.message(at(5_003), ToAgentBody::Predecessor { silence });
+    assert!(rig.is_available());
     let batch = rig.batch(1, 1, 4);
     rig.message(at(5_004), batch);
     assert_eq!(rig.take_starts().len(), 1);
@@ -441,7 +447,7 @@
     let answer = Err(OrderFailure::LifeOver);
     let life = "life-1".into();
     rig.event(at(5_001), AgentEvent::Watched { life, answer });
-    assert!(!rig.machine.is_available());
+    assert!(!rig.is_available());
     rig.register(at(5_500), "life-2", cpu(2_000), false);
     assert_eq!(rig.last_token(), Some(worker_clock(at(5_500)).0));
 }
@@ -464,7 +470,7 @@
     rig.register(at(1_000), "life-1", cpu(1_000), false);
     rig.answer_watch(at(1_001), lists(&[(id, 10)], &[]));
     assert_eq!(rig.take_stops(), vec![id], "what it runs is stopped first");
-    assert!(!rig.machine.is_available());
+    assert!(!rig.is_available());
     rig.answer_watch(at(1_100), WorkerLists::default());
-    assert!(rig.machine.is_available());
+    assert!(rig.is_available());
 }
--- a/laurelstile-core/tests/leased_evacuation.rs
+++ b/laurelstile-core/tests/leased_evacuation.rs
@@ -133,7 +133,7 @@
 
     let late = ToAgentBody::Evacuations(evacuations(4, &[]));
     rig.message(at(20), late);
-    assert!(!rig.machine.is_available(), "older news change nothing");
+    assert!(!rig.is_available(), "older news change nothing");
     let ended = ToAgentBody::Evacuations(evacuations(6, &["there"]));
     rig.message(at(30), ended);
     let batch = rig.batch(2, 1, 50);
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -8,12 +8,12 @@
 use laurelstile_core::leased::gateway::queues::QueueSettings;
 use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
-use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason};
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason, ToPeer};
 use laurelstile_core::leased::task::JobId;
 use laurelstile_core::leased::timing::LAPSE_AFTER_SILENCE;
 use laurelstile_core::session::SessionId;
 use laurelstile_types::time::Span;
-use leased_support::{GatewayRig, at, configuration, cpu, job, queue};
+use leased_support::{GatewayRig, at, configuration, cpu, job, queue, task};
 use rstest::rstest;
 
 #[test]
@@ -392,3 +392,61 @@
     assert_eq!(refused, is_refused, "{:?}", rig.answers);
     assert_eq!(rig.starts.is_empty(), is_refused);
 }
+
+/// A caller may cancel at any gateway, and its job may still be on its way to another.
+#[rstest]
+#[case::before(0)]
+#[case::after(20)]
+fn a_job_that_was_cancelled_at_a_peer_does_not_run(#[case] told: u64) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    let session = SessionId(50);
+    rig.event(at(0), GatewayEvent::PeerOpened { session });
+    let message = ToPeer::Cancelled(JobId(1));
+    let told_at = |rig: &mut GatewayRig, millis| {
+        let message = message.clone();
+        rig.event(at(millis), GatewayEvent::PeerMessage { session, message });
+    };
+    if told < 10 {
+        told_at(&mut rig, told);
+    }
+    rig.submit(at(10), 1, job(1, 1, 100));
+    if told > 10 {
+        told_at(&mut rig, told);
+        assert_eq!(rig.stops, [task(1, 0)]);
+    } else {
+        assert!(rig.starts.is_empty());
+    }
+    assert_eq!(rig.last_answer(), Some(Answer::Cancelled));
+}
+
+#[test]
+fn a_cancel_of_an_unknown_job_is_passed_on() {
+    let mut rig = GatewayRig::new();
+    let session = SessionId(50);
+    rig.event(at(0), GatewayEvent::PeerOpened { session });
+    let cancel = GatewayEvent::Cancel {
+        call: CallNumber(1),
+        job: JobId(1),
+    };
+    rig.event(at(10), cancel);
+    assert_eq!(rig.last_answer(), Some(Answer::Unknown));
+    let is_told = |(_, message): &(SessionId, ToPeer)| matches!(message, ToPeer::Cancelled(job) if *job == JobId(1));
+    assert!(rig.to_peers.iter().any(is_told));
+}
+
+/// A new agent knows its worker from a record; whether that is old, gateways know.
+#[test]
+fn an_agent_that_takes_the_place_of_another_is_told_how_long_that_was_silent() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(1_000));
+    rig.event(
+        at(200),
+        GatewayEvent::AgentClosed {
+            session: SessionId(1),
+        },
+    );
+    rig.join(at(500), 2, "agent-1", cpu(1_000));
+    rig.join(at(500), 3, "agent-2", cpu(1_000));
+    assert_eq!(rig.predecessors, [(SessionId(2), Span::from_millis(500))]);
+}
--- a/laurelstile-core/tests/leased_lives.rs
+++ b/laurelstile-core/tests/leased_lives.rs
@@ -7,7 +7,7 @@
 use laurelstile_core::leased::agent::{AgentEffect, AgentEvent, AgentOptions, LeasedAgent};
 use laurelstile_core::leased::messages::EndKind;
 use laurelstile_types::time::Span;
-use leased_support::{AgentRig, at, cpu, lists, run, task, worker_clock};
+use leased_support::{AgentRig, RARE_HEARTBEATS, at, cpu, lists, run, task, worker_clock};
 
 /// An agent whose worker lives its `life-1` and runs a task.
 fn running() -> AgentRig {
@@ -53,7 +53,7 @@
     rig.register(at(20), "life-2", cpu(8_000), false);
     rig.end_life(at(21));
     rig.take_watches();
-    assert!(!rig.machine.is_available());
+    assert!(!rig.is_available());
 }
 
 /// A worker may hang for good in its old life's calls: its runs have lapsed then.
@@ -80,6 +80,7 @@
     let options = AgentOptions {
         zone: "here".into(),
         stop_patience: Span::from_secs(5),
+        heartbeats: RARE_HEARTBEATS,
     };
     let mut machine = LeasedAgent::new(options);
     let mut remembered = Vec::new();
@@ -91,6 +92,7 @@
             labels: Vec::new(),
             clock: worker_clock(at(millis)),
             draining: false,
+            sequence: millis,
         };
         let mut effects = Vec::new();
         machine.handle(
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -3,10 +3,12 @@
 use std::collections::VecDeque;
 
 use laurelstile_core::leased::agent::worker::{
-    OrderFailure, Registration, Rejection, WorkerClock, WorkerEnd, WorkerEndKind, WorkerLists,
+    OrderFailure, Registration, Rejection, ShrunkRoom, WorkerClock, WorkerEnd, WorkerEndKind,
+    WorkerLists,
 };
 use laurelstile_core::leased::agent::{
-    AgentEffect, AgentEvent, AgentOptions, LeasedAgent, Order, OrderAnswer, OrderKind, WatchAnswer,
+    AgentEffect, AgentEvent, AgentOptions, HeartbeatTimes, LeasedAgent, Order, OrderAnswer,
+    OrderKind, WatchAnswer,
 };
 use laurelstile_core::leased::messages::{
     EndKind, FromAgent, FromAgentBody, Offer, Report, StartBatch, ToAgent, ToAgentBody,
@@ -30,13 +32,22 @@
     pub sent: Vec<(SessionId, FromAgent)>,
     /// Sessions that were closed, in order.
     pub closed: Vec<SessionId>,
+    /// What a later agent is to know of the worker's room, in order.
+    pub shrunk: Vec<ShrunkRoom>,
     /// Whether the machine has stopped.
     pub stopped: bool,
+    /// When the last event was.
+    now: Timestamp,
     batches: u64,
 }
 
 /// The gateway that the rig's helper functions play.
 pub const GATEWAY: Incarnation = Incarnation(7);
+/// Heartbeats that tests need not play.
+pub const RARE_HEARTBEATS: HeartbeatTimes = HeartbeatTimes {
+    interval: Span::from_secs(3_600),
+    grace: Span::from_secs(3),
+};
 /// Its session.
 pub const SESSION: SessionId = SessionId(70);
 
@@ -51,13 +62,16 @@
         let options = AgentOptions {
             zone: "here".into(),
             stop_patience: Span::from_secs(5),
+            heartbeats: RARE_HEARTBEATS,
         };
         let mut rig = Self {
             machine: LeasedAgent::new(options),
             orders: VecDeque::new(),
             sent: Vec::new(),
             closed: Vec::new(),
+            shrunk: Vec::new(),
             stopped: false,
+            now: Timestamp::default(),
             batches: 0,
         };
         let opened = AgentEvent::Opened {
@@ -120,6 +134,7 @@
 
     /// Handles an event and flushes.
     pub fn event(&mut self, now: Timestamp, event: AgentEvent) {
+        self.now = now;
         let mut effects = Vec::new();
         self.machine.handle(now, event, &mut effects);
         self.machine.flush(now, &mut effects);
@@ -128,12 +143,18 @@
                 AgentEffect::Order(order) => self.orders.push_back(order),
                 AgentEffect::Send { session, message } => self.sent.push((session, message)),
                 AgentEffect::Close(session) => self.closed.push(session),
+                AgentEffect::RememberShrunk(shrunk) => self.shrunk.push(shrunk),
                 AgentEffect::Stopped => self.stopped = true,
                 _ => {}
             }
         }
     }
 
+    /// Whether the worker may be given tasks, as of the last event.
+    pub fn is_available(&self) -> bool {
+        self.machine.is_available(self.now)
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Timestamp) {
         self.event(now, AgentEvent::Tick);
@@ -148,6 +169,7 @@
             labels: Vec::new(),
             clock: worker_clock(now),
             draining,
+            sequence: now.0,
         };
         self.event(now, AgentEvent::Registered(registration));
     }
@@ -161,6 +183,7 @@
             labels: Vec::new(),
             clock: worker_clock(at(0)),
             draining: false,
+            sequence: 0,
         };
         self.event(now, AgentEvent::Recalled(registration));
     }
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -40,6 +40,8 @@
     pub declined: Vec<u64>,
     /// What agents were told of evacuated zones, in order.
     pub evacuations: Vec<(SessionId, Evacuations)>,
+    /// What agents were told of earlier ones.
+    pub predecessors: Vec<(SessionId, Span)>,
     /// Where the time of the jobs that were answered went, in order.
     pub stages: Vec<StageTimes>,
     /// Whether the machine has stopped.
@@ -70,6 +72,7 @@
             to_peers: Vec::new(),
             declined: Vec::new(),
             evacuations: Vec::new(),
+            predecessors: Vec::new(),
             stages: Vec::new(),
             stopped: false,
             in_force: Vec::new(),
@@ -96,6 +99,9 @@
                     ToAgentBody::Decline(offers) => self.declined.extend(offers),
                     ToAgentBody::Members(members) => self.members.push((session, members)),
                     ToAgentBody::Evacuations(news) => self.evacuations.push((session, news)),
+                    ToAgentBody::Predecessor { silence } => {
+                        self.predecessors.push((session, silence));
+                    }
                     ToAgentBody::Heartbeat => {}
                 },
                 GatewayEffect::ToPeer { session, message } => {
--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -12,6 +12,15 @@
     /// From the acknowledgement of a zone's evacuation to the last start there, in
     /// microseconds.
     pub evacuate_micros: u64,
+    /// How long room that a worker no longer has may be used, in microseconds: until its
+    /// next heartbeat, and some.
+    pub shrink_micros: u64,
+    /// From the acknowledgement of a cancel to the last start of the job, and the last moment
+    /// at which it runs, in microseconds.
+    pub cancel_micros: u64,
+    /// How long a run may last beyond that which was started late: counted from its start,
+    /// in microseconds.
+    pub late_start_micros: u64,
 }
 
 impl Default for Bounds {
@@ -19,6 +28,9 @@
         Self {
             drain_micros: 2_000_000,
             evacuate_micros: 1_500_000,
+            shrink_micros: 4_500_000,
+            cancel_micros: 3_100_000,
+            late_start_micros: 3_100_000,
         }
     }
 }
@@ -49,12 +61,16 @@
     calls: u32,
     refusals: u32,
     first_start: Option<u64>,
+    cancelled: Option<u64>,
 }
 
 #[derive(Debug, Default)]
 struct Judge {
     jobs: BTreeMap<u64, JobSeen>,
-    running: BTreeMap<TaskName, BTreeSet<Life>>,
+    running: BTreeMap<TaskName, BTreeMap<Life, u64>>,
+    /// The rooms that lives had before, and until when.
+    rooms_before: BTreeMap<Life, Vec<(u64, u32)>>,
+    last: u64,
     taken: BTreeMap<Life, u32>,
     done: BTreeSet<TaskName>,
     failures: BTreeMap<TaskName, u32>,
@@ -72,13 +88,14 @@
     for record in records {
         judge.take(record, bounds);
     }
-    judge.close();
+    judge.close(bounds);
     judge.violations
 }
 
 impl Judge {
     fn take(&mut self, record: &Record, bounds: Bounds) {
         let at = record.at;
+        self.last = at;
         match &record.seen {
             Seen::Submitted {
                 job,
@@ -105,7 +122,16 @@
                 task,
                 capacity,
             } => self.on_started(at, *life, *task, *capacity, bounds),
-            Seen::Ended { life, task, how } => self.on_ended(*life, *task, *how),
+            Seen::Ended { life, task, how } => self.on_ended(at, *life, *task, *how, bounds),
+            Seen::Capacity { life, before } => {
+                let rooms = self.rooms_before.entry(*life).or_default();
+                rooms.push((at, *before));
+            }
+            Seen::Cancelled { job } => {
+                if let Some(seen) = self.jobs.get_mut(job) {
+                    seen.cancelled.get_or_insert(at);
+                }
+            }
             Seen::Crashed { life, by } => self.on_crashed(*life, *by),
             Seen::DrainAcknowledged { life } => {
                 self.drained.entry(*life).or_insert(at);
@@ -122,6 +148,7 @@
             calls: 0,
             refusals: 0,
             first_start: None,
+            cancelled: None,
         });
         seen.calls += 1;
     }
@@ -173,6 +200,7 @@
                 0
             }
         };
+        let capacity = capacity.max(self.room_of_late(at, life, bounds));
         let taken = self.taken.entry(life).or_default();
         *taken += room;
         if *taken > capacity {
@@ -180,9 +208,10 @@
             self.break_rule(Rule::Room, at, message);
         }
         let running = self.running.entry(task).or_default();
-        running.insert(life);
+        running.insert(life, at);
         if running.len() > 1 {
-            let message = format!("{task:?} runs on workers {running:?}");
+            let lives: Vec<&Life> = running.keys().collect();
+            let message = format!("{task:?} runs on workers {lives:?}");
             self.break_rule(Rule::OneRun, at, message);
         }
         let drained = self.drained.get(&life).copied();
@@ -192,10 +221,34 @@
         }
         self.check_evacuation(at, life, task, bounds);
         self.check_crashes(at, task);
+        let cancelled = self.jobs.get(&task.job).and_then(|job| job.cancelled);
+        if cancelled.is_some_and(|since| at > since + bounds.cancel_micros) {
+            let message = format!("{task:?} started after its job was cancelled");
+            self.break_rule(Rule::Cancelled, at, message);
+        }
+    }
+
+    /// The most room that a worker has had so lately that it may still be used.
+    fn room_of_late(&self, at: u64, life: Life, bounds: Bounds) -> u32 {
+        let rooms = self.rooms_before.get(&life).into_iter().flatten();
+        let recent = rooms.filter(|(until, _)| at <= until + bounds.shrink_micros);
+        recent.map(|(_, room)| *room).max().unwrap_or(0)
+    }
+
+    /// A run that began at `began` and is over, or is seen for the last time, at `at`.
+    fn check_cancelled(&mut self, at: u64, task: TaskName, began: u64, bounds: Bounds) {
+        let Some(since) = self.jobs.get(&task.job).and_then(|job| job.cancelled) else {
+            return;
+        };
+        let bound = (since + bounds.cancel_micros).max(began + bounds.late_start_micros);
+        if at > bound {
+            let message = format!("{task:?} ran on after its job was cancelled");
+            self.break_rule(Rule::Cancelled, at, message);
+        }
     }
 
     fn on_crashed(&mut self, life: Life, by: Option<TaskName>) {
-        let was_there = |(_, lives): &(&TaskName, &BTreeSet<Life>)| lives.contains(&life);
+        let was_there = |(_, lives): &(&TaskName, &BTreeMap<Life, u64>)| lives.contains_key(&life);
         for (task, _) in self.running.iter().filter(was_there) {
             self.crashes.entry(*task).or_default().workers += 1;
         }
@@ -232,13 +285,14 @@
         }
     }
 
-    fn on_ended(&mut self, life: Life, task: TaskName, how: RunEnd) {
+    fn on_ended(&mut self, at: u64, life: Life, task: TaskName, how: RunEnd, bounds: Bounds) {
         let room = self.jobs.get(&task.job).map_or(0, |job| job.room);
         if let Some(taken) = self.taken.get_mut(&life) {
             *taken = taken.saturating_sub(room);
         }
-        if let Some(running) = self.running.get_mut(&task) {
-            running.remove(&life);
+        let running = self.running.get_mut(&task);
+        if let Some(began) = running.and_then(|running| running.remove(&life)) {
+            self.check_cancelled(at, task, began, bounds);
         }
         match how {
             RunEnd::Done => {
@@ -259,7 +313,13 @@
         *known = version;
     }
 
-    fn close(&mut self) {
+    fn close(&mut self, bounds: Bounds) {
+        let running = std::mem::take(&mut self.running);
+        for (task, lives) in running {
+            for began in lives.into_values() {
+                self.check_cancelled(self.last, task, began, bounds);
+            }
+        }
         let untrue: Vec<(u64, u64)> = self
             .jobs
             .iter()
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -115,6 +115,18 @@
         /// The task whose run took it down, if one did.
         by: Option<TaskName>,
     },
+    /// The room of a worker has changed.
+    Capacity {
+        /// Life of the worker.
+        life: Life,
+        /// Its room before.
+        before: u32,
+    },
+    /// The cancelling of a job was acknowledged.
+    Cancelled {
+        /// The job.
+        job: u64,
+    },
     /// An agent has acknowledged that a worker drains.
     DrainAcknowledged {
         /// Life of the worker.
@@ -162,6 +174,8 @@
     FailedForCause,
     /// A task that takes its workers down is not started again and again.
     CrashBudget,
+    /// A cancelled job does not start, and does not run on.
+    Cancelled,
     /// A planned stop ends no call without an answer.
     StopCutsNothing,
     /// A configuration never reverts within a process.
--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -143,6 +143,45 @@
 }
 
 #[rstest]
+#[case::shrunk(
+    vec![
+        submitted(),
+        Seen::Capacity { life: LIFE, before: 1_800 },
+        started(LIFE, 0),
+        started(LIFE, 1),
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        ended(0, RunEnd::Broken),
+        started(LIFE, 0),
+    ]
+    .into_iter()
+    .chain([started(LIFE, 2)])
+    .collect(),
+    Rule::Room
+)]
+#[case::started_after_cancel(
+    vec![
+        submitted(),
+        Seen::Cancelled { job: JOB },
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        started(LIFE, 0),
+    ],
+    Rule::Cancelled
+)]
+#[case::ran_on_after_cancel(
+    vec![
+        submitted(),
+        started(LIFE, 0),
+        Seen::Cancelled { job: JOB },
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        ended(0, RunEnd::Broken),
+    ],
+    Rule::Cancelled
+)]
 #[case::crash_budget(crashes(6), Rule::CrashBudget)]
 #[case::room(vec![submitted(), started(LIFE, 0), started(LIFE, 1), started(LIFE, 2)], Rule::Room)]
 #[case::one_run(vec![submitted(), started(LIFE, 0), started(OTHER_LIFE, 0)], Rule::OneRun)]
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -31,8 +31,11 @@
             required --seeds seeds: String
             /// Print the histories.
             optional --verbose
+            /// Besides: tasks that take workers down, rooms that shrink, machines that are
+            /// suspended, jobs that are cancelled.
+            optional --hazards
             /// Switch a mechanism off: owner-silence, leases, takeover,
-            /// drains, evacuations or crash-news.
+            /// drains, evacuations, crash-news, capacity-news, steady-clocks or cancel-news.
             optional --without mechanism: String
         }
     }
--- a/laurelstile-sim/src/leased/crashing.rs
+++ b/laurelstile-sim/src/leased/crashing.rs
@@ -209,6 +209,7 @@
                 tasks,
                 duration,
                 queue: kind,
+                cancelled_after: None,
                 crashing: is_culprit.then_some(0),
             });
         }
@@ -220,6 +221,7 @@
             tasks,
             duration,
             queue: MOST_FREQUENT,
+            cancelled_after: None,
             crashing: Some(0),
         }));
     }
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -42,6 +42,12 @@
     Evacuate(usize),
     /// A heartbeat of a life that has ended arrives.
     LateHeartbeat(usize),
+    /// A worker's room shrinks to so many percent, and grows again.
+    Shrink(usize, u32),
+    /// A gateway's machine is suspended.
+    SuspendGateway(usize),
+    /// An agent's machine is suspended.
+    SuspendAgent(usize),
 }
 
 impl Fault {
@@ -65,6 +71,9 @@
             Self::Configure => "configure",
             Self::Evacuate(_) => "evacuate",
             Self::LateHeartbeat(_) => "late_heartbeat",
+            Self::Shrink(_, _) => "shrink",
+            Self::SuspendGateway(_) => "suspend_gateway",
+            Self::SuspendAgent(_) => "suspend_agent",
         }
     }
 }
@@ -96,6 +105,12 @@
     NoEvacuations,
     /// Gateways do not hear which tasks ran on crashed workers.
     NoCrashNews,
+    /// Agents hear of a worker's room once, when its life begins.
+    NoCapacityNews,
+    /// The clocks of processes stand still while their machines are suspended.
+    SteadyClocks,
+    /// Gateways do not tell each other of cancelled jobs.
+    NoCancelNews,
 }
 
 /// Draws `count` faults within `length`.
@@ -132,6 +147,33 @@
         .collect()
 }
 
+/// Draws rooms that shrink, workers that die, and machines that are suspended.
+pub fn draw_hazards(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let count = random.random_range(1..8);
+    (0..count)
+        .map(|_| {
+            let gateway = random.random_range(0..gateways);
+            let worker = random.random_range(0..workers);
+            let percent = random.random_range(10..80);
+            ScheduledFault {
+                at: random.random_range(500_000..length),
+                length: random.random_range(300_000..8_000_000),
+                fault: match random.random_range(0..6) {
+                    0 => Fault::KillWorker(worker),
+                    1 => Fault::SuspendGateway(gateway),
+                    2 => Fault::SuspendAgent(worker),
+                    _ => Fault::Shrink(worker, percent),
+                },
+            }
+        })
+        .collect()
+}
+
 fn draw_one(gateways: usize, workers: usize, random: &mut Pcg64) -> Fault {
     let gateway = random.random_range(0..gateways);
     let worker = random.random_range(0..workers);
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -13,5 +13,5 @@
 
 pub use crashing::{CrashOutcome, CrashPlan, Culprits, run_crashing};
 pub use faults::{Fault, Sabotage, ScheduledFault};
-pub use run::{Outcome, run_seed};
+pub use run::{Outcome, run_hazard_seed, run_seed};
 pub use surge::{Surge, run_surge};
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use laurelstile_core::leased::agent::{AgentOptions, LeasedAgent};
+use laurelstile_core::leased::agent::{AgentOptions, HeartbeatTimes, LeasedAgent};
 use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
 use laurelstile_core::leased::gateway::{Identity, LeasedGateway, StopTimes};
 use laurelstile_core::leased::messages::Member;
@@ -37,6 +37,8 @@
     pub refuses: bool,
     /// Until when it stands still.
     pub frozen_until: u64,
+    /// How long its clock has stood still, in microseconds.
+    pub uncounted: u64,
     /// Whether it is in a planned stop that nothing else has hit.
     pub in_planned_stop: bool,
     /// When it is woken next.
@@ -55,6 +57,7 @@
             is_up: true,
             refuses: false,
             frozen_until: 0,
+            uncounted: 0,
             in_planned_stop: false,
             wakes_at: u64::MAX,
             sessions: BTreeMap::new(),
@@ -63,7 +66,7 @@
 
     /// When to wake the process, if that is sooner than was planned.
     pub fn wake_sooner(&mut self, clock: Timestamp, wakeup: Option<Timestamp>) -> Option<u64> {
-        let at = self.started + wakeup?.0.max(clock.0 + 1);
+        let at = self.started + self.uncounted + wakeup?.0.max(clock.0 + 1);
         if at >= self.wakes_at {
             return None;
         }
@@ -71,9 +74,20 @@
         Some(at)
     }
 
+    /// The machine is suspended until `end`; the clock may not count that.
+    pub fn suspend(&mut self, now: u64, end: u64, is_uncounted: bool) {
+        let asleep_from = self.frozen_until.max(now);
+        if end > asleep_from {
+            self.frozen_until = end;
+            if is_uncounted {
+                self.uncounted += end - asleep_from;
+            }
+        }
+    }
+
     /// The process's own clock.
     pub fn clock(&self, now: u64) -> Timestamp {
-        Timestamp(now - self.started)
+        Timestamp(now.saturating_sub(self.started + self.uncounted))
     }
 }
 
@@ -108,6 +122,10 @@
     LeasedAgent::new(AgentOptions {
         zone: worker_zone(index),
         stop_patience: Span::from_secs(5),
+        heartbeats: HeartbeatTimes {
+            interval: Span::from_millis(1_500),
+            grace: Span::from_millis(3_000),
+        },
     })
 }
 
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::faults::{Sabotage, draw, draw_of_operators};
+use super::faults::{Sabotage, ScheduledFault, draw, draw_hazards, draw_of_operators};
 use super::worker::SimWorker;
 use super::world::{SimJob, TASK_ROOM, World};
 
@@ -21,6 +21,12 @@
 const SEED_STREAM: u64 = 0x1ea5ed;
 /// Of its own, so that the other faults of a seed stay as they are.
 const OPERATORS_STREAM: u64 = 0x0e7ac;
+const HAZARDS_STREAM: u64 = 0x4a2a7d;
+/// One in so many jobs has a task that takes its workers down.
+const CULPRIT_ONE_IN: u32 = 150;
+/// One in so many is cancelled, at the latest so long after it came, in microseconds.
+const CANCELLED_ONE_IN: u32 = 30;
+const LATEST_CANCEL: u64 = 1_000_000;
 
 /// What became of a seed.
 #[derive(Debug)]
@@ -42,20 +48,68 @@
 /// Runs one seed and judges it.
 pub fn run_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
     let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let scene = draw_scene(seed, sabotage, &mut random);
+    play(random, sabotage, scene, false)
+}
+
+/// Runs one seed with hazards besides: tasks that take their workers down, workers that die,
+/// rooms that shrink, machines that are suspended, jobs that are cancelled at any gateway.
+pub fn run_hazard_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_scene(seed, sabotage, &mut random);
+    let mut hazards = Pcg64::seed_from_u64(seed ^ HAZARDS_STREAM);
+    let faults = draw_hazards(FAULTY, GATEWAYS, WORKERS, &mut hazards);
+    scene.faults.extend(faults);
+    for job in &mut scene.jobs {
+        let is_calm = job.at >= FAULTY;
+        if !is_calm && hazards.random_ratio(1, CULPRIT_ONE_IN) {
+            job.crashing = Some(hazards.random_range(0..job.tasks));
+        }
+        if hazards.random_ratio(1, CANCELLED_ONE_IN) {
+            job.cancelled_after = Some(hazards.random_range(0..LATEST_CANCEL));
+        }
+    }
+    play(random, sabotage, scene, true)
+}
+
+/// What a seed plays.
+struct Scene {
+    workers: Vec<SimWorker>,
+    jobs: Vec<SimJob>,
+    faults: Vec<ScheduledFault>,
+}
+
+fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
     let workers = (0..WORKERS)
-        .map(|_| draw_worker(sabotage, &mut random))
+        .map(|_| draw_worker(sabotage, random))
         .collect();
-    let jobs = draw_jobs(&mut random);
+    let jobs = draw_jobs(random);
     let count = random.random_range(2..22);
-    let mut faults = draw(count, FAULTY, GATEWAYS, WORKERS, &mut random);
+    let mut faults = draw(count, FAULTY, GATEWAYS, WORKERS, random);
     let mut operators = Pcg64::seed_from_u64(seed ^ OPERATORS_STREAM);
     faults.extend(draw_of_operators(FAULTY, WORKERS, &mut operators));
+    Scene {
+        workers,
+        jobs,
+        faults,
+    }
+}
+
+fn play(random: Pcg64, sabotage: Option<Sabotage>, scene: Scene, has_peers: bool) -> Outcome {
+    let Scene {
+        workers,
+        jobs,
+        faults,
+    } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
         *kinds.entry(fault.fault.kind()).or_default() += 1;
     }
     let arrivals: Vec<u64> = jobs.iter().map(|job| job.at).collect();
     let mut world = World::new(random, sabotage, GATEWAYS, workers, jobs, faults);
+    if has_peers {
+        world.join_peers();
+    }
     world.run(FAULTY + SETTLING);
     let unused_workers = world.unused_workers();
     let records = world.records;
@@ -97,6 +151,7 @@
             tasks,
             duration,
             queue: 0,
+            cancelled_after: None,
             crashing: None,
         });
     }
--- a/laurelstile-sim/src/leased/surge.rs
+++ b/laurelstile-sim/src/leased/surge.rs
@@ -61,6 +61,7 @@
             tasks: random.random_range(2..9),
             duration: random.random_range(60_000..200_000),
             queue: 0,
+            cancelled_after: None,
             crashing: None,
         });
     }
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -91,6 +91,8 @@
     pub life: Life,
     /// Its room, in thousandths of a core.
     pub capacity: u32,
+    /// Its room when nothing has shrunk it.
+    pub full_capacity: u32,
     /// Whether it says that it drains.
     pub draining: bool,
     /// How it treats what it runs.
@@ -114,6 +116,7 @@
         Self {
             life: 0,
             capacity,
+            full_capacity: capacity,
             draining: false,
             mood: Mood::Well,
             has_leases: true,
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 
 use super::super::nodes;
-use super::{DEADLINE, Happening, RESTART, TASK_ROOM, World, number_of};
+use super::{DEADLINE, FIRST_CANCEL, Happening, RESTART, TASK_ROOM, World, is_cancel, number_of};
 
 impl World {
     pub(super) fn submit(&mut self, index: usize) {
@@ -63,8 +63,30 @@
         self.schedule(at, request);
     }
 
+    /// A caller cancels its job: at the gateway that has the call, or at another.
+    pub(super) fn cancel(&mut self, index: usize) {
+        let up: Vec<usize> = (0..self.gateways.len())
+            .filter(|gateway| {
+                let process = &self.gateways[*gateway];
+                process.is_up && process.frozen_until <= self.now
+            })
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        let gateway = up[self.random.random_range(0..up.len())];
+        let call = CallNumber(FIRST_CANCEL + index as u64);
+        let job = JobId(index as u64);
+        self.gateway_event(gateway, GatewayEvent::Cancel { call, job });
+    }
+
     pub(super) fn answer(&mut self, call: CallNumber, answer: Answer) {
         let index = number_of(call);
+        if is_cancel(call) {
+            let job = index as u64;
+            self.see(Seen::Cancelled { job });
+            return;
+        }
         if self.callers[index].is_over || self.callers[index].gateway.is_none() {
             return;
         }
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -5,7 +5,7 @@
 use laurelstile_history::leased::{Seen, TaskName, Told};
 use rand::Rng;
 
-use super::super::faults::{Fault, ScheduledFault};
+use super::super::faults::{Fault, Sabotage, ScheduledFault};
 use super::super::nodes;
 use super::super::nodes::Process;
 use super::super::worker::Mood;
@@ -91,6 +91,21 @@
                 self.schedule(self.now + RESTART, Happening::RestartAgent(index));
             }
             Fault::FreezeAgent(index) => self.agents[index].frozen_until = end,
+            Fault::SuspendGateway(index) => {
+                let is_uncounted = self.sabotage == Some(Sabotage::SteadyClocks);
+                let gateway = &mut self.gateways[index];
+                gateway.in_planned_stop = false;
+                gateway.suspend(self.now, end, is_uncounted);
+            }
+            Fault::SuspendAgent(index) => {
+                let is_uncounted = self.sabotage == Some(Sabotage::SteadyClocks);
+                self.agents[index].suspend(self.now, end, is_uncounted);
+            }
+            Fault::Shrink(worker, percent) => {
+                let capacity = self.workers[worker].full_capacity;
+                self.set_capacity(worker, capacity * percent / 100);
+                self.end_fault_later(scheduled, end);
+            }
             Fault::Cut(agent, gateway) => {
                 self.cuts.insert((agent, gateway), end);
             }
@@ -184,6 +199,10 @@
             Fault::Failing(worker) | Fault::Hanging(worker) | Fault::Slow(worker) => {
                 self.workers[worker].mood = Mood::Well;
             }
+            Fault::Shrink(worker, _) => {
+                let capacity = self.workers[worker].full_capacity;
+                self.set_capacity(worker, capacity);
+            }
             Fault::Evacuate(zone) => {
                 let zone = nodes::zone_name(zone);
                 self.evacuations.zones.remove(&zone);
@@ -198,6 +217,16 @@
         }
     }
 
+    /// A worker's room changes; its next heartbeat says so.
+    fn set_capacity(&mut self, worker: usize, capacity: u32) {
+        let state = &mut self.workers[worker];
+        let before = std::mem::replace(&mut state.capacity, capacity);
+        let life = state.life;
+        if life != 0 {
+            self.see(Seen::Capacity { life, before });
+        }
+    }
+
     pub(super) fn kill_agent(&mut self, index: usize) {
         self.agents[index].is_up = false;
         let sessions = std::mem::take(&mut self.agents[index].sessions);
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -52,10 +52,15 @@
     pub duration: u64,
     /// Its queue.
     pub queue: usize,
+    /// How long after its coming its caller cancels it, if ever, in microseconds.
+    pub cancelled_after: Option<u64>,
     /// Index of the task that takes each worker down that starts it, if one does.
     pub crashing: Option<u32>,
 }
 
+/// Calls that cancel the job of a caller have its number and this.
+const FIRST_CANCEL: u64 = 1 << 32;
+
 /// Room that every task needs, in thousandths of a core.
 pub const TASK_ROOM: u32 = 1_000;
 
@@ -72,6 +77,8 @@
     ToGateway(usize, Incarnation, SessionId, FromAgent),
     /// A message reaches a gateway from a peer.
     ToPeer(usize, SessionId, Box<ToPeer>),
+    /// A gateway notices the end of a session to a peer.
+    PeerSessionEnds(usize, SessionId),
     /// An agent notices the end of a session.
     AgentSessionEnds(usize, Incarnation, SessionId),
     /// A gateway notices the end of a session.
@@ -92,6 +99,8 @@
     Submit(usize),
     /// A caller's request reaches its gateway.
     Request(usize, Incarnation, CallNumber, Box<JobRequest>),
+    /// A caller cancels its job, at any gateway.
+    Cancel(usize),
     /// A caller has waited long enough.
     Leave(usize),
     /// A fault begins.
@@ -225,6 +234,9 @@
         }
         for (index, job) in jobs.into_iter().enumerate() {
             world.schedule(job.at, Happening::Submit(index));
+            if let Some(after) = job.cancelled_after {
+                world.schedule(job.at + after, Happening::Cancel(index));
+            }
             world.callers.push(Caller {
                 job,
                 gateway: None,
@@ -265,7 +277,7 @@
                 let worker = &self.workers[*index];
                 let is_well = worker.life != 0 && !worker.draining && !worker.is_busy();
                 let agent = &self.agents[*index];
-                is_well && agent.is_up && !agent.machine.is_available()
+                is_well && agent.is_up && !agent.machine.is_available(agent.clock(self.now))
             })
             .collect()
     }
@@ -334,6 +346,7 @@
                 }
             }
             Happening::ToPeer(to, session, message) => self.peer_message(to, session, *message),
+            Happening::PeerSessionEnds(index, session) => self.peer_session_ends(index, session),
             Happening::AgentSessionEnds(index, incarnation, session) => {
                 if self.agents[index].incarnation == incarnation && self.agents[index].is_up {
                     self.agents[index].sessions.remove(&session);
@@ -370,6 +383,7 @@
                     self.gateway_event(index, GatewayEvent::Submit { call, request });
                 }
             }
+            Happening::Cancel(caller) => self.cancel(caller),
             Happening::Leave(caller) => self.leave(caller),
             Happening::Fault(index) => self.fault_begins(self.faults[index]),
             Happening::FaultEnds(index) => self.fault_ends(self.faults[index].fault),
@@ -426,6 +440,7 @@
             | Happening::Request(index, ..)
             | Happening::ToGateway(index, ..)
             | Happening::ToPeer(index, ..)
+            | Happening::PeerSessionEnds(index, _)
             | Happening::GatewaySessionEnds(index, ..)
             | Happening::ReadConfiguration(index, _)
             | Happening::ReadEvacuations(index) => self.gateways[*index].frozen_until,
@@ -533,17 +548,23 @@
     fn registration(&self, worker: usize) -> Registration {
         let state = &self.workers[worker];
         let is_hidden = self.sabotage == Some(Sabotage::NoDrains);
+        let capacity = if self.sabotage == Some(Sabotage::NoCapacityNews) {
+            state.full_capacity
+        } else {
+            state.capacity
+        };
         Registration {
             life: state.life.to_string(),
             service: nodes::SERVICE.into(),
             capacity: Room {
-                cpu_millis: state.capacity,
+                cpu_millis: capacity,
                 memory_mib: 0,
                 gpus: 0,
             },
             labels: Vec::new(),
             clock: state.clock(self.now),
             draining: state.draining && !is_hidden,
+            sequence: self.now,
         }
     }
 
@@ -588,5 +609,10 @@
 
 /// The caller that a call is of.
 fn number_of(call: CallNumber) -> usize {
-    usize::try_from(call.0).unwrap_or(usize::MAX)
+    usize::try_from(call.0 % FIRST_CANCEL).unwrap_or(usize::MAX)
+}
+
+/// Whether a call cancels a job.
+fn is_cancel(call: CallNumber) -> bool {
+    call.0 >= FIRST_CANCEL
 }
--- a/laurelstile-sim/src/leased/world/peering.rs
+++ b/laurelstile-sim/src/leased/world/peering.rs
@@ -5,8 +5,13 @@
 use laurelstile_core::session::SessionId;
 use rand::Rng;
 
+use super::super::faults::Sabotage;
 use super::{Happening, World};
 
+/// How long a message takes between gateways, in microseconds.
+const SHORTEST_WAY: u64 = 200;
+const LONGEST_WAY: u64 = 1_500;
+
 impl World {
     /// Gateways tell each other from now on.
     pub fn join_peers(&mut self) {
@@ -33,16 +38,21 @@
         }
     }
 
-    /// The others notice that a gateway is gone.
+    /// The others notice that a gateway is gone, after what it has sent.
     pub(super) fn close_peers(&mut self, index: usize) {
         let ended = self.peers.iter().filter(|(_, ends)| ends.contains(&index));
         let ended: Vec<(SessionId, [usize; 2])> =
             ended.map(|(session, ends)| (*session, *ends)).collect();
         for (session, ends) in ended {
-            self.peers.remove(&session);
-            for gateway in ends {
-                self.gateway_event(gateway, GatewayEvent::PeerClosed { session });
-            }
+            let other = if ends[0] == index { ends[1] } else { ends[0] };
+            let notice = self.now + LONGEST_WAY;
+            self.schedule(notice, Happening::PeerSessionEnds(other, session));
+        }
+    }
+
+    pub(super) fn peer_session_ends(&mut self, index: usize, session: SessionId) {
+        if self.peers.remove(&session).is_some() {
+            self.gateway_event(index, GatewayEvent::PeerClosed { session });
         }
     }
 
@@ -51,8 +61,12 @@
         let Some(ends) = self.peers.get(&session) else {
             return;
         };
+        let is_cancel = matches!(message, ToPeer::Cancelled(_));
+        if is_cancel && self.sabotage == Some(Sabotage::NoCancelNews) {
+            return;
+        }
         let to = if ends[0] == from { ends[1] } else { ends[0] };
-        let latency = self.random.random_range(200..1_500);
+        let latency = self.random.random_range(SHORTEST_WAY..LONGEST_WAY);
         let happening = Happening::ToPeer(to, session, Box::new(message));
         self.schedule(self.now + latency, happening);
     }
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
-use laurelstile_sim::leased::{Outcome, Sabotage, run_seed};
+use laurelstile_sim::leased::{Outcome, Sabotage, run_hazard_seed, run_seed};
 
 use crate::flags::{Leased, seed_range};
 
@@ -21,10 +21,13 @@
         Some("drains") => Some(Sabotage::NoDrains),
         Some("evacuations") => Some(Sabotage::NoEvacuations),
         Some("crash-news") => Some(Sabotage::NoCrashNews),
+        Some("capacity-news") => Some(Sabotage::NoCapacityNews),
+        Some("steady-clocks") => Some(Sabotage::SteadyClocks),
+        Some("cancel-news") => Some(Sabotage::NoCancelNews),
         Some(_) => {
             eprintln!(
-                "--without takes owner-silence, leases, takeover, drains, evacuations or \
-                 crash-news"
+                "--without takes owner-silence, leases, takeover, drains, evacuations, \
+                 crash-news, capacity-news, steady-clocks or cancel-news"
             );
             return ExitCode::from(2);
         }
@@ -34,7 +37,11 @@
     let mut faults = BTreeMap::<&str, u64>::new();
     let mut calm_percents = Vec::new();
     for seed in from..to {
-        let outcome = run_seed(seed, sabotage);
+        let outcome = if flags.hazards {
+            run_hazard_seed(seed, sabotage)
+        } else {
+            run_seed(seed, sabotage)
+        };
         add(&mut told, &outcome.told);
         add(&mut faults, &outcome.faults);
         calm_percents.push(outcome.calm_percent);
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -2,7 +2,7 @@
 //! mechanism that keeps it is switched off.
 
 use laurelstile_history::leased::Rule;
-use laurelstile_sim::leased::{Sabotage, run_seed};
+use laurelstile_sim::leased::{Sabotage, run_hazard_seed, run_seed};
 use rstest::rstest;
 
 #[test]
@@ -21,6 +21,48 @@
     }
 }
 
+#[test]
+fn seeds_with_hazards_keep_every_rule() {
+    for seed in 0..25 {
+        let outcome = run_hazard_seed(seed, None);
+        let violations = &outcome.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        let unused = &outcome.unused_workers;
+        assert!(
+            unused.is_empty(),
+            "seed {seed}: workers {unused:?} are well and not used"
+        );
+    }
+}
+
+/// Seeds with hazards that broke something once, each for another cause.
+#[rstest]
+#[case::room_recalled_after_long_darkness(68)]
+#[case::room_unheard_of_for_long(82)]
+#[case::cancelled_while_the_gateway_stood_still(94)]
+fn mended_seed_with_hazards_keeps_every_rule(#[case] seed: u64) {
+    let outcome = run_hazard_seed(seed, None);
+    assert!(outcome.violations.is_empty(), "{:?}", outcome.violations);
+    assert!(outcome.unused_workers.is_empty());
+}
+
+#[rstest]
+#[case::crash_news(Sabotage::NoCrashNews, Rule::CrashBudget)]
+#[case::capacity_news(Sabotage::NoCapacityNews, Rule::Room)]
+#[case::suspended_clocks(Sabotage::SteadyClocks, Rule::Room)]
+#[case::cancel_news(Sabotage::NoCancelNews, Rule::Cancelled)]
+fn a_rule_breaks_under_hazards_without_its_mechanism(
+    #[case] sabotage: Sabotage,
+    #[case] rule: Rule,
+) {
+    let is_broken = (0..120).any(|seed| {
+        let outcome = run_hazard_seed(seed, Some(sabotage));
+        let mut broken = outcome.violations.iter();
+        broken.any(|violation| violation.rule == rule)
+    });
+    assert!(is_broken, "{rule:?} held without {sabotage:?}");
+}
+
 /// Seeds that broke something once, each for another cause.
 #[rstest]
 #[case::watch_lost_while_nothing_runs(117)]
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -76,6 +76,7 @@
     let options = AgentOptions {
         zone: settings.node.zone.0.clone(),
         stop_patience: role.stop_patience(),
+        heartbeats: role.heartbeats(),
     };
     let name = settings.node.name.clone();
     tokio::spawn(recall::recall(
@@ -245,6 +246,10 @@
                 let (store, name) = (Arc::clone(&self.store), self.name.clone());
                 tokio::spawn(recall::remember(store, name, registration));
             }
+            AgentEffect::RememberShrunk(shrunk) => {
+                let (store, name) = (Arc::clone(&self.store), self.name.clone());
+                tokio::spawn(recall::remember_shrunk(store, name, shrunk));
+            }
             AgentEffect::RememberDraining(life) => {
                 let (store, name) = (Arc::clone(&self.store), self.name.clone());
                 tokio::spawn(recall::remember_draining(store, name, life.to_string()));
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -152,6 +152,9 @@
                 let tasks = names_of(runs);
                 log::warn!(event = "worker_life_over", life:% = life, end = end.name(), runs = runs.len(), tasks = tasks.as_str(); "");
             }
+            AgentDecision::CapacityChanged { life, before, now } => {
+                log::info!(event = "worker_capacity_changed", life:% = life, before_cpu_millis = before.cpu_millis, cpu_millis = now.cpu_millis, memory_mib = now.memory_mib, gpus = now.gpus; "");
+            }
             AgentDecision::Draining { life } => {
                 log::info!(event = "worker_draining", life:% = life; "");
             }
--- a/laurelstiled/src/leased/settings.rs
+++ b/laurelstiled/src/leased/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use laurelstile_core::leased::agent::HeartbeatTimes;
 use laurelstile_core::leased::gateway::StopTimes;
 use laurelstile_types::time::Span;
 use miette::Diagnostic;
@@ -72,6 +73,22 @@
 pub struct LeasedAgentSettings {
     /// How long the process has for a planned stop, in seconds.
     pub grace_seconds: f64,
+    /// Pause between two heartbeats of the worker, in milliseconds.
+    #[serde(default = "usual_heartbeat_millis")]
+    pub heartbeat_millis: u64,
+    /// How long room that has shrunk may be used once the worker's next heartbeat was due,
+    /// in milliseconds.
+    #[serde(default = "usual_room_grace_millis")]
+    pub room_grace_millis: u64,
+}
+
+/// A worker's usual heartbeat, and the shortest grace that a platform gave so far.
+fn usual_heartbeat_millis() -> u64 {
+    1_500
+}
+
+fn usual_room_grace_millis() -> u64 {
+    3_000
 }
 
 /// What is wrong with settings that are well-formed JSON.
@@ -110,6 +127,14 @@
 }
 
 impl LeasedAgentSettings {
+    /// How the worker's word about itself ages.
+    pub fn heartbeats(&self) -> HeartbeatTimes {
+        HeartbeatTimes {
+            interval: Span::from_millis(self.heartbeat_millis),
+            grace: Span::from_millis(self.room_grace_millis),
+        }
+    }
+
     /// How long a planned stop waits for what runs.
     pub fn stop_patience(&self) -> Span {
         span_of((self.grace_seconds - LAST_STOPS_SECONDS).max(0.0))
--- a/laurelstiled/tests/recall.rs
+++ b/laurelstiled/tests/recall.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex};
 
 use laurelstile_core::leased::agent::AgentEvent;
-use laurelstile_core::leased::agent::worker::{Registration, WorkerClock};
+use laurelstile_core::leased::agent::worker::{Registration, ShrunkRoom, WorkerClock};
 use laurelstile_core::leased::room::Room;
 use laurelstiled::leased::input::AgentInput;
 use laurelstiled::leased::ports::{Listing, Record, RecordStore, StoreError};
-use laurelstiled::leased::recall::{recall, remember, remember_draining};
+use laurelstiled::leased::recall::{recall, remember, remember_draining, remember_shrunk};
 use rstest::rstest;
 use tokio::sync::mpsc;
 
@@ -58,6 +58,7 @@
         labels: Vec::new(),
         clock: WorkerClock(5),
         draining: false,
+        sequence: 1,
     }
 }
 
@@ -90,6 +91,34 @@
     assert_eq!(worker.draining, expected);
 }
 
+/// What a life said first may have shrunk since.
+#[rstest]
+#[case::this_life("life-1", 2_000)]
+#[case::an_earlier_life("life-0", 4_000)]
+#[tokio::test(start_paused = true)]
+async fn a_worker_is_recalled_with_the_least_room_that_its_life_has_had(
+    #[case] shrunk: &str,
+    #[case] expected: u32,
+) {
+    let store = Arc::new(MemoryStore::default());
+    let name = || "agent-1".to_owned();
+    let room = |cpu_millis| Room {
+        cpu_millis,
+        ..Room::default()
+    };
+    let mut known = registration("life-1");
+    known.capacity = room(4_000);
+    remember(Arc::clone(&store), name(), known).await;
+    *store.failures.lock().expect("a lock") = 3;
+    let shrunk = ShrunkRoom {
+        life: shrunk.into(),
+        capacity: room(2_000),
+    };
+    remember_shrunk(Arc::clone(&store), name(), shrunk).await;
+    let worker = recalled(&store).await.expect("the worker is recalled");
+    assert_eq!(worker.capacity, room(expected));
+}
+
 #[tokio::test]
 async fn nothing_is_recalled_of_an_unknown_worker() {
     let store = Arc::new(MemoryStore::default());
