--- a/laurelstile-core/src/leased/agent/ledger.rs
+++ b/laurelstile-core/src/leased/agent/ledger.rs
@@ -78,6 +78,8 @@
     pub lost_stops: u32,
     /// Whether the worker is to run nothing beside it.
     pub is_alone: bool,
+    /// Whether its task has stood still on another worker.
+    pub has_stalled: bool,
     /// Its progress, in percent.
     pub percent: u32,
     /// When it was started, by the worker's clock.
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -52,6 +52,7 @@
                 stop_again: None,
                 lost_stops: 0,
                 is_alone: batch.is_alone,
+                has_stalled: batch.has_stalled,
                 percent: 0,
                 started: WorkerClock::default(),
                 progressed: WorkerClock::default(),
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -226,7 +226,9 @@
             return;
         }
         if clock.since(run.progressed) > stall_after(run) {
-            self.health.on_stalled(now);
+            if !run.has_stalled {
+                self.health.on_stalled(now);
+            }
             self.stop_run(now, task, StopReason::Stalled, effects);
             return;
         }
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -128,6 +128,11 @@
     pub run: RunNumber,
     /// Runs that failed by its own fault, as far as can be told.
     pub failures: u32,
+    /// Runs that stood still, or failed on a worker that had failed others: each may have
+    /// cost a worker some time out of service.
+    pub setbacks: u32,
+    /// Whether a run of it has stood still.
+    pub has_stalled: bool,
     /// When it was last placed.
     pub placed: Timestamp,
 }
@@ -157,6 +162,8 @@
             state: TaskState::Waiting,
             run: RunNumber(0),
             failures: 0,
+            setbacks: 0,
+            has_stalled: false,
             placed: Timestamp::default(),
         };
         Self {
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -291,6 +291,10 @@
         };
         let tasks = take_tasks(now, job, step, candidate);
         job.first_placed.get_or_insert(now);
+        let stalled = candidate
+            .apart
+            .map(|index| &job.steps[step].tasks[index as usize]);
+        let has_stalled = stalled.is_some_and(|task| task.has_stalled);
         let request = &job.steps[step].request;
         let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
         let reported = if candidate.offer.is_some() {
@@ -322,6 +326,7 @@
             tasks,
             offer: candidate.offer,
             is_alone: candidate.is_alone,
+            has_stalled,
         };
         effects.push(GatewayEffect::Decided(GatewayDecision::Placed {
             job: id,
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -152,6 +152,10 @@
     /// Whether the worker is to run nothing beside it. It is the only task of its batch.
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub is_alone: bool,
+    /// Whether its only task has stood still on another worker: if it does so again, that
+    /// says nothing of the worker.
+    #[serde(rename = "z", default, skip_serializing_if = "is_false")]
+    pub has_stalled: bool,
 }
 
 #[expect(
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -6,7 +6,7 @@
 use laurelstile_core::leased::agent::worker::{
     OrderFailure, Rejection, WorkerEndKind, WorkerLists,
 };
-use laurelstile_core::leased::messages::{EndKind, NotStartedReason, ToAgentBody};
+use laurelstile_core::leased::messages::{EndKind, NotStartedReason, ToAgentBody, UNLIMITED};
 use laurelstile_core::leased::timing::{OWNER_SILENCE, START_FRESHNESS};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
@@ -301,6 +301,31 @@
     assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Stalled)]);
 }
 
+/// One bad task would else put worker after worker on probation.
+#[rstest]
+#[case::the_first_time(false, 0)]
+#[case::as_on_another_worker(true, UNLIMITED)]
+fn a_worker_is_not_blamed_for_a_task_that_has_stood_still_elsewhere(
+    #[case] has_stalled: bool,
+    #[case] limit: u32,
+) {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    let mut batch = rig.batch(1, 1, 4);
+    if let ToAgentBody::Start(batch) = &mut batch {
+        batch.has_stalled = has_stalled;
+    }
+    rig.message(at(0), batch);
+    let id = rig.take_starts()[0];
+    rig.answer_start(at(1), id, None);
+    rig.message(at(50), ToAgentBody::Heartbeat);
+    rig.answer_watch(at(120), lists(&[(id, 0)], &[]));
+    rig.answer_stop(at(121), id, true);
+    rig.answer_watch(at(130), lists(&[], &[(1, id, WorkerEndKind::Stopped)]));
+    rig.tick(at(150));
+    assert_eq!(rig.ends(), vec![(task(1, 0), EndKind::Stalled)]);
+    assert_eq!(rig.last_report().map(|report| report.limit), Some(limit));
+}
+
 #[test]
 fn a_task_that_is_far_too_slow_is_given_back_with_the_time_it_would_take() {
     let mut rig = AgentRig::in_control(cpu(1_000));
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -96,6 +96,7 @@
             tasks: vec![(0, RunNumber(1)), (1, RunNumber(1))],
             offer: None,
             is_alone: false,
+            has_stalled: false,
         }),
     }
 }
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -245,6 +245,7 @@
             tasks: (0..tasks).map(|index| (index, RunNumber(1))).collect(),
             offer: None,
             is_alone: false,
+            has_stalled: false,
         })
     }
 
