--- a/laurelstile-core/src/leased/crashes.rs
+++ b/laurelstile-core/src/leased/crashes.rs
@@ -64,14 +64,14 @@
     Clear,
     /// One worker has. It shares its next one with sound tasks only, so that the crashes of
     /// one task have no other in common.
-    Witness,
+    OneCrash,
     /// One worker has, soon after its start. If a worker can be had for it alone, that
-    /// tells at the cost of one crash; else it is placed as a witness.
-    PrimeWitness,
+    /// tells at the cost of one crash; else it is placed as one that shares its worker.
+    OneEarlyCrash,
     /// Several have: it runs alone on its next worker.
     Suspect,
-    /// It is not started again.
-    Culprit,
+    /// It takes its workers down, and is not started again.
+    Poison,
 }
 
 /// A crash under a task.
@@ -121,13 +121,13 @@
         let was_alone = crashes.last().is_some_and(|crash| crash.is_alone);
         let is_proved = (was_alone && early >= EARLY_CRASHES_ALONE) || early >= EARLY_CRASHES;
         if is_proved || crashes.len() >= MOST_CRASHES {
-            Standing::Culprit
+            Standing::Poison
         } else if crashes.len() >= CRASHES_OF_A_SUSPECT {
             Standing::Suspect
         } else if early > 0 {
-            Standing::PrimeWitness
+            Standing::OneEarlyCrash
         } else {
-            Standing::Witness
+            Standing::OneCrash
         }
     }
 
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -8,7 +8,6 @@
 use super::{Answer, GatewayEffect, LeasedGateway};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::JobId;
-use crate::session::SessionId;
 
 /// How long a cancel is remembered: a call that hands the job in may be on its way still,
 /// or sent again after a broken connection.
@@ -48,20 +47,26 @@
         job: JobId,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let answer = if self.jobs.contains_key(&job) {
+        let is_here = self.jobs.contains_key(&job);
+        self.on_cancel_told(now, job, effects);
+        let answer = if is_here {
             Answer::Cancelled
         } else {
+            self.pass_cancel_on(job, effects);
             Answer::Unknown
         };
-        self.on_cancel_told(now, job, effects);
-        let peers: Vec<SessionId> = self.peers.keys().copied().collect();
-        for session in peers {
-            let message = ToPeer::Cancelled(job);
-            effects.push(GatewayEffect::ToPeer { session, message });
-        }
         effects.push(GatewayEffect::Answer { call, answer });
     }
 
+    fn pass_cancel_on(&self, job: JobId, effects: &mut Vec<GatewayEffect>) {
+        for session in self.peers.keys() {
+            effects.push(GatewayEffect::ToPeer {
+                session: *session,
+                message: ToPeer::Cancelled(job),
+            });
+        }
+    }
+
     /// A job was cancelled, here or at a peer.
     pub(super) fn on_cancel_told(
         &mut self,
--- a/laurelstile-core/src/leased/gateway/containment.rs
+++ b/laurelstile-core/src/leased/gateway/containment.rs
@@ -2,7 +2,7 @@
 //!
 //! One such task is given up after some two crashes. Many of them, one after the other, take
 //! the whole service down all the same: each has to be found out, and a worker is away for
-//! seconds. So once a quarter of the workers is away, a queue that had several culprits of
+//! seconds. So once a quarter of the workers is away, a queue that had several poison tasks of
 //! late is kept to a quarter, always the same one, and the other queues keep to the rest.
 
 use std::collections::hash_map::DefaultHasher;
@@ -148,7 +148,7 @@
             .collect()
     }
 
-    /// Whether crashes keep so many workers of a service away that a queue with culprits is
+    /// Whether crashes keep so many workers of a service away that a queue with poison tasks is
     /// to be contained.
     fn is_harmed(&self, service: &str) -> bool {
         let workers = self.workers_of(service).count();
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -80,7 +80,7 @@
         if self.cancels.contains(now, id) {
             return Some(Answer::Cancelled);
         }
-        self.culprit_of(id).map(|_| Answer::Failed)
+        self.poison_task_of(id).map(|_| Answer::Failed)
     }
 
     /// Answers a call whose job is not taken.
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -137,10 +137,10 @@
         if tasks > 0 {
             return Some(Candidate::offered(agent, tasks, offer.number));
         }
-        if fitting == 0 || self.has_witness(agent) {
+        if fitting == 0 || self.has_task_apart(agent) {
             return None;
         }
-        let index = self.first_witness(job, step)?;
+        let index = self.first_task_apart(job, step)?;
         Some(Candidate::offered(agent, 1, offer.number).apart(index))
     }
 
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -23,7 +23,7 @@
 /// Suspects that may wait to run alone. A job whose turn would come later is given up at
 /// once: its caller is told when to come back, and the crashes are remembered.
 const MOST_SUSPECTS_WAITING: usize = 3;
-/// A worker is kept for a prime witness alone if so much of it is free, in thousandths.
+/// A worker is kept for a task of one early crash alone if so much of it is free, in thousandths.
 const IDLE_PERMILLE: u64 = 300;
 /// How long a task that is to run alone may wait at its worker until the others there have
 /// ended: most tasks take less than a second.
@@ -89,12 +89,12 @@
             self.note_suspect(now, task, effects);
             effects.push(GatewayEffect::Decided(GatewayDecision::Suspected {
                 task,
-                is_given_up: standing == Standing::Culprit,
+                is_given_up: standing == Standing::Poison,
                 workers: self.crashes.lives_of(task),
             }));
         }
         match standing {
-            Standing::Culprit => self.finish(now, task.job, Answer::Failed, effects),
+            Standing::Poison => self.finish(now, task.job, Answer::Failed, effects),
             Standing::Suspect if self.suspects_waiting() >= MOST_SUSPECTS_WAITING => {
                 self.finish(now, task.job, Answer::GivenUp, effects);
             }
@@ -103,9 +103,9 @@
     }
 
     /// The task of a job that is not to be started again, if there is one.
-    pub(super) fn culprit_of(&self, job: JobId) -> Option<TaskId> {
+    pub(super) fn poison_task_of(&self, job: JobId) -> Option<TaskId> {
         let mut tasks = self.crashes.tasks_of(job);
-        tasks.find(|task| self.crashes.standing(*task) == Standing::Culprit)
+        tasks.find(|task| self.crashes.standing(*task) == Standing::Poison)
     }
 
     /// Sets those tasks of a new job apart under which workers have crashed elsewhere.
@@ -162,19 +162,19 @@
         if standing == Standing::Suspect {
             return self.worker_alone(now, id, step, index, 0);
         }
-        if standing == Standing::PrimeWitness {
+        if standing == Standing::OneEarlyCrash {
             let idle = self.worker_alone(now, id, step, index, IDLE_PERMILLE);
             if idle.is_some() {
                 return idle;
             }
         }
-        let has_other = |agent| self.has_witness(agent);
+        let has_other = |agent| self.has_task_apart(agent);
         let candidate = self.best_worker_of(now, id, step, 1, |agent| !has_other(agent))?;
         Some(candidate.apart(index))
     }
 
     /// Whether a worker has a task of ours under which another has crashed.
-    pub(super) fn has_witness(&self, agent: Incarnation) -> bool {
+    pub(super) fn has_task_apart(&self, agent: Incarnation) -> bool {
         if self.crashes.is_empty() {
             return false;
         }
@@ -184,13 +184,13 @@
     }
 
     /// The first task of a step that waits to go by itself beside sound ones.
-    pub(super) fn first_witness(&self, job: &Job, step: usize) -> Option<u32> {
+    pub(super) fn first_task_apart(&self, job: &Job, step: usize) -> Option<u32> {
         let mut waiting = job.steps[step].apart.iter();
-        let is_witness = |index: &&u32| {
+        let may_share = |index: &&u32| {
             let task = task_id(job.id, step, **index);
             self.crashes.standing(task) != Standing::Suspect
         };
-        waiting.find(is_witness).copied()
+        waiting.find(may_share).copied()
     }
 
     /// The worker on which a task is to run alone: the emptiest that may take it, if as much
--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -48,7 +48,7 @@
 struct Crashes {
     workers: u32,
     /// Whether it has taken one of them down.
-    is_culprit: bool,
+    is_poison: bool,
     /// Starts since [`CRASHES`] workers were down.
     starts: u32,
 }
@@ -253,7 +253,7 @@
             self.crashes.entry(*task).or_default().workers += 1;
         }
         if let Some(task) = by {
-            self.crashes.entry(task).or_default().is_culprit = true;
+            self.crashes.entry(task).or_default().is_poison = true;
         }
     }
 
@@ -261,7 +261,7 @@
         let Some(crashes) = self.crashes.get_mut(&task) else {
             return;
         };
-        if !crashes.is_culprit || crashes.workers < CRASHES {
+        if !crashes.is_poison || crashes.workers < CRASHES {
             return;
         }
         crashes.starts += 1;
--- a/laurelstile-sim/src/crashes_command.rs
+++ b/laurelstile-sim/src/crashes_command.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::process::ExitCode;
 
-use laurelstile_sim::leased::{CrashPlan, Culprits, run_crashing};
+use laurelstile_sim::leased::{CrashPlan, PoisonTasks, run_crashing};
 
 use crate::flags::{Crashes, seed_range};
 
@@ -25,9 +25,9 @@
         eprintln!("--seeds takes A..B");
         return ExitCode::from(2);
     };
-    let culprits = match flags.permille {
-        None => Culprits::At(TIMES.to_vec()),
-        Some(permille) => Culprits::Share {
+    let poison_tasks = match flags.permille {
+        None => PoisonTasks::At(TIMES.to_vec()),
+        Some(permille) => PoisonTasks::Share {
             permille,
             from: FROM,
             until: UNTIL,
@@ -37,25 +37,25 @@
     let deaths = times.map(|time| (time * 1_000_000 / DEATHS_A_SECOND, DEATHS));
     let plan = CrashPlan {
         deaths: deaths.collect(),
-        ..CrashPlan::of(culprits)
+        ..CrashPlan::of(poison_tasks)
     };
-    let (mut bad, mut culprits_seen, mut crashes, mut innocents) = (0, 0, 0, 0);
+    let (mut bad, mut poison_seen, mut crashes, mut innocents) = (0, 0, 0, 0);
     let (mut served, mut elsewhere) = (0, 0);
     for seed in from..to {
         let outcome = run_crashing(seed, &plan);
         let worst = outcome.crashes.values().max().copied().unwrap_or(0);
         let taken: u32 = outcome.crashes.values().sum();
         println!(
-            "seed {seed}: {} culprits took {taken} workers down, one {worst}, at most {} down; \
+            "seed {seed}: {} poison tasks took {taken} workers down, one {worst}, at most {} down; \
              innocents failed {}; served {:?}; broken {:?}",
-            outcome.culprits,
+            outcome.poison_tasks,
             outcome.most_down,
             outcome.innocents_failed,
             outcome.served,
             outcome.violations
         );
         bad += u64::from(!outcome.violations.is_empty());
-        culprits_seen += outcome.culprits;
+        poison_seen += outcome.poison_tasks;
         crashes += taken;
         innocents += outcome.innocents_failed;
         served += outcome.served[FAULTY].iter().sum::<u64>();
@@ -63,9 +63,9 @@
     }
     let seeds = to.saturating_sub(from).max(1);
     println!(
-        "{seeds} seeds, {bad} with violations; {culprits_seen} culprits took {crashes} workers \
+        "{seeds} seeds, {bad} with violations; {poison_seen} poison tasks took {crashes} workers \
          down; {innocents} sound jobs failed; served in time from 3 to 13 s: {} percent, \
-         of queues without culprits {} percent",
+         of queues without poison tasks {} percent",
         served / (seeds * FAULTY.len() as u64),
         elsewhere / (seeds * FAULTY.len() as u64)
     );
--- a/laurelstile-sim/src/leased/crashing.rs
+++ b/laurelstile-sim/src/leased/crashing.rs
@@ -26,12 +26,12 @@
 /// all workers have room for 110.
 const KINDS: [(u64, u32, u64); 3] = [(34, 8, 60_000), (6, 4, 900_000), (100, 2, 200_000)];
 
-/// The kind, and queue, with the culprits.
+/// The kind, and queue, with the poison tasks.
 const MOST_FREQUENT: usize = KINDS.len() - 1;
 
 /// Which jobs have a task that takes workers down.
 #[derive(Clone, Debug)]
-pub enum Culprits {
+pub enum PoisonTasks {
     /// One job each, handed in at these times, in microseconds.
     At(Vec<u64>),
     /// So many in a thousand of the most frequent kind, between two seconds.
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug)]
 pub struct CrashPlan {
     /// Tasks that take workers down.
-    pub culprits: Culprits,
+    pub poison_tasks: PoisonTasks,
     /// Workers that end by themselves: when, in microseconds, and how many at once.
     pub deaths: Vec<(u64, usize)>,
     /// A mechanism that is switched off.
@@ -57,10 +57,10 @@
 }
 
 impl CrashPlan {
-    /// Culprits alone.
-    pub fn of(culprits: Culprits) -> Self {
+    /// PoisonTasks alone.
+    pub fn of(poison_tasks: PoisonTasks) -> Self {
         Self {
-            culprits,
+            poison_tasks,
             deaths: Vec::new(),
             sabotage: None,
         }
@@ -79,21 +79,21 @@
     /// Share of the sound jobs that were answered in time, in percent, by the second in
     /// which they came; 100 where none came.
     pub served: Vec<u64>,
-    /// The same for the jobs of queues without culprits.
+    /// The same for the jobs of queues without poison tasks.
     pub served_elsewhere: Vec<u64>,
     /// Sound jobs that were shown as failed.
     pub innocents_failed: u64,
     /// Jobs with a task that takes workers down.
-    pub culprits: u64,
+    pub poison_tasks: u64,
 }
 
-/// Plays jobs of three kinds with culprits among them, while some workers die by themselves.
+/// Plays jobs of three kinds with poison tasks among them, while some workers die by themselves.
 pub fn run_crashing(seed: u64, plan: &CrashPlan) -> CrashOutcome {
     let mut random = Pcg64::seed_from_u64(seed);
     let workers = (0..WORKERS)
         .map(|_| SimWorker::new(TASKS_PER_WORKER * TASK_ROOM, 1_000, 0))
         .collect();
-    let jobs = draw_jobs(&plan.culprits, &mut random);
+    let jobs = draw_jobs(&plan.poison_tasks, &mut random);
     let faults = draw_deaths(&plan.deaths, &mut random);
     let mut world = World::new(
         random,
@@ -113,7 +113,7 @@
         served: served(&jobs, &records, |_| true),
         served_elsewhere: served(&jobs, &records, |job| job.queue != MOST_FREQUENT),
         innocents_failed: 0,
-        culprits: jobs.iter().filter(|job| job.crashing.is_some()).count() as u64,
+        poison_tasks: jobs.iter().filter(|job| job.crashing.is_some()).count() as u64,
     };
     let mut down = 0;
     for record in &records {
@@ -186,15 +186,15 @@
     faults
 }
 
-fn draw_jobs(culprits: &Culprits, random: &mut Pcg64) -> Vec<SimJob> {
+fn draw_jobs(poison_tasks: &PoisonTasks, random: &mut Pcg64) -> Vec<SimJob> {
     let mut jobs = Vec::new();
     for (kind, (rate, tasks, duration)) in KINDS.into_iter().enumerate() {
         let mut at = SECOND;
         while at < LENGTH * SECOND {
             at += random.random_range(1..2 * SECOND / rate);
-            let is_culprit = match culprits {
-                Culprits::At(_) => false,
-                Culprits::Share {
+            let is_poison = match poison_tasks {
+                PoisonTasks::At(_) => false,
+                PoisonTasks::Share {
                     permille,
                     from,
                     until,
@@ -210,11 +210,11 @@
                 duration,
                 queue: kind,
                 cancelled_after: None,
-                crashing: is_culprit.then_some(0),
+                crashing: is_poison.then_some(0),
             });
         }
     }
-    if let Culprits::At(times) = culprits {
+    if let PoisonTasks::At(times) = poison_tasks {
         let (_, tasks, duration) = KINDS[MOST_FREQUENT];
         jobs.extend(times.iter().map(|at| SimJob {
             at: *at,
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -11,7 +11,7 @@
 pub mod worker;
 mod world;
 
-pub use crashing::{CrashOutcome, CrashPlan, Culprits, run_crashing};
+pub use crashing::{CrashOutcome, CrashPlan, PoisonTasks, run_crashing};
 pub use faults::{Fault, Sabotage, ScheduledFault};
 pub use run::{Outcome, run_hazard_seed, run_seed};
 pub use surge::{Surge, run_surge};
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -23,7 +23,7 @@
 const OPERATORS_STREAM: u64 = 0x0e7ac;
 const HAZARDS_STREAM: u64 = 0x4a2a7d;
 /// One in so many jobs has a task that takes its workers down.
-const CULPRIT_ONE_IN: u32 = 150;
+const POISON_ONE_IN: u32 = 150;
 /// One in so many is cancelled, at the latest so long after it came, in microseconds.
 const CANCELLED_ONE_IN: u32 = 30;
 const LATEST_CANCEL: u64 = 1_000_000;
@@ -62,7 +62,7 @@
     scene.faults.extend(faults);
     for job in &mut scene.jobs {
         let is_calm = job.at >= FAULTY;
-        if !is_calm && hazards.random_ratio(1, CULPRIT_ONE_IN) {
+        if !is_calm && hazards.random_ratio(1, POISON_ONE_IN) {
             job.crashing = Some(hazards.random_range(0..job.tasks));
         }
         if hazards.random_ratio(1, CANCELLED_ONE_IN) {
--- a/laurelstile-sim/tests/leased_crashing_tasks.rs
+++ b/laurelstile-sim/tests/leased_crashing_tasks.rs
@@ -10,7 +10,7 @@
 //! the same task youngest among the runs of each dead worker, proved that.
 
 use laurelstile_history::leased::{Rule, TaskName};
-use laurelstile_sim::leased::{CrashOutcome, CrashPlan, Culprits, Sabotage, run_crashing};
+use laurelstile_sim::leased::{CrashOutcome, CrashPlan, PoisonTasks, Sabotage, run_crashing};
 use rstest::rstest;
 
 /// Most workers that one task may take down.
@@ -36,13 +36,13 @@
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
     #[values(vec![4_000_000], vec![4_000_000, 9_000_000])] times: Vec<u64>,
 ) {
-    let outcome = run_crashing(seed, &CrashPlan::of(Culprits::At(times)));
+    let outcome = run_crashing(seed, &CrashPlan::of(PoisonTasks::At(times)));
     assert_bounded(&outcome);
     let served = &outcome.served[1..16];
     assert!(served.iter().all(|share| *share > SERVED), "{served:?}");
 }
 
-/// Sound tasks beside a culprit, or on workers that die by themselves, a seventh of them at
+/// Sound tasks beside a poison task, or on workers that die by themselves, a seventh of them at
 /// once, are not taken for one.
 #[rstest]
 fn sound_tasks_are_not_given_up_where_workers_die_by_themselves(
@@ -53,19 +53,19 @@
         seed,
         &CrashPlan {
             deaths: vec![(4_200_000, 2), (8_000_000, 2), (8_500_000, 2)],
-            ..CrashPlan::of(Culprits::At(times))
+            ..CrashPlan::of(PoisonTasks::At(times))
         },
     );
     assert_bounded(&outcome);
 }
 
 /// Share of the jobs of the other queues that are served in time, from a second after the
-/// first culprit on, while 5% of one queue's jobs take their workers down, in percent.
+/// first poison task on, while 5% of one queue's jobs take their workers down, in percent.
 const SERVED_ELSEWHERE: u64 = 70;
 
 #[rstest]
 fn a_queue_of_many_culprits_does_not_take_the_others_with_it(#[values(1, 2, 3, 4)] seed: u64) {
-    let plan = CrashPlan::of(Culprits::Share {
+    let plan = CrashPlan::of(PoisonTasks::Share {
         permille: 50,
         from: 3,
         until: 9,
@@ -82,7 +82,7 @@
 fn the_budget_breaks_without_news_of_crashes() {
     let plan = CrashPlan {
         sabotage: Some(Sabotage::NoCrashNews),
-        ..CrashPlan::of(Culprits::At(vec![4_000_000]))
+        ..CrashPlan::of(PoisonTasks::At(vec![4_000_000]))
     };
     let violations = run_crashing(1, &plan).violations;
     let broken: Vec<Rule> = violations.iter().map(|violation| violation.rule).collect();
