--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -8,6 +8,7 @@
 use super::{Answer, GatewayEffect, LeasedGateway};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::JobId;
+use crate::session::SessionId;
 
 /// How long a cancel is remembered: a call that hands the job in may be on its way still,
 /// or sent again after a broken connection.
@@ -30,6 +31,13 @@
         self.jobs.push_back((now, job));
     }
 
+    /// The jobs that were cancelled of late.
+    fn recent(&self, now: Timestamp) -> Vec<JobId> {
+        let jobs = self.jobs.iter();
+        let recent = jobs.filter(|(at, _)| now.since(*at) <= MEMORY);
+        recent.map(|(_, job)| *job).collect()
+    }
+
     /// Whether a job was cancelled of late.
     pub fn contains(&self, now: Timestamp, job: JobId) -> bool {
         let mut jobs = self.jobs.iter();
@@ -48,7 +56,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let is_here = self.jobs.contains_key(&job);
-        self.on_cancel_told(now, job, effects);
+        self.end_cancelled(now, job, effects);
         let answer = if is_here {
             Answer::Cancelled
         } else {
@@ -62,18 +70,38 @@
         for session in self.peers.keys() {
             effects.push(GatewayEffect::ToPeer {
                 session: *session,
-                message: ToPeer::Cancelled(job),
+                message: ToPeer::Cancelled(vec![job]),
             });
         }
     }
 
-    /// A job was cancelled, here or at a peer.
-    pub(super) fn on_cancel_told(
+    /// Tells a new peer what was cancelled before it came.
+    pub(super) fn tell_peer_cancels(
+        &self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let recent = self.cancels.recent(now);
+        if !recent.is_empty() {
+            let message = ToPeer::Cancelled(recent);
+            effects.push(GatewayEffect::ToPeer { session, message });
+        }
+    }
+
+    /// Jobs were cancelled at a peer.
+    pub(super) fn on_cancels_told(
         &mut self,
         now: Timestamp,
-        job: JobId,
+        jobs: &[JobId],
         effects: &mut Vec<GatewayEffect>,
     ) {
+        for job in jobs {
+            self.end_cancelled(now, *job, effects);
+        }
+    }
+
+    fn end_cancelled(&mut self, now: Timestamp, job: JobId, effects: &mut Vec<GatewayEffect>) {
         self.cancels.note(now, job);
         self.finish(now, job, Answer::Cancelled, effects);
     }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -194,7 +194,7 @@
             GatewayEvent::AgentMessage { session, message } => {
                 self.on_agent_message(now, session, message, effects);
             }
-            GatewayEvent::PeerOpened { session } => self.on_peer_opened(session, effects),
+            GatewayEvent::PeerOpened { session } => self.on_peer_opened(now, session, effects),
             GatewayEvent::PeerClosed { session } => self.on_peer_closed(session),
             GatewayEvent::PeerMessage { session, message } => {
                 self.on_peer_message(now, session, message, effects);
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -38,12 +38,18 @@
         self.note_members();
     }
 
-    pub(super) fn on_peer_opened(&mut self, session: SessionId, effects: &mut Vec<GatewayEffect>) {
+    pub(super) fn on_peer_opened(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         self.peers.insert(session, Peer::default());
         self.members.open(session);
         let message = ToPeer::Introduction(self.identity.member.clone());
         effects.push(GatewayEffect::ToPeer { session, message });
         self.tell_peer_evacuations(session, effects);
+        self.tell_peer_cancels(now, session, effects);
         if let Some(configuration) = &self.configuration {
             let message = ToPeer::InForce(configuration.version);
             effects.push(GatewayEffect::ToPeer { session, message });
@@ -73,7 +79,7 @@
             ToPeer::Evacuations(news) => self.on_evacuations_told(now, news, effects),
             ToPeer::Crashes(crashes) => self.on_crashes(now, &crashes, effects),
             ToPeer::Suspect { queue, task } => self.on_suspect_told(now, &queue, task),
-            ToPeer::Cancelled(job) => self.on_cancel_told(now, job, effects),
+            ToPeer::Cancelled(jobs) => self.on_cancels_told(now, &jobs, effects),
             ToPeer::Members(members) => effects.push(GatewayEffect::Members(members)),
             ToPeer::Introduction(member) => {
                 if let Some(peer) = self.peers.get_mut(&session) {
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -425,8 +425,8 @@
     Evacuations(Evacuations),
     /// Workers that have crashed under tasks of the sender's callers.
     Crashes(Vec<WorkerCrash>),
-    /// A caller has cancelled a job at the sender, which may not be the gateway that has it.
-    Cancelled(JobId),
+    /// Jobs that callers have cancelled of late, not always at the gateway that has them.
+    Cancelled(Vec<JobId>),
     /// Several workers have crashed under a task of the sender's callers.
     Suspect {
         /// Name of its queue.
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -402,7 +402,7 @@
     rig.join(at(0), 1, "agent-1", cpu(1_000));
     let session = SessionId(50);
     rig.event(at(0), GatewayEvent::PeerOpened { session });
-    let message = ToPeer::Cancelled(JobId(1));
+    let message = ToPeer::Cancelled(vec![JobId(1)]);
     let told_at = |rig: &mut GatewayRig, millis| {
         let message = message.clone();
         rig.event(at(millis), GatewayEvent::PeerMessage { session, message });
@@ -420,19 +420,25 @@
     assert_eq!(rig.last_answer(), Some(Answer::Cancelled));
 }
 
+/// A gateway that has just started may be handed the job once more.
 #[test]
-fn a_cancel_of_an_unknown_job_is_passed_on() {
+fn a_cancel_of_an_unknown_job_is_passed_on_also_to_peers_that_come_later() {
     let mut rig = GatewayRig::new();
-    let session = SessionId(50);
-    rig.event(at(0), GatewayEvent::PeerOpened { session });
+    let peers = [50, 51].map(SessionId);
+    rig.event(at(0), GatewayEvent::PeerOpened { session: peers[0] });
     let cancel = GatewayEvent::Cancel {
         call: CallNumber(1),
         job: JobId(1),
     };
     rig.event(at(10), cancel);
     assert_eq!(rig.last_answer(), Some(Answer::Unknown));
-    let is_told = |(_, message): &(SessionId, ToPeer)| matches!(message, ToPeer::Cancelled(job) if *job == JobId(1));
-    assert!(rig.to_peers.iter().any(is_told));
+    rig.event(at(3_000), GatewayEvent::PeerOpened { session: peers[1] });
+    for peer in peers {
+        let is_told = |(session, message): &(SessionId, ToPeer)| {
+            *session == peer && matches!(message, ToPeer::Cancelled(jobs) if *jobs == [JobId(1)])
+        };
+        assert!(rig.to_peers.iter().any(is_told));
+    }
 }
 
 /// A new agent knows its worker from a record; whether that is old, gateways know.
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -36,6 +36,7 @@
 #[case::room_recalled_after_long_darkness(68)]
 #[case::room_unheard_of_for_long(82)]
 #[case::cancelled_while_the_gateway_stood_still(94)]
+#[case::cancelled_and_handed_in_again_at_a_new_gateway(50186)]
 fn mended_seed_with_hazards_keeps_every_rule(#[case] seed: u64) {
     assert_keeps_every_rule(seed, &run_hazard_seed(seed, None));
 }
