--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -16,11 +16,10 @@
 const BOUNCES_BEFORE_PAUSE: u32 = 6;
 /// That pause.
 const BOUNCE_PAUSE: Span = Span::from_millis(5);
-/// Setbacks of a task after which its job is given up. Each may put a worker on probation,
-/// for 0.4 s or more, and without a bound a task that never ends well does that to one worker
-/// after the other until its caller's deadline. Workers that hang or fail everything are on
-/// probation after the first few tasks, so that a sound task seldom meets two of them.
-const MOST_SETBACKS: u32 = 4;
+/// Runs of a task that stood still after which its job is given up: without a bound it would
+/// stand still on one worker after the other until its caller's deadline. Workers that hang are
+/// on probation after their first task, so that a sound task seldom meets several of them.
+const MOST_STALLS: u32 = 4;
 /// Pause before a task is placed again whose earlier run is being stopped.
 const DUPLICATE_PAUSE: Span = Span::from_millis(100);
 /// How long an agent without a session is remembered, to tell the next one of its name.
@@ -135,21 +134,20 @@
         match how {
             EndKind::Done => {}
             EndKind::Failed => task.failures += 1,
-            EndKind::FailedOnSuspect => task.setbacks += 1,
-            EndKind::Stalled => {
-                task.setbacks += 1;
-                task.has_stalled = true;
-            }
-            EndKind::TooSlow { .. } | EndKind::Lost | EndKind::Stopped => {}
+            EndKind::Stalled => task.stalls += 1,
+            EndKind::FailedOnSuspect
+            | EndKind::TooSlow { .. }
+            | EndKind::Lost
+            | EndKind::Stopped => {}
             EndKind::NotStarted(NotStartedReason::OldRun) => task.run.0 += RUN_JUMP,
             EndKind::NotStarted(_) => {}
         }
-        let has_stalled = task.has_stalled;
+        let has_stalled = task.stalls > 0;
         if task.failures >= most_failures {
             self.finish(now, id.job, Answer::Failed, effects);
             return;
         }
-        if task.setbacks >= MOST_SETBACKS {
+        if task.stalls >= MOST_STALLS {
             self.finish(now, id.job, Answer::GivenUp, effects);
             return;
         }
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -128,11 +128,8 @@
     pub run: RunNumber,
     /// Runs that failed by its own fault, as far as can be told.
     pub failures: u32,
-    /// Runs that stood still, or failed on a worker that had failed others: each may have
-    /// cost a worker some time out of service.
-    pub setbacks: u32,
-    /// Whether a run of it has stood still.
-    pub has_stalled: bool,
+    /// Runs of it that stood still.
+    pub stalls: u32,
     /// When it was last placed.
     pub placed: Timestamp,
 }
@@ -162,8 +159,7 @@
             state: TaskState::Waiting,
             run: RunNumber(0),
             failures: 0,
-            setbacks: 0,
-            has_stalled: false,
+            stalls: 0,
             placed: Timestamp::default(),
         };
         Self {
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -294,7 +294,7 @@
         let stalled = candidate
             .apart
             .map(|index| &job.steps[step].tasks[index as usize]);
-        let has_stalled = stalled.is_some_and(|task| task.has_stalled);
+        let has_stalled = stalled.is_some_and(|task| task.stalls > 0);
         let request = &job.steps[step].request;
         let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
         let reported = if candidate.offer.is_some() {
