Read the change once more: one way to tell all peers, one walk over a dead worker's runs

Four loops over the peers' sessions (configuration in force, crashes, suspects, cancels) are one method; what a crash tells gateways and what it tells the log come from one iterator; whether a heartbeat is late is worked out once.

--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -8,10 +8,11 @@
 use super::super::crashes::CrashedTask;
 use super::super::messages::EndKind;
 use super::super::room::Room;
-use super::super::task::RunId;
+use super::super::task::{RunId, TaskId};
 use super::super::timing::LEASE;
 use super::crash_memory::is_early;
 use super::health::Health;
+use super::ledger::Run;
 use super::worker::{ClockEstimate, FenceToken, Registration, ShrunkRoom, WorkerClock};
 use super::{AgentDecision, AgentEffect, LeasedAgent, Life, LifeEnd, LostRun};
 
@@ -51,7 +52,9 @@
                 effects.push(AgentEffect::RememberDraining(Arc::clone(&name)));
                 effects.push(AgentEffect::Decided(AgentDecision::Draining { life: name }));
             }
-            self.take_capacity(&registration, effects);
+            if !is_late {
+                self.take_capacity(&registration, effects);
+            }
             return;
         }
         if self.life.is_some() {
@@ -61,16 +64,15 @@
         }
     }
 
-    /// The worker says how much room it has. What runs there goes on, but nothing starts
+    /// The worker says, in a heartbeat that is not late, how much room it has. What runs there goes on, but nothing starts
     /// beyond it; gateways are told what the worker is now.
     fn take_capacity(&mut self, registration: &Registration, effects: &mut Vec<AgentEffect>) {
         let Some(life) = &mut self.life else {
             return;
         };
-        let is_late = registration.sequence < life.sequence;
-        life.sequence = life.sequence.max(registration.sequence);
+        life.sequence = registration.sequence;
         let capacity = registration.capacity;
-        if is_late || capacity == life.capacity {
+        if capacity == life.capacity {
             return;
         }
         effects.push(AgentEffect::Decided(AgentDecision::CapacityChanged {
@@ -227,8 +229,8 @@
         let Some(present) = self.life.take() else {
             return;
         };
-        let runs = self.runs_at_worker(now);
-        let begun = self.begun_tasks(now).chain(present.lapsed).collect();
+        let runs = self.lost_runs(now);
+        let begun = self.crashed_tasks(now).chain(present.lapsed).collect();
         self.note_life_end(life, present.draining, end, begun);
         effects.push(AgentEffect::Decided(AgentDecision::LifeOver {
             life: present.name,
@@ -244,27 +246,29 @@
         }
     }
 
-    /// The tasks of those runs.
-    fn begun_tasks(&self, now: Timestamp) -> impl Iterator<Item = CrashedTask> {
-        let begun = self.ledger.iter().filter(|(_, run)| run.takes_room());
-        begun.map(move |(task, run)| CrashedTask {
+    /// The runs that the worker may have begun.
+    fn begun_runs(&self) -> impl Iterator<Item = (TaskId, &Run)> {
+        self.ledger.iter().filter(|(_, run)| run.takes_room())
+    }
+
+    /// Their tasks, as gateways are told of a crash.
+    fn crashed_tasks(&self, now: Timestamp) -> impl Iterator<Item = CrashedTask> {
+        self.begun_runs().map(move |(task, run)| CrashedTask {
             task,
             is_early: is_early(run, now.since(run.sent)),
         })
     }
 
-    /// Runs that the worker may have begun.
-    fn runs_at_worker(&self, now: Timestamp) -> Vec<LostRun> {
-        let begun = self.ledger.iter().filter(|(_, run)| run.takes_room());
-        begun
-            .map(|(task, run)| LostRun {
-                run: RunId {
-                    task,
-                    run: run.number,
-                },
-                age: now.since(run.sent),
-            })
-            .collect()
+    /// The same with their numbers and ages, for the log.
+    fn lost_runs(&self, now: Timestamp) -> Vec<LostRun> {
+        let lost = self.begun_runs().map(|(task, run)| LostRun {
+            run: RunId {
+                task,
+                run: run.number,
+            },
+            age: now.since(run.sent),
+        });
+        lost.collect()
     }
 
     pub(super) fn is_present(&self, life: &str) -> bool {
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -60,21 +60,12 @@
         let answer = if is_here {
             Answer::Cancelled
         } else {
-            self.pass_cancel_on(job, effects);
+            self.tell_peers(&ToPeer::Cancelled(vec![job]), effects);
             Answer::Unknown
         };
         effects.push(GatewayEffect::Answer { call, answer });
     }
 
-    fn pass_cancel_on(&self, job: JobId, effects: &mut Vec<GatewayEffect>) {
-        for session in self.peers.keys() {
-            effects.push(GatewayEffect::ToPeer {
-                session: *session,
-                message: ToPeer::Cancelled(vec![job]),
-            });
-        }
-    }
-
     /// Tells a new peer what was cancelled before it came.
     pub(super) fn tell_peer_cancels(
         &self,
--- a/laurelstile-core/src/leased/gateway/containment.rs
+++ b/laurelstile-core/src/leased/gateway/containment.rs
@@ -17,7 +17,6 @@
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::TaskId;
-use crate::session::SessionId;
 
 /// How long a suspect counts: longer than workers are away after a crash, so that the ones
 /// that are back show whether more such tasks come.
@@ -90,12 +89,7 @@
         if !self.containment.note(now, &queue, task) {
             return;
         }
-        let peers: Vec<SessionId> = self.peers.keys().copied().collect();
-        for session in peers {
-            let queue = queue.clone();
-            let message = ToPeer::Suspect { queue, task };
-            effects.push(GatewayEffect::ToPeer { session, message });
-        }
+        self.tell_peers(&ToPeer::Suspect { queue, task }, effects);
     }
 
     /// A peer tells of a suspect of its callers.
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -32,6 +32,16 @@
         self.members.update(present);
     }
 
+    /// Tells all peers the same.
+    pub(super) fn tell_peers(&self, message: &ToPeer, effects: &mut Vec<GatewayEffect>) {
+        for session in self.peers.keys() {
+            effects.push(GatewayEffect::ToPeer {
+                session: *session,
+                message: message.clone(),
+            });
+        }
+    }
+
     pub(super) fn on_peer_closed(&mut self, session: SessionId) {
         self.peers.remove(&session);
         self.members.close(session);
@@ -107,12 +117,7 @@
         let is_kept = |name: &str| configuration.queues.iter().any(|queue| queue.name == name);
         self.run_times.retain(is_kept);
         self.shares.retain(is_kept);
-        for session in self.peers.keys() {
-            effects.push(GatewayEffect::ToPeer {
-                session: *session,
-                message: ToPeer::InForce(configuration.version),
-            });
-        }
+        self.tell_peers(&ToPeer::InForce(configuration.version), effects);
         effects.push(GatewayEffect::InForce(configuration));
     }
 
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -15,7 +15,6 @@
 use crate::leased::crashes::{CrashedTask, Standing, WorkerCrash};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::{JobId, TaskId};
-use crate::session::SessionId;
 
 /// Tasks of a gateway that run alone at a time. Each holds a worker for the length of its
 /// run, and may take it down.
@@ -66,11 +65,7 @@
         if own.is_empty() {
             return;
         }
-        let peers: Vec<SessionId> = self.peers.keys().copied().collect();
-        for session in peers {
-            let message = ToPeer::Crashes(own.clone());
-            effects.push(GatewayEffect::ToPeer { session, message });
-        }
+        self.tell_peers(&ToPeer::Crashes(own), effects);
     }
 
     fn own_tasks(&self, tasks: &[CrashedTask]) -> Vec<CrashedTask> {
