Sight: what proves the end of a run, which runs outlive a session, which stops get no answer

Together they tell the three hypotheses apart: farewell before a second start; a session_resumed before an agent_lapsed; a stop_unanswered for owner_silent.

--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -9,6 +9,7 @@
 use super::super::messages::{EndKind, FromAgent, Member, ToAgent};
 use super::super::room::Room;
 use super::super::task::RunId;
+use super::proof::EndProof;
 use super::worker::{
     FenceToken, OrderFailure, Registration, Rejection, ShrunkRoom, WorkerClock, WorkerLists,
 };
@@ -224,6 +225,26 @@
         /// How long.
         silence: Span,
     },
+    /// A gateway has a session again that has runs here.
+    SessionResumed {
+        /// Incarnation of the gateway.
+        gateway: Incarnation,
+        /// Age of the latest reading of the agent's clock that it has sent back.
+        silence: Span,
+        /// Its runs.
+        runs: usize,
+    },
+    /// A stop of a run has got no answer for longer than a stop may take.
+    StopUnanswered {
+        /// The run.
+        run: RunId,
+        /// Why it is stopped.
+        reason: &'static str,
+        /// Time since the first stop was sent.
+        age: Span,
+        /// Stops without an answer.
+        stops: u32,
+    },
     /// A worker's life is over.
     LifeOver {
         /// The life.
@@ -276,5 +297,7 @@
         run: RunId,
         /// How.
         how: EndKind,
+        /// What proves it.
+        proof: EndProof,
     },
 }
--- a/laurelstile-core/src/leased/agent/ledger.rs
+++ b/laurelstile-core/src/leased/agent/ledger.rs
@@ -48,6 +48,8 @@
     Stopping {
         /// Why.
         reason: StopReason,
+        /// Since when.
+        since: Timestamp,
         /// When the stop was answered.
         answered: Option<Timestamp>,
     },
@@ -76,6 +78,8 @@
     pub stop_again: Option<Timestamp>,
     /// Stops that got no answer.
     pub lost_stops: u32,
+    /// Whether the log was told that they take longer than a stop may.
+    pub is_stop_overdue: bool,
     /// Whether the worker is to run nothing beside it.
     pub is_alone: bool,
     /// Whether its task has stood still on another worker.
--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -13,6 +13,7 @@
 use super::crash_memory::is_early;
 use super::health::Health;
 use super::ledger::Run;
+use super::proof::EndProof;
 use super::worker::{ClockEstimate, FenceToken, Registration, ShrunkRoom, WorkerClock};
 use super::{AgentDecision, AgentEffect, LeasedAgent, Life, LifeEnd, LostRun};
 
@@ -237,8 +238,13 @@
             end,
             runs,
         }));
+        let proof = match end {
+            LifeEnd::Crashed => EndProof::LifeOver,
+            LifeEnd::Deregistered => EndProof::Farewell,
+            LifeEnd::Replaced => EndProof::LeaseOver,
+        };
         for task in self.ledger.tasks_where(|_| true) {
-            self.end_run(now, task, EndKind::Lost, effects);
+            self.end_run(now, task, EndKind::Lost, proof, effects);
         }
         self.ended_lives.insert(life.to_owned());
         if let Some(challenger) = present.challenger {
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -10,6 +10,7 @@
 mod offers;
 mod outgoing;
 mod owner;
+pub mod proof;
 mod room_knowledge;
 mod silence;
 mod starting;
@@ -37,6 +38,7 @@
 use ledger::{Ledger, RunState, StopReason};
 use lives::Challenger;
 use owner::Owner;
+use proof::EndProof;
 pub use room_knowledge::HeartbeatTimes;
 use room_knowledge::RoomKnowledge;
 use worker::{ClockEstimate, FenceToken};
@@ -259,8 +261,23 @@
             self.sessions.remove(&old);
             effects.push(AgentEffect::Close(old));
         }
+        let silence = owner.echo_age(now);
         owner.open(now, session);
         self.sessions.insert(session, gateway);
+        self.tell_resumed(gateway, silence, effects);
+    }
+
+    /// Notes for the log that runs outlived a session: how old the gateway's latest word is.
+    fn tell_resumed(&self, gateway: Incarnation, silence: Span, effects: &mut Vec<AgentEffect>) {
+        let own = self.ledger.iter().filter(|(_, run)| run.owner == gateway);
+        let runs = own.count();
+        if runs > 0 {
+            effects.push(AgentEffect::Decided(AgentDecision::SessionResumed {
+                gateway,
+                silence,
+                runs,
+            }));
+        }
     }
 
     fn on_closed(&mut self, session: SessionId) {
@@ -353,7 +370,7 @@
         match run.state {
             RunState::Waiting => {
                 let how = EndKind::NotStarted(NotStartedReason::Withdrawn);
-                self.end_run(now, task, how, effects);
+                self.end_run(now, task, how, EndProof::NotSent, effects);
             }
             RunState::Starting | RunState::Running { .. } => {
                 if reason != StopReason::Asked {
@@ -370,6 +387,7 @@
                 }
                 let state = RunState::Stopping {
                     reason,
+                    since: now,
                     answered: None,
                 };
                 self.ledger.set_state(task, state);
@@ -385,6 +403,7 @@
         now: Timestamp,
         task: TaskId,
         how: EndKind,
+        proof: EndProof,
         effects: &mut Vec<AgentEffect>,
     ) {
         let Some(run) = self.ledger.remove(task) else {
@@ -395,7 +414,11 @@
             run: run.number,
         };
         if how != EndKind::Done {
-            effects.push(AgentEffect::Decided(AgentDecision::Ended { run: id, how }));
+            effects.push(AgentEffect::Decided(AgentDecision::Ended {
+                run: id,
+                how,
+                proof,
+            }));
         }
         if let Some(owner) = self.owners.get_mut(&run.owner) {
             owner.push_end(id, how);
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -6,10 +6,11 @@
 
 use super::super::messages::{EndKind, NotStartedReason, StartBatch};
 use super::super::task::{RunId, TaskId};
-use super::super::timing::START_FRESHNESS;
+use super::super::timing::{START_FRESHNESS, STOP_AT_MOST};
 use super::ledger::{Run, RunState, StopReason};
+use super::proof::EndProof;
 use super::worker::{FenceToken, OrderFailure, Rejection, WorkerClock};
-use super::{AgentEffect, LeasedAgent, LifeEnd, OrderAnswer, OrderKind};
+use super::{AgentDecision, AgentEffect, LeasedAgent, LifeEnd, OrderAnswer, OrderKind};
 
 /// Most tasks that wait here for room.
 const MOST_WAITING: usize = 64;
@@ -51,6 +52,7 @@
                 state: RunState::Waiting,
                 stop_again: None,
                 lost_stops: 0,
+                is_stop_overdue: false,
                 is_alone: batch.is_alone,
                 has_stalled: batch.has_stalled,
                 percent: 0,
@@ -73,9 +75,10 @@
         effects: &mut Vec<AgentEffect>,
     ) {
         let how = EndKind::NotStarted(reason);
-        effects.push(AgentEffect::Decided(super::AgentDecision::Ended {
+        effects.push(AgentEffect::Decided(AgentDecision::Ended {
             run,
             how,
+            proof: EndProof::NotSent,
         }));
         if let Some(owner) = self.owners.get_mut(&gateway) {
             owner.push_end(run, how);
@@ -184,7 +187,8 @@
             run.state == RunState::Waiting && (!is_available || now >= run.wait_until)
         });
         for task in over {
-            self.end_run(now, task, EndKind::NotStarted(reason), effects);
+            let how = EndKind::NotStarted(reason);
+            self.end_run(now, task, how, EndProof::NotSent, effects);
         }
     }
 
@@ -204,7 +208,7 @@
             Err(OrderFailure::LifeOver) => {
                 // The life was over before the order came: the run has no part in that.
                 if state == Some(RunState::Starting) {
-                    self.end_run(now, id.task, EndKind::Lost, effects);
+                    self.end_run(now, id.task, EndKind::Lost, EndProof::LifeOver, effects);
                 }
                 self.on_life_over(now, life, LifeEnd::Crashed, effects);
             }
@@ -261,7 +265,7 @@
             }
             Rejection::Invalid => EndKind::Failed,
         };
-        self.end_run(now, id.task, how, effects);
+        self.end_run(now, id.task, how, EndProof::Rejected, effects);
     }
 
     pub(super) fn on_stop_answered(
@@ -288,6 +292,7 @@
                         run.lost_stops += 1;
                         run.stop_again = Some(now.after(pause));
                     });
+                    self.tell_unanswered_stop(now, id, effects);
                 }
             }
             Ok(OrderAnswer { clock, rejection }) => {
@@ -297,13 +302,14 @@
                     self.order(OrderKind::Stop { run: id }, effects);
                     return;
                 }
-                let Some(RunState::Stopping { reason, .. }) =
+                let Some(RunState::Stopping { reason, since, .. }) =
                     self.ledger.run(id).map(|run| run.state)
                 else {
                     return;
                 };
                 let state = RunState::Stopping {
                     reason,
+                    since,
                     answered: Some(now),
                 };
                 self.ledger.set_state(id.task, state);
@@ -311,6 +317,27 @@
         }
     }
 
+    /// Notes for the log, once for a run, that its stop takes longer than a stop may.
+    fn tell_unanswered_stop(&mut self, now: Timestamp, id: RunId, effects: &mut Vec<AgentEffect>) {
+        let Some(run) = self.ledger.run(id) else {
+            return;
+        };
+        let RunState::Stopping { reason, since, .. } = run.state else {
+            return;
+        };
+        let (age, stops) = (now.since(since), run.lost_stops);
+        if age <= STOP_AT_MOST || run.is_stop_overdue {
+            return;
+        }
+        self.ledger.note(id.task, |run| run.is_stop_overdue = true);
+        effects.push(AgentEffect::Decided(AgentDecision::StopUnanswered {
+            run: id,
+            reason: reason.name(),
+            age,
+            stops,
+        }));
+    }
+
     /// Sends stops that got no answer again.
     pub(super) fn repeat_stops(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         let due = self
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -11,6 +11,7 @@
 use super::super::task::{RunId, TaskId};
 use super::super::timing::{LEASE_AT_MOST, STOP_AT_MOST};
 use super::ledger::{Run, RunState, StopReason};
+use super::proof::EndProof;
 use super::worker::{OrderFailure, Rejection, WorkerClock, WorkerEnd, WorkerEndKind, WorkerLists};
 use super::{AgentDecision, AgentEffect, LeasedAgent, LifeEnd, OrderKind, WatchAnswer};
 
@@ -165,7 +166,7 @@
             return;
         };
         let how = self.judge_end(now, run.state, end.how);
-        self.end_run(now, end.run.task, how, effects);
+        self.end_run(now, end.run.task, how, EndProof::Listed, effects);
     }
 
     fn judge_end(&mut self, now: Timestamp, state: RunState, how: WorkerEndKind) -> EndKind {
@@ -282,7 +283,7 @@
             .filter_map(|(task, run)| Some((task, end_if_unlisted(asked, run)?)))
             .collect();
         for (task, how) in over {
-            self.end_run(now, task, how, effects);
+            self.end_run(now, task, how, EndProof::Unlisted, effects);
         }
     }
 
@@ -305,7 +306,7 @@
         });
         life.lapsed.extend(lapsed);
         for task in tasks {
-            self.end_run(now, task, EndKind::Lost, effects);
+            self.end_run(now, task, EndKind::Lost, EndProof::LeaseOver, effects);
         }
         self.give_way(now, effects);
     }
@@ -342,7 +343,9 @@
     match run.state {
         RunState::Waiting | RunState::Starting => None,
         RunState::Running { since } => (since < asked).then_some(EndKind::Lost),
-        RunState::Stopping { reason, answered } => {
+        RunState::Stopping {
+            reason, answered, ..
+        } => {
             // After its stop was answered a run is never started; without an
             // answer its start is void once the lease in it is over.
             let is_void = asked.since(run.sent).0 > LEASE_AT_MOST.0 + STOP_AT_MOST.0;
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -7,7 +7,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::job::TaskState;
-use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
+use super::{Answer, EndSource, GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::crashes::Standing;
 use crate::leased::messages::{EndKind, NotStartedReason, Snapshot, TaskEnd};
 use crate::leased::task::{JobId, RunId, RunNumber, TaskId};
@@ -51,24 +51,29 @@
         }
         worker.tasks.remove(&end.task);
         let name = worker.name.clone();
-        self.on_end(now, &name, end.task, end.run, end.how, effects);
+        let run = RunId {
+            task: end.task,
+            run: end.run,
+        };
+        self.on_end(now, &name, run, end.how, EndSource::Agent, effects);
     }
 
     fn on_end(
         &mut self,
         now: Timestamp,
         agent: &str,
-        id: TaskId,
-        run: RunNumber,
+        run: RunId,
         how: EndKind,
+        source: EndSource,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        let id = run.task;
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
         let is_current = job
             .task_mut(id)
-            .is_some_and(|task| task.run == run && task.state == TaskState::Placed);
+            .is_some_and(|task| task.run == run.run && task.state == TaskState::Placed);
         if !is_current {
             return;
         }
@@ -83,9 +88,10 @@
             return;
         }
         effects.push(GatewayEffect::Decided(GatewayDecision::CameBack {
-            run: RunId { task: id, run },
+            run,
             agent: agent.to_owned(),
             how,
+            source,
         }));
         self.place_again(now, id, how, effects);
     }
@@ -223,7 +229,7 @@
                 .filter(|(task, run)| !held.contains(&(**task, **run)))
                 .map(|(task, _)| *task)
                 .collect();
-            self.lose(now, agent, &lost, effects);
+            self.lose(now, agent, &lost, EndSource::Snapshot, effects);
         }
         let predecessors: Vec<Incarnation> = self
             .workers
@@ -232,7 +238,7 @@
             .map(|(other, _)| *other)
             .collect();
         for old in predecessors {
-            self.lose_all(now, old, effects);
+            self.lose_all(now, old, EndSource::Successor, effects);
             self.workers.remove(&old);
             self.start_window.forget(old);
             self.way_in.forget(old);
@@ -256,7 +262,7 @@
                     silence: now.since(worker.heard),
                 }));
             }
-            self.lose_all(now, agent, effects);
+            self.lose_all(now, agent, EndSource::Silence, effects);
         }
         self.workers.retain(|_, worker| {
             let is_recent = now.since(worker.heard) <= AGENT_MEMORY;
@@ -264,12 +270,18 @@
         });
     }
 
-    fn lose_all(&mut self, now: Timestamp, agent: Incarnation, effects: &mut Vec<GatewayEffect>) {
+    fn lose_all(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        source: EndSource,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         let Some(worker) = self.workers.get(&agent) else {
             return;
         };
         let tasks: Vec<TaskId> = worker.tasks.keys().copied().collect();
-        self.lose(now, agent, &tasks, effects);
+        self.lose(now, agent, &tasks, source, effects);
     }
 
     fn lose(
@@ -277,6 +289,7 @@
         now: Timestamp,
         agent: Incarnation,
         tasks: &[TaskId],
+        source: EndSource,
         effects: &mut Vec<GatewayEffect>,
     ) {
         for task in tasks {
@@ -287,7 +300,8 @@
             let Some(run) = worker.tasks.remove(task) else {
                 continue;
             };
-            self.on_end(now, &name, *task, run, EndKind::Lost, effects);
+            let run = RunId { task: *task, run };
+            self.on_end(now, &name, run, EndKind::Lost, source, effects);
         }
     }
 }
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -166,6 +166,31 @@
     DeadlineOver,
 }
 
+/// What a gateway knows from that a run is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndSource {
+    /// Its agent told.
+    Agent,
+    /// Its agent, which has a session again, does not hold it any more.
+    Snapshot,
+    /// A later agent beside the worker has it under control.
+    Successor,
+    /// Nothing was heard of its agent for so long that its lease is over.
+    Silence,
+}
+
+impl EndSource {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Agent => "agent",
+            Self::Snapshot => "snapshot",
+            Self::Successor => "successor",
+            Self::Silence => "silence",
+        }
+    }
+}
+
 /// A decision of the gateway, for the logs.
 #[derive(Clone, Debug)]
 pub enum GatewayDecision {
@@ -203,6 +228,8 @@
         agent: String,
         /// How its time there ended.
         how: EndKind,
+        /// What the gateway knows that from.
+        source: EndSource,
     },
     /// A job was answered.
     Answered {
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -40,7 +40,7 @@
 use crate::session::{Remote, SessionId};
 use cancels::Cancels;
 use containment::Containment;
-pub use events::{Answer, GatewayDecision, GatewayEffect, GatewayEvent, Refusal};
+pub use events::{Answer, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Refusal};
 use job::{CallNumber, Job};
 use member_log::MemberLog;
 use offers::AnnouncedJob;
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -15,8 +15,8 @@
 
 use crate::telemetry::{
     CAME_BACK, CONTAINED_QUEUES, EVACUATED_ZONES, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED,
-    OFFERS, OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, TASKS_SUSPECTED,
-    WORKER_CRASHES, WORKER_SILENT,
+    OFFERS, OFFERS_EXPIRED, RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, STOPS_UNANSWERED,
+    TASKS_SUSPECTED, WORKER_CRASHES, WORKER_SILENT,
 };
 
 /// Most lines of steps in a period.
@@ -76,8 +76,13 @@
             } => {
                 log::info!(event = "placed", job:% = job, agent = agent.as_str(), tasks = tasks, report_age_ms = report_age.as_millis(), age_ms = age.as_millis(); "");
             }
-            GatewayDecision::CameBack { run, agent, how } => {
-                log::info!(event = "came_back", task:% = run.task, run = run.run.0, agent = agent.as_str(), how:? = how; "");
+            GatewayDecision::CameBack {
+                run,
+                agent,
+                how,
+                source,
+            } => {
+                log::info!(event = "came_back", task:% = run.task, run = run.run.0, agent = agent.as_str(), how:? = how, source = source.name(); "");
             }
             GatewayDecision::Answered {
                 job,
@@ -148,6 +153,21 @@
             AgentDecision::SessionSilent { gateway, silence } => {
                 log::warn!(event = "session_silent", gateway:% = gateway, silence_ms = silence.as_millis(); "closed, to be dialed anew");
             }
+            AgentDecision::SessionResumed {
+                gateway,
+                silence,
+                runs,
+            } => {
+                log::info!(event = "session_resumed", gateway:% = gateway, silence_ms = silence.as_millis(), runs = *runs; "its runs go on");
+            }
+            AgentDecision::StopUnanswered {
+                run,
+                reason,
+                age,
+                stops,
+            } => {
+                log::warn!(event = "stop_unanswered", task:% = run.task, run = run.run.0, reason = *reason, age_ms = age.as_millis(), stops = *stops; "the worker does not answer its stop");
+            }
             AgentDecision::LifeOver { life, end, runs } => {
                 let tasks = names_of(runs);
                 log::warn!(event = "worker_life_over", life:% = life, end = end.name(), runs = runs.len(), tasks = tasks.as_str(); "");
@@ -175,8 +195,8 @@
             } => {
                 log::info!(event = "stopping_run", task:% = run.task, run = run.run.0, reason = *reason, echo_age_ms = echo_age.as_millis(), percent = percent; "");
             }
-            AgentDecision::Ended { run, how } => {
-                log::info!(event = "run_ended", task:% = run.task, run = run.run.0, how:? = how; "");
+            AgentDecision::Ended { run, how, proof } => {
+                log::info!(event = "run_ended", task:% = run.task, run = run.run.0, how:? = how, proof = proof.name(); "");
             }
         }
     }
@@ -286,13 +306,16 @@
 
 fn count_agent(decision: &AgentDecision) {
     match decision {
-        AgentDecision::Ended { how, .. } => {
-            counter!(RUNS_ENDED, "how" => how.name()).increment(1);
+        AgentDecision::Ended { how, proof, .. } => {
+            counter!(RUNS_ENDED, "how" => how.name(), "proof" => proof.name()).increment(1);
         }
         AgentDecision::Stopping { reason, .. } => {
             counter!(RUNS_STOPPED, "reason" => *reason).increment(1);
         }
         AgentDecision::OfferExpired => counter!(OFFERS_EXPIRED).increment(1),
+        AgentDecision::StopUnanswered { reason, .. } => {
+            counter!(STOPS_UNANSWERED, "reason" => *reason).increment(1);
+        }
         AgentDecision::WorkerSilent { .. } => counter!(WORKER_SILENT).increment(1),
         AgentDecision::LifeOver {
             end: LifeEnd::Crashed,
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -51,10 +51,12 @@
 pub const RUN_TIME_RATIO: &str = "laurelstile_run_time_ratio";
 /// Tasks that came back from an agent without being done; label `how`.
 pub const CAME_BACK: &str = "laurelstile_tasks_came_back_total";
-/// Runs that ended otherwise than done at this agent; label `how`.
+/// Runs that ended otherwise than done at this agent; labels `how` and `proof`.
 pub const RUNS_ENDED: &str = "laurelstile_runs_ended_total";
 /// Runs that this agent stopped for a reason of its own; label `reason`.
 pub const RUNS_STOPPED: &str = "laurelstile_runs_stopped_total";
+/// Stops that a worker did not answer for longer than a stop may take; label `reason`.
+pub const STOPS_UNANSWERED: &str = "laurelstile_stops_unanswered_total";
 /// Tasks under which several workers have crashed; label `standing` (`alone`: to be run
 /// alone; `given_up`).
 pub const TASKS_SUSPECTED: &str = "laurelstile_tasks_suspected_total";
