--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -278,6 +278,16 @@
         })
     }
 
+    /// The leases in the orders that are not answered, which stay where they are.
+    pub fn leases(&self) -> Vec<WorkerClock> {
+        let leases = self.orders.iter().filter_map(|order| match &order.kind {
+            OrderKind::Start { lease_until, .. } => Some(*lease_until),
+            OrderKind::Watch { lease_until, .. } => *lease_until,
+            OrderKind::Stop { .. } => None,
+        });
+        leases.collect()
+    }
+
     fn take<T>(&mut self, pick: impl Fn(&OrderKind) -> Option<T>) -> Vec<T> {
         let orders = std::mem::take(&mut self.orders);
         let mut taken = Vec::new();
