A lease is renewed only as long as every run there is answered for; a session is not a gateway's word

Causes, two, of the incident's class: (1) a new session set the gateway's echo to now, so sessions that broke and opened kept runs alive although nothing came back, beyond the time after which a gateway that lags behind its queue repeats them; (2) a stop was taken to be done within 100 ms, and the lease, one for the whole worker, went on for the sake of other gateways' runs. Now: the echo stays over sessions (the gateway echoes the first reading of a session at once, so that a break does not cost the runs), and the lease is renewed to no later than the time until which each run's gateway has answered for it or its stop was sent. The sum is over 1,165 ms after the last reading, 100 ms before a gateway repeats, however the worker treats stops; before, it was over after 1,265 ms only if stops took 100 ms at most. Where a stop takes longer, nothing starts there. Also: leases counted from an estimate of the worker's clock that could be 20 ms ahead (a reading 1 s old, 2% slow, computed); they count from the least that it can be.

--- a/laurelstile-core/src/leased/agent/deregistration.rs
+++ b/laurelstile-core/src/leased/agent/deregistration.rs
@@ -4,8 +4,8 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::lease::lease_over_at;
 use super::ledger::StopReason;
-use super::watching::lease_over_at;
 use super::{AgentEffect, LeasedAgent, LifeEnd};
 
 /// How long the answer to a deregistration is held back until what runs there has been stopped. The
--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -9,7 +9,6 @@
 use super::super::messages::EndKind;
 use super::super::room::Room;
 use super::super::task::{RunId, TaskId};
-use super::super::timing::LEASE;
 use super::crash_memory::is_early;
 use super::health::Health;
 use super::ledger::Run;
@@ -302,9 +301,4 @@
         let life = self.life.as_ref();
         life.map_or(WorkerClock::default(), |life| life.clock.at(now))
     }
-
-    pub(super) fn lease_until(&self, now: Timestamp) -> WorkerClock {
-        let clock = self.worker_clock(now);
-        WorkerClock(clock.0 + LEASE.0 / 1_000)
-    }
 }
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -6,6 +6,7 @@
 mod deregistration;
 pub mod events;
 mod health;
+mod lease;
 mod ledger;
 mod lives;
 mod offers;
@@ -71,7 +72,7 @@
     watching: Option<Timestamp>,
     /// No watch is sent before this time.
     watch_from: Timestamp,
-    /// Last order that renewed the leases.
+    /// When the lease was last renewed.
     renewed: Timestamp,
     /// Runs at the worker that this agent did not start, with the time of the
     /// last stop that was sent.
@@ -112,6 +113,8 @@
     crash_memory: CrashMemory,
     /// Until when the room of the present life may be relied on.
     room_knowledge: RoomKnowledge,
+    /// Whether a stop of a run takes longer than a stop may.
+    has_overdue_stop: bool,
     evacuations: Evacuations,
     owners: BTreeMap<Incarnation, Owner>,
     sessions: BTreeMap<SessionId, Incarnation>,
@@ -134,6 +137,7 @@
             health: Health::default(),
             crash_memory: CrashMemory::default(),
             room_knowledge: RoomKnowledge::default(),
+            has_overdue_stop: false,
             evacuations: Evacuations::default(),
             owners: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -177,6 +181,7 @@
     /// Does what the events since the last flush, or time, gave rise to.
     pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         self.note_awake(now);
+        self.note_overdue_stops(now);
         self.end_silent_owners(now, effects);
         self.close_silent_sessions(now, effects);
         self.end_lapsed(now, effects);
@@ -207,6 +212,7 @@
         };
         self.stopping_since.is_none()
             && !self.is_evacuated()
+            && !self.has_overdue_stop
             && self.room_knowledge.is_good(now)
             && !life.draining
             && life.has_synced
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -55,6 +55,8 @@
 pub struct Owner {
     /// Its session, if one is open.
     pub session: Option<SessionId>,
+    /// When the latest session was opened.
+    pub opened: Timestamp,
     /// The latest reading of this agent's clock that it has sent back.
     pub echo: Timestamp,
     /// Batches of the session that were taken in.
@@ -88,6 +90,7 @@
     pub fn new(now: Timestamp) -> Self {
         Self {
             session: None,
+            opened: now,
             echo: now,
             processed: 0,
             last_sent: now,
@@ -108,10 +111,11 @@
     }
 
     /// A new session is open: everything that is not acknowledged goes out
-    /// again.
+    /// again. Its echo stays as it was: that a connection was made is not the gateway's word,
+    /// which may lag behind and hold this agent for silent.
     pub fn open(&mut self, now: Timestamp, session: SessionId) {
         self.session = Some(session);
-        self.echo = now;
+        self.opened = now;
         self.processed = 0;
         self.last_report = None;
         self.has_more_room_since = None;
--- a/laurelstile-core/src/leased/agent/silence.rs
+++ b/laurelstile-core/src/leased/agent/silence.rs
@@ -85,7 +85,8 @@
         } else {
             IDLE_SESSION_SILENCE
         };
-        Some(owner.echo.max(self.awake_since).after(limit))
+        let heard = owner.echo.max(owner.opened);
+        Some(heard.max(self.awake_since).after(limit))
     }
 
     /// When to look again whether a session is silent.
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -156,19 +156,19 @@
         if must_wait || !run.room.fits(free) {
             return;
         }
+        let input = run.input.clone();
+        let run = RunId {
+            task,
+            run: run.number,
+        };
+        let lease_until = self.renew(now);
         let kind = OrderKind::Start {
-            run: RunId {
-                task,
-                run: run.number,
-            },
-            input: run.input.clone(),
-            lease_until: self.lease_until(now),
+            run,
+            input,
+            lease_until,
         };
         self.ledger.set_state(task, RunState::Starting);
         self.ledger.note(task, |run| run.sent = now);
-        if let Some(life) = &mut self.life {
-            life.renewed = now;
-        }
         self.order(kind, effects);
     }
 
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -10,6 +10,7 @@
 use super::super::messages::EndKind;
 use super::super::task::{RunId, TaskId};
 use super::super::timing::{LEASE_AT_MOST, STOP_AT_MOST};
+use super::lease::lease_over_at;
 use super::ledger::{Run, RunState, StopReason};
 use super::proof::EndProof;
 use super::worker::{OrderFailure, Rejection, WorkerClock, WorkerEnd, WorkerEndKind, WorkerLists};
@@ -45,7 +46,6 @@
     /// Sends the next watch if one is wanted and none is under way.
     pub(super) fn watch(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         let active = self.ledger.active();
-        let lease_until = self.lease_until(now);
         // The lists alone prove that a stopped run is over: they are wanted at
         // once.
         let awaits_proof = self.ledger.iter().any(|(_, run)| {
@@ -78,12 +78,11 @@
             && !awaits_proof;
         life.watching = Some(now);
         life.has_news = false;
-        if is_renewing {
-            life.renewed = now;
-        }
+        let last_seen = life.last_seen;
+        let lease_until = is_renewing.then(|| self.renew(now));
         let kind = OrderKind::Watch {
-            last_seen: life.last_seen,
-            lease_until: is_renewing.then_some(lease_until),
+            last_seen,
+            lease_until,
             wait: if may_wait {
                 WATCH_WAIT
             } else {
@@ -338,11 +337,6 @@
     }
 }
 
-/// When everything is over at a worker whose leases were last renewed at `renewed`.
-pub(super) fn lease_over_at(renewed: Timestamp) -> Timestamp {
-    renewed.after(Span(LEASE_AT_MOST.0 + STOP_AT_MOST.0 + 1))
-}
-
 fn watch_pause(unanswered: u32) -> Span {
     match unanswered.checked_sub(2) {
         None => Span::default(),
--- a/laurelstile-core/src/leased/agent/worker.rs
+++ b/laurelstile-core/src/leased/agent/worker.rs
@@ -124,6 +124,8 @@
     taken: Timestamp,
 }
 
+/// Rate of the slowest clock that a worker may have, in percent of this machine's.
+const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// Age at which a reading is replaced even by one that lags behind it.
 const READING_AGE_MICROS: u64 = 1_000_000;
 
@@ -138,8 +140,17 @@
         }
     }
 
-    /// The worker's clock at `now`, at the latest known rate.
+    /// The worker's clock at `now`, if it is as fast as this machine's.
     pub fn at(&self, now: Timestamp) -> WorkerClock {
         WorkerClock(self.reading.0 + now.since(self.taken).0 / 1_000)
     }
+
+    /// What the worker's clock reads at `now` at least, however slow it may be. A lease that is
+    /// counted from this is over in time: counted from [`Self::at`], with a reading 1 s old, it
+    /// lasted up to 20 ms longer than [`super::super::timing::LEASE_AT_MOST`].
+    pub fn at_least(&self, now: Timestamp) -> WorkerClock {
+        let since = now.since(self.taken).0 * SLOWEST_CLOCK_PERCENT / 100_000;
+        let before = self.taken.since(now).0.div_ceil(1_000);
+        WorkerClock((self.reading.0 + since).saturating_sub(before))
+    }
 }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -36,7 +36,6 @@
 use super::evacuation::Evacuations;
 use super::messages::{FromAgent, FromAgentBody, Member, ToAgent, ToAgentBody};
 use super::task::{JobId, TaskId};
-use super::timing::BUSY_HEARTBEAT;
 use crate::session::{Remote, SessionId};
 use cancels::Cancels;
 use containment::Containment;
@@ -234,9 +233,7 @@
         let timer = self.timers.first().map(|(at, _)| *at);
         let workers = self.workers.values().flat_map(|worker| {
             let lapse = (!worker.tasks.is_empty()).then(|| worker.lapses_at());
-            let beat = (worker.session.is_some() && worker.owes_answer())
-                .then(|| worker.last_sent.after(BUSY_HEARTBEAT));
-            [lapse, beat]
+            [lapse, worker.beat_due()]
         });
         let stop = self.stopping_since.filter(|_| !self.stop_reported);
         let stop = stop.map(|since| {
@@ -357,9 +354,7 @@
         let Some(session) = worker.session else {
             return;
         };
-        worker.last_sent = now;
-        worker.echoed = worker.clock;
-        worker.acknowledged = worker.seen;
+        worker.note_sent(now);
         let message = ToAgent {
             echo: worker.clock,
             seen: worker.seen,
@@ -373,8 +368,7 @@
         let due: Vec<Incarnation> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.session.is_some() && worker.owes_answer())
-            .filter(|(_, worker)| now >= worker.last_sent.after(BUSY_HEARTBEAT))
+            .filter(|(_, worker)| worker.beat_due().is_some_and(|due| now >= due))
             .map(|(agent, _)| *agent)
             .collect();
         for agent in due {
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -8,7 +8,7 @@
 use super::super::messages::{Offer, Report, Snapshot};
 use super::super::room::Room;
 use super::super::task::{RunNumber, TaskId};
-use super::super::timing::{BUSY_SUSPICION, IDLE_SUSPICION, LAPSE_AFTER_SILENCE};
+use super::super::timing::{BUSY_HEARTBEAT, BUSY_SUSPICION, IDLE_SUSPICION, LAPSE_AFTER_SILENCE};
 use super::job::StepRequest;
 use crate::session::SessionId;
 
@@ -39,6 +39,8 @@
     pub heard: Timestamp,
     /// When something was last sent to it.
     pub last_sent: Timestamp,
+    /// Whether no reading of its clock was echoed over its session yet.
+    pub awaits_echo: bool,
     /// The highest number of an end that was taken in.
     pub seen: u64,
     /// The highest number that was acknowledged.
@@ -74,6 +76,7 @@
             echoed: Timestamp::default(),
             heard: now,
             last_sent: now,
+            awaits_echo: true,
             seen: 0,
             acknowledged: 0,
             tasks: BTreeMap::new(),
@@ -93,6 +96,7 @@
         self.report.limit = 0;
         self.heard = now;
         self.last_sent = now;
+        self.awaits_echo = true;
         self.batches = 0;
         self.offers.clear();
         self.unreported.clear();
@@ -204,8 +208,25 @@
             .is_some_and(|snapshot| snapshot.labels.iter().any(|own| own == label))
     }
 
-    /// Whether an end is to be acknowledged, or a heartbeat echoed.
-    pub fn owes_answer(&self) -> bool {
-        self.clock > self.echoed || self.seen > self.acknowledged
+    /// Notes that a message with all that is owed is sent at `now`.
+    pub fn note_sent(&mut self, now: Timestamp) {
+        self.awaits_echo &= self.clock <= self.echoed;
+        self.last_sent = now;
+        self.echoed = self.clock;
+        self.acknowledged = self.seen;
+    }
+
+    /// When a heartbeat is due: an end is to be acknowledged, or a reading echoed. The first
+    /// reading over a session is echoed at once: the agent's runs live on for this gateway by
+    /// its readings alone, and a break of the session has let the last one grow old.
+    pub fn beat_due(&self) -> Option<Timestamp> {
+        self.session?;
+        let owes_answer = self.clock > self.echoed || self.seen > self.acknowledged;
+        let pause = if self.awaits_echo {
+            Span::default()
+        } else {
+            BUSY_HEARTBEAT
+        };
+        owes_answer.then(|| self.last_sent.after(pause))
     }
 }
--- a/laurelstile-core/src/leased/timing.rs
+++ b/laurelstile-core/src/leased/timing.rs
@@ -1,10 +1,19 @@
 //! The time bounds that gateways and agents share.
 //!
-//! Together they keep a task from running beside itself without anybody's
-//! word: an agent stops what it runs for a gateway that has been silent for
-//! [`OWNER_SILENCE`], a worker kills what is not renewed within [`LEASE`], and
-//! a gateway repeats nothing elsewhere before [`LAPSE_AFTER_SILENCE`] unless
-//! the end of the earlier run is proved.
+//! Together they keep a task from running beside itself without anybody's word. An agent answers
+//! for a run until its gateway's latest echo is [`OWNER_SILENCE`] old; it stops the run then, and
+//! renews the worker's lease no more until the stop is proved; a worker kills what is not renewed
+//! within [`LEASE`]. So all is over [`OVER_AFTER_SILENCE`] after the latest reading that the
+//! gateway had of the agent's clock, whether or not the worker answers stops. The gateway repeats
+//! nothing before [`LAPSE_AFTER_SILENCE`], and callers hand in again [`CALLERS_RETURN`] after
+//! their connection broke:
+//!
+//! | from | to | margin | eaten by |
+//! | --- | --- | --- | --- |
+//! | over, 1,165 ms | lapse, 1,265 ms | 100 ms | the worker's kill, its lists of ends |
+//! | lapse, 1,265 ms | callers return, 1,300 ms | 35 ms | nothing: a caller's run starts later still |
+//!
+//! `tests/leased_timing.rs` holds these inequalities.
 
 use laurelstile_types::time::Span;
 
@@ -16,8 +25,13 @@
 pub const OWNER_SILENCE: Span = Span::from_millis(450);
 /// A start is refused if its sender's echo is older than this.
 pub const START_FRESHNESS: Span = Span::from_millis(300);
-/// How long a stop may take at a worker, with the way to it.
+/// How long a stop may take at a worker, with the way to it; and a kill, once a lease is over.
 pub const STOP_AT_MOST: Span = Span::from_millis(100);
+/// From the latest reading that a gateway has had of an agent's clock until the lease of the
+/// gateway's last run there is over.
+pub const OVER_AFTER_SILENCE: Span = Span(OWNER_SILENCE.0 + LEASE_AT_MOST.0);
+/// Callers whose connection broke hand their job in again after so long, at any gateway.
+pub const CALLERS_RETURN: Span = Span::from_millis(1_300);
 /// After this silence of an agent its runs are over: it has stopped them, or
 /// its worker has let them lapse.
 pub const LAPSE_AFTER_SILENCE: Span =
