Tests that fail: a stop that finds no session, or is lost with it, is never sent again

The job is gone, its runs stay at the agent, which lets them live on once the gateway's readings come again; a caller that hands its job in again 1.3 s later has it run beside them. Beside it two tests that pass: what a caller waits for goes on over a new session, and the first reading over a session is echoed at once.

--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -15,12 +15,14 @@
 
 use laurelstile_core::leased::agent::AgentEvent;
 use laurelstile_core::leased::agent::worker::{OrderFailure, WorkerEndKind, WorkerLists};
-use laurelstile_core::leased::messages::{EndKind, ToAgentBody};
+use laurelstile_core::leased::gateway::GatewayEvent;
+use laurelstile_core::leased::gateway::job::CallNumber;
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, ToAgentBody};
 use laurelstile_core::leased::task::RunId;
 use laurelstile_core::leased::timing::{LAPSE_AFTER_SILENCE, OWNER_SILENCE};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
-use leased_support::{AgentRig, GATEWAY, at, cpu, lists, worker_clock};
+use leased_support::{AgentRig, GATEWAY, GatewayRig, at, cpu, job, lists, task, worker_clock};
 use rstest::rstest;
 
 /// An agent with two cores and a run on each, started at 10 ms.
@@ -88,7 +90,7 @@
 
 /// A heartbeat that overtakes the deregistration, or is held back by a cut.
 #[test]
-fn a_life_that_has_said_deregistration_is_given_nothing_by_a_late_heartbeat() {
+fn a_life_that_has_deregistered_is_given_nothing_by_a_late_heartbeat() {
     let mut rig = AgentRig::in_control(cpu(1_000));
     rig.deregister(at(50));
     rig.register(at(60), "life-1", cpu(1_000), false);
@@ -183,3 +185,61 @@
     }
     assert_eq!(rig.machine.run_count(), 0, "both have lapsed");
 }
+
+/// A caller that has left hands its job in again 1.3 s later, at any gateway; a run of seconds
+/// that nobody stops is at work beside the next one then.
+#[rstest]
+#[case::no_session_open(true)]
+#[case::the_stop_was_lost_with_its_session(false)]
+fn what_a_caller_left_is_stopped_over_the_next_session(#[case] is_closed_before: bool) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), 7, "agent-7", cpu(2_000));
+    rig.submit(at(10), 1, job(1, 2, 2_000));
+    let (_, batch) = rig.next_start();
+    let held = batch
+        .tasks
+        .iter()
+        .map(|(index, run)| (task(1, *index), *run));
+    let call = CallNumber(1);
+    if is_closed_before {
+        rig.lose_session(at(50), 7);
+        rig.event(at(60), GatewayEvent::CallerGone { call });
+        assert!(rig.stops.is_empty());
+    } else {
+        rig.event(at(50), GatewayEvent::CallerGone { call });
+        rig.stops.clear();
+        rig.lose_session(at(51), 7);
+    }
+    rig.rejoin(at(100), 7, 71, cpu(2_000), held.collect());
+    assert_eq!(rig.stops, [task(1, 0), task(1, 1)]);
+}
+
+/// What goes on is not stopped for a session that broke.
+#[test]
+fn what_a_caller_waits_for_goes_on_over_the_next_session() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), 7, "agent-7", cpu(2_000));
+    rig.submit(at(10), 1, job(1, 2, 2_000));
+    let (_, batch) = rig.next_start();
+    let held = batch
+        .tasks
+        .iter()
+        .map(|(index, run)| (task(1, *index), *run));
+    rig.lose_session(at(50), 7);
+    rig.rejoin(at(100), 7, 71, cpu(2_000), held.collect());
+    assert!(rig.stops.is_empty() && rig.starts.is_empty());
+}
+
+/// The agent's runs live on for a gateway by its readings alone, and the break of a session has
+/// let the last one grow old.
+#[test]
+fn the_first_reading_over_a_session_is_echoed_at_once() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), 7, "agent-7", cpu(2_000));
+    rig.lose_session(at(50), 7);
+    rig.echoes.clear();
+    rig.rejoin(at(100), 7, 71, cpu(2_000), Vec::new());
+    assert_eq!(rig.echoes.last(), Some(&at(100)));
+    rig.report(at(101), 71, 0, cpu(2_000), FromAgentBody::Heartbeat);
+    assert_eq!(rig.echoes.last(), Some(&at(100)), "the next has time");
+}
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -13,7 +13,7 @@
     TaskEnd, ToAgentBody, ToPeer, UNLIMITED,
 };
 use laurelstile_core::leased::room::Room;
-use laurelstile_core::leased::task::TaskId;
+use laurelstile_core::leased::task::{RunNumber, TaskId};
 use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
@@ -44,6 +44,8 @@
     pub predecessors: Vec<(SessionId, Span)>,
     /// Where the time of the jobs that were answered went, in order.
     pub stages: Vec<StageTimes>,
+    /// Readings of agents' clocks that were sent back, in order.
+    pub echoes: Vec<Timestamp>,
     /// Whether the machine has stopped.
     pub stopped: bool,
     /// Versions put in force.
@@ -74,6 +76,7 @@
             evacuations: Vec::new(),
             predecessors: Vec::new(),
             stages: Vec::new(),
+            echoes: Vec::new(),
             stopped: false,
             in_force: Vec::new(),
             ends: 0,
@@ -90,20 +93,23 @@
         for effect in effects {
             match effect {
                 GatewayEffect::Answer { call, answer } => self.answers.push((call, answer)),
-                GatewayEffect::ToAgent { session, message } => match message.body {
-                    ToAgentBody::Start(batch) => self.starts.push_back((session, batch)),
-                    ToAgentBody::Stop(tasks) => self.stops.extend(tasks),
-                    ToAgentBody::Announce(announcements) => {
-                        self.announced.extend(announcements);
+                GatewayEffect::ToAgent { session, message } => {
+                    self.echoes.push(message.echo);
+                    match message.body {
+                        ToAgentBody::Start(batch) => self.starts.push_back((session, batch)),
+                        ToAgentBody::Stop(tasks) => self.stops.extend(tasks),
+                        ToAgentBody::Announce(announcements) => {
+                            self.announced.extend(announcements);
+                        }
+                        ToAgentBody::Decline(offers) => self.declined.extend(offers),
+                        ToAgentBody::Members(members) => self.members.push((session, members)),
+                        ToAgentBody::Evacuations(news) => self.evacuations.push((session, news)),
+                        ToAgentBody::Predecessor { silence } => {
+                            self.predecessors.push((session, silence));
+                        }
+                        ToAgentBody::Heartbeat => {}
                     }
-                    ToAgentBody::Decline(offers) => self.declined.extend(offers),
-                    ToAgentBody::Members(members) => self.members.push((session, members)),
-                    ToAgentBody::Evacuations(news) => self.evacuations.push((session, news)),
-                    ToAgentBody::Predecessor { silence } => {
-                        self.predecessors.push((session, silence));
-                    }
-                    ToAgentBody::Heartbeat => {}
-                },
+                }
                 GatewayEffect::ToPeer { session, message } => {
                     self.to_peers.push((session, message));
                 }
@@ -171,6 +177,40 @@
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
 
+    /// The session of an agent that has joined breaks.
+    pub fn lose_session(&mut self, now: Timestamp, session: u64) {
+        let session = SessionId(session);
+        self.event(now, GatewayEvent::AgentClosed { session });
+    }
+
+    /// The agent that joined with `agent` as its session has another, and holds these tasks.
+    pub fn rejoin(
+        &mut self,
+        now: Timestamp,
+        agent: u64,
+        session: u64,
+        capacity: Room,
+        held: Vec<(TaskId, RunNumber)>,
+    ) {
+        let opened = GatewayEvent::AgentOpened {
+            session: SessionId(session),
+            remote: Remote {
+                name: format!("agent-{agent}"),
+                incarnation: Incarnation(agent),
+                uptime: Span::default(),
+            },
+        };
+        self.event(now, opened);
+        let snapshot = Snapshot {
+            service: "parcels".into(),
+            zone: "here".into(),
+            capacity,
+            labels: Vec::new(),
+            held,
+        };
+        self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
+    }
+
     /// A message from an agent, with a report of `free` room.
     pub fn report(
         &mut self,
