--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -9,7 +9,7 @@
 use super::job::TaskState;
 use super::{Answer, EndSource, GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::crashes::Standing;
-use crate::leased::messages::{EndKind, NotStartedReason, Snapshot, TaskEnd};
+use crate::leased::messages::{EndKind, NotStartedReason, Snapshot, TaskEnd, ToAgentBody};
 use crate::leased::task::{JobId, RunId, RunNumber, TaskId};
 
 /// Placements that may come back at once before the job pauses.
@@ -49,7 +49,7 @@
         if worker.tasks.get(&end.task) != Some(&end.run) {
             return;
         }
-        worker.tasks.remove(&end.task);
+        worker.end(end.task);
         let name = worker.name.clone();
         let run = RunId {
             task: end.task,
@@ -204,7 +204,8 @@
 
     /// An agent tells what its worker is and which of our tasks it holds. What
     /// it does not hold has ended, and so has all that an earlier process of
-    /// the same name held.
+    /// the same name held. What it holds and nobody waits for is stopped: without
+    /// that it ran on to its end, beside the job that its caller handed in again.
     pub(super) fn on_snapshot(
         &mut self,
         now: Timestamp,
@@ -223,12 +224,11 @@
         worker.note_evacuations(&self.evacuations);
         self.without_worker_since = None;
         if is_first {
-            let lost: Vec<TaskId> = worker
-                .tasks
-                .iter()
-                .filter(|(task, run)| !held.contains(&(**task, **run)))
-                .map(|(task, _)| *task)
-                .collect();
+            let lost = worker.missing(&held);
+            let left_over = worker.left_over(&held);
+            if !left_over.is_empty() {
+                self.send(now, agent, ToAgentBody::Stop(left_over), effects);
+            }
             self.lose(now, agent, &lost, EndSource::Snapshot, effects);
         }
         let predecessors: Vec<Incarnation> = self
@@ -297,7 +297,7 @@
                 return;
             };
             let name = worker.name.clone();
-            let Some(run) = worker.tasks.remove(task) else {
+            let Some(run) = worker.end(*task) else {
                 continue;
             };
             let run = RunId { task: *task, run };
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -377,18 +377,11 @@
     }
 
     fn stop_tasks(&mut self, now: Timestamp, job: JobId, effects: &mut Vec<GatewayEffect>) {
-        let mut stops: Vec<(Incarnation, Vec<TaskId>)> = Vec::new();
-        for (agent, worker) in &self.workers {
-            let tasks: Vec<TaskId> = worker
-                .tasks
-                .keys()
-                .filter(|task| task.job == job)
-                .copied()
-                .collect();
-            if !tasks.is_empty() {
-                stops.push((*agent, tasks));
-            }
-        }
+        let workers = self.workers.iter_mut();
+        let stops: Vec<(Incarnation, Vec<TaskId>)> = workers
+            .map(|(agent, worker)| (*agent, worker.give_up(job)))
+            .filter(|(_, tasks)| !tasks.is_empty())
+            .collect();
         for (agent, tasks) in stops {
             self.send(now, agent, ToAgentBody::Stop(tasks), effects);
         }
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -310,7 +310,7 @@
         let number = worker.next_batch(reported, count);
         for (index, run) in &tasks {
             let task = task_id(id, step, *index);
-            worker.tasks.insert(task, *run);
+            worker.place(task, *run);
             if candidate.is_alone {
                 worker.alone = Some(task);
             }
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -1,13 +1,13 @@
 //! The workers as a gateway sees them, through their agents' reports.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::super::evacuation::Evacuations;
 use super::super::messages::{Offer, Report, Snapshot};
 use super::super::room::Room;
-use super::super::task::{RunNumber, TaskId};
+use super::super::task::{JobId, RunNumber, TaskId};
 use super::super::timing::{BUSY_HEARTBEAT, BUSY_SUSPICION, IDLE_SUSPICION, LAPSE_AFTER_SILENCE};
 use super::job::StepRequest;
 use crate::session::SessionId;
@@ -47,6 +47,8 @@
     pub acknowledged: u64,
     /// This gateway's tasks there.
     pub tasks: BTreeMap<TaskId, RunNumber>,
+    /// Those of them that nobody waits for any more.
+    unwanted: BTreeSet<TaskId>,
     /// Whether its life has crashed and no other is under control yet.
     pub has_crashed: bool,
     /// The task that is to run alone there.
@@ -80,6 +82,7 @@
             seen: 0,
             acknowledged: 0,
             tasks: BTreeMap::new(),
+            unwanted: BTreeSet::new(),
             has_crashed: false,
             alone: None,
             offers: Vec::new(),
@@ -102,6 +105,43 @@
         self.unreported.clear();
     }
 
+    /// Nobody waits for a job any more: its tasks here, which are to be stopped.
+    pub fn give_up(&mut self, job: JobId) -> Vec<TaskId> {
+        let own = self.tasks.keys().filter(|task| task.job == job);
+        let tasks: Vec<TaskId> = own.copied().collect();
+        self.unwanted.extend(&tasks);
+        tasks
+    }
+
+    /// A task has been placed there.
+    pub fn place(&mut self, task: TaskId, run: RunNumber) {
+        self.unwanted.remove(&task);
+        self.tasks.insert(task, run);
+    }
+
+    /// A task is there no more; its run, if it was.
+    pub fn end(&mut self, task: TaskId) -> Option<RunNumber> {
+        self.unwanted.remove(&task);
+        self.tasks.remove(&task)
+    }
+
+    /// The tasks that are there no more, where the agent holds but `held`.
+    pub fn missing(&self, held: &[(TaskId, RunNumber)]) -> Vec<TaskId> {
+        let own = self.tasks.iter();
+        let missing = own.filter(|(task, run)| !held.contains(&(**task, **run)));
+        missing.map(|(task, _)| *task).collect()
+    }
+
+    /// What the agent holds and nobody waits for: the stop found no session, or was lost with
+    /// it.
+    pub fn left_over(&self, held: &[(TaskId, RunNumber)]) -> Vec<TaskId> {
+        let is_wanted = |(task, run): &&(TaskId, RunNumber)| {
+            self.tasks.get(task) == Some(run) && !self.unwanted.contains(task)
+        };
+        let left_over = held.iter().filter(|held| !is_wanted(held));
+        left_over.map(|(task, _)| *task).collect()
+    }
+
     /// Takes a report in.
     pub fn on_report(&mut self, report: Report) {
         self.report = report;
--- a/laurelstile-core/tests/leased_timing.rs
+++ b/laurelstile-core/tests/leased_timing.rs
@@ -10,12 +10,10 @@
 
 #[test]
 fn leases_are_over_and_workers_have_killed_before_a_gateway_repeats_or_a_caller_returns() {
-    assert!(OVER_AFTER_SILENCE.0 + STOP_AT_MOST.0 <= LAPSE_AFTER_SILENCE.0);
-    assert!(LAPSE_AFTER_SILENCE < CALLERS_RETURN);
-    assert!(
-        START_FRESHNESS < OWNER_SILENCE,
-        "what starts is answered for"
-    );
+    const { assert!(OVER_AFTER_SILENCE.0 + STOP_AT_MOST.0 <= LAPSE_AFTER_SILENCE.0) }
+    const { assert!(LAPSE_AFTER_SILENCE.0 < CALLERS_RETURN.0) }
+    // What starts is answered for.
+    const { assert!(START_FRESHNESS.0 < OWNER_SILENCE.0) }
 }
 
 /// A lease counts from the agent's estimate of the worker's clock, which runs up to 2% slow.
