--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -34,8 +34,11 @@
             /// Besides: tasks that take workers down, rooms that shrink, machines that are
             /// suspended, jobs that are cancelled.
             optional --hazards
+            /// Instead of these: workers that leave while tasks run, and sessions that break.
+            optional --leaving
             /// Switch a mechanism off: owner-silence, leases, takeover,
-            /// drains, evacuations, crash-news, capacity-news, steady-clocks or cancel-news.
+            /// drains, evacuations, crash-news, capacity-news, steady-clocks,
+            /// cancel-news or deregistrations.
             optional --without mechanism: String
         }
     }
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -28,6 +28,10 @@
     KillWorker(usize),
     /// A worker drains, ends, and comes back with a new life.
     DrainWorker(usize),
+    /// A worker drains, deregisters and ends; what it runs goes on until then.
+    LeaveWorker(usize),
+    /// The sessions of a gateway are broken off.
+    SeverSessions(usize),
     /// A worker fails all that it runs.
     Failing(usize),
     /// A worker's tasks stand still.
@@ -64,6 +68,8 @@
             Self::CrashWorker(_) => "crash_worker",
             Self::KillWorker(_) => "kill_worker",
             Self::DrainWorker(_) => "drain_worker",
+            Self::LeaveWorker(_) => "leave_worker",
+            Self::SeverSessions(_) => "sever_sessions",
             Self::Failing(_) => "failing",
             Self::Hanging(_) => "hanging",
             Self::Slow(_) => "slow",
@@ -111,6 +117,8 @@
     SteadyClocks,
     /// Gateways do not tell each other of cancelled jobs.
     NoCancelNews,
+    /// Agents take a worker's deregistration for its end.
+    DeregistrationIsEnd,
 }
 
 /// Draws `count` faults within `length`.
@@ -147,6 +155,34 @@
         .collect()
 }
 
+/// Draws workers that leave, and sessions that break in series.
+pub fn draw_of_leaving(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    for _ in 0..random.random_range(4..16) {
+        let at = random.random_range(500_000..length);
+        let fault = Fault::LeaveWorker(random.random_range(0..workers));
+        let length = 0;
+        faults.push(ScheduledFault { at, length, fault });
+    }
+    for _ in 0..random.random_range(0..4) {
+        let first = random.random_range(500_000..length);
+        let fault = Fault::SeverSessions(random.random_range(0..gateways));
+        let pause = random.random_range(100_000..400_000);
+        let breaks = random.random_range(1..12);
+        faults.extend((0..breaks).map(|number| ScheduledFault {
+            at: first + number * pause,
+            length: 0,
+            fault,
+        }));
+    }
+    faults
+}
+
 /// Draws rooms that shrink, workers that die, and machines that are suspended.
 pub fn draw_hazards(
     length: u64,
--- a/laurelstile-sim/src/leased/orders.rs
+++ b/laurelstile-sim/src/leased/orders.rs
@@ -152,20 +152,23 @@
         self.settle_later(worker);
     }
 
-    /// A worker's process ends: the connection breaks on which its agent waits.
+    /// A worker's process ends; it is back after some seconds.
     pub fn kill_worker(&mut self, worker: usize, by: Option<TaskName>) {
-        let life = self.workers[worker].life;
-        let watch = self.watches[worker].take();
         self.crash_worker(worker, by);
         let away = self.random.random_range(SHORTEST_AWAY..LONGEST_AWAY);
         self.schedule(self.now + away, Happening::WorkerBegins(worker));
-        if let Some(watch) = watch {
-            let event = AgentEvent::Watched {
-                life: life.to_string().into(),
-                answer: Err(OrderFailure::NoAnswer),
-            };
-            self.answer_agent(worker, watch.agent, NEARBY, event);
-        }
+    }
+
+    /// The connection breaks on which an agent waits for its worker's lists.
+    pub fn break_watch(&mut self, worker: usize) {
+        let Some(watch) = self.watches[worker].take() else {
+            return;
+        };
+        let event = AgentEvent::Watched {
+            life: self.workers[worker].life.to_string().into(),
+            answer: Err(OrderFailure::NoAnswer),
+        };
+        self.answer_agent(worker, watch.agent, NEARBY, event);
     }
 
     fn settle_later(&mut self, worker: usize) {
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -6,7 +6,9 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::faults::{Sabotage, ScheduledFault, draw, draw_hazards, draw_of_operators};
+use super::faults::{
+    Sabotage, ScheduledFault, draw, draw_hazards, draw_of_leaving, draw_of_operators,
+};
 use super::worker::SimWorker;
 use super::world::{SimJob, TASK_ROOM, World};
 
@@ -22,6 +24,7 @@
 /// Of its own, so that the other faults of a seed stay as they are.
 const OPERATORS_STREAM: u64 = 0x0e7ac;
 const HAZARDS_STREAM: u64 = 0x4a2a7d;
+const LEAVING_STREAM: u64 = 0x1ea71;
 /// One in so many jobs has a task that takes its workers down.
 const POISON_ONE_IN: u32 = 150;
 /// One in so many is cancelled, at the latest so long after it came, in microseconds.
@@ -72,6 +75,16 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed with workers that leave and sessions that break besides.
+pub fn run_leaving_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_scene(seed, sabotage, &mut random);
+    let mut leaving = Pcg64::seed_from_u64(seed ^ LEAVING_STREAM);
+    let faults = draw_of_leaving(FAULTY, GATEWAYS, WORKERS, &mut leaving);
+    scene.faults.extend(faults);
+    play(random, sabotage, scene, true)
+}
+
 /// What a seed plays.
 struct Scene {
     workers: Vec<SimWorker>,
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -121,6 +121,12 @@
                 self.tell_agent(worker);
                 self.end_fault_later(scheduled, self.now + 4_000_000);
             }
+            Fault::LeaveWorker(worker)
+                if self.workers[worker].life != 0 && !self.workers[worker].draining =>
+            {
+                self.leave_worker(worker);
+            }
+            Fault::SeverSessions(gateway) => self.sever_sessions(gateway),
             Fault::Failing(worker) => self.set_mood(scheduled, worker, Mood::Failing),
             Fault::Hanging(worker) => self.set_mood(scheduled, worker, Mood::Hanging),
             Fault::Slow(worker) => self.set_mood(scheduled, worker, Mood::Slow),
@@ -242,8 +248,8 @@
         let life = self.workers[worker].life;
         self.see(Seen::Crashed { life, by });
         self.ended_lives[worker] = Some(self.registration(worker));
+        self.break_watch(worker);
         let changes = self.workers[worker].crash();
-        self.watches[worker] = None;
         self.see_changes(life, worker, &changes);
     }
 }
--- /dev/null
+++ b/laurelstile-sim/src/leased/world/leaving.rs
@@ -0,0 +1,76 @@
+//! Workers that leave, and sessions that break.
+
+use laurelstile_core::leased::agent::worker::OrderFailure;
+use laurelstile_core::leased::agent::{AgentEvent, WatchAnswer};
+use laurelstile_history::leased::Life;
+use rand::Rng;
+
+use super::super::faults::Sabotage;
+use super::{Happening, World};
+
+/// Longest from a worker's word that it drains to its deregistration.
+const LONGEST_DRAIN: u64 = 2_500_000;
+/// Longest that a worker's process lives on after its deregistration was answered.
+const LONGEST_LINGERING: u64 = 50_000;
+/// How long after its deregistration a worker ends that gets no answer.
+const UNANSWERED: u64 = 2_500_000;
+/// How soon both sides notice that a session was broken off.
+const NOTICE: u64 = 1_000;
+
+impl World {
+    /// A worker says that it drains, and deregisters later; what it runs goes on until its
+    /// process ends.
+    pub(super) fn leave_worker(&mut self, worker: usize) {
+        self.workers[worker].draining = true;
+        self.tell_agent(worker);
+        let life = self.workers[worker].life;
+        let drain = self.random.random_range(0..LONGEST_DRAIN);
+        self.schedule(self.now + drain, Happening::Deregisters(worker, life));
+    }
+
+    pub(super) fn deregister(&mut self, worker: usize, life: Life) {
+        if self.workers[worker].life != life {
+            return;
+        }
+        self.schedule(self.now + UNANSWERED, Happening::WorkerLeaves(worker, life));
+        if self.is_deaf(worker) {
+            return;
+        }
+        let life = life.to_string();
+        let event = if self.sabotage == Some(Sabotage::DeregistrationIsEnd) {
+            let answer: Result<WatchAnswer, _> = Err(OrderFailure::LifeOver);
+            let life = life.into();
+            AgentEvent::Watched { life, answer }
+        } else {
+            AgentEvent::Deregistration { life }
+        };
+        self.agent_event(worker, event);
+    }
+
+    /// The deregistration of a life is answered.
+    pub(super) fn deregistration_answered(&mut self, worker: usize, life: &str) {
+        let Ok(life) = life.parse() else {
+            return;
+        };
+        let lingers = self.random.random_range(0..LONGEST_LINGERING);
+        self.schedule(self.now + lingers, Happening::WorkerLeaves(worker, life));
+    }
+
+    /// A worker that has deregistered ends.
+    pub(super) fn worker_leaves(&mut self, worker: usize, life: Life) {
+        if self.workers[worker].life == life {
+            self.kill_worker(worker, None);
+        }
+    }
+
+    /// All sessions of a gateway are broken off; its agents dial anew.
+    pub(super) fn sever_sessions(&mut self, gateway: usize) {
+        let to = self.gateways[gateway].incarnation;
+        for (session, agent) in self.gateways[gateway].sessions.clone() {
+            let of = self.agents[agent].incarnation;
+            let at = self.now + NOTICE;
+            self.schedule(at, Happening::AgentSessionEnds(agent, of, session));
+            self.schedule(at, Happening::GatewaySessionEnds(gateway, to, session));
+        }
+    }
+}
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod faulting;
 mod heartbeats;
+mod leaving;
 mod links;
 mod peering;
 mod processes;
@@ -19,7 +20,7 @@
 use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody, ToPeer};
 use laurelstile_core::leased::task::TaskId;
 use laurelstile_core::session::SessionId;
-use laurelstile_history::leased::{Record, Seen};
+use laurelstile_history::leased::{Life, Record, Seen};
 use laurelstile_types::id::Incarnation;
 use rand_pcg::Pcg64;
 
@@ -116,6 +117,10 @@
     GraceEnds(usize, Incarnation),
     /// A worker begins a new life.
     WorkerBegins(usize),
+    /// A life of a worker that leaves deregisters.
+    Deregisters(usize, Life),
+    /// A life of a worker that has deregistered ends.
+    WorkerLeaves(usize, Life),
     /// A gateway reads a version of the configuration.
     ReadConfiguration(usize, u64),
     /// A gateway reads which zones are evacuated.
@@ -418,6 +423,8 @@
                 self.see(Seen::Began { life, zone });
                 self.schedule(self.now, Happening::Heartbeat(worker, life));
             }
+            Happening::Deregisters(worker, life) => self.deregister(worker, life),
+            Happening::WorkerLeaves(worker, life) => self.worker_leaves(worker, life),
             Happening::ReadConfiguration(index, version) => {
                 let configuration = nodes::configuration(version);
                 self.gateway_event(index, GatewayEvent::Configuration(configuration));
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -36,6 +36,9 @@
                     self.agents[index].sessions.remove(&session);
                 }
                 AgentEffect::Order(order) => self.give(index, incarnation, order),
+                AgentEffect::AnswerDeregistration(life) => {
+                    self.deregistration_answered(index, &life);
+                }
                 _ => {}
             }
         }
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
-use laurelstile_sim::leased::{Outcome, Sabotage, run_hazard_seed, run_seed};
+use laurelstile_sim::leased::{Outcome, Sabotage, run_hazard_seed, run_leaving_seed, run_seed};
 
 use crate::flags::{Leased, seed_range};
 
@@ -24,10 +24,11 @@
         Some("capacity-news") => Some(Sabotage::NoCapacityNews),
         Some("steady-clocks") => Some(Sabotage::SteadyClocks),
         Some("cancel-news") => Some(Sabotage::NoCancelNews),
+        Some("deregistrations") => Some(Sabotage::DeregistrationIsEnd),
         Some(_) => {
             eprintln!(
                 "--without takes owner-silence, leases, takeover, drains, evacuations, \
-                 crash-news, capacity-news, steady-clocks or cancel-news"
+                 crash-news, capacity-news, steady-clocks, cancel-news or deregistrations"
             );
             return ExitCode::from(2);
         }
@@ -37,7 +38,9 @@
     let mut faults = BTreeMap::<&str, u64>::new();
     let mut calm_percents = Vec::new();
     for seed in from..to {
-        let outcome = if flags.hazards {
+        let outcome = if flags.leaving {
+            run_leaving_seed(seed, sabotage)
+        } else if flags.hazards {
             run_hazard_seed(seed, sabotage)
         } else {
             run_seed(seed, sabotage)
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -2,7 +2,7 @@
 //! mechanism that keeps it is switched off.
 
 use laurelstile_history::leased::Rule;
-use laurelstile_sim::leased::{Outcome, Sabotage, run_hazard_seed, run_seed};
+use laurelstile_sim::leased::{Outcome, Sabotage, run_hazard_seed, run_leaving_seed, run_seed};
 use rstest::rstest;
 
 fn assert_keeps_every_rule(seed: u64, outcome: &Outcome) {
@@ -31,6 +31,25 @@
     }
 }
 
+#[test]
+fn seeds_with_workers_that_leave_keep_every_rule() {
+    for seed in 0..25 {
+        assert_keeps_every_rule(seed, &run_leaving_seed(seed, None));
+    }
+}
+
+/// A worker runs on until its process ends: a deregistration that is taken for the end has
+/// tasks run on two workers at once.
+#[test]
+fn tasks_run_twice_where_a_deregistration_is_taken_for_the_end() {
+    let is_broken = (0..25).any(|seed| {
+        let outcome = run_leaving_seed(seed, Some(Sabotage::DeregistrationIsEnd));
+        let mut broken = outcome.violations.iter();
+        broken.any(|violation| violation.rule == Rule::OneRun)
+    });
+    assert!(is_broken);
+}
+
 /// Seeds with hazards that broke something once, each for another cause.
 #[rstest]
 #[case::room_recalled_after_long_darkness(68)]
