A gateway that stood still reads what came meanwhile before it places older jobs; two circles of modules are gone

Jobs from before a standstill of 0.7 s are held back for 100 ms, neither placed nor refused. Two tests, which fail without it. One test of the gateway let 1.2 s pass without a wake-up, which no gateway does; it ticks in between now and asks for the same. Without change of behaviour: what serde leaves out, and candidates for placement, have modules of their own, so that crashes/messages and placement/suspects do not need each other any more.

--- a/laurelstile-core/src/leased/crashes.rs
+++ b/laurelstile-core/src/leased/crashes.rs
@@ -11,7 +11,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use super::messages::is_false;
+use super::serde_defaults::is_false;
 use super::task::{JobId, TaskId};
 
 /// Crashes from which on a task runs alone on a worker: a second may be chance, where a
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -184,7 +184,7 @@
         self.refuse_or_give_up(now, id.job, effects);
     }
 
-    fn pause(&mut self, id: JobId, until: Timestamp) {
+    pub(super) fn pause(&mut self, id: JobId, until: Timestamp) {
         if let Some(job) = self.jobs.get_mut(&id)
             && until > job.not_before
         {
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -293,6 +293,9 @@
             return;
         };
         let is_over = now >= job.deadline;
+        if !is_over && self.standstill.holds(now, job) {
+            return;
+        }
         if job.is_untouched() && (now >= job.refuse_at || is_over) {
             let answer = self.refusal_for_want_of_room(now);
             self.finish(now, id, answer, effects);
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! agents stop, and its callers hand in again.
 
 mod cancels;
+mod candidate;
 mod containment;
 mod ends;
 mod evacuation;
@@ -21,6 +22,7 @@
 pub mod run_times;
 pub mod shares;
 pub mod stages;
+mod standstill;
 pub mod start_window;
 mod suspects;
 pub mod way_in;
@@ -47,6 +49,7 @@
 use queues::QueueConfiguration;
 use run_times::RunTimes;
 use shares::Shares;
+use standstill::Standstill;
 use start_window::StartWindow;
 use way_in::WayIn;
 use workers::Worker;
@@ -108,6 +111,7 @@
     without_worker_since: Option<Timestamp>,
     stopping_since: Option<Timestamp>,
     stop_reported: bool,
+    standstill: Standstill,
 }
 
 impl LeasedGateway {
@@ -138,6 +142,7 @@
             without_worker_since: None,
             stopping_since: None,
             stop_reported: false,
+            standstill: Standstill::default(),
         };
         gateway.note_members();
         gateway
@@ -215,6 +220,7 @@
 
     /// Does what the events since the last flush, or time, gave rise to.
     pub fn flush(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        self.note_awake(now);
         self.end_lapsed_agents(now, effects);
         self.start_window.expire(now);
         self.review_containment(now, effects);
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -7,8 +7,9 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::candidate::Candidate;
 use super::job::Job;
-use super::placement::{Candidate, wanted_of};
+use super::placement::wanted_of;
 use super::workers::Worker;
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::{Announcement, Offer, ToAgentBody};
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -10,6 +10,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::candidate::Candidate;
 use super::job::{Job, Step, StepRequest, TaskState, task_id};
 use super::queues::QueueSettings;
 use super::suspects::ALONE_PATIENCE;
@@ -31,60 +32,6 @@
 /// meanwhile. Short: another worker may have room.
 const PATIENCE: Span = Span::from_millis(4);
 
-/// A worker that could take tasks of a step.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Candidate {
-    agent: Incarnation,
-    /// Whether it is fast enough for the job's objective.
-    is_fast: bool,
-    /// Tasks that it has room for, no more than are wanted.
-    tasks: u32,
-    cost: u64,
-    /// The offer whose room is used, if it is not room that was reported as free.
-    offer: Option<u64>,
-    /// The task that goes by itself, if it is one of those.
-    apart: Option<u32>,
-    /// Whether the worker is to run nothing beside it.
-    is_alone: bool,
-}
-
-impl Candidate {
-    /// The worker whose agent made an offer that has room for `tasks` tasks.
-    pub(super) fn offered(agent: Incarnation, tasks: u32, offer: u64) -> Self {
-        Self {
-            agent,
-            is_fast: true,
-            tasks,
-            cost: 0,
-            offer: Some(offer),
-            apart: None,
-            is_alone: false,
-        }
-    }
-
-    /// The worker on which task `index` runs alone.
-    pub(super) fn alone(agent: Incarnation, index: u32) -> Self {
-        Self {
-            agent,
-            is_fast: true,
-            tasks: 1,
-            cost: 0,
-            offer: None,
-            apart: Some(index),
-            is_alone: true,
-        }
-    }
-
-    /// The same worker, for task `index` by itself.
-    pub(super) fn apart(self, index: u32) -> Self {
-        Self {
-            tasks: 1,
-            apart: Some(index),
-            ..self
-        }
-    }
-}
-
 /// A task that found no room.
 #[derive(Debug)]
 struct Shortage {
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -9,8 +9,8 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::candidate::Candidate;
 use super::job::{Job, task_id};
-use super::placement::Candidate;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::crashes::{CrashedTask, Standing, WorkerCrash};
 use crate::leased::messages::ToPeer;
--- a/laurelstile-core/src/leased/mod.rs
+++ b/laurelstile-core/src/leased/mod.rs
@@ -19,6 +19,7 @@
 mod message_kinds;
 pub mod messages;
 pub mod room;
+mod serde_defaults;
 pub mod subset;
 pub mod task;
 pub mod timing;
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -183,6 +183,8 @@
     let session = SessionId(1);
     rig.event(at(30), GatewayEvent::AgentClosed { session });
     let lapse = LAPSE_AFTER_SILENCE.as_millis();
+    // A gateway looks at the time every 500 ms at least.
+    rig.tick(at(lapse / 2));
     rig.tick(at(lapse - 5));
     assert!(rig.starts.is_empty(), "it may still run");
     let body = FromAgentBody::Heartbeat;
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -243,3 +243,37 @@
     rig.report(at(101), 71, 0, cpu(2_000), FromAgentBody::Heartbeat);
     assert_eq!(rig.echoes.last(), Some(&at(100)), "the next has time");
 }
+
+/// A gateway whose worker has one core, with a job of 2 s there and another that waits, stands
+/// still until 1.5 s; the first job's end is what it reads first.
+fn woken_with_a_waiting_job() -> GatewayRig {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), 7, "agent-7", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    let first = rig.next_start();
+    rig.submit(at(20), 2, job(2, 1, 2_000));
+    rig.end(at(1_500), &first, EndKind::Done, cpu(1_000));
+    rig
+}
+
+/// The caller of the waiting job has left meanwhile and handed it in at another gateway. The
+/// worker's reading, which is fresh, is taken in before the end of the caller's connection.
+#[test]
+fn a_gateway_that_stood_still_hears_that_callers_left_before_it_places_their_jobs() {
+    let mut rig = woken_with_a_waiting_job();
+    assert!(rig.starts.is_empty());
+    let call = CallNumber(2);
+    rig.event(at(1_505), GatewayEvent::CallerGone { call });
+    rig.tick(at(1_700));
+    assert!(rig.starts.is_empty());
+}
+
+#[test]
+fn a_job_whose_caller_waits_is_placed_soon_after_a_standstill() {
+    let mut rig = woken_with_a_waiting_job();
+    assert!(rig.starts.is_empty());
+    rig.report(at(1_599), 7, 1, cpu(1_000), FromAgentBody::Heartbeat);
+    assert_eq!(rig.answers.len(), 1, "it is not refused meanwhile");
+    rig.tick(at(1_600));
+    assert_eq!(rig.starts.len(), 1);
+}
