--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -14,8 +14,10 @@
 mod owner;
 pub mod proof;
 mod room_knowledge;
+mod sessions;
 mod silence;
 mod starting;
+mod stopping;
 mod watching;
 pub mod worker;
 
@@ -27,7 +29,7 @@
 
 use super::crashes::CrashedTask;
 use super::evacuation::Evacuations;
-use super::messages::{EndKind, NotStartedReason, ToAgent, ToAgentBody};
+use super::messages::{EndKind, NotStartedReason};
 use super::room::Room;
 use super::task::{RunId, TaskId};
 use crate::session::SessionId;
@@ -38,7 +40,7 @@
     WatchAnswer,
 };
 use health::{FinishedRun, Health};
-use ledger::{Ledger, RunState, StopReason};
+use ledger::{Ledger, RunState};
 use lives::Challenger;
 use owner::Owner;
 use proof::EndProof;
@@ -237,180 +239,6 @@
         }
     }
 
-    /// Tells the gateway of a session that there is no room for it, before the session is
-    /// closed, or takes that back. What it has sent meanwhile still starts.
-    pub fn release(&mut self, session: SessionId, is_released: bool) {
-        let gateway = self.sessions.get(&session);
-        if let Some(owner) = gateway.and_then(|gateway| self.owners.get_mut(gateway)) {
-            owner.is_released = is_released;
-        }
-    }
-
-    /// Whether nothing is under way for the gateway of a session: no run, and no end that
-    /// it has not acknowledged.
-    pub fn is_idle_for(&self, session: SessionId) -> bool {
-        let Some(gateway) = self.sessions.get(&session) else {
-            return true;
-        };
-        let owes_ends = self
-            .owners
-            .get(gateway)
-            .is_some_and(Owner::has_unacknowledged);
-        !owes_ends && !self.owns_runs(*gateway)
-    }
-
-    fn on_opened(
-        &mut self,
-        now: Timestamp,
-        session: SessionId,
-        gateway: Incarnation,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let owner = self
-            .owners
-            .entry(gateway)
-            .or_insert_with(|| Owner::new(now));
-        // A new session of the same incarnation fences the old one.
-        if let Some(old) = owner.session {
-            self.sessions.remove(&old);
-            effects.push(AgentEffect::Close(old));
-        }
-        let silence = owner.echo_age(now);
-        owner.open(now, session);
-        self.sessions.insert(session, gateway);
-        self.tell_resumed(gateway, silence, effects);
-    }
-
-    /// Notes for the log that runs outlived a session: how old the gateway's latest word is.
-    fn tell_resumed(&self, gateway: Incarnation, silence: Span, effects: &mut Vec<AgentEffect>) {
-        let own = self.ledger.iter().filter(|(_, run)| run.owner == gateway);
-        let runs = own.count();
-        if runs > 0 {
-            effects.push(AgentEffect::Decided(AgentDecision::SessionResumed {
-                gateway,
-                silence,
-                runs,
-            }));
-        }
-    }
-
-    fn on_closed(&mut self, session: SessionId) {
-        let Some(gateway) = self.sessions.remove(&session) else {
-            return;
-        };
-        if let Some(owner) = self.owners.get_mut(&gateway) {
-            owner.close();
-        }
-    }
-
-    fn on_gateway_ended(
-        &mut self,
-        now: Timestamp,
-        gateway: Incarnation,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        self.stop_runs_of(now, gateway, effects);
-        self.owners.remove(&gateway);
-    }
-
-    fn on_message(
-        &mut self,
-        now: Timestamp,
-        session: SessionId,
-        message: ToAgent,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let Some(gateway) = self.sessions.get(&session).copied() else {
-            return;
-        };
-        let Some(owner) = self.owners.get_mut(&gateway) else {
-            return;
-        };
-        owner.echo = owner.echo.max(message.echo);
-        owner.acknowledge(message.seen);
-        match message.body {
-            ToAgentBody::Heartbeat => {}
-            ToAgentBody::Start(batch) => self.on_start(now, gateway, message.echo, &batch, effects),
-            ToAgentBody::Stop(tasks) => {
-                for task in tasks {
-                    self.on_stop_asked(now, gateway, task, effects);
-                }
-            }
-            ToAgentBody::Members(members) => effects.push(AgentEffect::Members(members)),
-            ToAgentBody::Announce(announcements) => {
-                self.on_announced(now, gateway, &announcements);
-            }
-            ToAgentBody::Evacuations(news) => self.on_evacuations(news, effects),
-            ToAgentBody::Predecessor { silence } => self.on_predecessor(now, silence),
-            ToAgentBody::Decline(offers) => {
-                for number in offers {
-                    owner.end_offer(number);
-                }
-            }
-        }
-    }
-
-    fn on_stop_asked(
-        &mut self,
-        now: Timestamp,
-        gateway: Incarnation,
-        task: TaskId,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let is_owner = self
-            .ledger
-            .get(task)
-            .is_some_and(|run| run.owner == gateway);
-        if is_owner {
-            self.stop_run(now, task, StopReason::Asked, effects);
-        }
-    }
-
-    /// Begins to stop a run, or ends it if it only waits here.
-    fn stop_run(
-        &mut self,
-        now: Timestamp,
-        task: TaskId,
-        reason: StopReason,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        let Some(run) = self.ledger.get(task) else {
-            return;
-        };
-        let id = RunId {
-            task,
-            run: run.number,
-        };
-        match run.state {
-            RunState::Waiting => {
-                let how = EndKind::NotStarted(NotStartedReason::Withdrawn);
-                self.end_run(now, task, how, EndProof::NotSent, effects);
-            }
-            RunState::Starting | RunState::Running { .. } => {
-                if reason != StopReason::Asked {
-                    let decision = AgentDecision::Stopping {
-                        run: id,
-                        reason: reason.name(),
-                        echo_age: self
-                            .owners
-                            .get(&run.owner)
-                            .map_or(Span::default(), |owner| owner.echo_age(now)),
-                        percent: run.percent,
-                    };
-                    effects.push(AgentEffect::Decided(decision));
-                }
-                let state = RunState::Stopping {
-                    reason,
-                    since: now,
-                    answered: None,
-                };
-                self.ledger.set_state(task, state);
-                self.order(OrderKind::Stop { run: id }, effects);
-            }
-            RunState::Stopping { .. } => {}
-        }
-    }
-
     /// Takes a run out: nothing of it runs any more.
     fn end_run(
         &mut self,
@@ -449,17 +277,6 @@
         }
     }
 
-    fn stop_runs_of(
-        &mut self,
-        now: Timestamp,
-        gateway: Incarnation,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        for task in self.ledger.tasks_where(|run| run.owner == gateway) {
-            self.stop_run(now, task, StopReason::OwnerSilent, effects);
-        }
-    }
-
     fn order(&mut self, kind: OrderKind, effects: &mut Vec<AgentEffect>) {
         let Some(life) = &self.life else {
             return;
@@ -482,17 +299,3 @@
         }
     }
 }
-
-impl StopReason {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Asked => "asked",
-            Self::OwnerSilent => "owner_silent",
-            Self::Stalled => "stalled",
-            Self::TooSlow { .. } => "too_slow",
-            Self::Unanswered => "unanswered",
-            Self::AgentStops => "agent_stops",
-            Self::WorkerLeaves => "worker_leaves",
-        }
-    }
-}
--- /dev/null
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -0,0 +1,124 @@
+//! Sessions to gateways, and what comes over them.
+
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::messages::{ToAgent, ToAgentBody};
+use super::owner::Owner;
+use super::{AgentDecision, AgentEffect, LeasedAgent};
+use crate::session::SessionId;
+
+impl LeasedAgent {
+    /// Tells the gateway of a session that there is no room for it, before the session is
+    /// closed, or takes that back. What it has sent meanwhile still starts.
+    pub fn release(&mut self, session: SessionId, is_released: bool) {
+        let gateway = self.sessions.get(&session);
+        if let Some(owner) = gateway.and_then(|gateway| self.owners.get_mut(gateway)) {
+            owner.is_released = is_released;
+        }
+    }
+
+    /// Whether nothing is under way for the gateway of a session: no run, and no end that
+    /// it has not acknowledged.
+    pub fn is_idle_for(&self, session: SessionId) -> bool {
+        let Some(gateway) = self.sessions.get(&session) else {
+            return true;
+        };
+        let owes_ends = self
+            .owners
+            .get(gateway)
+            .is_some_and(Owner::has_unacknowledged);
+        !owes_ends && !self.owns_runs(*gateway)
+    }
+
+    pub(super) fn on_opened(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        gateway: Incarnation,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let owner = self
+            .owners
+            .entry(gateway)
+            .or_insert_with(|| Owner::new(now));
+        // A new session of the same incarnation fences the old one.
+        if let Some(old) = owner.session {
+            self.sessions.remove(&old);
+            effects.push(AgentEffect::Close(old));
+        }
+        let silence = owner.echo_age(now);
+        owner.open(now, session);
+        self.sessions.insert(session, gateway);
+        self.tell_resumed(gateway, silence, effects);
+    }
+
+    /// Notes for the log that runs outlived a session: how old the gateway's latest word is.
+    fn tell_resumed(&self, gateway: Incarnation, silence: Span, effects: &mut Vec<AgentEffect>) {
+        let own = self.ledger.iter().filter(|(_, run)| run.owner == gateway);
+        let runs = own.count();
+        if runs > 0 {
+            effects.push(AgentEffect::Decided(AgentDecision::SessionResumed {
+                gateway,
+                silence,
+                runs,
+            }));
+        }
+    }
+
+    pub(super) fn on_closed(&mut self, session: SessionId) {
+        let Some(gateway) = self.sessions.remove(&session) else {
+            return;
+        };
+        if let Some(owner) = self.owners.get_mut(&gateway) {
+            owner.close();
+        }
+    }
+
+    pub(super) fn on_gateway_ended(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        self.stop_runs_of(now, gateway, effects);
+        self.owners.remove(&gateway);
+    }
+
+    pub(super) fn on_message(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        message: ToAgent,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        let Some(gateway) = self.sessions.get(&session).copied() else {
+            return;
+        };
+        let Some(owner) = self.owners.get_mut(&gateway) else {
+            return;
+        };
+        owner.echo = owner.echo.max(message.echo);
+        owner.acknowledge(message.seen);
+        match message.body {
+            ToAgentBody::Heartbeat => {}
+            ToAgentBody::Start(batch) => self.on_start(now, gateway, message.echo, &batch, effects),
+            ToAgentBody::Stop(tasks) => {
+                for task in tasks {
+                    self.on_stop_asked(now, gateway, task, effects);
+                }
+            }
+            ToAgentBody::Members(members) => effects.push(AgentEffect::Members(members)),
+            ToAgentBody::Announce(announcements) => {
+                self.on_announced(now, gateway, &announcements);
+            }
+            ToAgentBody::Evacuations(news) => self.on_evacuations(news, effects),
+            ToAgentBody::Predecessor { silence } => self.on_predecessor(now, silence),
+            ToAgentBody::Decline(offers) => {
+                for number in offers {
+                    owner.end_offer(number);
+                }
+            }
+        }
+    }
+}
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -6,7 +6,7 @@
 
 use super::super::messages::{EndKind, NotStartedReason, StartBatch};
 use super::super::task::{RunId, TaskId};
-use super::super::timing::{START_FRESHNESS, STOP_AT_MOST};
+use super::super::timing::START_FRESHNESS;
 use super::ledger::{Run, RunState, StopReason};
 use super::proof::EndProof;
 use super::worker::{FenceToken, OrderFailure, Rejection, WorkerClock};
@@ -14,10 +14,6 @@
 
 /// Most tasks that wait here for room.
 const MOST_WAITING: usize = 64;
-/// Pause before a stop is sent for the third time and later: a worker that breaks
-/// every connection would otherwise be called without end.
-const STOP_PAUSE: Span = Span::from_millis(20);
-
 impl LeasedAgent {
     pub(super) fn on_start(
         &mut self,
@@ -274,102 +270,6 @@
         self.end_run(now, id.task, how, EndProof::Rejected, effects);
     }
 
-    pub(super) fn on_stop_answered(
-        &mut self,
-        now: Timestamp,
-        id: RunId,
-        life: &str,
-        answer: Result<OrderAnswer, OrderFailure>,
-        effects: &mut Vec<AgentEffect>,
-    ) {
-        if !self.is_present(life) {
-            return;
-        }
-        match answer {
-            Err(OrderFailure::LifeOver) => self.on_life_over(now, life, LifeEnd::Crashed, effects),
-            Err(failure @ (OrderFailure::NoAnswer | OrderFailure::Refused)) => {
-                if failure == OrderFailure::Refused {
-                    self.watch_at_once(now);
-                }
-                if self.ledger.run(id).is_some() {
-                    self.ledger.note(id.task, |run| {
-                        let pause = if run.lost_stops == 0 {
-                            Span::default()
-                        } else {
-                            STOP_PAUSE
-                        };
-                        run.lost_stops += 1;
-                        run.stop_again = Some(now.after(pause));
-                    });
-                    self.tell_unanswered_stop(now, id, effects);
-                }
-            }
-            Ok(OrderAnswer { clock, rejection }) => {
-                self.note_clock(now, clock);
-                if rejection == Some(Rejection::Fenced) {
-                    self.raise_token(now);
-                    self.order(OrderKind::Stop { run: id }, effects);
-                    return;
-                }
-                let Some(RunState::Stopping { reason, since, .. }) =
-                    self.ledger.run(id).map(|run| run.state)
-                else {
-                    return;
-                };
-                let state = RunState::Stopping {
-                    reason,
-                    since,
-                    answered: Some(now),
-                };
-                self.ledger.set_state(id.task, state);
-            }
-        }
-    }
-
-    /// Notes for the log, once for a run, that its stop takes longer than a stop may.
-    fn tell_unanswered_stop(&mut self, now: Timestamp, id: RunId, effects: &mut Vec<AgentEffect>) {
-        let Some(run) = self.ledger.run(id) else {
-            return;
-        };
-        let RunState::Stopping { reason, since, .. } = run.state else {
-            return;
-        };
-        let (age, stops) = (now.since(since), run.lost_stops);
-        if age <= STOP_AT_MOST || run.is_stop_overdue {
-            return;
-        }
-        self.ledger.note(id.task, |run| run.is_stop_overdue = true);
-        effects.push(AgentEffect::Decided(AgentDecision::StopUnanswered {
-            run: id,
-            reason: reason.name(),
-            age,
-            stops,
-        }));
-    }
-
-    /// Nobody listens for orders: whether the worker is gone, its watch tells. That has a
-    /// connection of its own, which a process that has only closed its door still serves.
-    fn watch_at_once(&mut self, now: Timestamp) {
-        if let Some(life) = &mut self.life {
-            life.has_news = true;
-            life.watch_from = life.watch_from.min(now);
-        }
-    }
-
-    /// Sends stops that got no answer again.
-    pub(super) fn repeat_stops(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
-        let due = self
-            .ledger
-            .tasks_where(|run| run.stop_again.is_some_and(|again| now >= again));
-        for task in due {
-            self.ledger.note(task, |run| run.stop_again = None);
-            if let Some(run) = self.ledger.get(task).map(|run| run.number) {
-                let run = RunId { task, run };
-                self.order(OrderKind::Stop { run }, effects);
-            }
-        }
-    }
-
     pub(super) fn note_clock(&mut self, now: Timestamp, clock: Option<WorkerClock>) {
         if let (Some(life), Some(clock)) = (&mut self.life, clock) {
             life.clock.update(now, clock);
