--- a/laurelstile-core/src/leased/agent/lives.rs
+++ b/laurelstile-core/src/leased/agent/lives.rs
@@ -254,8 +254,10 @@
             self.end_run(now, task, EndKind::Lost, proof, effects);
         }
         self.ended_lives.insert(life.to_owned());
-        if let Some(challenger) = present.challenger {
-            self.begin_registered_life(now, challenger.registration, effects);
+        let next = present.challenger.map(|challenger| challenger.registration);
+        let next = next.filter(|next| !self.deregistered_lives.contains(&next.life));
+        if let Some(registration) = next {
+            self.begin_registered_life(now, registration, effects);
         }
     }
 
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -100,6 +100,18 @@
     assert_eq!(rig.take_watches().len(), 1, "the next life is taken on");
 }
 
+/// It came and left while the agent still held another life for the present one.
+#[test]
+fn a_life_that_has_deregistered_does_not_follow_another() {
+    let mut rig = AgentRig::in_control(cpu(1_000));
+    rig.register(at(50), "life-2", cpu(1_000), false);
+    let life = "life-2".into();
+    rig.event(at(60), AgentEvent::Deregistration { life });
+    assert_eq!(rig.deregistrations, ["life-2"]);
+    rig.end_life(at(70));
+    assert!(rig.take_watches().is_empty(), "there is no life to ask");
+}
+
 /// A process that has died listens no more. One that leaves may close its door first.
 #[rstest]
 #[case::died(false, 2)]
