--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -18,7 +18,7 @@
 use laurelstile_core::leased::gateway::GatewayEvent;
 use laurelstile_core::leased::gateway::job::CallNumber;
 use laurelstile_core::leased::messages::{EndKind, FromAgentBody, ToAgentBody};
-use laurelstile_core::leased::task::RunId;
+use laurelstile_core::leased::task::{RunId, RunNumber, TaskId};
 use laurelstile_core::leased::timing::{LAPSE_AFTER_SILENCE, OWNER_SILENCE};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
@@ -198,20 +198,24 @@
     assert_eq!(rig.machine.run_count(), 0, "both have lapsed");
 }
 
+/// A gateway with a job of two tasks at an agent, and these as the agent holds them.
+fn with_a_placed_job() -> (GatewayRig, Vec<(TaskId, RunNumber)>) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), 7, "agent-7", cpu(2_000));
+    rig.submit(at(10), 1, job(1, 2, 2_000));
+    let (_, batch) = rig.next_start();
+    let tasks = batch.tasks.iter();
+    let held = tasks.map(|(index, run)| (task(1, *index), *run));
+    (rig, held.collect())
+}
+
 /// A caller that has left hands its job in again 1.3 s later, at any gateway; a run of seconds
 /// that nobody stops is at work beside the next one then.
 #[rstest]
 #[case::no_session_open(true)]
 #[case::the_stop_was_lost_with_its_session(false)]
 fn what_a_caller_left_is_stopped_over_the_next_session(#[case] is_closed_before: bool) {
-    let mut rig = GatewayRig::new();
-    rig.join(at(1), 7, "agent-7", cpu(2_000));
-    rig.submit(at(10), 1, job(1, 2, 2_000));
-    let (_, batch) = rig.next_start();
-    let held = batch
-        .tasks
-        .iter()
-        .map(|(index, run)| (task(1, *index), *run));
+    let (mut rig, held) = with_a_placed_job();
     let call = CallNumber(1);
     if is_closed_before {
         rig.lose_session(at(50), 7);
@@ -222,23 +226,16 @@
         rig.stops.clear();
         rig.lose_session(at(51), 7);
     }
-    rig.rejoin(at(100), 7, 71, cpu(2_000), held.collect());
+    rig.rejoin(at(100), 7, 71, cpu(2_000), held);
     assert_eq!(rig.stops, [task(1, 0), task(1, 1)]);
 }
 
 /// What goes on is not stopped for a session that broke.
 #[test]
 fn what_a_caller_waits_for_goes_on_over_the_next_session() {
-    let mut rig = GatewayRig::new();
-    rig.join(at(1), 7, "agent-7", cpu(2_000));
-    rig.submit(at(10), 1, job(1, 2, 2_000));
-    let (_, batch) = rig.next_start();
-    let held = batch
-        .tasks
-        .iter()
-        .map(|(index, run)| (task(1, *index), *run));
+    let (mut rig, held) = with_a_placed_job();
     rig.lose_session(at(50), 7);
-    rig.rejoin(at(100), 7, 71, cpu(2_000), held.collect());
+    rig.rejoin(at(100), 7, 71, cpu(2_000), held);
     assert!(rig.stops.is_empty() && rig.starts.is_empty());
 }
 
