Test of the clock's estimate: a reading that is taken, so that the time before it is asked for

The estimate took no reading in the test as it was (1 s after the first and behind it), so it asked for a time after the reading. It fails now if the way back from a reading is left out.

--- a/laurelstile-core/tests/leased_timing.rs
+++ b/laurelstile-core/tests/leased_timing.rs
@@ -35,6 +35,6 @@
 #[test]
 fn an_estimate_of_an_earlier_time_is_not_ahead_of_the_clock() {
     let mut estimate = ClockEstimate::default();
-    estimate.update(Timestamp(1_000_000), WorkerClock(980));
-    assert!(estimate.at_least(Timestamp(500_000)) <= WorkerClock(490));
+    estimate.update(Timestamp(2_000_000), WorkerClock(1_960));
+    assert!(estimate.at_least(Timestamp(1_500_000)) <= WorkerClock(1_470));
 }
