--- a/laurelstile-core/src/leased/agent/deregistration.rs
+++ b/laurelstile-core/src/leased/agent/deregistration.rs
@@ -20,6 +20,11 @@
 }
 
 impl Deregistration {
+    /// When the lease of its life is over, which is renewed no more.
+    fn lease_over(&self, renewed: Timestamp) -> Timestamp {
+        lease_over_at(renewed.max(self.since))
+    }
+
     /// When it is answered at the latest, unless it has been.
     fn answer_due(&self) -> Option<Timestamp> {
         (!self.is_answered).then(|| self.since.after(DEREGISTRATION_PATIENCE))
@@ -75,7 +80,7 @@
         let Some(deregistration) = &mut life.deregistration else {
             return;
         };
-        let has_lapsed = now >= lease_over_at(life.renewed.max(deregistration.since));
+        let has_lapsed = now >= deregistration.lease_over(life.renewed);
         let is_listed_empty = life.has_synced && life.foreign.is_empty();
         let is_over = self.ledger.is_empty() && (is_listed_empty || has_lapsed);
         let is_due = deregistration.answer_due().is_some_and(|due| now >= due);
@@ -93,7 +98,7 @@
     pub(super) fn deregistration_wakeup(&self) -> Option<Timestamp> {
         let life = self.life.as_ref()?;
         let deregistration = life.deregistration?;
-        let lapse = lease_over_at(life.renewed.max(deregistration.since));
+        let lapse = deregistration.lease_over(life.renewed);
         Some(
             deregistration
                 .answer_due()
--- a/laurelstile-core/src/leased/agent/lease.rs
+++ b/laurelstile-core/src/leased/agent/lease.rs
@@ -51,10 +51,8 @@
     /// Notes whether a stop takes so long that the lease may run out over it: nothing more is
     /// started there until it is proved.
     pub(super) fn note_overdue_stops(&mut self, now: Timestamp) {
-        self.has_overdue_stop = self.ledger.iter().any(|(_, run)| match run.state {
-            RunState::Stopping { since, .. } => now.since(since) > STOP_AT_MOST,
-            _ => false,
-        });
+        let mut runs = self.ledger.iter();
+        self.has_overdue_stop = runs.any(|(_, run)| run.is_stop_overdue(now));
     }
 }
 
--- a/laurelstile-core/src/leased/agent/ledger.rs
+++ b/laurelstile-core/src/leased/agent/ledger.rs
@@ -10,6 +10,7 @@
 use super::super::input::JobInput;
 use super::super::room::Room;
 use super::super::task::{RunId, RunNumber, TaskId};
+use super::super::timing::STOP_AT_MOST;
 use super::worker::WorkerClock;
 
 /// Why a run is being stopped.
@@ -81,7 +82,7 @@
     /// Stops that got no answer.
     pub lost_stops: u32,
     /// Whether the log was told that they take longer than a stop may.
-    pub is_stop_overdue: bool,
+    pub is_overdue_told: bool,
     /// Whether the worker is to run nothing beside it.
     pub is_alone: bool,
     /// Whether its task has stood still on another worker.
@@ -99,6 +100,14 @@
     pub fn takes_room(&self) -> bool {
         self.state != RunState::Waiting
     }
+
+    /// Whether it has been stopped for longer than a stop may take.
+    pub fn is_stop_overdue(&self, now: Timestamp) -> bool {
+        match self.state {
+            RunState::Stopping { since, .. } => now.since(since) > STOP_AT_MOST,
+            _ => false,
+        }
+    }
 }
 
 /// All runs of one worker's life.
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -48,7 +48,7 @@
                 state: RunState::Waiting,
                 stop_again: None,
                 lost_stops: 0,
-                is_stop_overdue: false,
+                is_overdue_told: false,
                 is_alone: batch.is_alone,
                 has_stalled: batch.has_stalled,
                 percent: 0,
--- a/laurelstile-core/src/leased/agent/stopping.rs
+++ b/laurelstile-core/src/leased/agent/stopping.rs
@@ -5,7 +5,6 @@
 
 use super::super::messages::{EndKind, NotStartedReason};
 use super::super::task::{RunId, TaskId};
-use super::super::timing::STOP_AT_MOST;
 use super::ledger::{RunState, StopReason};
 use super::proof::EndProof;
 use super::worker::{OrderFailure, Rejection};
@@ -149,10 +148,10 @@
             return;
         };
         let (age, stops) = (now.since(since), run.lost_stops);
-        if age <= STOP_AT_MOST || run.is_stop_overdue {
+        if !run.is_stop_overdue(now) || run.is_overdue_told {
             return;
         }
-        self.ledger.note(id.task, |run| run.is_stop_overdue = true);
+        self.ledger.note(id.task, |run| run.is_overdue_told = true);
         effects.push(AgentEffect::Decided(AgentDecision::StopUnanswered {
             run: id,
             reason: reason.name(),
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -14,7 +14,7 @@
 use super::ledger::{Run, RunState, StopReason};
 use super::proof::EndProof;
 use super::worker::{OrderFailure, Rejection, WorkerClock, WorkerEnd, WorkerEndKind, WorkerLists};
-use super::{AgentDecision, AgentEffect, LeasedAgent, LifeEnd, OrderKind, WatchAnswer};
+use super::{AgentDecision, AgentEffect, LeasedAgent, Life, LifeEnd, OrderKind, WatchAnswer};
 
 /// How long the worker may wait for an end before it answers.
 const WATCH_WAIT: Span = Span::from_millis(30);
@@ -67,9 +67,7 @@
         if life.watching.is_some() || !is_wanted || now < life.watch_from {
             return;
         }
-        let is_renewing = active > 0
-            && life.deregistration.is_none()
-            && life.unanswered_watches < UNANSWERED_WATCHES;
+        let is_renewing = active > 0 && !life.is_left_to_lapse();
         let may_wait = active > 0
             && life.has_synced
             && life.challenger.is_none()
@@ -302,9 +300,7 @@
         let Some(life) = &mut self.life else {
             return;
         };
-        let is_silent =
-            life.unanswered_watches >= UNANSWERED_WATCHES || life.deregistration.is_some();
-        if !is_silent || now < lease_over_at(life.renewed) {
+        if !life.is_left_to_lapse() || now < lease_over_at(life.renewed) {
             return;
         }
         life.has_synced = false;
@@ -331,9 +327,15 @@
     /// When [`Self::end_lapsed`] has something to do.
     pub(super) fn lapse_at(&self) -> Option<Timestamp> {
         let life = self.life.as_ref()?;
-        let is_silent =
-            life.unanswered_watches >= UNANSWERED_WATCHES || life.deregistration.is_some();
-        (is_silent && self.ledger.active() > 0).then(|| lease_over_at(life.renewed))
+        let is_lapsing = life.is_left_to_lapse() && self.ledger.active() > 0;
+        is_lapsing.then(|| lease_over_at(life.renewed))
+    }
+}
+
+impl Life {
+    /// Whether its lease is renewed no more: the worker is silent, or has deregistered.
+    fn is_left_to_lapse(&self) -> bool {
+        self.unanswered_watches >= UNANSWERED_WATCHES || self.deregistration.is_some()
     }
 }
 
