A gateway that wakes reads what waits before it places any job; a frozen machine of the emulator stays frozen to the later end

In the product: after a standstill only jobs of before were held back for the reading time; one whose call waited at the sockets was placed at once, and the cancel behind it was read after that. All jobs wait for the reading time now. A unit test (leased_one_run.rs) fails without it. A machine stays frozen to the later end now.

--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -73,6 +73,9 @@
         self.timers.insert((job.refuse_at, id));
         self.timers.insert((job.deadline, id));
         self.jobs.insert(id, job);
+        if self.standstill.is_reading(now) {
+            self.pause(id, self.standstill.reading_until());
+        }
     }
 
     /// How a job has ended that is handed in again, if that is known.
@@ -293,7 +296,7 @@
             return;
         };
         let is_over = now >= job.deadline;
-        if !is_over && self.standstill.holds(now, job) {
+        if !is_over && self.standstill.is_reading(now) {
             return;
         }
         if job.is_untouched() && (now >= job.refuse_at || is_over) {
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -15,10 +15,10 @@
 
 use laurelstile_core::leased::agent::AgentEvent;
 use laurelstile_core::leased::agent::worker::{OrderFailure, WorkerEndKind, WorkerLists};
-use laurelstile_core::leased::gateway::GatewayEvent;
 use laurelstile_core::leased::gateway::job::CallNumber;
-use laurelstile_core::leased::messages::{EndKind, FromAgentBody, ToAgentBody};
-use laurelstile_core::leased::task::{RunId, RunNumber, TaskId};
+use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, ToAgentBody, ToPeer};
+use laurelstile_core::leased::task::{JobId, RunId, RunNumber, TaskId};
 use laurelstile_core::leased::timing::{LAPSE_AFTER_SILENCE, OWNER_SILENCE};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
@@ -286,3 +286,19 @@
     rig.tick(at(1_600));
     assert_eq!(rig.starts.len(), 1);
 }
+
+/// The call waited at the sockets while the gateway was suspended, and the word that its job was
+/// cancelled meanwhile at another gateway behind it.
+#[test]
+fn a_job_cancelled_while_its_gateway_stood_still_is_not_started() {
+    let mut rig = GatewayRig::new();
+    let session = SessionId(90);
+    rig.event(at(1), GatewayEvent::PeerOpened { session });
+    rig.join(at(1), 7, "agent-7", cpu(1_000));
+    rig.submit(at(1_500), 1, job(1, 1, 200));
+    let message = ToPeer::Cancelled(vec![JobId(1)]);
+    rig.event(at(1_501), GatewayEvent::PeerMessage { session, message });
+    rig.tick(at(1_700));
+    assert!(rig.starts.is_empty());
+    assert_eq!(rig.last_answer(), Some(Answer::Cancelled));
+}
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -77,6 +77,12 @@
         Some(at)
     }
 
+    /// The process stands still until `end`, or longer if it does already: what has come
+    /// meanwhile waits for the end that was known then.
+    pub fn freeze(&mut self, end: u64) {
+        self.frozen_until = self.frozen_until.max(end);
+    }
+
     /// The machine is suspended until `end`; the clock may not count that.
     pub fn suspend(&mut self, now: u64, end: u64, is_uncounted: bool) {
         let asleep_from = self.frozen_until.max(now);
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -94,7 +94,7 @@
             }
             Fault::FreezeGateway(index) => {
                 self.gateways[index].in_planned_stop = false;
-                self.gateways[index].frozen_until = end;
+                self.gateways[index].freeze(end);
             }
             Fault::StopGateway(index)
                 if self.gateways[index].is_up
@@ -110,7 +110,7 @@
                 self.kill_agent(index);
                 self.schedule(self.now + RESTART, Happening::RestartAgent(index));
             }
-            Fault::FreezeAgent(index) => self.agents[index].frozen_until = end,
+            Fault::FreezeAgent(index) => self.agents[index].freeze(end),
             Fault::SuspendGateway(index) => {
                 let is_uncounted = self.sabotage == Some(Sabotage::SteadyClocks);
                 let gateway = &mut self.gateways[index];
