--- a/laurelstile-core/src/leased/gateway/member_log.rs
+++ b/laurelstile-core/src/leased/gateway/member_log.rs
@@ -45,6 +45,11 @@
         self.present = present;
     }
 
+    /// The gateways that are known now.
+    pub fn present(&self) -> impl Iterator<Item = &Member> {
+        self.present.iter()
+    }
+
     /// A session was opened, and has been told nothing.
     pub fn open(&mut self, session: SessionId) {
         self.told.insert(session, 0);
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -175,6 +175,11 @@
         self.jobs.len()
     }
 
+    /// The gateways that are known here, this one among them.
+    pub fn known_members(&self) -> impl Iterator<Item = &Member> {
+        self.members.present()
+    }
+
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping_since.is_some()
--- a/laurelstile-core/src/leased/mod.rs
+++ b/laurelstile-core/src/leased/mod.rs
@@ -19,6 +19,7 @@
 pub mod life_name;
 mod message_kinds;
 pub mod messages;
+pub mod redial;
 pub mod room;
 mod serde_defaults;
 pub mod subset;
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -25,6 +25,19 @@
             /// Two workers die by themselves every half second, for six seconds.
             optional --deaths
         }
+        /// Play a fleet of each size and report what it costs by itself.
+        cmd scale {
+            /// Numbers of gateways, as in 46,92,184.
+            required --gateways gateways: String
+            /// What befalls the fleet: cold-start, all-killed, rolled, added or configured.
+            required --scenario scenario: String
+            /// Agents; 435 for each hundred gateways unless given.
+            optional --agents agents: usize
+            /// Seed of the random choices.
+            optional --seed seed: u64
+            /// Print a JSON line for each size.
+            optional --json
+        }
         /// Run seeds of leased workers under faults and judge their histories.
         cmd leased {
             /// Seeds to run, A..B.
--- a/laurelstile-sim/src/lib.rs
+++ b/laurelstile-sim/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod faults;
+pub mod fleet;
 pub mod leased;
 pub mod prove;
 pub mod replay;
--- a/laurelstile-sim/src/main.rs
+++ b/laurelstile-sim/src/main.rs
@@ -5,6 +5,7 @@
 mod crashes_command;
 mod flags;
 mod leased_command;
+mod scale_command;
 
 use std::process::ExitCode;
 
@@ -17,6 +18,7 @@
         LaurelstileSimCmd::Prove(prove) => run_prove(&prove),
         LaurelstileSimCmd::Leased(flags) => leased_command::run(&flags),
         LaurelstileSimCmd::Crashes(flags) => crashes_command::run(&flags),
+        LaurelstileSimCmd::Scale(flags) => scale_command::run(&flags),
     }
 }
 
--- a/laurelstiled/src/leased/sessions.rs
+++ b/laurelstiled/src/leased/sessions.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use laurelstile_core::leased::messages::Member;
+use laurelstile_core::leased::redial::{DIAL_LIMIT, DIALS, connect_limit, redial_pause};
 use laurelstile_core::session::Remote;
 use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
 use laurelstile_wire::error::WireError;
 use laurelstile_wire::hello::{LocalNode, NodeRole, Socket};
 pub use laurelstile_wire::liveness::configure;
@@ -20,22 +22,6 @@
 use super::ports::SeedSource;
 use crate::telemetry::SESSION_ERRORS;
 
-/// Pause between two dials of one address, at first and after some failures.
-const FIRST_REDIAL: Duration = Duration::from_millis(25);
-const LONGEST_REDIAL: Duration = Duration::from_millis(400);
-/// Longest that the opening of a connection may take, at first and after some
-/// failures. A machine that is off answers no packet, and the system repeats the
-/// first one only after a second; a far machine answers within the longest.
-const FIRST_CONNECT_LIMIT: Duration = Duration::from_millis(50);
-const LONGEST_CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Failures in a row after which pause and limit double, and double again.
-const FAILURES_PER_DOUBLING: u32 = 5;
-/// Longest that a dial may take, with its hello.
-const DIAL_LIMIT: Duration = Duration::from_millis(600);
-/// Dials in a row without success after which an address is forgotten; it is
-/// dialed again once somebody names it anew.
-const DIALS: u32 = 60;
-
 /// What a dialer does with a session, and with a refusal.
 pub trait Dialed: Send + Sync + 'static {
     /// Holds the session to the gateway at `address` until it ends.
@@ -174,7 +160,7 @@
                 note_end(&error, &self.address.to_string());
             }
             failures += 1;
-            tokio::time::sleep(redial_pause(failures)).await;
+            tokio::time::sleep(duration(redial_pause(failures))).await;
         }
     }
 
@@ -183,28 +169,17 @@
     }
 
     async fn open(&self, failures: u32) -> Result<(Socket, Remote), WireError> {
-        let limit = connect_limit(failures);
+        let limit = duration(connect_limit(failures));
         let role = NodeRole::Gateway;
         let dialing = session::dial_within(limit, self.address, None, &self.local, role);
-        let dialed = tokio::time::timeout(DIAL_LIMIT, dialing).await;
+        let dialed = tokio::time::timeout(duration(DIAL_LIMIT), dialing).await;
         dialed.unwrap_or(Err(WireError::Timeout))
     }
 }
 
-/// Pause after so many failures in a row. Machines that lost power together come
-/// back within less than a second of each other, so the first dials follow closely.
-pub fn redial_pause(failures: u32) -> Duration {
-    doubled(FIRST_REDIAL, failures).min(LONGEST_REDIAL)
-}
-
-/// Longest that the opening of a connection may take after so many failures in a row.
-pub fn connect_limit(failures: u32) -> Duration {
-    doubled(FIRST_CONNECT_LIMIT, failures).min(LONGEST_CONNECT_LIMIT)
-}
-
-fn doubled(first: Duration, failures: u32) -> Duration {
-    let doublings = failures.saturating_sub(1) / FAILURES_PER_DOUBLING;
-    first.saturating_mul(2_u32.saturating_pow(doublings))
+/// A span of a machine, as the system's timers take it.
+fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0)
 }
 
 /// Logs and counts the end of a session.
