Gateways keep sessions to a few neighbors, compare directories by hashes, and tell agents only whom they rank

Cause: each gateway kept two sessions to each other one and told each new session the whole list, and each agent of all gateways: bytes of a start grew with the square of the fleet at each gateway.

Changed: one home for the subject (core, leased/membership). A gateway dials three peers of its own zone and two of others by rank, and the next on a ring of names; those that do not answer have substitutes, seeds are let go once half are there. Neighbors tell the hash of their directories when it changes; the parts that differ are asked for, of one neighbor at a time, one directory of it once. Agents say their zone and the hash of whom they know first, and are told the gateways that they rank (30 at most) if that differs. Cancels, crashes and suspects are passed on where they are news; where memory has overrun they are not, so that nothing goes round. A session to a member settles where it is; others under its name are dropped. Earlier builds are known by an introduction without a hash and are told the whole list once, agents without a request by their zone.

Two tests let over 0.7 s pass without a wake-up, which no driver does, and met the reading time of a gateway that has stood still; they wake it twice a second now and ask for the same. One test asked that an agent be told of all of 55 gateways; it asks that it is told of each that it ranks, once.

--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -91,6 +91,7 @@
             clock: now,
             report: is_new.then_some(report),
             offers,
+            sought: None,
             body,
         };
         effects.push(AgentEffect::Send { session, message });
@@ -126,6 +127,7 @@
             clock: now,
             report: None,
             offers: Vec::new(),
+            sought: None,
             body: FromAgentBody::Crashes(news),
         };
         effects.push(AgentEffect::Send { session, message });
--- a/laurelstile-core/src/leased/crashes.rs
+++ b/laurelstile-core/src/leased/crashes.rs
@@ -88,9 +88,17 @@
     crashes: BTreeMap<TaskId, Vec<Crash>>,
     /// The task of each crash, in the order in which they were noted.
     noted: VecDeque<(Timestamp, TaskId)>,
+    /// When one was last forgotten for want of room.
+    overran_at: Option<Timestamp>,
 }
 
 impl CrashLog {
+    /// Whether what seems to be news may have been known and forgotten. It is not passed on
+    /// then: it would go round and round.
+    pub fn may_repeat(&self, now: Timestamp) -> bool {
+        self.overran_at.is_some_and(|at| now.since(at) <= MEMORY)
+    }
+
     /// Takes a crash in, and gives the tasks for which it is news.
     pub fn note(&mut self, now: Timestamp, crash: &WorkerCrash) -> Vec<TaskId> {
         self.forget_old(now);
@@ -156,13 +164,17 @@
 
     fn forget_old(&mut self, now: Timestamp) {
         while let Some((at, task)) = self.noted.front().copied() {
-            if now.since(at) <= MEMORY && self.noted.len() <= MOST_TASKS {
-                return;
+            if now.since(at) <= MEMORY {
+                if self.noted.len() <= MOST_TASKS {
+                    return;
+                }
+                self.overran_at = Some(now);
             }
             self.noted.pop_front();
             self.forget_first_of(task);
         }
     }
+
     fn forget_first_of(&mut self, task: TaskId) {
         let Some(crashes) = self.crashes.get_mut(&task) else {
             return;
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -20,17 +20,29 @@
 #[derive(Debug, Default)]
 pub struct Cancels {
     jobs: VecDeque<(Timestamp, JobId)>,
+    /// When one was last forgotten for want of room.
+    overran_at: Option<Timestamp>,
 }
 
 impl Cancels {
     fn note(&mut self, now: Timestamp, job: JobId) {
         let is_old = |(at, _): &(Timestamp, JobId)| now.since(*at) > MEMORY;
-        while self.jobs.front().is_some_and(is_old) || self.jobs.len() >= MOST_REMEMBERED {
+        while self.jobs.front().is_some_and(is_old) {
             self.jobs.pop_front();
         }
+        if self.jobs.len() >= MOST_REMEMBERED {
+            self.jobs.pop_front();
+            self.overran_at = Some(now);
+        }
         self.jobs.push_back((now, job));
     }
 
+    /// Whether what seems to be news may have been known and forgotten. It is not passed on
+    /// then: it would go round and round.
+    fn may_repeat(&self, now: Timestamp) -> bool {
+        self.overran_at.is_some_and(|at| now.since(at) <= MEMORY)
+    }
+
     /// The jobs that were cancelled of late.
     fn recent(&self, now: Timestamp) -> Vec<JobId> {
         let jobs = self.jobs.iter();
@@ -80,16 +92,25 @@
         }
     }
 
-    /// Jobs were cancelled at a peer.
+    /// Jobs were cancelled at another gateway. What is news here is passed on.
     pub(super) fn on_cancels_told(
         &mut self,
         now: Timestamp,
+        source: SessionId,
         jobs: &[JobId],
         effects: &mut Vec<GatewayEffect>,
     ) {
-        for job in jobs {
+        let is_news = |job: &&JobId| !self.cancels.contains(now, **job);
+        let news: Vec<JobId> = jobs.iter().filter(is_news).copied().collect();
+        if news.is_empty() {
+            return;
+        }
+        for job in &news {
             self.end_cancelled(now, *job, effects);
         }
+        if !self.cancels.may_repeat(now) {
+            self.tell_other_peers(source, &ToPeer::Cancelled(news), effects);
+        }
     }
 
     fn end_cancelled(&mut self, now: Timestamp, job: JobId, effects: &mut Vec<GatewayEffect>) {
--- a/laurelstile-core/src/leased/gateway/containment.rs
+++ b/laurelstile-core/src/leased/gateway/containment.rs
@@ -17,6 +17,7 @@
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::TaskId;
+use crate::session::SessionId;
 
 /// How long a suspect counts: longer than workers are away after a crash, so that the ones
 /// that are back show whether more such tasks come.
@@ -92,9 +93,19 @@
         self.tell_peers(&ToPeer::Suspect { queue, task }, effects);
     }
 
-    /// A peer tells of a suspect of its callers.
-    pub(super) fn on_suspect_told(&mut self, now: Timestamp, queue: &str, task: TaskId) {
-        self.containment.note(now, queue, task);
+    /// A peer tells of a suspect. What is news here is passed on.
+    pub(super) fn on_suspect_told(
+        &mut self,
+        now: Timestamp,
+        source: SessionId,
+        queue: String,
+        task: TaskId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        if self.containment.note(now, &queue, task) {
+            let message = ToPeer::Suspect { queue, task };
+            self.tell_other_peers(source, &message, effects);
+        }
     }
 
     /// Finds out which queues are contained now, and to which workers.
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -58,6 +58,8 @@
     PeerOpened {
         /// The session.
         session: SessionId,
+        /// Whether this gateway has dialed it.
+        is_dialed: bool,
     },
     /// A session to a peer is closed.
     PeerClosed {
@@ -111,8 +113,13 @@
     },
     /// A configuration is in force here.
     InForce(Arc<QueueConfiguration>),
-    /// Gateways that are known; those without a session are to be dialed.
-    Members(Vec<Member>),
+    /// Gateways that are to be dialed until they answer.
+    Dial {
+        /// The gateways.
+        members: Vec<Member>,
+        /// Whether others, such as seeds, need not be dialed any more.
+        is_settled: bool,
+    },
     /// Something was decided that operators may want to know.
     Decided(GatewayDecision),
     /// No job is left; the process may exit.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -13,7 +13,6 @@
 pub mod events;
 mod intake;
 pub mod job;
-mod member_log;
 mod offers;
 pub mod path_delay;
 mod peers;
@@ -36,6 +35,7 @@
 
 use super::crashes::CrashLog;
 use super::evacuation::Evacuations;
+use super::membership::Membership;
 use super::messages::{FromAgent, FromAgentBody, Member, ToAgent, ToAgentBody};
 use super::task::{JobId, TaskId};
 use crate::session::{Remote, SessionId};
@@ -43,7 +43,6 @@
 use containment::Containment;
 pub use events::{Answer, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Refusal};
 use job::{CallNumber, Job};
-use member_log::MemberLog;
 use offers::AnnouncedJob;
 use peers::Peer;
 use queues::QueueConfiguration;
@@ -83,8 +82,7 @@
     peers: BTreeMap<SessionId, Peer>,
     /// The peer that was last asked for its configuration, and when.
     asked_peer: Option<(SessionId, Timestamp)>,
-    listed: BTreeSet<Member>,
-    members: MemberLog,
+    membership: Membership,
     jobs: BTreeMap<JobId, Job>,
     calls: BTreeMap<CallNumber, JobId>,
     /// Jobs with tasks to be placed, the most urgent first.
@@ -117,7 +115,8 @@
 impl LeasedGateway {
     /// A gateway without a configuration.
     pub fn new(identity: Identity) -> Self {
-        let mut gateway = Self {
+        Self {
+            membership: Membership::new(identity.member.clone()),
             identity,
             configuration: None,
             evacuations: Evacuations::default(),
@@ -125,8 +124,6 @@
             agent_sessions: BTreeMap::new(),
             peers: BTreeMap::new(),
             asked_peer: None,
-            listed: BTreeSet::new(),
-            members: MemberLog::default(),
             jobs: BTreeMap::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
@@ -143,9 +140,7 @@
             stopping_since: None,
             stop_reported: false,
             standstill: Standstill::default(),
-        };
-        gateway.note_members();
-        gateway
+        }
     }
 
     /// The configuration in force here.
@@ -177,7 +172,7 @@
 
     /// The gateways that are known here, this one among them.
     pub fn known_members(&self) -> impl Iterator<Item = &Member> {
-        self.members.present()
+        self.membership.members()
     }
 
     /// Whether the process is stopping.
@@ -203,8 +198,10 @@
             GatewayEvent::AgentMessage { session, message } => {
                 self.on_agent_message(now, session, message, effects);
             }
-            GatewayEvent::PeerOpened { session } => self.on_peer_opened(now, session, effects),
-            GatewayEvent::PeerClosed { session } => self.on_peer_closed(session),
+            GatewayEvent::PeerOpened { session, is_dialed } => {
+                self.on_peer_opened(now, session, is_dialed, effects);
+            }
+            GatewayEvent::PeerClosed { session } => self.on_peer_closed(now, session),
             GatewayEvent::PeerMessage { session, message } => {
                 self.on_peer_message(now, session, message, effects);
             }
@@ -212,10 +209,7 @@
                 self.adopt(configuration, effects);
             }
             GatewayEvent::Evacuations(news) => self.on_evacuations_read(now, news, effects),
-            GatewayEvent::Listed(members) => {
-                self.listed = members.into_iter().collect();
-                self.note_members();
-            }
+            GatewayEvent::Listed(members) => self.membership.on_listed(now, members),
             GatewayEvent::Stop => {
                 self.stopping_since.get_or_insert(now);
             }
@@ -234,7 +228,7 @@
         self.run_timers(now, effects);
         self.announce_waiting(now, effects);
         self.ask_for_configuration(now, effects);
-        self.tell_members(now, effects);
+        self.tend_membership(now, effects);
         self.send_heartbeats(now, effects);
         self.finish_stop(now, effects);
     }
@@ -254,7 +248,7 @@
         });
         let opening = self.start_window.opens_at();
         let opening = opening.filter(|_| !self.waiting.is_empty());
-        let members = self.members.due_at();
+        let members = self.membership.next_wakeup();
         let peers = self.ask_again_at();
         let others = [timer, stop, opening, members, peers].into_iter().flatten();
         workers.flatten().chain(others).min()
@@ -273,13 +267,12 @@
             .or_insert_with(|| Worker::new(now, remote.name));
         if let Some(old) = worker.session {
             self.agent_sessions.remove(&old);
-            self.members.close(old);
+            self.membership.on_agent_closed(old);
             effects.push(GatewayEffect::Close(old));
         }
         worker.open(now, session);
         self.start_window.forget(remote.incarnation);
         self.agent_sessions.insert(session, remote.incarnation);
-        self.members.open(session);
         self.tell_agent_evacuations(now, session, effects);
         self.tell_predecessor(now, remote.incarnation, effects);
     }
@@ -306,7 +299,7 @@
         let Some(agent) = self.agent_sessions.remove(&session) else {
             return;
         };
-        self.members.close(session);
+        self.membership.on_agent_closed(session);
         self.start_window.forget(agent);
         if let Some(worker) = self.workers.get_mut(&agent) {
             worker.session = None;
@@ -335,6 +328,9 @@
             self.start_window.on_report(now, agent, report.processed);
         }
         worker.offers.extend(message.offers);
+        if let Some(sought) = &message.sought {
+            self.membership.on_sought(session, &worker.name, sought);
+        }
         match message.body {
             FromAgentBody::Heartbeat => {}
             FromAgentBody::Ends(ends) => {
@@ -343,6 +339,8 @@
                 }
             }
             FromAgentBody::Snapshot(snapshot) => {
+                let zone = &snapshot.zone;
+                self.membership.on_zone_told(session, &worker.name, zone);
                 self.on_snapshot(now, agent, snapshot, effects);
             }
             FromAgentBody::Crashes(crashes) => {
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -6,7 +6,8 @@
 
 use super::queues::QueueConfiguration;
 use super::{GatewayEffect, LeasedGateway};
-use crate::leased::messages::{Member, ToAgentBody, ToPeer};
+use crate::leased::membership::MembershipEffect;
+use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::session::SessionId;
 
 /// A configuration that was asked for and has not come after so long is asked of another
@@ -16,22 +17,11 @@
 /// Another gateway, by its session.
 #[derive(Debug, Default)]
 pub struct Peer {
-    /// Who it is, once it has said so.
-    member: Option<Member>,
     /// Version of the configuration in force there, as far as is known.
     version: Option<u64>,
 }
 
 impl LeasedGateway {
-    /// Notes which gateways are known: this one, those with a session, and those that the
-    /// store lists.
-    pub(super) fn note_members(&mut self) {
-        let known = self.peers.values().filter_map(|peer| peer.member.as_ref());
-        let known = known.chain(&self.listed);
-        let present = known.chain([&self.identity.member]).cloned().collect();
-        self.members.update(present);
-    }
-
     /// Tells all peers the same.
     pub(super) fn tell_peers(&self, message: &ToPeer, effects: &mut Vec<GatewayEffect>) {
         for session in self.peers.keys() {
@@ -42,21 +32,35 @@
         }
     }
 
-    pub(super) fn on_peer_closed(&mut self, session: SessionId) {
+    /// Tells all peers the same, but the one that it came from.
+    pub(super) fn tell_other_peers(
+        &self,
+        source: SessionId,
+        message: &ToPeer,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let others = self.peers.keys().filter(|session| **session != source);
+        effects.extend(others.map(|session| GatewayEffect::ToPeer {
+            session: *session,
+            message: message.clone(),
+        }));
+    }
+
+    pub(super) fn on_peer_closed(&mut self, now: Timestamp, session: SessionId) {
         self.peers.remove(&session);
-        self.members.close(session);
-        self.note_members();
+        self.membership.on_peer_closed(now, session);
     }
 
     pub(super) fn on_peer_opened(
         &mut self,
         now: Timestamp,
         session: SessionId,
+        is_dialed: bool,
         effects: &mut Vec<GatewayEffect>,
     ) {
         self.peers.insert(session, Peer::default());
-        self.members.open(session);
-        let message = ToPeer::Introduction(self.identity.member.clone());
+        let introduction = self.membership.on_peer_opened(now, session, is_dialed);
+        let message = ToPeer::Introduction(introduction);
         effects.push(GatewayEffect::ToPeer { session, message });
         self.tell_peer_evacuations(session, effects);
         self.tell_peer_cancels(now, session, effects);
@@ -87,14 +91,21 @@
             }
             ToPeer::Configuration(configuration) => self.adopt(configuration, effects),
             ToPeer::Evacuations(news) => self.on_evacuations_told(now, news, effects),
-            ToPeer::Crashes(crashes) => self.on_crashes(now, &crashes, effects),
-            ToPeer::Suspect { queue, task } => self.on_suspect_told(now, &queue, task),
-            ToPeer::Cancelled(jobs) => self.on_cancels_told(now, &jobs, effects),
-            ToPeer::Members(members) => effects.push(GatewayEffect::Members(members)),
-            ToPeer::Introduction(member) => {
-                if let Some(peer) = self.peers.get_mut(&session) {
-                    peer.member = Some(member);
-                    self.note_members();
+            ToPeer::Crashes(crashes) => self.on_crashes_told(now, session, &crashes, effects),
+            ToPeer::Suspect { queue, task } => {
+                self.on_suspect_told(now, session, queue, task, effects);
+            }
+            ToPeer::Cancelled(jobs) => self.on_cancels_told(now, session, &jobs, effects),
+            ToPeer::Digest(digest) => self.membership.on_digest(session, digest),
+            ToPeer::MembersWanted(parts) => {
+                let answer = self.membership.on_members_wanted(session, &parts);
+                self.carry_out_membership(now, answer, effects);
+            }
+            ToPeer::Members(members) => self.membership.on_members(now, session, members),
+            ToPeer::Introduction(introduction) => {
+                let answer = self.membership.on_introduction(session, introduction);
+                if let Some(answer) = answer {
+                    self.carry_out_membership(now, answer, effects);
                 }
             }
         }
@@ -161,19 +172,36 @@
         })
     }
 
-    /// Tells agents, peers and the driver which gateways have become known.
-    pub(super) fn tell_members(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
-        let news = self.members.take_news(now);
-        for (session, members) in news.sessions {
-            if let Some(agent) = self.agent_sessions.get(&session).copied() {
-                self.send(now, agent, ToAgentBody::Members(members), effects);
-            } else {
-                let message = ToPeer::Members(members);
+    /// Does what the knowledge of other gateways gives rise to.
+    pub(super) fn tend_membership(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        for effect in self.membership.flush(now) {
+            self.carry_out_membership(now, effect, effects);
+        }
+    }
+
+    fn carry_out_membership(
+        &mut self,
+        now: Timestamp,
+        effect: MembershipEffect,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        match effect {
+            MembershipEffect::TellAgent(session, members) => {
+                if let Some(agent) = self.agent_sessions.get(&session).copied() {
+                    self.send(now, agent, ToAgentBody::Members(members), effects);
+                }
+            }
+            MembershipEffect::TellPeer(session, message) => {
                 effects.push(GatewayEffect::ToPeer { session, message });
             }
-        }
-        if !news.here.is_empty() {
-            effects.push(GatewayEffect::Members(news.here));
+            MembershipEffect::Dial {
+                members,
+                is_settled,
+            } => effects.push(GatewayEffect::Dial {
+                members,
+                is_settled,
+            }),
+            MembershipEffect::Close(session) => effects.push(GatewayEffect::Close(session)),
         }
     }
 }
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -15,6 +15,7 @@
 use crate::leased::crashes::{CrashedTask, Standing, WorkerCrash};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::{JobId, TaskId};
+use crate::session::SessionId;
 
 /// Tasks of a gateway that run alone at a time. Each holds a worker for the length of its
 /// run, and may take it down.
@@ -29,18 +30,44 @@
 pub(super) const ALONE_PATIENCE: Span = Span::from_millis(1_000);
 
 impl LeasedGateway {
-    /// An agent or a peer tells of crashed workers.
-    pub(super) fn on_crashes(
+    /// Takes in crashed workers, and gives what of it is news here.
+    fn on_crashes(
         &mut self,
         now: Timestamp,
         crashes: &[WorkerCrash],
         effects: &mut Vec<GatewayEffect>,
-    ) {
+    ) -> Vec<WorkerCrash> {
+        let mut news = Vec::new();
         for crash in crashes {
-            for task in self.crashes.note(now, crash) {
-                self.on_crashed_under(now, task, effects);
+            let tasks = self.crashes.note(now, crash);
+            for task in &tasks {
+                self.on_crashed_under(now, *task, effects);
+            }
+            if !tasks.is_empty() {
+                let is_news = |crashed: &&CrashedTask| tasks.contains(&crashed.task);
+                let tasks = crash.tasks.iter().filter(is_news).copied().collect();
+                news.push(WorkerCrash {
+                    life: crash.life.clone(),
+                    runs: crash.runs,
+                    tasks,
+                });
             }
         }
+        news
+    }
+
+    /// A peer tells of crashed workers. What is news here is passed on.
+    pub(super) fn on_crashes_told(
+        &mut self,
+        now: Timestamp,
+        source: SessionId,
+        crashes: &[WorkerCrash],
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let news = self.on_crashes(now, crashes, effects);
+        if !news.is_empty() && !self.crashes.may_repeat(now) {
+            self.tell_other_peers(source, &ToPeer::Crashes(news), effects);
+        }
     }
 
     /// An agent tells of crashed workers: what touches jobs of this gateway is passed on, so
--- /dev/null
+++ b/laurelstile-core/src/leased/membership/audience.rs
@@ -0,0 +1,127 @@
+//! Which agents are told of which gateways.
+//!
+//! An agent wants sessions to the few gateways that it ranks first. Only those are told, so
+//! that what an agent costs does not grow with the fleet; what comes within a moment goes
+//! out together, since gateways become known in a burst when many start at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::super::messages::{Member, Sought};
+use super::directory::Directory;
+use super::rank::Candidates;
+use crate::session::SessionId;
+
+/// Pause between two rounds of news to sessions that have had some.
+const PAUSE: Span = Span::from_millis(50);
+
+/// An agent that listens.
+#[derive(Debug)]
+struct Listener {
+    candidates: Candidates,
+    /// What it is still to be told.
+    untold: BTreeSet<Member>,
+}
+
+/// The agents that listen, by session.
+#[derive(Debug, Default)]
+pub struct Audience {
+    listeners: BTreeMap<SessionId, Listener>,
+    told_at: Option<Timestamp>,
+    /// Sessions that have been told nothing yet.
+    new: BTreeSet<SessionId>,
+}
+
+impl Audience {
+    /// An agent says what it seeks. It is told of nothing if it knows the same already.
+    pub fn join(
+        &mut self,
+        session: SessionId,
+        agent: &str,
+        sought: &Sought,
+        directory: &Directory,
+    ) {
+        let mut candidates = Candidates::new(agent, &sought.zone);
+        for member in directory.members() {
+            candidates.offer(member);
+        }
+        let knows_them = candidates.digest() == sought.known;
+        let untold = if knows_them {
+            BTreeSet::new()
+        } else {
+            candidates.iter().cloned().collect()
+        };
+        let listener = Listener { candidates, untold };
+        self.listeners.insert(session, listener);
+        self.new.insert(session);
+    }
+
+    /// Whether the agent of a session has said what it seeks.
+    pub fn has(&self, session: SessionId) -> bool {
+        self.listeners.contains_key(&session)
+    }
+
+    /// A session was closed.
+    pub fn leave(&mut self, session: SessionId) {
+        self.listeners.remove(&session);
+        self.new.remove(&session);
+    }
+
+    /// Gateways have come, or are back.
+    pub fn note_arrivals(&mut self, arrivals: &[Member]) {
+        for listener in self.listeners.values_mut() {
+            for member in arrivals {
+                listener.candidates.offer(member);
+                if listener.candidates.contains(member) {
+                    listener.untold.insert(member.clone());
+                }
+            }
+        }
+    }
+
+    /// Gateways have gone: the next in rank are candidates in their place.
+    pub fn note_departures(&mut self, departures: &[Member], directory: &Directory) {
+        for listener in self.listeners.values_mut() {
+            let had = |member: &Member| listener.candidates.contains(member);
+            if !departures.iter().any(had) {
+                continue;
+            }
+            let mut candidates = listener.candidates.emptied();
+            for member in directory.members() {
+                candidates.offer(member);
+            }
+            let before = std::mem::replace(&mut listener.candidates, candidates);
+            let news = listener.candidates.iter();
+            let news = news.filter(|member| !before.contains(member));
+            listener.untold.extend(news.cloned());
+            let candidates = &listener.candidates;
+            listener.untold.retain(|member| candidates.contains(member));
+        }
+    }
+
+    /// What is to be told now: to new sessions at once, to the others once the pause is over.
+    pub fn take_news(&mut self, now: Timestamp) -> Vec<(SessionId, Vec<Member>)> {
+        let is_due = self.due_at().is_some_and(|due| now >= due);
+        let new = std::mem::take(&mut self.new);
+        let mut news = Vec::new();
+        for (session, listener) in &mut self.listeners {
+            if !listener.untold.is_empty() && (is_due || new.contains(session)) {
+                let members = std::mem::take(&mut listener.untold);
+                news.push((*session, members.into_iter().collect()));
+            }
+        }
+        if is_due {
+            self.told_at = Some(now);
+        }
+        news
+    }
+
+    /// When the next news are due, if there are any.
+    pub fn due_at(&self) -> Option<Timestamp> {
+        let mut listeners = self.listeners.values();
+        let has_news = listeners.any(|listener| !listener.untold.is_empty());
+        let due = self.told_at.map(|at| at.after(PAUSE));
+        has_news.then(|| due.unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/laurelstile-core/src/leased/membership/mod.rs
@@ -0,0 +1,300 @@
+//! Which gateways there are, who keeps sessions to whom, and who is told what.
+//!
+//! | part | question |
+//! | --- | --- |
+//! | [`directory`] | which gateways does a gateway know, and where from? |
+//! | [`neighbors`] | to which of them does it keep sessions? |
+//! | [`exchange`] | how do neighbors find out that they know different ones? |
+//! | [`audience`] | which of them are agents told? |
+//! | [`subset`] | to which of those does an agent keep sessions? |
+//! | [`rank`] | the order that all of them choose by |
+//!
+//! Nothing here grows faster than the fleet: a gateway's sessions to others and what an
+//! agent is told have bounds; a directory has an entry for each gateway, is fetched once,
+//! and compared by hashes from then on. No promise rests on a directory being right or
+//! complete: agents alone decide what starts, and whoever dials a gateway that is not there
+//! takes the next in rank.
+
+pub mod audience;
+pub mod directory;
+pub mod exchange;
+pub mod neighbors;
+pub mod rank;
+pub mod subset;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use laurelstile_types::time::{Span, Timestamp};
+
+use super::messages::{Introduction, Member, Sought, ToPeer};
+use crate::session::SessionId;
+use audience::Audience;
+use directory::{Directory, PartDigests};
+use exchange::Exchange;
+use neighbors::Neighbors;
+
+/// Pause between two looks at which sessions are wanted, while the directory changes.
+const LOOK_PAUSE: Span = Span::from_millis(50);
+/// How often is looked again while some that are wanted do not answer.
+const REVIEW: Span = Span::from_millis(2_000);
+/// How long a session that this gateway has dialed and does not want stays open.
+const RELEASE_PAUSE: Span = Span::from_millis(2_000);
+
+/// A session to another gateway.
+#[derive(Debug)]
+struct Peer {
+    /// Who it is, once it has said so.
+    member: Option<Member>,
+    is_dialed: bool,
+    opened: Timestamp,
+}
+
+/// What a gateway knows of the others.
+#[derive(Debug)]
+pub struct Membership {
+    own: Member,
+    directory: Directory,
+    neighbors: Neighbors,
+    exchange: Exchange,
+    audience: Audience,
+    peers: BTreeMap<SessionId, Peer>,
+    /// Whether the choice of neighbors has to be made again.
+    is_stale: bool,
+    looked_at: Option<Timestamp>,
+    /// When a session that is not wanted has been open for long enough to be closed.
+    release_at: Option<Timestamp>,
+}
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum MembershipEffect {
+    /// An agent is to be told of gateways.
+    TellAgent(SessionId, Vec<Member>),
+    /// A peer is to be sent a message.
+    TellPeer(SessionId, ToPeer),
+    /// These are to be dialed until they answer.
+    Dial {
+        /// The gateways.
+        members: Vec<Member>,
+        /// Whether others need not be dialed any more: enough sessions are there.
+        is_settled: bool,
+    },
+    /// A session is not wanted any more.
+    Close(SessionId),
+}
+
+impl Membership {
+    /// A gateway that knows no other.
+    pub fn new(own: Member) -> Self {
+        Self {
+            directory: Directory::new(own.clone()),
+            own,
+            neighbors: Neighbors::default(),
+            exchange: Exchange::default(),
+            audience: Audience::default(),
+            peers: BTreeMap::new(),
+            is_stale: false,
+            looked_at: None,
+            release_at: None,
+        }
+    }
+
+    /// All gateways that are known, this one among them.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.directory.members()
+    }
+
+    /// A session to a peer was opened, dialed by this side or by the other. Gives what it
+    /// has to be told first.
+    pub fn on_peer_opened(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        is_dialed: bool,
+    ) -> Introduction {
+        let peer = Peer {
+            member: None,
+            is_dialed,
+            opened: now,
+        };
+        self.peers.insert(session, peer);
+        Introduction::new(&self.own, self.directory.digest())
+    }
+
+    /// A peer says who it is. One that does not compare directories, since it is of an
+    /// earlier build, is told the whole list once.
+    pub fn on_introduction(
+        &mut self,
+        session: SessionId,
+        introduction: Introduction,
+    ) -> Option<MembershipEffect> {
+        let peer = self.peers.get_mut(&session)?;
+        let directory = introduction.directory;
+        let member = introduction.into_member();
+        let own = self.directory.digest();
+        self.exchange.open(session, directory, own);
+        if member.name != self.own.name {
+            self.directory.meet(session, &member);
+            peer.member = Some(member);
+        }
+        self.is_stale = true;
+        if directory.is_some() {
+            return None;
+        }
+        let members = self.directory.members().cloned().collect();
+        Some(MembershipEffect::TellPeer(
+            session,
+            ToPeer::Members(members),
+        ))
+    }
+
+    /// A session to a peer was closed.
+    pub fn on_peer_closed(&mut self, now: Timestamp, session: SessionId) {
+        self.peers.remove(&session);
+        self.exchange.close(session);
+        self.directory.part(now, session);
+        self.is_stale = true;
+    }
+
+    /// A peer tells the hash of its directory.
+    pub fn on_digest(&mut self, session: SessionId, digest: directory::Digest) {
+        self.exchange.hear(session, digest);
+    }
+
+    /// A peer asks for the parts in which its directory differs.
+    pub fn on_members_wanted(&self, session: SessionId, parts: &PartDigests) -> MembershipEffect {
+        let members = self.directory.differing_from(parts);
+        MembershipEffect::TellPeer(session, ToPeer::Members(members))
+    }
+
+    /// A peer names members.
+    pub fn on_members(&mut self, now: Timestamp, session: SessionId, members: Vec<Member>) {
+        self.exchange.note_answer(session);
+        self.directory.hear(now, members);
+    }
+
+    /// The store's list was read.
+    pub fn on_listed(&mut self, now: Timestamp, members: Vec<Member>) {
+        self.directory.read_list(now, members);
+    }
+
+    /// An agent says which gateways it seeks.
+    pub fn on_sought(&mut self, session: SessionId, agent: &str, sought: &Sought) {
+        self.audience.join(session, agent, sought, &self.directory);
+    }
+
+    /// An agent tells its zone with what its worker is. One of an earlier build has not said
+    /// what it seeks.
+    pub fn on_zone_told(&mut self, session: SessionId, agent: &str, zone: &str) {
+        if !self.audience.has(session) {
+            let sought = Sought {
+                zone: zone.to_owned(),
+                known: 0,
+            };
+            self.on_sought(session, agent, &sought);
+        }
+    }
+
+    /// A session to an agent was closed.
+    pub fn on_agent_closed(&mut self, session: SessionId) {
+        self.audience.leave(session);
+    }
+
+    /// Does what is due.
+    pub fn flush(&mut self, now: Timestamp) -> Vec<MembershipEffect> {
+        let mut effects = Vec::new();
+        if self.directory.has_changes() {
+            let (arrivals, departures) = self.directory.take_changes();
+            self.audience.note_arrivals(&arrivals);
+            self.audience.note_departures(&departures, &self.directory);
+            self.is_stale = true;
+        }
+        if self.looks_at().is_some_and(|at| now >= at) {
+            self.look(now, &mut effects);
+        }
+        let due = self.exchange.take_due(now, self.directory.digest());
+        for session in due.tell {
+            let message = ToPeer::Digest(self.directory.digest());
+            effects.push(MembershipEffect::TellPeer(session, message));
+        }
+        if let Some(session) = due.ask {
+            let message = ToPeer::MembersWanted(self.directory.part_digests());
+            effects.push(MembershipEffect::TellPeer(session, message));
+        }
+        for (session, members) in self.audience.take_news(now) {
+            effects.push(MembershipEffect::TellAgent(session, members));
+        }
+        effects
+    }
+
+    /// When time alone makes something due.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let exchange = self.exchange.due_at(self.directory.digest());
+        let due = [self.looks_at(), exchange, self.audience.due_at()];
+        due.into_iter().flatten().min()
+    }
+
+    /// When to look again which sessions are wanted.
+    fn looks_at(&self) -> Option<Timestamp> {
+        let Some(looked_at) = self.looked_at else {
+            return self.is_stale.then(Timestamp::default);
+        };
+        if self.is_stale {
+            return Some(looked_at.after(LOOK_PAUSE));
+        }
+        let review = self.neighbors.due_at().map(|silent| {
+            let substitute = (silent > looked_at).then_some(silent);
+            substitute.unwrap_or_else(|| looked_at.after(REVIEW))
+        });
+        [review, self.release_at].into_iter().flatten().min()
+    }
+
+    fn look(&mut self, now: Timestamp, effects: &mut Vec<MembershipEffect>) {
+        self.is_stale = false;
+        self.looked_at = Some(now);
+        self.release_at = None;
+        let met = self.peers.values().filter_map(|peer| peer.member.clone());
+        let met: BTreeSet<Member> = met.collect();
+        let wanted = self.neighbors.wanted(now, &self.own, &self.directory, &met);
+        let answering = wanted.intersection(&met).count();
+        let is_settled = !wanted.is_empty() && answering * 2 >= wanted.len();
+        let has_dialed = |member: &Member| self.is_met(member, false);
+        let dialed = wanted.iter().filter(|member| !has_dialed(member));
+        effects.push(MembershipEffect::Dial {
+            members: dialed.cloned().collect(),
+            is_settled,
+        });
+        if is_settled {
+            self.close_unwanted(now, &wanted, effects);
+        }
+    }
+
+    /// Whether there is a session to a member that this side, or the other, has dialed.
+    fn is_met(&self, member: &Member, is_dialed: bool) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.is_dialed == is_dialed && peer.member.as_ref() == Some(member))
+    }
+
+    /// Closes the sessions that this gateway has dialed and does not want, such as those to
+    /// its seeds. What others have dialed is theirs.
+    fn close_unwanted(
+        &mut self,
+        now: Timestamp,
+        wanted: &BTreeSet<Member>,
+        effects: &mut Vec<MembershipEffect>,
+    ) {
+        let is_unwanted = |peer: &&Peer| {
+            let member = peer.member.as_ref();
+            peer.is_dialed && member.is_some_and(|member| !wanted.contains(member))
+        };
+        for (session, peer) in self.peers.iter().filter(|(_, peer)| is_unwanted(peer)) {
+            let release_at = peer.opened.after(RELEASE_PAUSE);
+            if now >= release_at {
+                effects.push(MembershipEffect::Close(*session));
+            } else {
+                let first = self.release_at.map_or(release_at, |at| at.min(release_at));
+                self.release_at = Some(first);
+            }
+        }
+    }
+}
--- a/laurelstile-core/src/leased/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -10,16 +10,12 @@
 //! the sessions that concern it.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::messages::Member;
+use super::super::messages::{FromAgent, FromAgentBody, Member, Sought};
+use super::rank::{BEYOND_ZONE, Candidates, IN_ZONE, affinity};
 
-/// Gateways of its own zone that an agent keeps sessions to.
-const IN_ZONE: usize = 10;
-/// Gateways of other zones.
-const BEYOND_ZONE: usize = 6;
 /// Up to so many gateways in all there is no choice to be made.
 const ALL: usize = IN_ZONE + BEYOND_ZONE;
 /// A gateway that has been dialed for so long without success is replaced by the next in
@@ -81,6 +77,25 @@
         }
     }
 
+    /// The first message of a session to a gateway, which tells the agent then of those
+    /// that it ranks first and does not know.
+    pub fn first_message(&self, now: Timestamp) -> FromAgent {
+        let mut candidates = Candidates::new(&self.name, &self.zone);
+        for known in self.known.values() {
+            candidates.offer(&known.member);
+        }
+        FromAgent {
+            clock: now,
+            report: None,
+            offers: Vec::new(),
+            sought: Some(Sought {
+                zone: self.zone.clone(),
+                known: candidates.digest(),
+            }),
+            body: FromAgentBody::Heartbeat,
+        }
+    }
+
     /// A session to the gateway of that name was opened or has ended.
     pub fn note_session(&mut self, name: &str, is_connected: bool) {
         if is_connected {
@@ -162,10 +177,3 @@
         chosen
     }
 }
-
-/// Rank of a gateway for an agent: the same for the same pair, without order otherwise.
-fn affinity(agent: &str, gateway: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (agent, gateway).hash(&mut hasher);
-    hasher.finish()
-}
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -35,6 +35,8 @@
     fn kind(&self) -> &'static str {
         match self {
             Self::Introduction(_) => "introduction",
+            Self::Digest(_) => "digest",
+            Self::MembersWanted(_) => "members_wanted",
             Self::Members(_) => "members_to_peer",
             Self::Evacuations(_) => "evacuations_to_peer",
             Self::Crashes(_) => "crashes_to_peer",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -10,6 +10,7 @@
 use super::evacuation::Evacuations;
 use super::gateway::queues::QueueConfiguration;
 use super::input::JobInput;
+use super::membership::directory::{Digest, PartDigests};
 use super::room::Room;
 use super::serde_defaults::is_false;
 use super::task::{JobId, RunNumber, TaskId};
@@ -45,7 +46,7 @@
     /// Tasks to be stopped; each is answered by its end.
     #[serde(rename = "x")]
     Stop(Vec<TaskId>),
-    /// Gateways that the sender knows and has not named on this session yet.
+    /// Gateways that the agent ranks first and has not been told on this session yet.
     #[serde(rename = "m")]
     Members(Vec<Member>),
     /// Tasks that wait for room at the gateway.
@@ -184,6 +185,9 @@
     /// Room that is held for the gateway; the report does not count it as free.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub offers: Vec<Offer>,
+    /// Which gateways the agent would dial, in the first message of a session.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub sought: Option<Sought>,
     /// What it is about.
     #[serde(
         rename = "b",
@@ -396,7 +400,7 @@
 }
 
 /// A gateway, as members know each other.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: String,
@@ -407,27 +411,91 @@
     pub zone: String,
 }
 
-/// From a gateway to a gateway.
+/// What an agent says first on a session: which gateways it would dial.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sought {
+    /// Zone of the agent.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// Hash of the gateways that it knows and ranks first.
+    #[serde(rename = "k")]
+    pub known: u64,
+}
+
+/// Who a gateway is, for its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Introduction {
+    /// Its name.
+    pub name: String,
+    /// Where its sessions are accepted.
+    pub address: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Hash of its directory; none from a gateway of an earlier build, which understands no
+    /// [`ToPeer::Digest`] and no [`ToPeer::MembersWanted`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub directory: Option<Digest>,
+}
+
+impl Introduction {
+    /// The introduction of a member with such a directory.
+    pub fn new(member: &Member, directory: Digest) -> Self {
+        Self {
+            name: member.name.clone(),
+            address: member.address,
+            zone: member.zone.clone(),
+            directory: Some(directory),
+        }
+    }
+
+    /// Who it is.
+    pub fn into_member(self) -> Member {
+        Member {
+            name: self.name,
+            address: self.address,
+            zone: self.zone,
+        }
+    }
+}
+
+/// From a gateway to a gateway with which it has a session.
+///
+/// What is new to the receiver it passes on to its own neighbors, so everything reaches
+/// all gateways in a few hops. No promise of a run rests on any of it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToPeer {
     /// First message of a session: who the sender is.
-    Introduction(Member),
-    /// Gateways that the sender knows and has not named on this session yet.
+    Introduction(Introduction),
+    /// Hash of the sender's directory, when it has changed. May be late by seconds: agents
+    /// and gateways know enough others. If it never comes, the store's list tells.
+    Digest(Digest),
+    /// The receiver's directory differs; the parts are wanted that do not have these hashes.
+    /// If no answer comes, another neighbor is asked.
+    MembersWanted(PartDigests),
+    /// Gateways that the sender knows and the receiver may not. See [`ToPeer::Digest`].
     Members(Vec<Member>),
-    /// Zones that are evacuated, as the sender knows it.
+    /// Zones that are evacuated, as the sender knows it. May be late by the time that
+    /// operators are promised; if it never comes, each gateway reads the store itself, and
+    /// agents hear of it from any of their gateways.
     Evacuations(Evacuations),
-    /// Workers that have crashed under tasks of the sender's callers.
+    /// Workers that have crashed under a caller's tasks. Should come before the caller hands
+    /// in again, after a second; if it never comes, the task is tried on more workers.
     Crashes(Vec<WorkerCrash>),
     /// Jobs that callers have cancelled of late, not always at the gateway that has them.
+    /// May be late by the time that callers are promised; if it never comes, the job is
+    /// done or given up at its deadline.
     Cancelled(Vec<JobId>),
-    /// Several workers have crashed under a task of the sender's callers.
+    /// Several workers have crashed under a caller's task. As [`ToPeer::Crashes`]; if it
+    /// never comes, the queue is not contained at the receiver.
     Suspect {
         /// Name of its queue.
         queue: String,
         /// The task.
         task: TaskId,
     },
-    /// Version of the configuration that is in force at the sender.
+    /// Version of the configuration that is in force at the sender. May be late by the time
+    /// that operators are promised; if it never comes, each gateway reads the store itself.
     InForce(u64),
     /// The receiver's configuration is wanted: the sender has an older one.
     ConfigurationWanted,
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -50,6 +50,7 @@
         clock: CLOCK,
         report,
         offers: Vec::new(),
+        sought: None,
         body,
     }
 }
--- a/laurelstile-core/tests/leased_subset.rs
+++ b/laurelstile-core/tests/leased_subset.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use laurelstile_core::leased::membership::subset::Subset;
 use laurelstile_core::leased::messages::Member;
-use laurelstile_core::leased::subset::Subset;
 use laurelstile_types::time::Timestamp;
 use rstest::rstest;
 
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -130,6 +130,13 @@
         self.event(now, GatewayEvent::Tick);
     }
 
+    /// Lets time pass as a driver does, which wakes the machine twice a second at least.
+    pub fn pass_time(&mut self, from_millis: u64, to_millis: u64) {
+        for millis in (from_millis..to_millis).step_by(500) {
+            self.tick(at(millis));
+        }
+    }
+
     /// An agent joins with a session of that number and a worker of so much
     /// room.
     pub fn join(&mut self, now: Timestamp, session: u64, name: &str, capacity: Room) {
@@ -229,6 +236,7 @@
                 pace_percent: 100,
             }),
             offers: Vec::new(),
+            sought: None,
             body,
         };
         self.event(
@@ -258,6 +266,7 @@
                 pace_percent,
             }),
             offers: Vec::new(),
+            sought: None,
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(session);
@@ -270,6 +279,7 @@
             clock: now,
             report: None,
             offers: vec![offer],
+            sought: None,
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(session);
--- a/laurelstile-sim/src/fleet/machines.rs
+++ b/laurelstile-sim/src/fleet/machines.rs
@@ -6,9 +6,9 @@
 use laurelstile_core::leased::agent::{AgentOptions, HeartbeatTimes, LeasedAgent};
 use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
 use laurelstile_core::leased::gateway::{Identity, LeasedGateway, StopTimes};
+use laurelstile_core::leased::membership::subset::Subset;
 use laurelstile_core::leased::messages::Member;
 use laurelstile_core::leased::room::Room;
-use laurelstile_core::leased::subset::Subset;
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -10,7 +10,7 @@
 use laurelstile_core::leased::agent::{
     AgentEffect, AgentEvent, AgentOptions, LeasedAgent, Order, OrderKind,
 };
-use laurelstile_core::leased::subset::Subset;
+use laurelstile_core::leased::membership::subset::Subset;
 use laurelstile_core::session::Remote;
 use laurelstile_types::id::Incarnation;
 use laurelstile_wire::error::WireError;
@@ -223,8 +223,9 @@
                 outgoing,
             } => {
                 let incarnation = gateway.incarnation;
+                let now = self.clock.now();
                 self.links
-                    .on_opened(session, gateway.name, address, outgoing);
+                    .on_opened(now, session, gateway.name, address, outgoing);
                 AgentEvent::Opened {
                     session,
                     gateway: incarnation,
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -166,7 +166,7 @@
     let expected = [NodeRole::Agent, NodeRole::Gateway];
     match session::accept_any(stream, local, &expected).await {
         Ok((socket, NodeRole::Agent, remote)) => hold_agent(socket, remote, input).await,
-        Ok((socket, NodeRole::Gateway, _)) => hold_peer(socket, input).await,
+        Ok((socket, NodeRole::Gateway, _)) => hold_peer(socket, false, input).await,
         Err(error) => error,
     }
 }
@@ -194,10 +194,18 @@
     error
 }
 
-async fn hold_peer(socket: Socket, input: &mpsc::UnboundedSender<GatewayInput>) -> WireError {
+async fn hold_peer(
+    socket: Socket,
+    is_dialed: bool,
+    input: &mpsc::UnboundedSender<GatewayInput>,
+) -> WireError {
     let session = next_session();
     let (outgoing, messages) = mpsc::unbounded_channel();
-    let _ = input.send(GatewayInput::PeerOpened { session, outgoing });
+    let _ = input.send(GatewayInput::PeerOpened {
+        session,
+        is_dialed,
+        outgoing,
+    });
     let error = session::run(socket, messages, |message| {
         let _ = input.send(GatewayInput::Event(GatewayEvent::PeerMessage {
             session,
@@ -216,7 +224,7 @@
 
 impl Dialed for PeerSessions {
     async fn hold(&self, _address: SocketAddr, socket: Socket, _remote: Remote) -> WireError {
-        hold_peer(socket, &self.input).await
+        hold_peer(socket, true, &self.input).await
     }
 
     fn on_refused(&self, _gateway: Incarnation) {}
@@ -284,9 +292,13 @@
                 self.agents.insert(session, outgoing);
                 GatewayEvent::AgentOpened { session, remote }
             }
-            GatewayInput::PeerOpened { session, outgoing } => {
+            GatewayInput::PeerOpened {
+                session,
+                is_dialed,
+                outgoing,
+            } => {
                 self.peers.insert(session, outgoing);
-                GatewayEvent::PeerOpened { session }
+                GatewayEvent::PeerOpened { session, is_dialed }
             }
             GatewayInput::Reload => {
                 self.dialer.reseed(&self.seed_source);
@@ -335,7 +347,10 @@
                 self.view
                     .send_modify(|view| view.configuration = Some(configuration));
             }
-            GatewayEffect::Members(members) => self.dialer.learn(&members),
+            GatewayEffect::Dial {
+                members,
+                is_settled,
+            } => self.dialer.want(&members, is_settled),
             GatewayEffect::Decided(decision) => self.decisions.gateway(&decision),
             GatewayEffect::Stopped => self.is_stopped = true,
         }
--- a/laurelstiled/src/leased/input.rs
+++ b/laurelstiled/src/leased/input.rs
@@ -73,6 +73,8 @@
     PeerOpened {
         /// The session.
         session: SessionId,
+        /// Whether this process has dialed it.
+        is_dialed: bool,
         /// Where its messages go.
         outgoing: mpsc::UnboundedSender<ToPeer>,
     },
--- a/laurelstiled/src/leased/links.rs
+++ b/laurelstiled/src/leased/links.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use laurelstile_core::leased::agent::LeasedAgent;
+use laurelstile_core::leased::membership::subset::Subset;
 use laurelstile_core::leased::messages::{FromAgent, Member};
-use laurelstile_core::leased::subset::Subset;
 use laurelstile_core::session::SessionId;
 use laurelstile_types::time::{Span, Timestamp};
 use tokio::sync::mpsc;
@@ -50,6 +50,7 @@
     /// A session was opened.
     pub fn on_opened(
         &mut self,
+        now: Timestamp,
         session: SessionId,
         name: String,
         address: SocketAddr,
@@ -57,6 +58,7 @@
     ) {
         log::info!(event = "session_opened", gateway = name.as_str(), address:% = address; "");
         self.subset.note_session(&name, true);
+        let _ = outgoing.send(self.subset.first_message(now));
         let link = Link {
             name,
             address,
--- a/laurelstiled/src/leased/sessions.rs
+++ b/laurelstiled/src/leased/sessions.rs
@@ -1,5 +1,5 @@
-//! Sessions: gateways accept them, agents and gateways dial every gateway that
-//! they know.
+//! Sessions: gateways accept them, agents and gateways dial the gateways that they want
+//! sessions to.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
     fn on_refused(&self, gateway: Incarnation);
 }
 
-/// Dials all gateways that are known.
+/// Dials the gateways to which sessions are wanted.
 pub struct Dialer<D> {
     local: LocalNode,
     seeds: Vec<SocketAddr>,
@@ -66,12 +66,13 @@
         dialer
     }
 
-    /// Dials the members that are not dialed yet.
-    pub fn learn(&mut self, members: &[Member]) {
+    /// Dials these members, and no others any more if that `is_settled`.
+    pub fn want(&mut self, members: &[Member], is_settled: bool) {
         for member in members {
-            if member.name != self.local.name {
-                self.dial(member.address);
-            }
+            self.dial(member.address);
+        }
+        if is_settled {
+            self.release(|address| members.iter().any(|member| member.address == address));
         }
     }
 
