The list of gateways is read a page at a time; agents hear of gateways from the few that they rank first

Changed: records lie on the ring of hashed names; a gateway reads 32 from its own place at its start and the next 32 every 8 s, an agent that no seed answers 32 from its own. A page says nothing of members beyond it. The rest neighbors tell, 64 members an answer, each beginning at another part. While directories are incomplete agents would hear the same from each of their gateways: news come from the four that an agent ranks first, and so do corrections to one that knows enough.

--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -9,6 +9,7 @@
 use super::shares::SizeGroup;
 use super::stages::StageTimes;
 use crate::leased::evacuation::Evacuations;
+use crate::leased::membership::page::Page;
 use crate::leased::messages::{EndKind, FromAgent, Member, ToAgent, ToPeer};
 use crate::leased::task::{JobId, RunId, TaskId};
 use crate::session::{Remote, SessionId};
@@ -77,8 +78,8 @@
     Configuration(QueueConfiguration),
     /// It was read which zones are evacuated.
     Evacuations(Evacuations),
-    /// The list of members was read from the store.
-    Listed(Vec<Member>),
+    /// A page of the list of gateways was read from the store.
+    Listed(Page),
     /// The process is asked to stop in a planned way.
     Stop,
     /// Time has passed.
--- a/laurelstile-core/src/leased/membership/audience.rs
+++ b/laurelstile-core/src/leased/membership/audience.rs
@@ -13,8 +13,11 @@
 use super::rank::Candidates;
 use crate::session::SessionId;
 
-/// Pause between two rounds of news to sessions that have had some.
+/// Pause between two rounds of news.
 const PAUSE: Span = Span::from_millis(50);
+/// News go to the agents that rank this gateway among so many first ones: an agent hears of
+/// them from a few of its gateways, and not from each.
+const TELLERS: usize = 4;
 
 /// An agent that listens.
 #[derive(Debug)]
@@ -24,9 +27,17 @@
     untold: BTreeSet<Member>,
 }
 
+impl Listener {
+    fn hears_news_from(&self, gateway: &Member) -> bool {
+        let mut first = self.candidates.iter().take(TELLERS);
+        first.any(|member| member == gateway)
+    }
+}
+
 /// The agents that listen, by session.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Audience {
+    own: Member,
     listeners: BTreeMap<SessionId, Listener>,
     told_at: Option<Timestamp>,
     /// Sessions that have been told nothing yet.
@@ -34,7 +45,18 @@
 }
 
 impl Audience {
-    /// An agent says what it seeks. It is told of nothing if it knows the same already.
+    /// No agent listens to a gateway yet.
+    pub fn new(own: Member) -> Self {
+        Self {
+            own,
+            listeners: BTreeMap::new(),
+            told_at: None,
+            new: BTreeSet::new(),
+        }
+    }
+
+    /// An agent says what it seeks. It is told of nothing if it knows the same already; if
+    /// it knows others, but as many, only the gateways that it ranks first tell it better.
     pub fn join(
         &mut self,
         session: SessionId,
@@ -47,12 +69,14 @@
             candidates.offer(member);
         }
         let knows_them = candidates.digest() == sought.known;
-        let untold = if knows_them {
-            BTreeSet::new()
-        } else {
-            candidates.iter().cloned().collect()
+        let knows_enough = sought.count >= candidates.iter().count();
+        let mut listener = Listener {
+            candidates,
+            untold: BTreeSet::new(),
         };
-        let listener = Listener { candidates, untold };
+        if !knows_them && (!knows_enough || listener.hears_news_from(&self.own)) {
+            listener.untold = listener.candidates.iter().cloned().collect();
+        }
         self.listeners.insert(session, listener);
         self.new.insert(session);
     }
@@ -73,9 +97,11 @@
         for listener in self.listeners.values_mut() {
             for member in arrivals {
                 listener.candidates.offer(member);
-                if listener.candidates.contains(member) {
-                    listener.untold.insert(member.clone());
-                }
+            }
+            let news = arrivals.iter();
+            let news = news.filter(|member| listener.candidates.contains(member));
+            if listener.hears_news_from(&self.own) {
+                listener.untold.extend(news.cloned());
             }
         }
     }
@@ -94,7 +120,9 @@
             let before = std::mem::replace(&mut listener.candidates, candidates);
             let news = listener.candidates.iter();
             let news = news.filter(|member| !before.contains(member));
-            listener.untold.extend(news.cloned());
+            if listener.hears_news_from(&self.own) {
+                listener.untold.extend(news.cloned());
+            }
             let candidates = &listener.candidates;
             listener.untold.retain(|member| candidates.contains(member));
         }
--- a/laurelstile-core/src/leased/membership/directory.rs
+++ b/laurelstile-core/src/leased/membership/directory.rs
@@ -6,16 +6,21 @@
 use serde::{Deserialize, Serialize};
 
 use super::super::messages::Member;
+use super::page::Page;
 use super::rank;
 use crate::session::SessionId;
 
-/// A gateway of which peers alone tell counts as gone if a list that is read so long
-/// afterwards does not name it: it would have renewed its record twice.
+/// A gateway of which peers alone tell counts as gone if the list, read so long
+/// afterwards, does not name it: it would have renewed its record twice.
 const TOLD_TRUST: Span = Span::from_secs(16);
 /// Parts of the directory that are compared one by one, so that two gateways that differ in
 /// one member exchange a part and not the whole.
 const PARTS: usize = 64;
 
+/// Members that are told in one answer. Whoever lacks more asks again, with what it knows
+/// by then: long answers to several questions would tell the same several times.
+pub const MOST_TOLD: usize = 64;
+
 /// Hash of a whole directory: the same at gateways that know the same.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -107,13 +112,15 @@
         }
     }
 
-    /// The list of gateways was read.
-    pub fn read_list(&mut self, now: Timestamp, listed: Vec<Member>) {
-        let listed: BTreeSet<Member> = listed.into_iter().collect();
+    /// A page of the list of gateways was read.
+    pub fn read_page(&mut self, now: Timestamp, page: Page) {
         let own = self.own.clone();
         let mut gone = Vec::new();
         for (member, sources) in &mut self.known {
-            sources.is_listed = *member == own || listed.contains(member);
+            if *member == own || !page.covers(member) {
+                continue;
+            }
+            sources.is_listed = page.members.contains(member);
             let is_fresh = |told: Timestamp| now.since(told) < TOLD_TRUST;
             let is_told = sources.told_at.is_some_and(is_fresh);
             if !sources.is_listed && sources.sessions.is_empty() && !is_told {
@@ -123,7 +130,7 @@
         for member in gone {
             self.remove(&member);
         }
-        for member in listed {
+        for member in page.members {
             self.sources(member).is_listed = true;
         }
     }
@@ -161,14 +168,18 @@
         PartDigests(self.parts.iter().map(|part| short(*part)).collect())
     }
 
-    /// The members of the parts in which another directory differs.
+    /// The members of the parts in which another directory differs, [`MOST_TOLD`] of them at
+    /// the most. Each gateway begins at another part, so that what several are asked for in
+    /// turn is not the same.
     pub fn differing_from(&self, other: &PartDigests) -> Vec<Member> {
         let differs = |part: usize| other.0.get(part) != Some(&short(self.parts[part]));
+        let first = part_of(&self.own);
         let members = self.members();
-        members
-            .filter(|member| differs(part_of(member)))
-            .cloned()
-            .collect()
+        let differing = members.filter(|member| differs(part_of(member)));
+        let mut differing: Vec<&Member> = differing.collect();
+        differing.sort_by_key(|member| (part_of(member) + PARTS - first) % PARTS);
+        differing.truncate(MOST_TOLD);
+        differing.into_iter().cloned().collect()
     }
 
     fn sources(&mut self, member: Member) -> &mut Sources {
--- a/laurelstile-core/src/leased/membership/exchange.rs
+++ b/laurelstile-core/src/leased/membership/exchange.rs
@@ -12,7 +12,10 @@
 use crate::session::SessionId;
 
 /// Pause between two rounds of digests.
-const PAUSE: Span = Span::from_millis(200);
+const PAUSE: Span = Span::from_millis(50);
+/// Pause between two questions. While many gateways start, directories change by the moment,
+/// and each question to the next neighbor would fetch nearly the same again.
+const ASK_PAUSE: Span = Span::from_millis(20);
 /// A neighbor that was asked and has not answered after so long is passed over.
 const ASK_AGAIN: Span = Span::from_millis(500);
 
@@ -32,8 +35,10 @@
 pub struct Exchange {
     neighbors: BTreeMap<SessionId, Neighbor>,
     told_at: Option<Timestamp>,
-    /// The neighbor that is asked now, and since when.
+    /// The neighbor that was asked last, and when.
     asked: Option<(SessionId, Timestamp)>,
+    /// Whether its answer is awaited.
+    is_asking: bool,
 }
 
 /// What is to be sent.
@@ -60,7 +65,7 @@
     /// A neighbor's session was closed.
     pub fn close(&mut self, session: SessionId) {
         self.neighbors.remove(&session);
-        self.asked.take_if(|(asked, _)| *asked == session);
+        self.note_answer(session, true);
     }
 
     /// A neighbor tells a digest.
@@ -70,9 +75,16 @@
         }
     }
 
-    /// A neighbor has sent what differs.
-    pub fn note_answer(&mut self, session: SessionId) {
-        self.asked.take_if(|(asked, _)| *asked == session);
+    /// A neighbor has sent what differs, or as much of it as an answer holds.
+    pub fn note_answer(&mut self, session: SessionId, is_whole: bool) {
+        if self.asked.is_some_and(|(asked, _)| asked == session) {
+            self.is_asking = false;
+        }
+        if let Some(neighbor) = self.neighbors.get_mut(&session)
+            && !is_whole
+        {
+            neighbor.asked_for = None;
+        }
     }
 
     /// What is to be sent now.
@@ -109,16 +121,24 @@
     fn asks_at(&self, own: Digest) -> Option<Timestamp> {
         let mut neighbors = self.neighbors.values();
         let differs = neighbors.any(|neighbor| neighbor.has_news(own));
-        let due = self.asked.map(|(_, at)| at.after(ASK_AGAIN));
+        let pause = if self.is_asking { ASK_AGAIN } else { ASK_PAUSE };
+        let due = self.asked.map(|(_, at)| at.after(pause));
         differs.then(|| due.unwrap_or_default())
     }
 
     fn ask(&mut self, now: Timestamp, own: Digest) -> Option<SessionId> {
-        let mut neighbors = self.neighbors.iter_mut();
-        let (session, neighbor) = neighbors.find(|(_, neighbor)| neighbor.has_news(own))?;
-        neighbor.asked_for = neighbor.theirs;
-        self.asked = Some((*session, now));
-        Some(*session)
+        // The one after the last that was asked, round and round.
+        let last = self.asked.map(|(asked, _)| asked);
+        let with_news = self.neighbors.iter().filter(|(_, one)| one.has_news(own));
+        let with_news: Vec<SessionId> = with_news.map(|(session, _)| *session).collect();
+        let next = with_news.iter().find(|session| Some(**session) > last);
+        let session = *next.or(with_news.first())?;
+        if let Some(neighbor) = self.neighbors.get_mut(&session) {
+            neighbor.asked_for = neighbor.theirs;
+        }
+        self.asked = Some((session, now));
+        self.is_asking = true;
+        Some(session)
     }
 }
 
--- a/laurelstile-core/src/leased/membership/mod.rs
+++ b/laurelstile-core/src/leased/membership/mod.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | [`directory`] | which gateways does a gateway know, and where from? |
 //! | [`neighbors`] | to which of them does it keep sessions? |
+//! | [`page`] | how is the store's list read? |
 //! | [`exchange`] | how do neighbors find out that they know different ones? |
 //! | [`audience`] | which of them are agents told? |
 //! | [`subset`] | to which of those does an agent keep sessions? |
@@ -19,6 +20,7 @@
 pub mod directory;
 pub mod exchange;
 pub mod neighbors;
+pub mod page;
 pub mod rank;
 pub mod subset;
 
@@ -32,6 +34,7 @@
 use directory::{Directory, PartDigests};
 use exchange::Exchange;
 use neighbors::Neighbors;
+use page::Page;
 
 /// Pause between two looks at which sessions are wanted, while the directory changes.
 const LOOK_PAUSE: Span = Span::from_millis(50);
@@ -88,10 +91,10 @@
     pub fn new(own: Member) -> Self {
         Self {
             directory: Directory::new(own.clone()),
+            audience: Audience::new(own.clone()),
             own,
             neighbors: Neighbors::default(),
             exchange: Exchange::default(),
-            audience: Audience::default(),
             peers: BTreeMap::new(),
             is_stale: false,
             looked_at: None,
@@ -169,13 +172,14 @@
 
     /// A peer names members.
     pub fn on_members(&mut self, now: Timestamp, session: SessionId, members: Vec<Member>) {
-        self.exchange.note_answer(session);
+        let is_whole = members.len() < directory::MOST_TOLD;
+        self.exchange.note_answer(session, is_whole);
         self.directory.hear(now, members);
     }
 
-    /// The store's list was read.
-    pub fn on_listed(&mut self, now: Timestamp, members: Vec<Member>) {
-        self.directory.read_list(now, members);
+    /// A page of the store's list was read.
+    pub fn on_listed(&mut self, now: Timestamp, page: Page) {
+        self.directory.read_page(now, page);
     }
 
     /// An agent says which gateways it seeks.
@@ -190,6 +194,7 @@
             let sought = Sought {
                 zone: zone.to_owned(),
                 known: 0,
+                count: 0,
             };
             self.on_sought(session, agent, &sought);
         }
--- a/laurelstile-core/src/leased/membership/rank.rs
+++ b/laurelstile-core/src/leased/membership/rank.rs
@@ -34,11 +34,9 @@
     hasher.finish()
 }
 
-/// Hash of a name alone.
+/// Hash of a name alone: its place on the ring.
 pub fn hash_of_name(name: &str) -> u64 {
-    let mut hasher = XxHash64::with_seed(SEED);
-    name.hash(&mut hasher);
-    hasher.finish()
+    XxHash64::oneshot(SEED, name.as_bytes())
 }
 
 /// The gateways that an agent may want sessions to: the first in its rank, of its own zone
--- a/laurelstile-core/src/leased/membership/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -91,6 +91,7 @@
             sought: Some(Sought {
                 zone: self.zone.clone(),
                 known: candidates.digest(),
+                count: candidates.iter().count(),
             }),
             body: FromAgentBody::Heartbeat,
         }
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -420,6 +420,9 @@
     /// Hash of the gateways that it knows and ranks first.
     #[serde(rename = "k")]
     pub known: u64,
+    /// How many these are.
+    #[serde(rename = "n")]
+    pub count: usize,
 }
 
 /// Who a gateway is, for its peers.
--- a/laurelstile-sim/src/fleet/machines.rs
+++ b/laurelstile-sim/src/fleet/machines.rs
@@ -69,6 +69,8 @@
     pub sessions: BTreeMap<SessionId, usize>,
     /// What it dials.
     pub dials: Dials,
+    /// Where a gateway reads on in the list.
+    pub reads_from: String,
     /// When a gateway was first ready in this life.
     pub ready_at: Option<u64>,
 }
@@ -103,6 +105,7 @@
         wakes_at: u64::MAX,
         sessions: BTreeMap::new(),
         dials: Dials::default(),
+        reads_from: String::new(),
         ready_at: None,
     }
 }
--- a/laurelstile-sim/src/fleet/world.rs
+++ b/laurelstile-sim/src/fleet/world.rs
@@ -6,6 +6,7 @@
 use laurelstile_core::leased::agent::worker::WorkerLists;
 use laurelstile_core::leased::agent::{AgentEffect, AgentEvent, Order, OrderKind, WatchAnswer};
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent};
+use laurelstile_core::leased::membership::page::{Page, record_key};
 use laurelstile_core::leased::messages::{FromAgent, Member, ToAgent, ToPeer};
 use laurelstile_core::session::SessionId;
 use rand::{Rng, SeedableRng};
@@ -59,8 +60,8 @@
     Message(SessionId, Box<Payload>, usize),
     /// It reads the list of gateways, and renews its record.
     Renew,
-    /// The list is there.
-    Listed(Vec<Member>),
+    /// A page of the list is there.
+    Listed(Page),
     /// It has read a version of the configuration.
     Configuration(u64),
     /// An agent looks at its sessions.
@@ -210,8 +211,8 @@
                 self.take_message(machine, session, *payload, bytes);
             }
             Happening::Renew => self.renew(machine),
-            Happening::Listed(members) => {
-                self.gateway_event(machine, GatewayEvent::Listed(members));
+            Happening::Listed(page) => {
+                self.gateway_event(machine, GatewayEvent::Listed(page));
             }
             Happening::Configuration(version) => {
                 let news = GatewayEvent::Configuration(machines::configuration(version));
@@ -255,6 +256,8 @@
             self.want(machine, seed);
         }
         if is_gateway {
+            let name = machines::member(machine).name;
+            self.machines[machine].reads_from = record_key(&name);
             self.renew(machine);
             self.read_configuration(machine);
             self.tick(machine);
@@ -297,12 +300,20 @@
             return;
         }
         let before = self.store.bytes_read;
-        let members = self.store.list(self.now);
+        let from = std::mem::take(&mut self.machines[machine].reads_from);
+        let mut pages = vec![self.store.list(self.now, &from)];
+        if pages[0].until.is_none() && !from.is_empty() {
+            pages.push(self.store.list(self.now, ""));
+        }
+        let next = pages.last().map_or("", Page::next);
+        self.machines[machine].reads_from = next.to_owned();
         let bytes = usize::try_from(self.store.bytes_read - before).unwrap_or(usize::MAX);
         self.store.put(self.now, machines::member(machine));
         let at = self.now + STORE_ANSWER;
         let at = self.machines[machine].link.carry(Way::In, at, bytes);
-        self.schedule(at, machine, Happening::Listed(members));
+        for page in pages {
+            self.schedule(at, machine, Happening::Listed(page));
+        }
     }
 
     fn review(&mut self, machine: usize) {
--- a/laurelstiled/src/leased/agent.rs
+++ b/laurelstiled/src/leased/agent.rs
@@ -101,6 +101,7 @@
         record: recall::keep(Arc::clone(&store), name.clone(), token_floor),
         input,
         decisions: DecisionLog::default(),
+        name: name.clone(),
         deregistrations: HashMap::new(),
         is_stopped: false,
     };
@@ -207,6 +208,8 @@
     record: recall::RecordKeeper,
     input: mpsc::UnboundedSender<AgentInput>,
     decisions: DecisionLog,
+    /// Its name.
+    name: String,
     /// Deregistrations that wait for their answers, by the worker's id.
     deregistrations: HashMap<Arc<str>, Vec<oneshot::Sender<()>>>,
     is_stopped: bool,
@@ -290,8 +293,9 @@
     /// Asks the store which gateways there are.
     fn look_up(&self) {
         let (store, input) = (Arc::clone(&self.store), self.input.clone());
+        let name = self.name.clone();
         tokio::spawn(async move {
-            if let Ok(members) = membership::read(store.as_ref()).await {
+            if let Ok(members) = membership::read(store.as_ref(), &name).await {
                 log::info!(event = "looked_up", members = members.len(); "gateways read from the store");
                 let _ = input.send(AgentInput::Listed(members));
             }
--- a/laurelstiled/src/leased/membership.rs
+++ b/laurelstiled/src/leased/membership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use laurelstile_core::leased::gateway::GatewayEvent;
+use laurelstile_core::leased::membership::page::{PAGE_RECORDS, Page, record_key};
 use laurelstile_core::leased::messages::Member;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -14,7 +15,7 @@
 
 /// Table of the records.
 const TABLE: &str = "gateways";
-/// How often a gateway renews its record and reads those of others.
+/// How often a gateway renews its record and reads some of the others'.
 const RENEWAL: Duration = Duration::from_secs(8);
 /// Age of a record, by the store's clock, after which its gateway is gone. One that is as far
 /// ahead was not written by a gateway, and would never expire.
@@ -34,16 +35,20 @@
     renewed_millis: u64,
 }
 
-/// Keeps the record of `member`, and tells `input` of the others.
+/// Keeps the record of `member`, and tells `input` of the others, page by page.
 pub async fn keep<S: RecordStore>(
     store: Arc<S>,
     member: Member,
     input: mpsc::UnboundedSender<GatewayInput>,
 ) {
+    let mut from = record_key(&member.name);
     while !input.is_closed() {
-        let pause = match renew(store.as_ref(), &member).await {
-            Ok(members) => {
-                let _ = input.send(GatewayInput::Event(GatewayEvent::Listed(members)));
+        let pause = match renew(store.as_ref(), &member, &from).await {
+            Ok(pages) => {
+                from = pages.last().map_or("", Page::next).to_owned();
+                for page in pages {
+                    let _ = input.send(GatewayInput::Event(GatewayEvent::Listed(page)));
+                }
                 RENEWAL
             }
             Err(error) => {
@@ -58,7 +63,8 @@
 /// Removes the record of `member` before a planned end. The last moments of a planned stop
 /// belong to callers, and a record that stays expires: the store gets little time.
 pub async fn withdraw<S: RecordStore>(store: &S, member: &Member) {
-    let removal = store.remove(TABLE, &member.name);
+    let key = record_key(&member.name);
+    let removal = store.remove(TABLE, &key);
     if !matches!(
         tokio::time::timeout(WITHDRAWAL_LIMIT, removal).await,
         Ok(Ok(()))
@@ -67,41 +73,65 @@
     }
 }
 
-/// The gateways that the store lists.
+/// Some of the gateways that the store lists, from the place of a process of that name on.
 ///
 /// # Errors
 /// [`StoreError`] if it cannot be read.
-pub async fn read<S: RecordStore>(store: &S) -> Result<Vec<Member>, StoreError> {
-    list(store).await.map(|(members, _)| members)
+pub async fn read<S: RecordStore>(store: &S, name: &str) -> Result<Vec<Member>, StoreError> {
+    let (pages, _) = read_round(store, &record_key(name)).await?;
+    Ok(pages.into_iter().flat_map(|page| page.members).collect())
 }
 
-async fn renew<S: RecordStore>(store: &S, member: &Member) -> Result<Vec<Member>, StoreError> {
-    let (members, now_millis) = list(store).await?;
+async fn renew<S: RecordStore>(
+    store: &S,
+    member: &Member,
+    from: &str,
+) -> Result<Vec<Page>, StoreError> {
+    let (pages, now_millis) = read_round(store, from).await?;
     let record = MemberRecord {
         member: member.clone(),
         renewed_millis: now_millis,
     };
     let value = serde_json::to_vec(&record).map_err(|_| StoreError::Garbled)?;
-    let writing = store.put(TABLE, &member.name, &value);
+    let key = record_key(&member.name);
+    let writing = store.put(TABLE, &key, &value);
     tokio::time::timeout(CALL_LIMIT, writing)
         .await
         .unwrap_or(Err(StoreError::Unavailable))?;
-    Ok(members)
+    Ok(pages)
 }
 
-async fn list<S: RecordStore>(store: &S) -> Result<(Vec<Member>, u64), StoreError> {
-    let listing = tokio::time::timeout(CALL_LIMIT, store.list(TABLE))
+/// Reads a page, and on from the beginning of the list if it ends within the page.
+async fn read_round<S: RecordStore>(store: &S, from: &str) -> Result<(Vec<Page>, u64), StoreError> {
+    let (page, now_millis) = read_page(store, from).await?;
+    let mut pages = vec![page];
+    if pages[0].until.is_none() && !from.is_empty() {
+        let mut first = read_page(store, "").await?.0;
+        first.end_before(from);
+        pages.push(first);
+    }
+    Ok((pages, now_millis))
+}
+
+async fn read_page<S: RecordStore>(store: &S, from: &str) -> Result<(Page, u64), StoreError> {
+    let reading = store.list(TABLE, from, PAGE_RECORDS);
+    let listing = tokio::time::timeout(CALL_LIMIT, reading)
         .await
         .unwrap_or(Err(StoreError::Unavailable))?;
     let now = listing.now_millis;
-    let members = listing
-        .records
-        .iter()
+    let records = listing.records.iter();
+    let last = records.clone().next_back().map(|record| record.key.clone());
+    let members = records
         .filter_map(readable)
         .filter(|record| now.abs_diff(record.renewed_millis) <= EXPIRY_MILLIS)
         .map(|record| record.member)
         .collect();
-    Ok((members, now))
+    let page = Page {
+        from: from.to_owned(),
+        until: last.filter(|_| listing.has_more),
+        members,
+    };
+    Ok((page, now))
 }
 
 /// The gateway of a record; a record that cannot be read is left out.
--- a/laurelstiled/src/leased/ports.rs
+++ b/laurelstiled/src/leased/ports.rs
@@ -85,11 +85,13 @@
     Changed,
 }
 
-/// Records of a table as of one moment.
+/// Some records of a table, as of one moment, in the order of their keys.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
     /// The records.
     pub records: Vec<Record>,
+    /// Whether more follow.
+    pub has_more: bool,
     /// Newest version of the store.
     pub version: u64,
     /// The store's steady clock, in milliseconds.
@@ -112,8 +114,14 @@
 
 /// The record store: what must outlast all processes.
 pub trait RecordStore: Send + Sync + 'static {
-    /// Reads a table of the product's own.
-    fn list(&self, table: &str) -> impl Future<Output = Result<Listing, StoreError>> + Send;
+    /// Reads records of a table of the product's own, from the key `from` on, `limit` of
+    /// them at most.
+    fn list(
+        &self,
+        table: &str,
+        from: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<Listing, StoreError>> + Send;
 
     /// Reads one record of it.
     fn get(
--- a/laurelstiled/tests/members.rs
+++ b/laurelstiled/tests/members.rs
@@ -10,14 +10,16 @@
 struct Listed(Vec<Vec<u8>>);
 
 impl RecordStore for Listed {
-    async fn list(&self, _: &str) -> Result<Listing, StoreError> {
+    async fn list(&self, _: &str, from: &str, limit: usize) -> Result<Listing, StoreError> {
         let records = self.0.iter().zip(0..).map(|(value, index)| Record {
-            key: format!("key-{index}"),
+            key: format!("{index:08x}"),
             value: value.clone(),
             version: index,
         });
+        let records = records.filter(|record| *record.key >= *from).take(limit);
         Ok(Listing {
             records: records.collect(),
+            has_more: false,
             version: 9,
             now_millis: NOW,
         })
@@ -61,7 +63,7 @@
         br#"{"member":{"name":3},"renewed_millis":1}"#.to_vec(),
         entry("present-too", NOW),
     ]);
-    let members = membership::read(&store).await.expect("a list");
+    let members = membership::read(&store, "agent").await.expect("a list");
     let names: Vec<&str> = members.iter().map(|member| member.name.as_str()).collect();
     assert_eq!(names, ["present", "present-too"]);
 }
--- a/laurelstiled/tests/recall.rs
+++ b/laurelstiled/tests/recall.rs
@@ -68,7 +68,7 @@
 }
 
 impl RecordStore for MemoryStore {
-    async fn list(&self, _table: &str) -> Result<Listing, StoreError> {
+    async fn list(&self, _: &str, _: &str, _: usize) -> Result<Listing, StoreError> {
         Err(StoreError::Unavailable)
     }
 
--- a/laurelstiled/tests/withdrawal.rs
+++ b/laurelstiled/tests/withdrawal.rs
@@ -13,7 +13,7 @@
 struct SilentStore;
 
 impl RecordStore for SilentStore {
-    async fn list(&self, _: &str) -> Result<Listing, StoreError> {
+    async fn list(&self, _: &str, _: &str, _: usize) -> Result<Listing, StoreError> {
         pending().await
     }
 
