--- a/laurelstile-core/src/leased/membership/directory.rs
+++ b/laurelstile-core/src/leased/membership/directory.rs
@@ -19,7 +19,7 @@
 
 /// Members that are told in one answer. Whoever lacks more asks again, with what it knows
 /// by then: long answers to several questions would tell the same several times.
-pub const MOST_TOLD: usize = 64;
+pub const MOST_TOLD: usize = 128;
 
 /// Hash of a whole directory: the same at gateways that know the same.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/laurelstile-core/src/leased/membership/exchange.rs
+++ b/laurelstile-core/src/leased/membership/exchange.rs
@@ -12,7 +12,7 @@
 use crate::session::SessionId;
 
 /// Pause between two rounds of digests.
-const PAUSE: Span = Span::from_millis(50);
+const PAUSE: Span = Span::from_millis(100);
 /// Pause between two questions. While many gateways start, directories change by the moment,
 /// and each question to the next neighbor would fetch nearly the same again.
 const ASK_PAUSE: Span = Span::from_millis(20);
