How a gateway stands to the others is told; losses of many at once in the emulator; a late start of a cancelled job is judged

- Log line `neighbors` and two gauges: gateways known, neighbors that are silent, the hash of the directory, by which operators see that all know the same.
- A gateway leaves out records of its own name that the list has from before its start.
- Judge: a bad history in which a worker starts a task of a cancelled job late and runs it on beyond its bound; one that ends in time is allowed.

--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -9,6 +9,7 @@
 use super::shares::SizeGroup;
 use super::stages::StageTimes;
 use crate::leased::evacuation::Evacuations;
+use crate::leased::membership::View;
 use crate::leased::membership::page::Page;
 use crate::leased::messages::{EndKind, FromAgent, Member, ToAgent, ToPeer};
 use crate::leased::task::{JobId, RunId, TaskId};
@@ -272,6 +273,8 @@
         /// How long it took.
         longest: Span,
     },
+    /// How the gateway stands to the others has changed.
+    Neighbors(View),
     /// Which zones are evacuated has changed.
     Evacuated(Evacuations),
     /// Several workers have crashed under a task.
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -5,7 +5,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::queues::QueueConfiguration;
-use super::{GatewayEffect, LeasedGateway};
+use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::membership::MembershipEffect;
 use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::session::SessionId;
@@ -202,6 +202,9 @@
                 is_settled,
             }),
             MembershipEffect::Close(session) => effects.push(GatewayEffect::Close(session)),
+            MembershipEffect::Changed(view) => {
+                effects.push(GatewayEffect::Decided(GatewayDecision::Neighbors(view)));
+            }
         }
     }
 }
--- a/laurelstile-core/src/leased/membership/directory.rs
+++ b/laurelstile-core/src/leased/membership/directory.rs
@@ -1,6 +1,7 @@
 //! The gateways that a gateway knows, and where it knows them from.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,12 @@
 #[serde(transparent)]
 pub struct Digest(u64);
 
+impl fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// Hashes of the parts of a directory.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -65,6 +72,11 @@
         directory
     }
 
+    /// How many members there are.
+    pub fn count(&self) -> usize {
+        self.known.len()
+    }
+
     /// All members.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.known.keys()
@@ -112,9 +124,11 @@
         }
     }
 
-    /// A page of the list of gateways was read.
-    pub fn read_page(&mut self, now: Timestamp, page: Page) {
+    /// A page of the list of gateways was read. A record of this gateway's own name is one of
+    /// before its start, perhaps at another address.
+    pub fn read_page(&mut self, now: Timestamp, mut page: Page) {
         let own = self.own.clone();
+        page.members.retain(|member| member.name != own.name);
         let mut gone = Vec::new();
         for (member, sources) in &mut self.known {
             if *member == own || !page.covers(member) {
--- a/laurelstile-core/src/leased/membership/mod.rs
+++ b/laurelstile-core/src/leased/membership/mod.rs
@@ -66,6 +66,22 @@
     looked_at: Option<Timestamp>,
     /// When a session that is not wanted has been open for long enough to be closed.
     release_at: Option<Timestamp>,
+    /// What the log was last told.
+    view: Option<View>,
+}
+
+/// How a gateway stands to the others, for the log. Gateways whose directories have the same
+/// hash know the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Gateways that it knows, itself among them.
+    pub known: usize,
+    /// Gateways to which it wants sessions.
+    pub wanted: usize,
+    /// Those of them with a session.
+    pub answering: usize,
+    /// Hash of its directory.
+    pub directory: directory::Digest,
 }
 
 /// What is to be done.
@@ -84,6 +100,8 @@
     },
     /// A session is not wanted any more.
     Close(SessionId),
+    /// How this gateway stands to the others has changed.
+    Changed(View),
 }
 
 impl Membership {
@@ -99,6 +117,7 @@
             is_stale: false,
             looked_at: None,
             release_at: None,
+            view: None,
         }
     }
 
@@ -263,15 +282,24 @@
         let wanted = self.neighbors.wanted(now, &self.own, &self.directory, &met);
         let answering = wanted.intersection(&met).count();
         let is_settled = !wanted.is_empty() && answering * 2 >= wanted.len();
-        let has_dialed = |member: &Member| self.is_met(member, false);
-        let dialed = wanted.iter().filter(|member| !has_dialed(member));
+        let has_dialed_us = |member: &Member| self.is_met(member, false);
+        let to_dial = wanted.iter().filter(|member| !has_dialed_us(member));
         effects.push(MembershipEffect::Dial {
-            members: dialed.cloned().collect(),
+            members: to_dial.cloned().collect(),
             is_settled,
         });
         if is_settled {
             self.close_unwanted(now, &wanted, effects);
         }
+        let view = View {
+            known: self.directory.count(),
+            wanted: wanted.len(),
+            answering,
+            directory: self.directory.digest(),
+        };
+        if self.view.replace(view) != Some(view) {
+            effects.push(MembershipEffect::Changed(view));
+        }
     }
 
     /// Whether there is a session to a member that this side, or the other, has dialed.
--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -370,6 +370,19 @@
     assert_eq!(known(&directory), ["1", "900"], "late news");
 }
 
+/// Its record of before its start, which the list still has, is not told on.
+#[test]
+fn a_gateway_is_where_it_knows_that_it_is() {
+    let before = Member {
+        address: ([127, 0, 0, 1], 900).into(),
+        ..member(0)
+    };
+    let mut directory = Directory::new(member(0));
+    directory.read_page(at(0), page(vec![before.clone(), member(1)]));
+    directory.hear(at(1), vec![before]);
+    assert_eq!(known(&directory), ["1", "2"]);
+}
+
 #[test]
 fn members_heard_twice_or_in_another_order_make_the_same_directory() {
     let mut one = Directory::new(member(0));
--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -129,6 +129,23 @@
     assert!(rules(history).is_empty());
 }
 
+/// What a worker starts late of a cancelled job has the time that a gateway and its agent take
+/// to learn of the run and stop it, whether or not the agent that ordered it is still there.
+#[test]
+fn a_late_start_of_a_cancelled_job_may_run_until_it_is_known() {
+    let history = vec![
+        submitted(),
+        Seen::Cancelled { job: JOB },
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        started_late(LIFE, 0, Promptness::Late),
+        answered(Told::Nothing),
+        ended(0, RunEnd::Broken),
+    ];
+    assert!(rules(history).is_empty());
+}
+
 /// Bounds of time do not bind what a worker carries out late.
 #[test]
 fn a_late_order_may_start_on_a_worker_that_drains() {
@@ -219,6 +236,18 @@
     ],
     Rule::Cancelled
 )]
+#[case::late_start_that_ran_on_after_cancel(
+    vec![
+        submitted(),
+        Seen::Cancelled { job: JOB },
+        started_late(LIFE, 0, Promptness::Late),
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        answered(Told::Nothing),
+        ended(0, RunEnd::Broken),
+    ],
+    Rule::Cancelled
+)]
 #[case::crash_budget(crashes(6), Rule::CrashBudget)]
 #[case::room(vec![submitted(), started(LIFE, 0), started(LIFE, 1), started(LIFE, 2)], Rule::Room)]
 #[case::one_run(vec![submitted(), started(LIFE, 0), started(OTHER_LIFE, 0)], Rule::OneRun)]
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -49,6 +49,9 @@
             optional --hazards
             /// Instead of these: workers that leave while tasks run, and sessions that break.
             optional --leaving
+            /// Instead of these: gateways, agents or all lost at once, in series, and jobs
+            /// that are cancelled.
+            optional --herds
             /// Instead of these: workers that start again under their ids, and soon leave or
             /// shrink.
             optional --returning
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -280,6 +280,48 @@
         .collect()
 }
 
+/// Draws losses of many processes at once, some soon after each other, while the
+/// configuration changes: the gateways, the agents, or all; killed, or without power.
+pub fn draw_of_herds(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    for _ in 0..random.random_range(1..4) {
+        let first = random.random_range(1_000_000..length);
+        let pause = random.random_range(400_000..3_000_000);
+        for number in 0..random.random_range(1..4) {
+            let at = first + number * pause;
+            let down = random.random_range(300_000..1_500_000);
+            let (hits_gateways, hits_agents) = match random.random_range(0..3) {
+                0 => (true, false),
+                1 => (false, true),
+                _ => (true, true),
+            };
+            let is_dark = random.random_bool(0.5);
+            let gateways = (0..gateways).filter(|_| hits_gateways);
+            let gateways = gateways.map(|gateway| match is_dark {
+                true => Fault::DarkGateway(gateway),
+                false => Fault::KillGateway(gateway),
+            });
+            let agents = (0..workers).filter(|_| hits_agents).map(Fault::KillAgent);
+            faults.extend(gateways.chain(agents).map(|fault| ScheduledFault {
+                at,
+                length: down,
+                fault,
+            }));
+            faults.push(ScheduledFault {
+                at: at + random.random_range(0..400_000),
+                length: 200_000,
+                fault: Fault::Configure,
+            });
+        }
+    }
+    faults
+}
+
 /// Draws rooms that shrink, workers that die, and machines that are suspended.
 pub fn draw_hazards(
     length: u64,
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -7,8 +7,8 @@
 use rand_pcg::Pcg64;
 
 use super::faults::{
-    Sabotage, ScheduledFault, draw, draw_hazards, draw_of_leaving, draw_of_operators,
-    draw_of_other_writers, draw_of_returning,
+    Sabotage, ScheduledFault, draw, draw_hazards, draw_of_herds, draw_of_leaving,
+    draw_of_operators, draw_of_other_writers, draw_of_returning,
 };
 use super::worker::SimWorker;
 use super::world::{SimJob, TASK_ROOM, World};
@@ -28,6 +28,7 @@
 const LEAVING_STREAM: u64 = 0x1ea71;
 const RETURNING_STREAM: u64 = 0x2e7a2;
 const OTHER_WRITERS_STREAM: u64 = 0x07e2;
+const HERDS_STREAM: u64 = 0x4e2d;
 /// One in so many jobs has a task that takes its workers down.
 const POISON_ONE_IN: u32 = 150;
 /// One in so many is cancelled, at the latest so long after it came, in microseconds.
@@ -88,6 +89,21 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed with losses of many processes at once besides, and jobs that are cancelled.
+pub fn run_herd_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_scene(seed, sabotage, &mut random);
+    let mut herds = Pcg64::seed_from_u64(seed ^ HERDS_STREAM);
+    let faults = draw_of_herds(FAULTY, GATEWAYS, WORKERS, &mut herds);
+    scene.faults.extend(faults);
+    for job in &mut scene.jobs {
+        if herds.random_ratio(1, CANCELLED_ONE_IN) {
+            job.cancelled_after = Some(herds.random_range(0..LATEST_CANCEL));
+        }
+    }
+    play(random, sabotage, scene, true)
+}
+
 /// Runs one seed with workers that start again under the ids that they had, and soon leave
 /// or shrink.
 pub fn run_returning_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use laurelstile_sim::leased::{
-    Outcome, Sabotage, run_hazard_seed, run_leaving_seed, run_other_writers_seed,
+    Outcome, Sabotage, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
     run_returning_seed, run_seed,
 };
 
@@ -44,6 +44,8 @@
     for seed in from..to {
         let outcome = if flags.leaving {
             run_leaving_seed(seed, sabotage)
+        } else if flags.herds {
+            run_herd_seed(seed, sabotage)
         } else if flags.other_writers {
             run_other_writers_seed(seed, sabotage)
         } else if flags.returning {
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -3,7 +3,7 @@
 
 use laurelstile_history::leased::Rule;
 use laurelstile_sim::leased::{
-    Outcome, Sabotage, run_hazard_seed, run_leaving_seed, run_other_writers_seed,
+    Outcome, Sabotage, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
     run_returning_seed, run_seed,
 };
 use rstest::rstest;
@@ -41,6 +41,15 @@
     }
 }
 
+/// Gateways, agents or all are lost at once, in series, while the configuration changes and
+/// jobs are cancelled.
+#[test]
+fn seeds_with_many_lost_at_once_keep_every_rule() {
+    for seed in 0..20 {
+        assert_keeps_every_rule(seed, &run_herd_seed(seed, None));
+    }
+}
+
 /// Workers that start again under the ids that they had, and soon leave or shrink: tasks were
 /// started on them after the bound, and they were not used any more.
 #[test]
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -16,9 +16,9 @@
 use super::ports::HeartbeatError;
 use crate::telemetry::{
     CAME_BACK, CONTAINED_QUEUES, EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS,
-    JOB_STAGE_SECONDS, JOBS_ANSWERED, OFFERS, OFFERS_EXPIRED, ROOM_AGED, RUN_TIME_RATIO,
-    RUNS_ENDED, RUNS_STOPPED, STARTS_HELD, STOPS_UNANSWERED, TASKS_SUSPECTED, WORKER_CRASHES,
-    WORKER_SILENT,
+    JOB_STAGE_SECONDS, JOBS_ANSWERED, KNOWN_GATEWAYS, OFFERS, OFFERS_EXPIRED, ROOM_AGED,
+    RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, SILENT_NEIGHBORS, STARTS_HELD, STOPS_UNANSWERED,
+    TASKS_SUSPECTED, WORKER_CRASHES, WORKER_SILENT,
 };
 
 /// Most lines of steps in a period.
@@ -54,6 +54,7 @@
                 | GatewayDecision::Suspected { .. }
                 | GatewayDecision::Contained { .. }
                 | GatewayDecision::Evacuated(_)
+                | GatewayDecision::Neighbors(_)
         );
         if !self.admits(is_outcome) {
             return;
@@ -118,6 +119,9 @@
             } => {
                 log::warn!(event = "queue_contained", queue = queue.as_str(), is_contained = *is_contained; "tasks of it take workers down");
             }
+            GatewayDecision::Neighbors(view) => {
+                log::info!(event = "neighbors", known = view.known, wanted = view.wanted, answering = view.answering, directory:% = view.directory; "");
+            }
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
             }
@@ -311,6 +315,10 @@
         GatewayDecision::Evacuated(evacuations) => {
             gauge!(EVACUATED_ZONES).set(evacuations.zones.len() as f64);
         }
+        GatewayDecision::Neighbors(view) => {
+            gauge!(KNOWN_GATEWAYS).set(view.known as f64);
+            gauge!(SILENT_NEIGHBORS).set((view.wanted - view.answering) as f64);
+        }
         GatewayDecision::Contained { is_contained, .. } => {
             let change = if *is_contained { 1.0 } else { -1.0 };
             gauge!(CONTAINED_QUEUES).increment(change);
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -43,6 +43,10 @@
 pub const JOBS_ANSWERED: &str = "laurelstile_jobs_answered_total";
 /// Zones that are evacuated, as this gateway knows it.
 pub const EVACUATED_ZONES: &str = "laurelstile_evacuated_zones";
+/// Gateways that a gateway knows, itself among them.
+pub const KNOWN_GATEWAYS: &str = "laurelstile_known_gateways";
+/// Gateways to which a gateway wants sessions and has none.
+pub const SILENT_NEIGHBORS: &str = "laurelstile_silent_neighbors";
 /// Offers of room that this gateway answered; label `outcome` (`used`, `declined`).
 pub const OFFERS: &str = "laurelstile_offers_total";
 /// Offers of room that no gateway answered in time, at this agent.
