--- a/laurelstile-core/src/leased/membership/directory.rs
+++ b/laurelstile-core/src/leased/membership/directory.rs
@@ -1,12 +1,11 @@
 //! The gateways that a gateway knows, and where it knows them from.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 
 use laurelstile_types::time::{Span, Timestamp};
-use serde::{Deserialize, Serialize};
 
 use super::super::messages::Member;
+use super::digest::{Digest, PartDigests};
 use super::page::Page;
 use super::rank;
 use crate::session::SessionId;
@@ -22,22 +21,6 @@
 /// by then: long answers to several questions would tell the same several times.
 pub const MOST_TOLD: usize = 128;
 
-/// Hash of a whole directory: the same at gateways that know the same.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Digest(u64);
-
-impl fmt::Display for Digest {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:016x}", self.0)
-    }
-}
-
-/// Hashes of the parts of a directory.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct PartDigests(Vec<u32>);
-
 /// Where a gateway is known from.
 #[derive(Debug, Default)]
 struct Sources {
--- a/laurelstile-core/src/leased/membership/exchange.rs
+++ b/laurelstile-core/src/leased/membership/exchange.rs
@@ -8,7 +8,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::directory::Digest;
+use super::digest::Digest;
 use crate::session::SessionId;
 
 /// Pause between two rounds of digests.
--- a/laurelstile-core/src/leased/membership/mod.rs
+++ b/laurelstile-core/src/leased/membership/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | part | question |
 //! | --- | --- |
-//! | [`directory`] | which gateways does a gateway know, and where from? |
+//! | [`directory`], [`digest`] | which gateways does a gateway know, and where from? |
 //! | [`neighbors`] | to which of them does it keep sessions? |
 //! | [`page`] | how is the store's list read? |
 //! | [`exchange`] | how do neighbors find out that they know different ones? |
@@ -17,6 +17,7 @@
 //! takes the next in rank.
 
 pub mod audience;
+pub mod digest;
 pub mod directory;
 pub mod exchange;
 pub mod neighbors;
@@ -31,7 +32,8 @@
 use super::messages::{Introduction, Member, Sought, ToPeer};
 use crate::session::SessionId;
 use audience::Audience;
-use directory::{Directory, PartDigests};
+use digest::{Digest, PartDigests};
+use directory::Directory;
 use exchange::Exchange;
 use neighbors::Neighbors;
 use page::Page;
@@ -81,7 +83,7 @@
     /// Those of them with a session.
     pub answering: usize,
     /// Hash of its directory.
-    pub directory: directory::Digest,
+    pub directory: Digest,
 }
 
 /// What is to be done.
@@ -179,7 +181,7 @@
     }
 
     /// A peer tells the hash of its directory.
-    pub fn on_digest(&mut self, session: SessionId, digest: directory::Digest) {
+    pub fn on_digest(&mut self, session: SessionId, digest: Digest) {
         self.exchange.hear(session, digest);
     }
 
--- a/laurelstile-core/src/leased/membership/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -1,13 +1,11 @@
 //! Which gateways an agent keeps sessions to.
 //!
-//! Each change of a worker's room is told to every gateway with a session, so with
-//! sessions from all to all the messages grow with the product of both: at 240 agents and
-//! 55 gateways a calm day took 3.5 times the time that it takes with subsets and fewer
-//! reports. An agent therefore keeps sessions to a subset: gateways of its own zone first, and some of other
-//! zones, so that room is shared where a zone has too little or loses its gateways. The
-//! subset is chosen by rendezvous hashing: agents choose differently and alone, each
-//! gateway gets as many agents as any other, and a gateway that comes or goes moves only
-//! the sessions that concern it.
+//! Each change of a worker's room is told to every gateway with a session, so with sessions
+//! from all to all the messages grow with the product of both. An agent therefore keeps
+//! sessions to a subset: gateways of its own zone first, and some of other zones, so that room
+//! is shared where a zone has too little or loses its gateways. The subset is chosen by
+//! [`rank`](super::rank): agents choose differently and alone, each gateway gets as many agents
+//! as any other, and a gateway that comes or goes moves only the sessions that concern it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -10,7 +10,7 @@
 use super::evacuation::Evacuations;
 use super::gateway::queues::QueueConfiguration;
 use super::input::JobInput;
-use super::membership::directory::{Digest, PartDigests};
+use super::membership::digest::{Digest, PartDigests};
 use super::room::Room;
 use super::serde_defaults::is_false;
 use super::task::{JobId, RunNumber, TaskId};
--- a/laurelstile-core/tests/leased_members.rs
+++ b/laurelstile-core/tests/leased_members.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use laurelstile_core::leased::gateway::GatewayEvent;
-use laurelstile_core::leased::membership::directory::Digest;
+use laurelstile_core::leased::membership::digest::Digest;
 use laurelstile_core::leased::membership::rank::Candidates;
 use laurelstile_core::leased::messages::{Introduction, Member, ToPeer};
 use laurelstile_core::session::SessionId;
--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -6,7 +6,8 @@
 
 use laurelstile_core::leased::crashes::CrashedTask;
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent, Identity, LeasedGateway};
-use laurelstile_core::leased::membership::directory::{Digest, Directory};
+use laurelstile_core::leased::membership::digest::Digest;
+use laurelstile_core::leased::membership::directory::Directory;
 use laurelstile_core::leased::membership::page::{Page, record_key};
 use laurelstile_core::leased::messages::{Introduction, Member, Sought, ToPeer};
 use laurelstile_core::leased::task::JobId;
--- a/laurelstile-sim/src/fleet/processor.rs
+++ b/laurelstile-sim/src/fleet/processor.rs
@@ -1,12 +1,13 @@
 //! A machine's share of a processor, and what the work of a session costs it.
 
-/// Processor time of a whole core that a message takes with its frame, in microseconds:
-/// reading or writing, decoding, the machine's own work.
+/// Processor time of a whole core that a message takes with its frame, in microseconds. A
+/// session's part of it, 5, is what `session_cost` of `laurelstile-wire` shows; the rest stands
+/// for the machine's own work, which is not measured by itself.
 pub const MESSAGE: u64 = 20;
-/// The same for each kilobyte that it has: lists are decoded entry by entry.
+/// The same for each kilobyte that it has, by `session_cost`: lists are decoded entry by entry.
 pub const KILOBYTE: u64 = 15;
-/// The same for one side of a hello: a connection, its upgrade, keys and proofs.
-pub const HELLO: u64 = 250;
+/// The same for one side of a hello, by `session_cost`: a connection, its upgrade, proofs.
+pub const HELLO: u64 = 70;
 
 /// A share of a processor that works through what comes, in order.
 #[derive(Debug)]
