--- a/laurelstile-core/src/leased/crashes.rs
+++ b/laurelstile-core/src/leased/crashes.rs
@@ -45,6 +45,19 @@
     pub tasks: Vec<CrashedTask>,
 }
 
+impl WorkerCrash {
+    /// The same crash, as told of some of its tasks; none if none of them is among those.
+    pub fn narrowed(&self, is_told: impl Fn(TaskId) -> bool) -> Option<Self> {
+        let tasks = self.tasks.iter().filter(|crashed| is_told(crashed.task));
+        let tasks: Vec<CrashedTask> = tasks.copied().collect();
+        (!tasks.is_empty()).then(|| Self {
+            life: self.life.clone(),
+            runs: self.runs,
+            tasks,
+        })
+    }
+}
+
 /// A task that a worker had begun as it crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashedTask {
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -24,12 +24,7 @@
 impl LeasedGateway {
     /// Tells all peers the same.
     pub(super) fn tell_peers(&self, message: &ToPeer, effects: &mut Vec<GatewayEffect>) {
-        for session in self.peers.keys() {
-            effects.push(GatewayEffect::ToPeer {
-                session: *session,
-                message: message.clone(),
-            });
-        }
+        self.tell_peers_but(None, message, effects);
     }
 
     /// Tells all peers the same, but the one that it came from.
@@ -39,8 +34,20 @@
         message: &ToPeer,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let others = self.peers.keys().filter(|session| **session != source);
-        effects.extend(others.map(|session| GatewayEffect::ToPeer {
+        self.tell_peers_but(Some(source), message, effects);
+    }
+
+    fn tell_peers_but(
+        &self,
+        source: Option<SessionId>,
+        message: &ToPeer,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let told = self
+            .peers
+            .keys()
+            .filter(|session| Some(**session) != source);
+        effects.extend(told.map(|session| GatewayEffect::ToPeer {
             session: *session,
             message: message.clone(),
         }));
--- a/laurelstile-core/src/leased/gateway/standstill.rs
+++ b/laurelstile-core/src/leased/gateway/standstill.rs
@@ -10,8 +10,8 @@
 /// 500 ms. Callers that left during a shorter one have not handed in again.
 const STANDSTILL: Span = Span::from_millis(700);
 /// How long no job is placed after it: callers may have left and handed their jobs in
-/// elsewhere, or cancelled them, and the readings of agents that are taken in first are fresh. A thin machine
-/// (0.12 cores) has 12 ms of processor time in it to read what waits at its sockets.
+/// elsewhere, or cancelled them, and the readings of agents that are taken in first are fresh. A
+/// thin machine (0.12 cores) has 12 ms of processor time in it to read what waits at its sockets.
 const READING_TIME: Span = Span::from_millis(100);
 
 /// When the gateway ran last, and what it has to read first after a standstill.
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -12,7 +12,7 @@
 use super::candidate::Candidate;
 use super::job::{Job, task_id};
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
-use crate::leased::crashes::{CrashedTask, Standing, WorkerCrash};
+use crate::leased::crashes::{Standing, WorkerCrash};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::{JobId, TaskId};
 use crate::session::SessionId;
@@ -43,15 +43,7 @@
             for task in &tasks {
                 self.on_crashed_under(now, *task, effects);
             }
-            if !tasks.is_empty() {
-                let is_news = |crashed: &&CrashedTask| tasks.contains(&crashed.task);
-                let tasks = crash.tasks.iter().filter(is_news).copied().collect();
-                news.push(WorkerCrash {
-                    life: crash.life.clone(),
-                    runs: crash.runs,
-                    tasks,
-                });
-            }
+            news.extend(crash.narrowed(|task| tasks.contains(&task)));
         }
         news
     }
@@ -79,15 +71,9 @@
         crashes: &[WorkerCrash],
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let own: Vec<WorkerCrash> = crashes
-            .iter()
-            .map(|crash| WorkerCrash {
-                life: crash.life.clone(),
-                runs: crash.runs,
-                tasks: self.own_tasks(&crash.tasks),
-            })
-            .filter(|crash| !crash.tasks.is_empty())
-            .collect();
+        let is_own = |task: TaskId| self.jobs.contains_key(&task.job);
+        let own = crashes.iter().filter_map(|crash| crash.narrowed(is_own));
+        let own: Vec<WorkerCrash> = own.collect();
         self.on_crashes(now, crashes, effects);
         if own.is_empty() {
             return;
@@ -95,11 +81,6 @@
         self.tell_peers(&ToPeer::Crashes(own), effects);
     }
 
-    fn own_tasks(&self, tasks: &[CrashedTask]) -> Vec<CrashedTask> {
-        let is_own = |crashed: &&CrashedTask| self.jobs.contains_key(&crashed.task.job);
-        tasks.iter().filter(is_own).copied().collect()
-    }
-
     /// One more worker has crashed under a task.
     fn on_crashed_under(&mut self, now: Timestamp, task: TaskId, effects: &mut Vec<GatewayEffect>) {
         let standing = self.crashes.standing(task);
--- a/laurelstile-core/src/leased/membership/audience.rs
+++ b/laurelstile-core/src/leased/membership/audience.rs
@@ -32,6 +32,14 @@
         let mut first = self.candidates.iter().take(TELLERS);
         first.any(|member| member == gateway)
     }
+
+    /// Owes the agent those candidates that are news, if it hears news from `gateway`.
+    fn owe(&mut self, gateway: &Member, is_news: impl Fn(&Member) -> bool) {
+        if self.hears_news_from(gateway) {
+            let news = self.candidates.iter().filter(|member| is_news(member));
+            self.untold.extend(news.cloned());
+        }
+    }
 }
 
 /// The agents that listen, by session.
@@ -64,10 +72,7 @@
         sought: &Sought,
         directory: &Directory,
     ) {
-        let mut candidates = Candidates::new(agent, &sought.zone);
-        for member in directory.members() {
-            candidates.offer(member);
-        }
+        let candidates = Candidates::among(agent, &sought.zone, directory.members());
         let knows_them = candidates.digest() == sought.known;
         let knows_enough = sought.count >= candidates.iter().count();
         let mut listener = Listener {
@@ -98,11 +103,7 @@
             for member in arrivals {
                 listener.candidates.offer(member);
             }
-            let news = arrivals.iter();
-            let news = news.filter(|member| listener.candidates.contains(member));
-            if listener.hears_news_from(&self.own) {
-                listener.untold.extend(news.cloned());
-            }
+            listener.owe(&self.own, |member| arrivals.contains(member));
         }
     }
 
@@ -113,16 +114,9 @@
             if !departures.iter().any(had) {
                 continue;
             }
-            let mut candidates = listener.candidates.emptied();
-            for member in directory.members() {
-                candidates.offer(member);
-            }
+            let candidates = listener.candidates.chosen_again(directory.members());
             let before = std::mem::replace(&mut listener.candidates, candidates);
-            let news = listener.candidates.iter();
-            let news = news.filter(|member| !before.contains(member));
-            if listener.hears_news_from(&self.own) {
-                listener.untold.extend(news.cloned());
-            }
+            listener.owe(&self.own, |member| !before.contains(member));
             let candidates = &listener.candidates;
             listener.untold.retain(|member| candidates.contains(member));
         }
--- a/laurelstile-core/src/leased/membership/mod.rs
+++ b/laurelstile-core/src/leased/membership/mod.rs
@@ -284,8 +284,7 @@
         let wanted = self.neighbors.wanted(now, &self.own, &self.directory, &met);
         let answering = wanted.intersection(&met).count();
         let is_settled = !wanted.is_empty() && answering * 2 >= wanted.len();
-        let has_dialed_us = |member: &Member| self.is_met(member, false);
-        let to_dial = wanted.iter().filter(|member| !has_dialed_us(member));
+        let to_dial = wanted.iter().filter(|member| !self.has_dialed_us(member));
         effects.push(MembershipEffect::Dial {
             members: to_dial.cloned().collect(),
             is_settled,
@@ -304,10 +303,10 @@
         }
     }
 
-    /// Whether there is a session to a member that this side, or the other, has dialed.
-    fn is_met(&self, member: &Member, is_dialed: bool) -> bool {
+    /// Whether a member has a session that it has dialed itself.
+    fn has_dialed_us(&self, member: &Member) -> bool {
         let mut peers = self.peers.values();
-        peers.any(|peer| peer.is_dialed == is_dialed && peer.member.as_ref() == Some(member))
+        peers.any(|peer| !peer.is_dialed && peer.member.as_ref() == Some(member))
     }
 
     /// Closes the sessions that this gateway has dialed and does not want, such as those to
--- a/laurelstile-core/src/leased/membership/neighbors.rs
+++ b/laurelstile-core/src/leased/membership/neighbors.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use laurelstile_types::time::{Span, Timestamp};
+use laurelstile_types::time::Timestamp;
 
 use super::super::messages::Member;
 use super::directory::Directory;
@@ -21,9 +21,6 @@
 const SUCCESSORS: usize = 1;
 /// Up to so many others there is no choice to be made.
 const ALL: usize = IN_ZONE + BEYOND_ZONE + SUCCESSORS;
-/// A gateway that has been dialed for so long without success is replaced by the next in
-/// order, until it answers.
-const SUBSTITUTE_AFTER: Span = Span::from_millis(800);
 
 /// The choice of a gateway, and since when it waits for each.
 #[derive(Debug, Default)]
@@ -58,7 +55,7 @@
     /// When the choice has to be looked at again, if some do not answer.
     pub fn due_at(&self) -> Option<Timestamp> {
         let first = self.sought_since.values().min();
-        first.map(|since| since.after(SUBSTITUTE_AFTER))
+        first.map(|since| since.after(rank::SUBSTITUTE_AFTER))
     }
 
     fn choose(&self, now: Timestamp, own: &Member, others: &[&Member]) -> BTreeSet<Member> {
@@ -85,15 +82,11 @@
         wanted: &mut BTreeSet<Member>,
     ) {
         members.sort_by_cached_key(|member| order(member));
-        let mut answering = 0;
-        for member in members {
-            if answering == count {
-                return;
-            }
-            let since = self.sought_since.get(member);
-            let is_silent = since.is_some_and(|since| now.since(*since) > SUBSTITUTE_AFTER);
-            answering += usize::from(!is_silent);
-            wanted.insert(member.clone());
-        }
+        let is_silent = |member: &&Member| {
+            let sought_since = self.sought_since.get(*member).copied();
+            rank::is_silent(now, sought_since)
+        };
+        let (first, _) = rank::first_answering(members, count, is_silent);
+        wanted.extend(first.into_iter().cloned());
     }
 }
--- a/laurelstile-core/src/leased/membership/rank.rs
+++ b/laurelstile-core/src/leased/membership/rank.rs
@@ -5,6 +5,7 @@
 
 use std::hash::{Hash, Hasher};
 
+use laurelstile_types::time::{Span, Timestamp};
 use twox_hash::XxHash64;
 
 use super::super::messages::Member;
@@ -19,6 +20,34 @@
 /// Gateways that an agent is told besides, for those that do not answer.
 const SPARE: usize = 4;
 
+/// A gateway that has been dialed for so long without success is replaced by the next in
+/// order, until it answers.
+pub const SUBSTITUTE_AFTER: Span = Span::from_millis(800);
+
+/// Whether a gateway that is sought since then, if it is sought, needs a substitute.
+pub fn is_silent(now: Timestamp, sought_since: Option<Timestamp>) -> bool {
+    sought_since.is_some_and(|since| now.since(since) > SUBSTITUTE_AFTER)
+}
+
+/// The first `count` in an order that answer, as far as is known, and those before them that
+/// do not; and how many of them answer.
+pub fn first_answering<T>(
+    ordered: impl IntoIterator<Item = T>,
+    count: usize,
+    is_silent: impl Fn(&T) -> bool,
+) -> (Vec<T>, usize) {
+    let mut chosen = Vec::new();
+    let mut answering = 0;
+    for gateway in ordered {
+        if answering == count {
+            break;
+        }
+        answering += usize::from(!is_silent(&gateway));
+        chosen.push(gateway);
+    }
+    (chosen, answering)
+}
+
 /// How much a process prefers a gateway: the same for the same pair, without order
 /// otherwise.
 pub fn affinity(process: &str, gateway: &str) -> u64 {
@@ -61,13 +90,26 @@
         }
     }
 
-    /// None, for the same agent.
-    pub fn emptied(&self) -> Self {
-        Self::new(&self.agent, &self.zone)
+    /// Those among some gateways, for an agent in a zone.
+    pub fn among<'a>(
+        agent: &str,
+        zone: &str,
+        members: impl IntoIterator<Item = &'a Member>,
+    ) -> Self {
+        let mut candidates = Self::new(agent, zone);
+        for member in members {
+            candidates.offer(member);
+        }
+        candidates
+    }
+
+    /// Those among other gateways, for the same agent.
+    pub fn chosen_again<'a>(&self, members: impl IntoIterator<Item = &'a Member>) -> Self {
+        Self::among(&self.agent, &self.zone, members)
     }
 
-    /// Takes in a gateway; `true` if it is a new candidate.
-    pub fn offer(&mut self, member: &Member) -> bool {
+    /// Takes in a gateway.
+    pub fn offer(&mut self, member: &Member) {
         let affinity = affinity(&self.agent, &member.name);
         let (ranked, most) = if member.zone == self.zone {
             (&mut self.near, IN_ZONE + SPARE)
@@ -78,11 +120,10 @@
         let entry = (affinity, member.clone());
         let place = ranked.partition_point(|known| *known > entry);
         if place >= most || ranked.get(place) == Some(&entry) {
-            return false;
+            return;
         }
         ranked.insert(place, entry);
         ranked.truncate(most);
-        true
     }
 
     /// Whether a gateway is among them.
--- a/laurelstile-core/src/leased/membership/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -9,16 +9,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use laurelstile_types::time::{Span, Timestamp};
+use laurelstile_types::time::Timestamp;
 
 use super::super::messages::{FromAgent, FromAgentBody, Member, Sought};
-use super::rank::{BEYOND_ZONE, Candidates, IN_ZONE, affinity};
+use super::rank::{self, BEYOND_ZONE, Candidates, IN_ZONE, affinity};
 
 /// Up to so many gateways in all there is no choice to be made.
 const ALL: usize = IN_ZONE + BEYOND_ZONE;
-/// A gateway that has been dialed for so long without success is replaced by the next in
-/// rank, until it answers.
-const SUBSTITUTE_AFTER: Span = Span::from_millis(800);
 
 /// What an agent knows of a gateway.
 #[derive(Clone, Debug)]
@@ -29,7 +26,7 @@
 }
 
 /// Gateways of a zone, or of others, that are wanted.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Chosen {
     names: Vec<String>,
     /// How many of them answer, as far as is known.
@@ -78,10 +75,8 @@
     /// The first message of a session to a gateway, which tells the agent then of those
     /// that it ranks first and does not know.
     pub fn first_message(&self, now: Timestamp) -> FromAgent {
-        let mut candidates = Candidates::new(&self.name, &self.zone);
-        for known in self.known.values() {
-            candidates.offer(&known.member);
-        }
+        let known = self.known.values().map(|known| &known.member);
+        let candidates = Candidates::among(&self.name, &self.zone, known);
         FromAgent {
             clock: now,
             report: None,
@@ -162,17 +157,13 @@
             .map(|known| (affinity(&self.name, &known.member.name), known))
             .collect();
         ranked.sort_unstable_by_key(|(affinity, _)| std::cmp::Reverse(*affinity));
-        let mut chosen = Chosen::default();
-        for (_, known) in ranked {
-            if chosen.answering == count {
-                break;
-            }
-            let is_silent = known
-                .sought_since
-                .is_some_and(|since| now.since(since) > SUBSTITUTE_AFTER);
-            chosen.answering += usize::from(!is_silent);
-            chosen.names.push(known.member.name.clone());
+        let ranked = ranked.into_iter().map(|(_, known)| known);
+        let is_silent = |known: &&Known| rank::is_silent(now, known.sought_since);
+        let (first, answering) = rank::first_answering(ranked, count, is_silent);
+        let names = first.into_iter().map(|known| known.member.name.clone());
+        Chosen {
+            names: names.collect(),
+            answering,
         }
-        chosen
     }
 }
--- a/laurelstile-core/tests/leased_configuration.rs
+++ b/laurelstile-core/tests/leased_configuration.rs
@@ -10,19 +10,13 @@
 
 fn meet(rig: &mut GatewayRig, now: Timestamp, peer: u64, version: u64) {
     let session = SessionId(peer);
-    rig.event(
-        now,
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(now, session);
     hear(rig, now, peer, ToPeer::InForce(version));
 }
 
 fn hear(rig: &mut GatewayRig, now: Timestamp, peer: u64, message: ToPeer) {
     let session = SessionId(peer);
-    rig.event(now, GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(now, session, message);
 }
 
 /// The peers that were asked, in order.
--- a/laurelstile-core/tests/leased_crashes.rs
+++ b/laurelstile-core/tests/leased_crashes.rs
@@ -170,19 +170,13 @@
 ) {
     let mut rig = gateway(4);
     let session = SessionId(50);
-    rig.event(
-        at(1),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(1), session);
     let told = crashes
         .iter()
         .zip(1..)
         .map(|(is_early, number)| crash(&format!("life-{number}"), *is_early, runs, &[0]));
     let message = ToPeer::Crashes(told.collect());
-    rig.event(at(2), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(2), session, message);
     rig.submit(at(10), 1, job(1, 1, 100));
     assert_eq!(rig.last_answer(), answer);
     assert_eq!(
@@ -195,13 +189,7 @@
 fn what_touches_own_jobs_is_passed_on_to_peers() {
     let mut rig = gateway(2);
     let session = SessionId(50);
-    rig.event(
-        at(1),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(1), session);
     rig.submit(at(10), 1, job(1, 1, 100));
     let batch = rig.next_start();
     let mut told = crash("life-1", EARLY, 2, &[0]);
--- a/laurelstile-core/tests/leased_evacuation.rs
+++ b/laurelstile-core/tests/leased_evacuation.rs
@@ -37,13 +37,7 @@
 fn agents_and_peers_are_told_at_once_and_new_sessions_first_of_all() {
     let mut rig = gateway_of_two_zones();
     let peer = SessionId(9);
-    rig.event(
-        at(0),
-        GatewayEvent::PeerOpened {
-            session: peer,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(0), peer);
     let known = evacuations(5, &["here"]);
     rig.event(at(1), GatewayEvent::Evacuations(known.clone()));
     let told: Vec<SessionId> = rig
@@ -66,15 +60,9 @@
 fn what_a_peer_knows_counts_and_what_comes_late_does_not() {
     let mut rig = gateway_of_two_zones();
     let session = SessionId(9);
-    rig.event(
-        at(0),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(0), session);
     let message = ToPeer::Evacuations(evacuations(7, &["here"]));
-    rig.event(at(1), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(1), session, message);
     let late = GatewayEvent::Evacuations(evacuations(6, &[]));
     rig.event(at(2), late);
     rig.submit(at(10), 1, job(1, 1, 100));
@@ -98,17 +86,11 @@
 fn what_a_peer_confirms_is_not_passed_on() {
     let mut rig = gateway_of_two_zones();
     let session = SessionId(9);
-    rig.event(
-        at(0),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(0), session);
     rig.event(at(1), GatewayEvent::Evacuations(evacuations(5, &["here"])));
     rig.evacuations.clear();
     let message = ToPeer::Evacuations(evacuations(9, &["here"]));
-    rig.event(at(2), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(2), session, message);
     assert!(rig.evacuations.is_empty());
 }
 
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -407,17 +407,11 @@
     let mut rig = GatewayRig::new();
     rig.join(at(0), 1, "agent-1", cpu(1_000));
     let session = SessionId(50);
-    rig.event(
-        at(0),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(0), session);
     let message = ToPeer::Cancelled(vec![JobId(1)]);
     let told_at = |rig: &mut GatewayRig, millis| {
         let message = message.clone();
-        rig.event(at(millis), GatewayEvent::PeerMessage { session, message });
+        rig.hear_peer(at(millis), session, message);
     };
     if told < 10 {
         told_at(&mut rig, told);
@@ -437,26 +431,14 @@
 fn a_cancel_of_an_unknown_job_is_passed_on_also_to_peers_that_come_later() {
     let mut rig = GatewayRig::new();
     let peers = [50, 51].map(SessionId);
-    rig.event(
-        at(0),
-        GatewayEvent::PeerOpened {
-            session: peers[0],
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(0), peers[0]);
     let cancel = GatewayEvent::Cancel {
         call: CallNumber(1),
         job: JobId(1),
     };
     rig.event(at(10), cancel);
     assert_eq!(rig.last_answer(), Some(Answer::Unknown));
-    rig.event(
-        at(3_000),
-        GatewayEvent::PeerOpened {
-            session: peers[1],
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(3_000), peers[1]);
     for peer in peers {
         let is_told = |(session, message): &(SessionId, ToPeer)| {
             *session == peer && matches!(message, ToPeer::Cancelled(jobs) if *jobs == [JobId(1)])
--- a/laurelstile-core/tests/leased_members.rs
+++ b/laurelstile-core/tests/leased_members.rs
@@ -26,15 +26,9 @@
 
 fn meet(rig: &mut GatewayRig, now: Timestamp, number: u64) {
     let session = SessionId(1_000 + number);
-    rig.event(
-        now,
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(now, session);
     let message = ToPeer::Introduction(Introduction::new(&other(number), Digest::default()));
-    rig.event(now, GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(now, session, message);
 }
 
 fn lose(rig: &mut GatewayRig, now: Timestamp, number: u64) {
--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -246,20 +246,14 @@
 fn a_directory_that_keeps_differing_is_asked_for_once() {
     let mut rig = GatewayRig::new();
     let session = SessionId(50);
-    rig.event(
-        at(1),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(1), session);
     let introduction = Introduction::new(&member(1), Directory::new(member(9)).digest());
     let message = ToPeer::Introduction(introduction);
-    rig.event(at(1), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(1), session, message);
     for millis in (10..30_000).step_by(100) {
         rig.tick(at(millis));
         let message = ToPeer::Members(Vec::new());
-        rig.event(at(millis), GatewayEvent::PeerMessage { session, message });
+        rig.hear_peer(at(millis), session, message);
     }
     let asked = rig.to_peers.iter();
     let asked = asked.filter(|(_, message)| matches!(message, ToPeer::MembersWanted(_)));
@@ -270,21 +264,15 @@
 fn a_gateway_of_an_earlier_build_is_told_the_list_and_nothing_that_it_cannot_read() {
     let mut rig = GatewayRig::new();
     let session = SessionId(50);
-    rig.event(
-        at(1),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(1), session);
     let introduction = Introduction {
         directory: None,
         ..Introduction::new(&member(1), Digest::default())
     };
     let message = ToPeer::Introduction(introduction);
-    rig.event(at(1), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(1), session, message);
     let message = ToPeer::Members(vec![member(2), member(3)]);
-    rig.event(at(2), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(2), session, message);
     rig.pass_time(100, 5_000);
     let is_old =
         |message: &ToPeer| !matches!(message, ToPeer::Digest(_) | ToPeer::MembersWanted(_));
@@ -404,15 +392,9 @@
 fn an_agent_is_told_only_what_it_does_not_know() {
     let mut rig = GatewayRig::new();
     let session = SessionId(50);
-    rig.event(
-        at(1),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(1), session);
     let message = ToPeer::Members((1..40).map(member).collect());
-    rig.event(at(2), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(2), session, message);
     rig.join(at(10), 1, "agent-1", cpu(1_000));
     let told = rig.members.pop().expect("it is told").1;
     assert!(told.len() <= 30, "{}", told.len());
@@ -465,13 +447,7 @@
     let mut rig = GatewayRig::new();
     for number in [50, 51, 52] {
         let session = SessionId(number);
-        rig.event(
-            at(1),
-            GatewayEvent::PeerOpened {
-                session,
-                is_dialed: false,
-            },
-        );
+        rig.open_peer(at(1), session);
     }
     rig.to_peers.clear();
     let crash = laurelstile_core::leased::crashes::WorkerCrash {
@@ -485,7 +461,7 @@
     let session = SessionId(51);
     for millis in [2, 3] {
         let message = ToPeer::Crashes(vec![crash.clone()]);
-        rig.event(at(millis), GatewayEvent::PeerMessage { session, message });
+        rig.hear_peer(at(millis), session, message);
     }
     let told = rig.to_peers.iter();
     let told = told.filter(|(_, message)| matches!(message, ToPeer::Crashes(_)));
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -293,17 +293,11 @@
 fn a_job_cancelled_while_its_gateway_stood_still_is_not_started() {
     let mut rig = GatewayRig::new();
     let session = SessionId(90);
-    rig.event(
-        at(1),
-        GatewayEvent::PeerOpened {
-            session,
-            is_dialed: false,
-        },
-    );
+    rig.open_peer(at(1), session);
     rig.join(at(1), 7, "agent-7", cpu(1_000));
     rig.submit(at(1_500), 1, job(1, 1, 200));
     let message = ToPeer::Cancelled(vec![JobId(1)]);
-    rig.event(at(1_501), GatewayEvent::PeerMessage { session, message });
+    rig.hear_peer(at(1_501), session, message);
     rig.tick(at(1_700));
     assert!(rig.starts.is_empty());
     assert_eq!(rig.last_answer(), Some(Answer::Cancelled));
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -137,6 +137,17 @@
         }
     }
 
+    /// A peer dials, and its session is open.
+    pub fn open_peer(&mut self, now: Timestamp, session: SessionId) {
+        let is_dialed = false;
+        self.event(now, GatewayEvent::PeerOpened { session, is_dialed });
+    }
+
+    /// A peer sends a message.
+    pub fn hear_peer(&mut self, now: Timestamp, session: SessionId, message: ToPeer) {
+        self.event(now, GatewayEvent::PeerMessage { session, message });
+    }
+
     /// An agent joins with a session of that number and a worker of so much
     /// room.
     pub fn join(&mut self, now: Timestamp, session: u64, name: &str, capacity: Room) {
--- a/laurelstile-sim/src/fleet/dials.rs
+++ b/laurelstile-sim/src/fleet/dials.rs
@@ -33,11 +33,6 @@
         }
     }
 
-    /// The seeds.
-    pub fn seeds(&self) -> &[usize] {
-        &self.seeds
-    }
-
     /// Wants a session; `true` if dialing has to begin.
     pub fn want(&mut self, machine: usize) -> bool {
         if let Some(dial) = self.dials.get_mut(&machine) {
