Gateway: log a resubmission that finds earlier runs pending

No log line told two runs ordered by one gateway from two gateways that hold one job. A gateway now logs earlier_runs_pending, with the number of runs, when it admits a job whose tasks it still has at agents from an earlier submission.

--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -303,6 +303,13 @@
         /// Time since the caller sent the job.
         age: Span,
     },
+    /// A job was admitted while agents had not reported the end of runs of an earlier submission.
+    EarlierRunsPending {
+        /// Id of the job.
+        job: JobId,
+        /// Number of these runs.
+        runs: usize,
+    },
     /// An agent was silent for so long that its tasks are considered lost.
     AgentExpired {
         /// Name of the agent.
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -73,6 +73,7 @@
                 .as_ref()
                 .map_or(0, |configuration| configuration.version),
         }));
+        self.log_earlier_runs(id, effects);
         self.calls.insert(call, id);
         self.waiting.insert((job.latest_start, id));
         self.timers.insert((job.refuse_at, id));
@@ -83,6 +84,16 @@
         }
     }
 
+    /// Logs runs of an earlier submission of the job whose end has not been reported.
+    fn log_earlier_runs(&self, job: JobId, effects: &mut Vec<GatewayEffect>) {
+        let runs = self.workers.values().flat_map(|worker| worker.runs_of(job));
+        let runs = runs.count();
+        if runs > 0 {
+            let decision = GatewayDecision::EarlierRunsPending { job, runs };
+            effects.push(GatewayEffect::Decided(decision));
+        }
+    }
+
     /// The outcome of an earlier submission of the job, if it is known to be cancelled or to
     /// have failed.
     fn known_outcome(&self, now: Timestamp, id: JobId) -> Option<Answer> {
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -7,7 +7,7 @@
 use super::super::evacuation::Evacuations;
 use super::super::messages::{Offer, Report, Snapshot};
 use super::super::resources::Resources;
-use super::super::task::{JobId, RunNumber, TaskId};
+use super::super::task::{JobId, RunId, RunNumber, TaskId};
 use super::super::timing::{
     AGENT_EXPIRY, BUSY_HEARTBEAT_INTERVAL, BUSY_SUSPECT_AFTER, IDLE_SUSPECT_AFTER,
 };
@@ -117,6 +117,15 @@
         tasks
     }
 
+    /// The runs of a job's tasks at the agent that have not ended.
+    pub fn runs_of(&self, job: JobId) -> impl Iterator<Item = RunId> {
+        let own = self.tasks.iter().filter(move |(task, _)| task.job == job);
+        own.map(|(task, run)| RunId {
+            task: *task,
+            run: *run,
+        })
+    }
+
     /// Records a placed task.
     pub fn add_task(&mut self, task: TaskId, run: RunNumber) {
         self.unwanted.remove(&task);
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -124,6 +124,9 @@
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
             }
+            GatewayDecision::EarlierRunsPending { job, runs } => {
+                log::info!(event = "earlier_runs_pending", job:% = job, runs = *runs; "job submitted again before its earlier runs ended");
+            }
             GatewayDecision::AgentExpired {
                 agent,
                 tasks,
