Failing tests: runs of earlier submissions beside those of resubmissions

A gateway numbers the runs of each submission from 1, and neither gateways nor agents compare anything else when an end or an answer arrives. The tests play orders of events in which a task is placed while a run of an earlier submission continues, or in which the end of one run is taken for that of another.

No logic is changed.

--- /dev/null
+++ b/laurelstile-core/tests/leased_resubmitted_runs.rs
@@ -0,0 +1,226 @@
+//! Resubmitted jobs whose tasks may still run for an earlier submission.
+//!
+//! A caller resubmits its job under the same id, and run numbers begin at 1 again. The tests
+//! guard against a task that is placed while a run of an earlier submission continues, and
+//! against the end of such a run being taken for the end of the current one.
+
+mod leased_support;
+
+use laurelstile_core::leased::agent::worker::Rejection;
+use laurelstile_core::leased::gateway::GatewayEvent;
+use laurelstile_core::leased::gateway::job::CallNumber;
+use laurelstile_core::leased::messages::ToAgentBody;
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason, TaskEnd};
+use laurelstile_core::leased::task::RunNumber;
+use laurelstile_core::session::{Remote, SessionId};
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
+use leased_support::{AgentRig, GatewayRig, at, cpu, job, lists, run, task};
+use rstest::rstest;
+
+/// The sessions of the agent that the first submission's task was placed on, and of others.
+const FIRST_AGENT: u64 = 7;
+const SECOND_AGENT: u64 = 8;
+const THIRD_AGENT: u64 = 9;
+
+/// A gateway whose caller's connection broke at 50 ms, while the job's task ran at one agent. This
+/// agent was last heard at 150 ms and has not confirmed the stop. The caller has resubmitted the
+/// job at 1,350 ms, and its task was placed at another agent. A third one has free resources.
+fn gateway_with_a_resubmitted_job() -> GatewayRig {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), FIRST_AGENT, "agent-7", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    let (session, _) = rig.next_start();
+    assert_eq!(session, SessionId(FIRST_AGENT));
+    rig.join(at(20), SECOND_AGENT, "agent-8", cpu(1_000));
+    let call = CallNumber(1);
+    rig.event(at(50), GatewayEvent::CallerDisconnected { call });
+    assert_eq!(rig.stops, [task(1, 0)]);
+    let heartbeat = FromAgentBody::Heartbeat;
+    rig.report(at(150), FIRST_AGENT, 1, cpu(0), heartbeat.clone());
+    for millis in (250..1_350).step_by(100) {
+        rig.report(at(millis), SECOND_AGENT, 0, cpu(1_000), heartbeat.clone());
+    }
+    rig.submit(at(1_350), 2, job(1, 1, 2_000));
+    let (session, _) = rig.next_start();
+    assert_eq!(session, SessionId(SECOND_AGENT));
+    rig.join(at(1_360), THIRD_AGENT, "agent-9", cpu(1_000));
+    rig
+}
+
+/// Both runs have number 1. The second one still runs when the first one is known to have ended.
+#[rstest]
+#[case::reported_by_the_agent(|rig: &mut GatewayRig| {
+    let end = TaskEnd {
+        number: 1,
+        task: task(1, 0),
+        run: RunNumber(1),
+        how: EndKind::Stopped,
+    };
+    let ends = FromAgentBody::Ends(vec![end]);
+    rig.report(at(1_400), FIRST_AGENT, 1, cpu(1_000), ends);
+})]
+#[case::missing_from_a_snapshot(|rig: &mut GatewayRig| {
+    rig.lose_session(at(1_390), FIRST_AGENT);
+    rig.rejoin(at(1_400), FIRST_AGENT, 71, cpu(1_000), Vec::new());
+})]
+#[case::next_agent_process(|rig: &mut GatewayRig| {
+    rig.join(at(1_400), 72, "agent-7", cpu(1_000));
+})]
+#[case::silence_of_the_agent(|rig: &mut GatewayRig| rig.tick(at(1_420)))]
+fn the_end_of_an_abandoned_run_does_not_end_the_run_of_a_resubmission(
+    #[case] end_first_run: fn(&mut GatewayRig),
+) {
+    let mut rig = gateway_with_a_resubmitted_job();
+    end_first_run(&mut rig);
+    rig.tick(at(1_430));
+    assert!(
+        rig.starts.is_empty(),
+        "started while the second run continues"
+    );
+}
+
+/// An agent that runs a task for another gateway, whose caller has resubmitted the job to this
+/// one. The worker answers watches but no stops, so the run continues until its lease expires.
+#[test]
+fn a_duplicate_is_not_placed_elsewhere_while_the_earlier_run_continues() {
+    let (mut agent, mut gateway) = (AgentRig::with_worker(cpu(1_000)), GatewayRig::new());
+    let batch = agent.batch(1, 1, 4);
+    agent.message(at(10), batch);
+    let earlier = agent.take_starts()[0];
+    agent.answer_start(at(11), earlier, None);
+    let (incarnation, session) = (Incarnation(9), SessionId(90));
+    agent.open(at(12), session, incarnation);
+    gateway.join(at(12), FIRST_AGENT, "agent-7", cpu(1_000));
+    gateway.submit(at(20), 1, job(1, 1, 2_000));
+    let (_, batch) = gateway.next_start();
+    gateway.join(at(21), SECOND_AGENT, "agent-8", cpu(1_000));
+    agent.message_from(at(21), session, ToAgentBody::Start(batch));
+    let ends = agent
+        .sent
+        .iter()
+        .find_map(|(to, message)| match &message.body {
+            FromAgentBody::Ends(ends) if *to == session => Some(ends.clone()),
+            _ => None,
+        });
+    let ends = ends.expect("the start is refused");
+    let duplicate = EndKind::NotStarted(NotStartedReason::Duplicate);
+    assert_eq!(ends[0].how, duplicate);
+    gateway.report(at(22), FIRST_AGENT, 1, cpu(0), FromAgentBody::Ends(ends));
+    for (millis, percent) in (30..400).step_by(10).zip(1..) {
+        for stop in agent.take_stops() {
+            agent.answer_stop(at(millis), stop, false);
+        }
+        agent.answer_watch(at(millis), lists(&[(earlier, percent)], &[]));
+        agent.message(at(millis), ToAgentBody::Heartbeat);
+        gateway.tick(at(millis));
+        assert_eq!(agent.machine.run_count(), 1);
+        let is_started = !gateway.starts.is_empty();
+        assert!(!is_started, "started at {millis} ms beside the earlier run");
+    }
+}
+
+/// The caller's connection broke at 100 ms, and the gateway will learn of it from its connection
+/// probes at 3 s. The caller resubmits the job to another gateway after 1.3 s.
+#[test]
+fn a_job_does_not_run_at_two_gateways() {
+    let (mut first, mut second) = (GatewayRig::new(), GatewayRig::new());
+    let (peer_of_first, peer_of_second) = (SessionId(90), SessionId(91));
+    first.open_peer(at(1), peer_of_first);
+    second.open_peer(at(1), peer_of_second);
+    first.join(at(2), FIRST_AGENT, "agent-7", cpu(1_000));
+    second.join(at(2), SECOND_AGENT, "agent-8", cpu(1_000));
+    first.submit(at(10), 1, job(1, 1, 3_000));
+    first.next_start();
+    for millis in (100..1_400).step_by(100) {
+        let heartbeat = FromAgentBody::Heartbeat;
+        first.report(at(millis), FIRST_AGENT, 1, cpu(0), heartbeat.clone());
+        second.report(at(millis), SECOND_AGENT, 0, cpu(1_000), heartbeat);
+    }
+    second.submit(at(1_400), 1, job(1, 1, 3_000));
+    let exchange = |from: &mut GatewayRig, to: &mut GatewayRig, session, now| {
+        for (_, message) in std::mem::take(&mut from.to_peers) {
+            to.peer_message(now, session, message);
+        }
+    };
+    for millis in (1_401..1_500).step_by(10) {
+        exchange(&mut second, &mut first, peer_of_first, at(millis));
+        exchange(&mut first, &mut second, peer_of_second, at(millis));
+        let heartbeat = FromAgentBody::Heartbeat;
+        first.report(at(millis), FIRST_AGENT, 1, cpu(0), heartbeat.clone());
+        second.report(at(millis), SECOND_AGENT, 1, cpu(1_000), heartbeat);
+    }
+    let is_stopped = first.stops.contains(&task(1, 0));
+    assert!(
+        is_stopped || second.starts.is_empty(),
+        "both gateways have the task started"
+    );
+}
+
+/// The stop of an abandoned task was lost with its session. The agent sends no snapshot, because
+/// it is stopping runs that it does not know, and the gateway's echoes keep the task's run alive.
+#[test]
+fn an_abandoned_task_is_stopped_on_a_session_without_a_snapshot() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), FIRST_AGENT, "agent-7", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    rig.next_start();
+    rig.lose_session(at(50), FIRST_AGENT);
+    let call = CallNumber(1);
+    rig.event(at(60), GatewayEvent::CallerDisconnected { call });
+    let opened = GatewayEvent::AgentOpened {
+        session: SessionId(71),
+        remote: Remote {
+            name: "agent-7".into(),
+            incarnation: Incarnation(FIRST_AGENT),
+            uptime: Span::default(),
+        },
+    };
+    rig.event(at(100), opened);
+    rig.echoes.clear();
+    for millis in (100..600).step_by(100) {
+        rig.report(at(millis), 71, 0, cpu(0), FromAgentBody::Heartbeat);
+    }
+    assert!(!rig.echoes.is_empty(), "the echoes renew the run");
+    assert_eq!(rig.stops, [task(1, 0)]);
+}
+
+/// The previous process of an agent completed its handshake just before it was killed, and the
+/// gateway reads this only after the next process has joined.
+#[test]
+fn a_late_session_of_an_ended_agent_does_not_end_runs_of_the_next_one() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), SECOND_AGENT, "agent-7", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    rig.next_start();
+    rig.join(at(20), FIRST_AGENT, "agent-7", cpu(1_000));
+    assert!(
+        rig.starts.is_empty(),
+        "started beside the run at the next agent"
+    );
+}
+
+/// Agents know a run by its task and number, and each gateway numbers its runs from 1. Commands
+/// wait for a free connection, so the answer to a start may arrive after its lease has expired and
+/// another gateway has requested the same task.
+#[test]
+fn the_answer_to_an_expired_start_does_not_end_the_run_of_another_gateway() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    assert_eq!(rig.take_starts(), [run(1, 0)]);
+    for millis in [40, 70] {
+        rig.time_out_watch(at(millis));
+    }
+    rig.tick(at(900));
+    assert_eq!(rig.ends().len(), 1, "the lease has expired");
+    rig.answer_watch(at(910), lists(&[], &[]));
+    let (gateway, session) = (Incarnation(9), SessionId(90));
+    rig.open(at(920), session, gateway);
+    let batch = rig.batch(1, 1, 4);
+    rig.message_from(at(921), session, batch);
+    assert_eq!(rig.take_starts(), [run(1, 0)]);
+    let late = Some(Rejection::LeaseExpired);
+    rig.answer_start(at(922), run(1, 0), late);
+    assert_eq!(rig.machine.run_count(), 1, "the second start is unanswered");
+}
