Failing test: the lease is renewed for a run that the agent cannot stop

Only runs that the agent knows hold back the renewal of the lease. A run that it does not know, and that the worker does not stop, lives as long as any other run there.

No logic is changed.

--- a/laurelstile-core/tests/leased_end_proofs.rs
+++ b/laurelstile-core/tests/leased_end_proofs.rs
@@ -8,8 +8,9 @@
 use laurelstile_core::leased::agent::worker::{Rejection, RunLists, WorkerEndKind};
 use laurelstile_core::leased::agent::{AgentEvent, CommandAnswer};
 use laurelstile_core::leased::messages::{FromAgentBody, ToAgentBody};
+use laurelstile_core::leased::timing::RUNS_OVER_AFTER;
 use laurelstile_core::session::SessionId;
-use leased_support::{AgentRig, GATEWAY, at, cpu, lists, run};
+use leased_support::{AgentRig, GATEWAY, at, cpu, lists, run, worker_clock};
 use rstest::rstest;
 
 /// The start is carried out after the stop was rejected: an unhealthy worker does nothing, and
@@ -120,3 +121,27 @@
     rig.answer_watch(at(61), lists(&[(started, 40)], &[]));
     assert!(rig.ends().is_empty(), "the run continues");
 }
+
+/// A run that the agent does not know may have been reported as ended and started elsewhere. The
+/// worker answers watches but no stops; other runs must not renew the lease for this one.
+#[test]
+fn an_unknown_run_that_is_not_stopped_holds_back_the_lease() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let known = rig.take_starts()[0];
+    rig.answer_start(at(11), known, None);
+    let listed_at = at(20);
+    let bound = worker_clock(listed_at.after(RUNS_OVER_AFTER));
+    for millis in (20..1_500).step_by(10) {
+        rig.message(at(millis), ToAgentBody::Heartbeat);
+        for stop in rig.take_stops() {
+            rig.answer_stop(at(millis), stop, false);
+        }
+        let latest = rig.leases().into_iter().max();
+        assert!(latest <= Some(bound), "at {millis} ms: {latest:?}");
+        let percent = 60 + u32::try_from(millis / 50).expect("a percentage");
+        let running = [(known, percent), (run(9, 0), 1)];
+        rig.answer_watch(at(millis), lists(&running, &[]));
+    }
+}
