--- a/laurelstile-core/tests/leased_end_proofs.rs
+++ b/laurelstile-core/tests/leased_end_proofs.rs
@@ -145,3 +145,15 @@
         rig.answer_watch(at(millis), lists(&running, &[]));
     }
 }
+
+/// A gateway takes the tasks that are missing from the first snapshot of a session for ended, so a
+/// start that was sent on an earlier session must have no effect afterwards.
+#[test]
+fn a_start_on_a_replaced_session_has_no_effect() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    rig.open(at(10), SessionId(71), GATEWAY);
+    let batch = rig.batch(1, 1, 4);
+    rig.message_from(at(11), SessionId(70), batch);
+    assert!(rig.take_starts().is_empty());
+    assert_eq!(rig.machine.run_count(), 0);
+}
--- a/laurelstile-core/tests/leased_timing.rs
+++ b/laurelstile-core/tests/leased_timing.rs
@@ -39,3 +39,22 @@
     estimate.update(Timestamp(2_000_000), WorkerClock(1_960));
     assert!(estimate.lower_bound(Timestamp(1_500_000)) <= WorkerClock(1_470));
 }
+
+/// A reading that was delayed on the way is lower than the clock; it must not lengthen a lease,
+/// whether it is used or ignored.
+#[rstest]
+fn a_delayed_reading_is_never_ahead_of_the_clock(
+    #[values(100, 900, 1_100, 5_000)] received_millis: u64,
+    #[values(0, 50, 2_000)] delay_millis: u64,
+) {
+    let clock_at = |millis: u64| 10_000 + millis * 98 / 100;
+    let mut estimate = ClockEstimate::default();
+    estimate.update(Timestamp(0), WorkerClock(clock_at(0)));
+    let taken_millis = received_millis.saturating_sub(delay_millis);
+    let received = Timestamp(received_millis * 1_000);
+    estimate.update(received, WorkerClock(clock_at(taken_millis)));
+    for later_millis in [received_millis, received_millis + 500] {
+        let bound = estimate.lower_bound(Timestamp(later_millis * 1_000));
+        assert!(bound.0 <= clock_at(later_millis), "at {later_millis} ms");
+    }
+}
