--- a/laurelstile-core/tests/leased_resubmitted_runs.rs
+++ b/laurelstile-core/tests/leased_resubmitted_runs.rs
@@ -224,3 +224,35 @@
     rig.answer_start(at(922), run(1, 0), late);
     assert_eq!(rig.machine.run_count(), 1, "the second start is unanswered");
 }
+
+/// The gateway is slow and reads the end of the caller's connection together with the resubmission,
+/// 1.3 s later. The stop of the earlier run takes until 1,400 ms.
+#[test]
+fn a_resubmission_is_not_placed_while_the_earlier_run_continues() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), FIRST_AGENT, "agent-7", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    rig.next_start();
+    rig.join(at(20), SECOND_AGENT, "agent-8", cpu(1_000));
+    let heartbeat = FromAgentBody::Heartbeat;
+    for millis in (100..1_350).step_by(50) {
+        rig.report(at(millis), FIRST_AGENT, 1, cpu(0), heartbeat.clone());
+        rig.report(at(millis), SECOND_AGENT, 0, cpu(1_000), heartbeat.clone());
+    }
+    let call = CallNumber(1);
+    rig.event(at(1_350), GatewayEvent::CallerDisconnected { call });
+    rig.submit(at(1_350), 2, job(1, 1, 2_000));
+    for millis in (1_351..1_400).step_by(10) {
+        rig.report(at(millis), FIRST_AGENT, 1, cpu(0), heartbeat.clone());
+        assert!(rig.starts.is_empty(), "started at {millis} ms or before");
+    }
+    let end = TaskEnd {
+        number: 1,
+        task: task(1, 0),
+        run: RunNumber(1),
+        how: EndKind::Stopped,
+    };
+    let ends = FromAgentBody::Ends(vec![end]);
+    rig.report(at(1_400), FIRST_AGENT, 1, cpu(1_000), ends);
+    assert_eq!(rig.starts.len(), 1);
+}
