Agent: numbers of ends rise also after a gateway was forgotten

An agent forgets a gateway after 4 s of silence or one refused connection, and numbered its ends from 1 again. A gateway process that was only frozen or cut off ignores numbers that it has received before and acknowledges them, which discards the ends: the job stays open until its deadline, and the entry of the run stays behind at the gateway, where it made the attribution of ends to the wrong run likely.

--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -87,6 +87,8 @@
     has_overdue_stop: bool,
     evacuations: Evacuations,
     owners: BTreeMap<Incarnation, Owner>,
+    /// Highest number of an end that was queued for a gateway forgotten since.
+    last_forgotten_end: u64,
     sessions: BTreeMap<SessionId, Incarnation>,
     stopping_since: Option<Timestamp>,
     has_reported_stop: bool,
@@ -112,6 +114,7 @@
             has_overdue_stop: false,
             evacuations: Evacuations::default(),
             owners: BTreeMap::new(),
+            last_forgotten_end: 0,
             sessions: BTreeMap::new(),
             stopping_since: None,
             has_reported_stop: false,
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -88,8 +88,8 @@
 }
 
 impl Owner {
-    /// A gateway first seen at `now`.
-    pub fn new(now: Timestamp) -> Self {
+    /// A gateway first seen at `now`, whose ends are numbered above `last_number`.
+    pub fn new(now: Timestamp, last_number: u64) -> Self {
         Self {
             session: None,
             opened: now,
@@ -105,7 +105,7 @@
             last_crash_sent: 0,
             ends: VecDeque::new(),
             unsent: 0,
-            last_number: 0,
+            last_number,
             announced: BTreeMap::new(),
             offers: Vec::new(),
             last_offer: 0,
@@ -242,6 +242,11 @@
         }
     }
 
+    /// Number of the newest end.
+    pub fn last_number(&self) -> u64 {
+        self.last_number
+    }
+
     /// Drops the ends up to `number`.
     pub fn acknowledge(&mut self, number: u64) {
         while self.ends.front().is_some_and(|end| end.number <= number) {
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -41,7 +41,7 @@
         let owner = self
             .owners
             .entry(gateway)
-            .or_insert_with(|| Owner::new(now));
+            .or_insert_with(|| Owner::new(now, self.last_forgotten_end));
         // A new session of the same incarnation replaces the old one.
         if let Some(old) = owner.session {
             self.sessions.remove(&old);
@@ -87,7 +87,15 @@
         effects: &mut Vec<AgentEffect>,
     ) {
         self.stop_runs_of(now, gateway, effects);
-        self.owners.remove(&gateway);
+        self.forget_gateway(gateway);
+    }
+
+    /// Forgets a gateway. Its process may still be running and connect again; it ignores ends with
+    /// numbers that it has received before.
+    pub(super) fn forget_gateway(&mut self, gateway: Incarnation) {
+        if let Some(owner) = self.owners.remove(&gateway) {
+            self.last_forgotten_end = self.last_forgotten_end.max(owner.last_number());
+        }
     }
 
     pub(super) fn on_message(
--- a/laurelstile-core/src/leased/agent/timeouts.rs
+++ b/laurelstile-core/src/leased/agent/timeouts.rs
@@ -43,7 +43,7 @@
                 .get(&gateway)
                 .is_some_and(|owner| owner.session.is_none() && owner.echo_age(now) > OWNER_TTL);
             if is_expired && !self.owns_runs(gateway) {
-                self.owners.remove(&gateway);
+                self.forget_gateway(gateway);
             }
         }
     }
