Agent: a stop that the worker rejects is not taken for done

A start without an answer is void once its stop was answered. Any answer counted, also 429, 503 and other rejections, after which an unhealthy worker has done nothing: the start could still take effect after its run was reported as not started and placed elsewhere, and the stop was not sent again.

--- a/laurelstile-core/src/leased/agent/stopping.rs
+++ b/laurelstile-core/src/leased/agent/stopping.rs
@@ -107,36 +107,52 @@
                 if failure == CommandError::ConnectionRefused {
                     self.watch_at_once(now);
                 }
-                if self.runs.run(id).is_some() {
-                    self.runs.update(id.task, |run| {
-                        run.retry_stop_at = Some(now.after(stop_retry_delay(run, now)));
-                        run.unanswered_stops += 1;
-                    });
-                    self.log_unanswered_stop(now, id, effects);
-                }
+                self.on_stop_without_effect(now, id, effects);
             }
             Ok(CommandAnswer { clock, rejection }) => {
                 self.update_clock(now, clock);
-                if rejection == Some(Rejection::Fenced) {
-                    self.raise_token();
-                    self.send_command(CommandKind::Stop { run: id }, effects);
-                    return;
+                match rejection {
+                    Some(Rejection::Fenced) => {
+                        self.raise_token();
+                        self.send_command(CommandKind::Stop { run: id }, effects);
+                    }
+                    // The worker does not start a run that it rejects as old.
+                    None | Some(Rejection::OldRun) => self.on_stop_carried_out(now, id),
+                    Some(_) => self.on_stop_without_effect(now, id, effects),
                 }
-                let Some(RunState::Stopping { reason, since, .. }) =
-                    self.runs.run(id).map(|run| run.state)
-                else {
-                    return;
-                };
-                let state = RunState::Stopping {
-                    reason,
-                    since,
-                    answered: Some(now),
-                };
-                self.runs.set_state(id.task, state);
             }
         }
     }
 
+    fn on_stop_carried_out(&mut self, now: Timestamp, id: RunId) {
+        let Some(RunState::Stopping { reason, since, .. }) = self.runs.run(id).map(|run| run.state)
+        else {
+            return;
+        };
+        let state = RunState::Stopping {
+            reason,
+            since,
+            answered: Some(now),
+        };
+        self.runs.set_state(id.task, state);
+    }
+
+    /// Has a stop sent again that was not answered, or that the worker rejected.
+    fn on_stop_without_effect(
+        &mut self,
+        now: Timestamp,
+        id: RunId,
+        effects: &mut Vec<AgentEffect>,
+    ) {
+        if self.runs.run(id).is_some() {
+            self.runs.update(id.task, |run| {
+                run.retry_stop_at = Some(now.after(stop_retry_delay(run, now)));
+                run.unanswered_stops += 1;
+            });
+            self.log_unanswered_stop(now, id, effects);
+        }
+    }
+
     /// Logs, once per run, that its stop takes longer than it may.
     fn log_unanswered_stop(&mut self, now: Timestamp, id: RunId, effects: &mut Vec<AgentEffect>) {
         let Some(run) = self.runs.run(id) else {
