Agent: a token raised after a rejection exceeds the previous agent's

An agent whose token was rejected as too low raises it until it is accepted. The accepted token may equal that of the previous agent, and a worker rejects only lower ones, so a delayed start of the previous agent still took effect although its run had been reported as ended. It needs a wall clock that was set back by just the right amount. The agent now raises its token once more after the first watch that is accepted, and takes no list as current before the next one. a_token_that_was_fenced_off_exceeds_that_of_the_previous_agent failed before and passes. a_recorded_worker_is_used_before_its_first_heartbeat answers this second watch too and checks its token; what it demanded it still does.

--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -305,6 +305,28 @@
         if let Some(worker) = &mut self.worker {
             let step = 1 << worker.fenced.min(MAX_TOKEN_DOUBLINGS);
             worker.fenced += 1;
+            worker.has_contested_token = true;
+            self.raise_token_by(step);
+        }
+    }
+
+    /// Raises the token above one that was accepted after others had been rejected: it may equal
+    /// that of an earlier agent, whose delayed commands would take effect. Returns whether the
+    /// token was raised.
+    pub(super) fn exceed_contested_token(&mut self) -> bool {
+        let Some(worker) = &mut self.worker else {
+            return false;
+        };
+        let is_contested = std::mem::take(&mut worker.has_contested_token);
+        if is_contested {
+            worker.wants_watch = true;
+            self.raise_token_by(1);
+        }
+        is_contested
+    }
+
+    fn raise_token_by(&mut self, step: u64) {
+        if let Some(worker) = &mut self.worker {
             worker.token = FenceToken(worker.token.0 + step);
             self.token = self.token.max(worker.token);
         }
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -139,7 +139,9 @@
         match answer.lists {
             Ok(lists) => {
                 self.confirm_acknowledged();
-                self.on_lists(now, queried_at, &lists, effects);
+                if !self.exceed_contested_token() {
+                    self.on_lists(now, queried_at, &lists, effects);
+                }
             }
             Err(Rejection::Fenced) => self.raise_token(),
             Err(_) => {}
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -43,6 +43,8 @@
     pub token: FenceToken,
     /// Number of commands rejected as fenced.
     pub fenced: u32,
+    /// Whether a command was rejected as fenced since the worker last accepted a watch.
+    pub has_contested_token: bool,
     /// Whether the incarnation has announced its shutdown.
     pub draining: bool,
     pub clock: ClockEstimate,
@@ -153,6 +155,7 @@
             labels: registration.labels,
             token: self.token,
             fenced: 0,
+            has_contested_token: false,
             draining: registration.draining,
             clock,
             last_seen: 0,
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -465,7 +465,13 @@
     let fenced = rig.last_token();
     rig.answer_watch_as(at(5_001), Err(Rejection::Fenced));
     rig.tick(at(5_002));
-    assert!(rig.last_token() > fenced);
+    let accepted = rig.last_token();
+    assert!(accepted > fenced);
+    rig.answer_watch(at(5_002), RunLists::default());
+    assert!(
+        rig.last_token() > accepted,
+        "the accepted token may not be unique"
+    );
     rig.answer_watch(at(5_003), RunLists::default());
     assert!(!rig.is_available(), "its capacity may have shrunk");
     let silence = Span::from_millis(300);
