Agent: runs that it does not know hold back the lease

A run that the agent does not know, for example one that a delayed start began after it had been reported as ended, is stopped as soon as it is listed. If the worker answers watches but no stops, other runs renewed the lease for it too, and it could run on beside its repetition.

--- a/laurelstile-core/src/leased/agent/lease.rs
+++ b/laurelstile-core/src/leased/agent/lease.rs
@@ -24,8 +24,8 @@
         worker.lease_until(renewed)
     }
 
-    /// Latest time that the lease may be renewed from: until then every run belongs to a gateway
-    /// that is not silent, and no run is being stopped.
+    /// Latest time that the lease may be renewed from: until then every run is known and belongs to
+    /// a gateway that is not silent, and no run is being stopped.
     ///
     /// A run that is being stopped holds back the renewal for all others: a worker may answer
     /// watches but no stops, and the run's gateway considers the run over after
@@ -36,6 +36,11 @@
         let ends = runs
             .filter(|run| run.takes_resources())
             .map(|run| self.run_renewable_until(run));
+        let orphans = self
+            .worker
+            .iter()
+            .flat_map(|worker| worker.orphans.values());
+        let ends = ends.chain(orphans.map(|orphan| orphan.since));
         ends.min().unwrap_or(Timestamp(u64::MAX))
     }
 
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -14,7 +14,7 @@
 use super::proof::EndProof;
 use super::run_table::{Run, RunState, StopReason};
 use super::worker::{CommandError, Rejection, RunLists, WorkerEnd, WorkerEndKind};
-use super::worker_state::{IncarnationNumber, WorkerState};
+use super::worker_state::{IncarnationNumber, Orphan, WorkerState};
 use super::{AgentDecision, AgentEffect, CommandKind, IncarnationEnd, LeasedAgent, WatchAnswer};
 
 /// How long the worker may wait for a run to end before it answers.
@@ -255,12 +255,15 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        let is_due = worker
-            .orphans
-            .get(&id)
-            .is_none_or(|sent| now.since(*sent) >= ORPHAN_STOP_INTERVAL);
+        let orphan = worker.orphans.get(&id).copied();
+        let is_due =
+            orphan.is_none_or(|orphan| now.since(orphan.stop_sent) >= ORPHAN_STOP_INTERVAL);
         if is_due {
-            worker.orphans.insert(id, now);
+            let orphan = Orphan {
+                since: orphan.map_or(now, |orphan| orphan.since),
+                stop_sent: now,
+            };
+            worker.orphans.insert(id, orphan);
             self.send_command(CommandKind::Stop { run: id }, effects);
         }
     }
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -20,6 +20,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct IncarnationNumber(u64);
 
+/// A run at the worker that the agent does not know.
+#[derive(Clone, Copy, Debug)]
+pub struct Orphan {
+    /// When the worker first listed the run.
+    pub since: Timestamp,
+    /// When a stop was last sent.
+    pub stop_sent: Timestamp,
+}
+
 /// The worker's current incarnation.
 #[derive(Debug)]
 pub struct WorkerState {
@@ -67,8 +76,8 @@
     pub watch_from: Timestamp,
     /// Time from which the lease was last renewed.
     pub renewed: Timestamp,
-    /// Runs at the worker that the agent does not know, with the time when a stop was last sent.
-    pub orphans: BTreeMap<RunId, Timestamp>,
+    /// Runs at the worker that the agent does not know.
+    pub orphans: BTreeMap<RunId, Orphan>,
     /// Whether a watch is wanted, to acknowledge ended runs or to check that the worker is
     /// alive.
     pub wants_watch: bool,
