Agent: no start while an earlier start of the same run is unanswered

Agents match the answers to their commands by task and run number, and two gateways may use the same number. A start that waits long for a free connection may be answered after its lease has expired and its run was reported as lost; if another gateway has requested the same run meanwhile, the answer ended that one, which was unanswered and could still take effect. The agent now rejects such a request as old, and the gateway uses a higher number. the_answer_to_an_expired_start_does_not_end_the_run_of_another_gateway failed before.

--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -25,7 +25,7 @@
 pub mod worker;
 mod worker_state;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use laurelstile_types::id::Incarnation;
@@ -79,6 +79,9 @@
     /// were sent to an incarnation which has ended.
     held_worker_id: Option<Arc<str>>,
     runs: RunTable,
+    /// Runs whose start command has neither been answered nor failed, whether or not they are still
+    /// in `runs`.
+    pending_starts: BTreeSet<RunId>,
     health: Health,
     crash_history: CrashHistory,
     /// How long the reported capacity of the current incarnation is valid.
@@ -108,6 +111,7 @@
             past_incarnations: PastIncarnations::default(),
             held_worker_id: None,
             runs: RunTable::default(),
+            pending_starts: BTreeSet::new(),
             health: Health::default(),
             crash_history: CrashHistory::default(),
             capacity_freshness: CapacityFreshness::default(),
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -103,6 +103,15 @@
             self.stop_run(now, task, StopReason::OwnerSilent, effects);
             return Some(NotStartedReason::Duplicate);
         }
+        let id = RunId {
+            task,
+            run: run.number,
+        };
+        if self.pending_starts.contains(&id) {
+            // Two gateways may use the same number, and the answer to the earlier start could not
+            // be told from the answer to this one.
+            return Some(NotStartedReason::OldRun);
+        }
         if now.since(echo) > MAX_START_ECHO_AGE {
             return Some(NotStartedReason::StaleSender);
         }
@@ -166,6 +175,7 @@
             task,
             run: run.number,
         };
+        self.pending_starts.insert(run);
         let lease_until = self.renew(now);
         let kind = CommandKind::Start {
             run,
@@ -210,6 +220,7 @@
         answer: Result<CommandAnswer, CommandError>,
         effects: &mut Vec<AgentEffect>,
     ) {
+        self.pending_starts.remove(&id);
         if !self.is_current(incarnation) {
             self.on_late_start_answer(now, id, answer, effects);
             return;
