Gateway: stops of abandoned tasks are repeated as a session opens

An agent that is not in control of its worker sends none, while the echoes of the new session keep its runs alive: the run went on beside a resubmission of its job.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -230,8 +230,8 @@
 
     /// Handles an agent's snapshot of its worker and the tasks that it holds for this gateway.
     /// Tasks not in the first snapshot of a session have ended, as have all tasks of earlier
-    /// processes of the same name. Tasks that are held but no longer wanted are stopped;
-    /// otherwise they could run beside a resubmission of their job.
+    /// processes of the same name. Tasks that are held but not known here are stopped; otherwise
+    /// they could run beside a resubmission of their job.
     pub(super) fn on_snapshot(
         &mut self,
         now: Timestamp,
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -278,6 +278,7 @@
         worker.open_session(now, session);
         self.start_window.remove_agent(remote.incarnation);
         self.agent_sessions.insert(session, remote.incarnation);
+        self.repeat_stops(now, remote.incarnation, effects);
         self.send_evacuations_to_agent(now, session, effects);
         self.send_predecessor_silence(now, remote.incarnation, effects);
     }
@@ -393,6 +394,21 @@
         }
     }
 
+    /// Sends the stops again that may have been lost with an agent's previous session. They must not
+    /// wait for the snapshot, since the first echo already keeps the agent's runs alive.
+    fn repeat_stops(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let unwanted = self.workers.get(&agent).map(Worker::unwanted);
+        let unwanted = unwanted.unwrap_or_default();
+        if !unwanted.is_empty() {
+            self.send(now, agent, ToAgentBody::Stop(unwanted), effects);
+        }
+    }
+
     fn stop_tasks(&mut self, now: Timestamp, job: JobId, effects: &mut Vec<GatewayEffect>) {
         let workers = self.workers.iter_mut();
         let stops: Vec<(Incarnation, Vec<TaskId>)> = workers
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -117,6 +117,11 @@
         tasks
     }
 
+    /// The tasks that are to be stopped.
+    pub fn unwanted(&self) -> Vec<TaskId> {
+        self.unwanted.iter().copied().collect()
+    }
+
     /// The runs of a job's tasks at the agent that have not ended.
     pub fn runs_of(&self, job: JobId) -> impl Iterator<Item = RunId> {
         let own = self.tasks.iter().filter(move |(task, _)| task.job == job);
@@ -145,13 +150,10 @@
         not_held.map(|(task, _)| *task).collect()
     }
 
-    /// The held tasks that are not wanted: their stop could not be sent, or was lost with a
-    /// session.
+    /// The held tasks of which the gateway has no record, which are to be stopped.
     pub fn orphaned(&self, held: &[(TaskId, RunNumber)]) -> Vec<TaskId> {
-        let is_wanted = |(task, run): &&(TaskId, RunNumber)| {
-            self.tasks.get(task) == Some(run) && !self.unwanted.contains(task)
-        };
-        let orphaned = held.iter().filter(|held| !is_wanted(held));
+        let is_known = |(task, run): &&(TaskId, RunNumber)| self.tasks.get(task) == Some(run);
+        let orphaned = held.iter().filter(|held| !is_known(held));
         orphaned.map(|(task, _)| *task).collect()
     }
 
