--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -257,13 +257,29 @@
             }
             self.mark_lost(now, agent, &lost, EndSource::Snapshot, effects);
         }
-        let predecessors: Vec<Incarnation> = self
-            .workers
-            .iter()
-            .filter(|(other, worker)| **other != agent && worker.name == name)
-            .map(|(other, _)| *other)
-            .collect();
-        for old in predecessors {
+        self.end_predecessors(now, agent, &name, effects);
+    }
+
+    /// Marks as lost the tasks of earlier processes of an agent that has its worker under control.
+    /// A process with an open session may be the later one, whose predecessor's handshake was
+    /// delayed; its tasks wait until its session closes, or it has been silent for long.
+    fn end_predecessors(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        name: &str,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let others = self.workers.iter_mut();
+        let others = others.filter(|(other, worker)| **other != agent && worker.name == name);
+        let mut ended = Vec::new();
+        for (other, worker) in others {
+            worker.may_be_succeeded = true;
+            if worker.session.is_none() {
+                ended.push(*other);
+            }
+        }
+        for old in ended {
             self.mark_all_lost(now, old, EndSource::Successor, effects);
             self.workers.remove(&old);
             self.start_window.remove_agent(old);
@@ -271,6 +287,26 @@
         }
     }
 
+    /// Ends an agent process whose session has closed if its successor is in control.
+    pub(super) fn end_if_succeeded(
+        &mut self,
+        now: Timestamp,
+        closed: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(name) = self.workers.get(&closed).map(|worker| worker.name.clone()) else {
+            return;
+        };
+        let mut others = self.workers.iter();
+        let successor = others.find(|(other, worker)| {
+            let is_in_control = worker.session.is_some() && worker.snapshot.is_some();
+            **other != closed && worker.name == name && is_in_control
+        });
+        if let Some(successor) = successor.map(|(other, _)| *other) {
+            self.end_predecessors(now, successor, &name, effects);
+        }
+    }
+
     /// Marks as lost the tasks of agents that have been silent for so long that the leases have
     /// expired. Removes disconnected agents without tasks that were last heard more than
     /// [`DISCONNECTED_AGENT_RETENTION`] ago.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -196,7 +196,7 @@
             GatewayEvent::AgentOpened { session, remote } => {
                 self.on_agent_opened(now, session, remote, effects);
             }
-            GatewayEvent::AgentClosed { session } => self.on_agent_closed(session),
+            GatewayEvent::AgentClosed { session } => self.on_agent_closed(now, session, effects),
             GatewayEvent::AgentMessage { session, message } => {
                 self.on_agent_message(now, session, message, effects);
             }
@@ -301,7 +301,12 @@
         }
     }
 
-    fn on_agent_closed(&mut self, session: SessionId) {
+    fn on_agent_closed(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         let Some(agent) = self.agent_sessions.remove(&session) else {
             return;
         };
@@ -311,6 +316,7 @@
             worker.session = None;
             worker.offers.clear();
         }
+        self.end_if_succeeded(now, agent, effects);
     }
 
     fn on_agent_message(
@@ -328,6 +334,7 @@
         };
         self.ingress_delay.record(now, agent, message.clock);
         worker.last_heard = now;
+        worker.may_be_succeeded = false;
         worker.clock = worker.clock.max(message.clock);
         if let Some(report) = message.report {
             worker.on_report(report);
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -55,6 +55,9 @@
     unwanted: BTreeSet<TaskId>,
     /// Whether the worker has crashed and no new incarnation is under control yet.
     pub has_crashed: bool,
+    /// Whether another process of the same name has taken control of the worker since the last
+    /// message. Either this one has ended, or the other's handshake was delayed.
+    pub may_be_succeeded: bool,
     /// The latest task that was placed on the worker to run exclusively; it may have ended.
     pub exclusive_task: Option<TaskId>,
     /// Resources that the agent reserves for this gateway, not answered yet.
@@ -88,6 +91,7 @@
             tasks: BTreeMap::new(),
             unwanted: BTreeSet::new(),
             has_crashed: false,
+            may_be_succeeded: false,
             exclusive_task: None,
             offers: Vec::new(),
             is_evacuated: false,
@@ -213,6 +217,7 @@
         };
         self.session.is_some()
             && !self.is_evacuated
+            && !self.may_be_succeeded
             && silence <= bound
             && self.report.limit > 0
             && self
