Report who ordered each of two overlapping runs

The judge says only that a task runs on two workers. Whether one gateway ordered both or two held the same job tells two hypotheses apart. Starts bear the gateway's order; a report lists every overlap with its orders and the submissions of the job. Overlaps that the judge passes over, with a start by an order that outlived its process, are counted beside the others.

--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -122,6 +122,7 @@
                 task,
                 capacity,
                 promptness,
+                ..
             } => {
                 self.on_started(at, *life, *task, *capacity, bounds);
                 if promptness.is_prompt() {
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -1,10 +1,12 @@
 //! Histories of leased workers: what callers and workers have seen, and the
 //! judge of what must hold there.
 
+mod double_runs;
 mod judge;
 
 use serde::{Deserialize, Serialize};
 
+pub use double_runs::{DoubleRun, OverlappingRun, double_runs};
 pub use judge::{Bounds, judge};
 
 /// A task, as workers name it.
@@ -55,6 +57,21 @@
     }
 }
 
+/// The order to start a run, as a gateway sent it to an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// Number of the gateway.
+    pub gateway: usize,
+    /// Incarnation of the gateway.
+    pub gateway_incarnation: u64,
+    /// Number of the agent.
+    pub agent: usize,
+    /// Number of the run.
+    pub run: u32,
+    /// When the gateway sent it, in microseconds.
+    pub sent_at: u64,
+}
+
 /// What a caller was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -123,6 +140,9 @@
         /// How late its order was carried out.
         #[serde(default, skip_serializing_if = "Promptness::is_prompt")]
         promptness: Promptness,
+        /// The gateway's order, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        order: Option<StartOrder>,
     },
     /// A run ends at its worker.
     Ended {
--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -33,6 +33,7 @@
         task: task(index),
         capacity: 1_200,
         promptness: Promptness::Prompt,
+        order: None,
     }
 }
 
@@ -43,6 +44,7 @@
         task: task(index),
         capacity: 1_200,
         promptness,
+        order: None,
     }
 }
 
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use laurelstile_history::leased::{Bounds, Record, Seen, Told, Violation, judge};
+use laurelstile_history::leased::{
+    Bounds, DoubleRun, Record, Seen, Told, Violation, double_runs, judge,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -40,6 +42,8 @@
 pub struct Outcome {
     /// Rules that were broken.
     pub violations: Vec<Violation>,
+    /// Tasks that ran on two workers at once, including those that the judge excuses.
+    pub double_runs: Vec<DoubleRun>,
     /// Calls by what their callers were told.
     pub told: BTreeMap<&'static str, u64>,
     /// Share of the jobs handed in after the faults that were done, in percent.
@@ -177,6 +181,7 @@
     let records = world.records;
     Outcome {
         violations: judge(&records, Bounds::default()),
+        double_runs: double_runs(&records),
         told: count_answers(&records),
         calm_percent: calm_percent(&records, &arrivals),
         unused_workers,
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -8,7 +8,7 @@
 use laurelstile_core::leased::agent::{CommandAnswer, CommandKind};
 use laurelstile_core::leased::task::{RunId, RunNumber, TaskId};
 use laurelstile_core::leased::worker_incarnation::{StartTime, WorkerIncarnation};
-use laurelstile_history::leased::{Life, Promptness, RunEnd, Seen, TaskName};
+use laurelstile_history::leased::{Life, Promptness, RunEnd, Seen, StartOrder, TaskName};
 
 /// Longest lease, on the worker's clock, in milliseconds.
 const LONGEST_LEASE: u64 = 1_000;
@@ -64,20 +64,21 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Change {
     /// A run began, by an order that was carried out so late.
-    Started(TaskId, Promptness),
+    Started(RunId, Promptness),
     /// A run ended.
     Ended(TaskId, RunEnd),
 }
 
 impl Change {
-    /// What is seen of it, at a worker of that life and room.
-    pub fn seen(self, life: Life, capacity: u32) -> Seen {
+    /// What is seen of it, at a worker of that life and room; a start was ordered so.
+    pub fn seen(self, life: Life, capacity: u32, order: Option<StartOrder>) -> Seen {
         match self {
-            Self::Started(task, promptness) => Seen::Started {
+            Self::Started(run, promptness) => Seen::Started {
                 life,
-                task: name_of(task),
+                task: name_of(run.task),
                 capacity,
                 promptness,
+                order,
             },
             Self::Ended(task, how) => Seen::Ended {
                 life,
@@ -283,7 +284,7 @@
             stops_at: None,
         };
         self.runs.insert(id.task, run);
-        changes.push(Change::Started(id.task, self.promptness(plan)));
+        changes.push(Change::Started(id, self.promptness(plan)));
         None
     }
 
--- a/laurelstile-sim/src/leased/world/heartbeats.rs
+++ b/laurelstile-sim/src/leased/world/heartbeats.rs
@@ -105,7 +105,11 @@
     pub fn see_changes(&mut self, life: u64, worker: usize, changes: &[Change]) {
         let capacity = self.workers[worker].capacity;
         for change in changes {
-            self.see(change.seen(life, capacity));
+            let order = match change {
+                Change::Started(run, _) => self.start_orders.get(&(worker, *run)).copied(),
+                Change::Ended(..) => None,
+            };
+            self.see(change.seen(life, capacity, order));
         }
     }
 }
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -18,10 +18,10 @@
 use laurelstile_core::leased::gateway::{GatewayEvent, LeasedGateway};
 use laurelstile_core::leased::input::JobInput;
 use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody, ToPeer};
-use laurelstile_core::leased::task::TaskId;
+use laurelstile_core::leased::task::{RunId, TaskId};
 use laurelstile_core::leased::worker_incarnation::WorkerIncarnation;
 use laurelstile_core::session::SessionId;
-use laurelstile_history::leased::{Life, Record, Seen};
+use laurelstile_history::leased::{Life, Record, Seen, StartOrder};
 use laurelstile_types::id::Incarnation;
 use rand_pcg::Pcg64;
 
@@ -192,6 +192,8 @@
     /// Whether gateways have sessions to each other, and between which two each is.
     has_peers: bool,
     peers: BTreeMap<SessionId, [usize; 2]>,
+    /// The latest order to start each run at each agent.
+    start_orders: BTreeMap<(usize, RunId), StartOrder>,
     /// The links of the gateways, if they are thin.
     thin_links: Option<ThinLinks>,
     /// Input of every job.
@@ -221,6 +223,7 @@
             evacuations: Evacuations::default(),
             has_peers: false,
             peers: BTreeMap::new(),
+            start_orders: BTreeMap::new(),
             thin_links: None,
             input: "input".into(),
             workers,
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -2,7 +2,9 @@
 
 use laurelstile_core::leased::agent::{AgentEffect, AgentEvent};
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent};
-use laurelstile_history::leased::Seen;
+use laurelstile_core::leased::messages::ToAgentBody;
+use laurelstile_core::leased::task::{RunId, TaskId};
+use laurelstile_history::leased::{Seen, StartOrder};
 
 use super::{Happening, RESTART, World};
 
@@ -67,6 +69,7 @@
                     return;
                 };
                 let to = self.agents[agent].incarnation;
+                self.note_starts(index, agent, &message.body);
                 let happening = Happening::ToAgent(agent, to, session, message);
                 self.transmit(agent, index, session, false, happening);
             }
@@ -89,4 +92,28 @@
             _ => {}
         }
     }
+
+    /// Keeps which gateway ordered the runs of a batch.
+    fn note_starts(&mut self, gateway: usize, agent: usize, body: &ToAgentBody) {
+        let ToAgentBody::Start(batch) = body else {
+            return;
+        };
+        for (index, run) in &batch.tasks {
+            let task = TaskId {
+                job: batch.job,
+                repetition: 0,
+                step: batch.step,
+                index: *index,
+            };
+            let order = StartOrder {
+                gateway,
+                gateway_incarnation: self.gateways[gateway].incarnation.0,
+                agent,
+                run: run.0,
+                sent_at: self.now,
+            };
+            let run = RunId { task, run: *run };
+            self.start_orders.insert((agent, run), order);
+        }
+    }
 }
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
+use laurelstile_history::leased::DoubleRun;
 use laurelstile_sim::leased::{
     Outcome, Sabotage, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
     run_returning_seed, run_seed,
@@ -38,6 +39,7 @@
         }
     };
     let mut bad = 0_u64;
+    let (mut prompt, mut late, mut excused) = (0_u64, 0_u64, 0_u64);
     let mut told = BTreeMap::<&str, u64>::new();
     let mut faults = BTreeMap::<&str, u64>::new();
     let mut calm_percents = Vec::new();
@@ -58,6 +60,15 @@
         add(&mut told, &outcome.told);
         add(&mut faults, &outcome.faults);
         calm_percents.push(outcome.calm_percent);
+        for double_run in &outcome.double_runs {
+            if double_run.is_excused() {
+                excused += 1;
+            } else if double_run.has_late_start() {
+                late += 1;
+            } else {
+                prompt += 1;
+            }
+        }
         if !outcome.violations.is_empty() || !outcome.unused_workers.is_empty() {
             bad += 1;
             show(seed, &outcome);
@@ -72,6 +83,10 @@
          {least}% done; faults {faults:?}",
         to.saturating_sub(from)
     );
+    println!(
+        "double runs: {prompt} by orders carried out at once, {late} with one carried out late, \
+         {excused} excused with one that outlived its process"
+    );
     if bad == 0 {
         ExitCode::SUCCESS
     } else {
@@ -90,6 +105,9 @@
         let workers = &outcome.unused_workers;
         println!("seed {seed}: workers {workers:?} are well and not used");
     }
+    for double_run in &outcome.double_runs {
+        show_double_run(seed, double_run);
+    }
     for violation in &outcome.violations {
         println!(
             "seed {seed}: {:?} at {:.3} s: {}",
@@ -100,6 +118,28 @@
     }
 }
 
+fn show_double_run(seed: u64, double_run: &DoubleRun) {
+    let gateways = if double_run.has_one_gateway() {
+        "one gateway"
+    } else {
+        "two gateways"
+    };
+    println!(
+        "seed {seed}: {:?} runs twice from {:.3} s, ordered by {gateways}, job submitted {} times{}",
+        double_run.task,
+        seconds(double_run.at),
+        double_run.submissions,
+        if double_run.is_excused() {
+            ", excused"
+        } else {
+            ""
+        }
+    );
+    for run in &double_run.runs {
+        println!("  {run:?}");
+    }
+}
+
 fn show_history(outcome: &Outcome) {
     for record in &outcome.records {
         println!("{}", serde_json::to_string(record).unwrap_or_default());
