Play callers that submit again while their first gateway still runs the job

In the emulator callers submitted again only after their gateway's process was gone, so two calls for a job never stood at once.

An agent of the first submission falls silent; its runs, numbered from 1, are declared lost after the second submission has come, and the gateway takes that for the loss of the second's runs, numbered from 1 as well.

--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -57,6 +57,13 @@
             optional --returning
             /// The same with heartbeats of other writers.
             optional --other-writers
+            /// Instead of these: few gateways and workers, tasks of some seconds, and callers
+            /// whose connections break while their gateways run on.
+            optional --resending
+            /// With --resending: gateways notice broken connections within so many ms.
+            optional --notice-millis notice_millis: u64
+            /// With --resending: print what happens to the job of this number.
+            optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
             /// cancel-news, deregistrations or births.
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -58,6 +58,11 @@
     SuspendGateway(usize),
     /// An agent's machine is suspended.
     SuspendAgent(usize),
+    /// The connections of a gateway's callers break; the gateway notices at the end of the fault.
+    BreakCallers(usize),
+    /// A gateway is cut off from its callers, not from agents: their connections break, it
+    /// notices after the probes of the connections, and new calls reach others.
+    CutCallers(usize),
 }
 
 impl Fault {
@@ -89,6 +94,8 @@
             Self::Shrink(_, _) => "shrink",
             Self::SuspendGateway(_) => "suspend_gateway",
             Self::SuspendAgent(_) => "suspend_agent",
+            Self::BreakCallers(_) => "break_callers",
+            Self::CutCallers(_) => "cut_callers",
         }
     }
 }
@@ -349,6 +356,45 @@
         .collect()
 }
 
+/// Draws connections of callers that break, in series; their gateway notices at once, late, or
+/// by the probes of the connections. With a `latest_notice`, in microseconds, there are no cuts,
+/// and it notices at that time or sooner.
+pub fn draw_of_resending(
+    length: u64,
+    gateways: usize,
+    latest_notice: Option<u64>,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    for _ in 0..random.random_range(2..6) {
+        let first = random.random_range(500_000..length);
+        let gateway = random.random_range(0..gateways);
+        let pause = random.random_range(200_000..2_000_000);
+        for number in 0..random.random_range(1..4) {
+            let at = first + number * pause;
+            let notice = match random.random_range(0..3) {
+                0 => random.random_range(100..2_000),
+                _ => random.random_range(2_000..1_300_000),
+            };
+            let (length, fault) = match random.random_range(0..3) {
+                kind if latest_notice.is_some() => {
+                    let latest = latest_notice.unwrap_or(notice);
+                    let notice = if kind == 0 {
+                        latest
+                    } else {
+                        notice.min(latest)
+                    };
+                    (notice, Fault::BreakCallers(gateway))
+                }
+                0 => (notice + 3_000_000, Fault::CutCallers(gateway)),
+                _ => (notice, Fault::BreakCallers(gateway)),
+            };
+            faults.push(ScheduledFault { at, length, fault });
+        }
+    }
+    faults
+}
+
 fn draw_one(gateways: usize, workers: usize, random: &mut Pcg64) -> Fault {
     let gateway = random.random_range(0..gateways);
     let worker = random.random_range(0..workers);
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -40,6 +40,8 @@
     pub refuses: bool,
     /// Until when it stands still.
     pub frozen_until: u64,
+    /// Until when its callers cannot reach it.
+    pub callers_cut_until: u64,
     /// How long its clock has stood still, in microseconds.
     pub uncounted: u64,
     /// Whether it is in a planned stop that nothing else has hit.
@@ -60,6 +62,7 @@
             is_up: true,
             refuses: false,
             frozen_until: 0,
+            callers_cut_until: 0,
             uncounted: 0,
             in_planned_stop: false,
             wakes_at: u64::MAX,
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -10,7 +10,7 @@
 
 use super::faults::{
     Sabotage, ScheduledFault, draw, draw_hazards, draw_of_herds, draw_of_leaving,
-    draw_of_operators, draw_of_other_writers, draw_of_returning,
+    draw_of_operators, draw_of_other_writers, draw_of_resending, draw_of_returning,
 };
 use super::worker::SimWorker;
 use super::world::{SimJob, TASK_ROOM, World};
@@ -31,6 +31,8 @@
 const RETURNING_STREAM: u64 = 0x2e7a2;
 const OTHER_WRITERS_STREAM: u64 = 0x07e2;
 const HERDS_STREAM: u64 = 0x4e2d;
+const RESENDING_STREAM: u64 = 0x2e5e4d;
+const FEW_WORKERS_STREAM: u64 = 0xfe3;
 /// One in so many jobs has a task that takes its workers down.
 const POISON_ONE_IN: u32 = 150;
 /// One in so many is cancelled, at the latest so long after it came, in microseconds.
@@ -126,6 +128,44 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed with two or three gateways, few workers and long tasks, where connections of
+/// callers break besides; their gateways notice within `latest_notice`, if that is given.
+pub fn run_resending_seed(
+    seed: u64,
+    sabotage: Option<Sabotage>,
+    latest_notice: Option<u64>,
+    traced: Option<u64>,
+) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_small_scene(seed, sabotage, &mut random);
+    let mut resending = Pcg64::seed_from_u64(seed ^ RESENDING_STREAM);
+    let faults = draw_of_resending(FAULTY, scene.gateways, latest_notice, &mut resending);
+    scene.faults.extend(faults);
+    scene.traced = traced;
+    play(random, sabotage, scene, true)
+}
+
+/// Few gateways and workers, and tasks of some seconds.
+fn draw_small_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
+    let mut small = Pcg64::seed_from_u64(seed ^ FEW_WORKERS_STREAM);
+    let gateways = small.random_range(2..=GATEWAYS);
+    let workers = small.random_range(2..=WORKERS);
+    let mut scene = draw_scene_of(seed, sabotage, gateways, workers, random);
+    for job in &mut scene.jobs {
+        if small.random_bool(0.5) {
+            job.duration = small.random_range(1_000_000..4_000_000);
+            job.tasks = small.random_range(1..4);
+        }
+    }
+    let every = small.random_range(2..8);
+    let mut number = 0_u64;
+    scene.jobs.retain(|_| {
+        number += 1;
+        number.is_multiple_of(every)
+    });
+    scene
+}
+
 fn draw_returning_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
     let mut scene = draw_scene(seed, sabotage, random);
     let mut returning = Pcg64::seed_from_u64(seed ^ RETURNING_STREAM);
@@ -140,39 +180,59 @@
 
 /// What a seed plays.
 struct Scene {
+    gateways: usize,
     workers: Vec<SimWorker>,
     jobs: Vec<SimJob>,
     faults: Vec<ScheduledFault>,
+    /// The job whose events are printed.
+    traced: Option<u64>,
 }
 
 fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
-    let workers = (0..WORKERS)
+    draw_scene_of(seed, sabotage, GATEWAYS, WORKERS, random)
+}
+
+fn draw_scene_of(
+    seed: u64,
+    sabotage: Option<Sabotage>,
+    gateways: usize,
+    worker_count: usize,
+    random: &mut Pcg64,
+) -> Scene {
+    let workers = (0..worker_count)
         .map(|_| draw_worker(sabotage, random))
         .collect();
     let jobs = draw_jobs(random);
     let count = random.random_range(2..22);
-    let mut faults = draw(count, FAULTY, GATEWAYS, WORKERS, random);
+    let mut faults = draw(count, FAULTY, gateways, worker_count, random);
     let mut operators = Pcg64::seed_from_u64(seed ^ OPERATORS_STREAM);
-    faults.extend(draw_of_operators(FAULTY, WORKERS, &mut operators));
+    faults.extend(draw_of_operators(FAULTY, worker_count, &mut operators));
     Scene {
+        gateways,
         workers,
         jobs,
         faults,
+        traced: None,
     }
 }
 
 fn play(random: Pcg64, sabotage: Option<Sabotage>, scene: Scene, has_peers: bool) -> Outcome {
     let Scene {
+        gateways,
         workers,
         jobs,
         faults,
+        traced,
     } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
         *kinds.entry(fault.fault.kind()).or_default() += 1;
     }
     let arrivals: Vec<u64> = jobs.iter().map(|job| job.at).collect();
-    let mut world = World::new(random, sabotage, GATEWAYS, workers, jobs, faults);
+    let mut world = World::new(random, sabotage, gateways, workers, jobs, faults);
+    if let Some(job) = traced {
+        world.trace(job);
+    }
     if has_peers {
         world.join_peers();
     }
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -11,7 +11,21 @@
 use rand::Rng;
 
 use super::super::nodes;
-use super::{DEADLINE, FIRST_CANCEL, Happening, RESTART, TASK_ROOM, World, is_cancel, number_of};
+use super::{
+    Caller, DEADLINE, FIRST_CANCEL, FORMER_CALL, Happening, RESEND, RESTART, TASK_ROOM, World,
+    is_cancel, number_of,
+};
+
+/// When the probes of an idle connection find that the other side is out of reach.
+const SOONEST_PROBED: u64 = 1_000_000;
+const LATEST_PROBED: u64 = 3_000_000;
+
+impl Caller {
+    /// Number of its present call.
+    pub(super) fn call(&self, index: usize) -> CallNumber {
+        CallNumber(self.former_calls * FORMER_CALL + index as u64)
+    }
+}
 
 impl World {
     pub(super) fn submit(&mut self, index: usize) {
@@ -20,7 +34,10 @@
             return;
         }
         let up: Vec<usize> = (0..self.gateways.len())
-            .filter(|gateway| self.gateways[*gateway].is_up)
+            .filter(|gateway| {
+                let process = &self.gateways[*gateway];
+                process.is_up && process.callers_cut_until <= self.now
+            })
             .collect();
         if up.is_empty() {
             self.schedule(self.now + RESTART, Happening::Submit(index));
@@ -56,7 +73,7 @@
             time_left: Span(first + DEADLINE - self.now),
             unsupported: Vec::new(),
         };
-        let call = CallNumber(index as u64);
+        let call = self.callers[index].call(index);
         let incarnation = self.gateways[gateway].incarnation;
         let request = Happening::Request(gateway, incarnation, call, Box::new(request));
         let at = self.call_arrives(gateway, &request);
@@ -87,7 +104,9 @@
             self.see(Seen::Cancelled { job });
             return;
         }
-        if self.callers[index].is_over || self.callers[index].gateway.is_none() {
+        let caller = &self.callers[index];
+        let is_former = call != caller.call(index);
+        if is_former || caller.is_over || caller.gateway.is_none() {
             return;
         }
         let told = match answer {
@@ -99,7 +118,7 @@
         self.callers[index].is_over = true;
         self.callers[index].gateway = None;
         self.see(Seen::Answered {
-            job: call.0,
+            job: index as u64,
             told,
             in_planned_stop: false,
         });
@@ -117,8 +136,39 @@
         });
         let process = &self.gateways[gateway];
         if process.incarnation == incarnation && process.frozen_until <= self.now {
-            let call = CallNumber(index as u64);
+            let call = self.callers[index].call(index);
             self.gateway_event(gateway, GatewayEvent::CallerDisconnected { call });
         }
     }
+
+    /// The connections of a gateway's callers break: they submit again later, and the gateway
+    /// notices after `notice`, or after the probes of the connections if `is_cut`.
+    pub(super) fn break_callers(&mut self, gateway: usize, notice: u64, is_cut: bool) {
+        let process = &self.gateways[gateway];
+        if !process.is_up {
+            return;
+        }
+        let incarnation = process.incarnation;
+        for index in 0..self.callers.len() {
+            let caller = &mut self.callers[index];
+            if caller.gateway != Some((gateway, incarnation)) {
+                continue;
+            }
+            let call = caller.call(index);
+            caller.gateway = None;
+            caller.former_calls += 1;
+            self.see(Seen::Answered {
+                job: index as u64,
+                told: Told::Nothing,
+                in_planned_stop: false,
+            });
+            self.schedule(self.now + RESEND, Happening::Submit(index));
+            let notice = match is_cut {
+                true => self.random.random_range(SOONEST_PROBED..LATEST_PROBED),
+                false => notice,
+            };
+            let gone = Happening::CallerGone(gateway, incarnation, call);
+            self.schedule(self.now + notice, gone);
+        }
+    }
 }
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -149,6 +149,11 @@
             Fault::ReturnWorker(worker) if self.workers[worker].life != 0 => {
                 self.return_worker(worker, scheduled.length);
             }
+            Fault::BreakCallers(gateway) => self.break_callers(gateway, scheduled.length, false),
+            Fault::CutCallers(gateway) => {
+                self.gateways[gateway].callers_cut_until = end;
+                self.break_callers(gateway, 0, true);
+            }
             Fault::LateDeregistration(worker) => self.late_deregistration(worker),
             Fault::OtherWriter(worker, word) => self.other_writer(worker, word),
             Fault::SeverSessions(gateway) => self.sever_sessions(gateway),
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -18,7 +18,7 @@
 use laurelstile_core::leased::gateway::{GatewayEvent, LeasedGateway};
 use laurelstile_core::leased::input::JobInput;
 use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody, ToPeer};
-use laurelstile_core::leased::task::{RunId, TaskId};
+use laurelstile_core::leased::task::{JobId, RunId, TaskId};
 use laurelstile_core::leased::worker_incarnation::WorkerIncarnation;
 use laurelstile_core::session::SessionId;
 use laurelstile_history::leased::{Life, Record, Seen, StartOrder};
@@ -64,6 +64,8 @@
 
 /// Calls that cancel the job of a caller have its number and this.
 const FIRST_CANCEL: u64 = 1 << 32;
+/// Calls of a caller after ones that their gateways may still hold are this far apart.
+const FORMER_CALL: u64 = 1 << 33;
 
 /// Room that every task needs, in thousandths of a core.
 pub const TASK_ROOM: u32 = 1_000;
@@ -105,6 +107,8 @@
     Submit(usize),
     /// A caller's request reaches its gateway.
     Request(usize, Incarnation, CallNumber, Box<JobRequest>),
+    /// A gateway notices that the connection of a call has broken.
+    CallerGone(usize, Incarnation, CallNumber),
     /// A caller cancels its job, at any gateway.
     Cancel(usize),
     /// A caller has waited long enough.
@@ -139,6 +143,8 @@
     job: SimJob,
     /// The gateway that has the call, with its incarnation.
     gateway: Option<(usize, Incarnation)>,
+    /// Calls before whose connections have broken while their gateways ran on.
+    former_calls: u64,
     is_over: bool,
 }
 
@@ -192,6 +198,8 @@
     /// Whether gateways have sessions to each other, and between which two each is.
     has_peers: bool,
     peers: BTreeMap<SessionId, [usize; 2]>,
+    /// The job whose events are printed.
+    traced: Option<JobId>,
     /// The latest order to start each run at each agent.
     start_orders: BTreeMap<(usize, RunId), StartOrder>,
     /// The links of the gateways, if they are thin.
@@ -223,6 +231,7 @@
             evacuations: Evacuations::default(),
             has_peers: false,
             peers: BTreeMap::new(),
+            traced: None,
             start_orders: BTreeMap::new(),
             thin_links: None,
             input: "input".into(),
@@ -258,6 +267,7 @@
             world.callers.push(Caller {
                 job,
                 gateway: None,
+                former_calls: 0,
                 is_over: false,
             });
         }
@@ -313,6 +323,23 @@
         self.sequence
     }
 
+    /// Prints from now on what happens to a job.
+    pub fn trace(&mut self, job: u64) {
+        self.traced = Some(JobId(job));
+    }
+
+    /// Prints what concerns the traced job, if there is one.
+    pub(super) fn trace_line<T: std::fmt::Debug>(&self, place: impl Fn() -> String, what: &T) {
+        let Some(job) = self.traced else {
+            return;
+        };
+        let text = format!("{what:?}");
+        let is_list = text.contains("Watched");
+        if !is_list && text.contains(&format!("{job:?}")) {
+            println!("{:>12} us  {}  {text}", self.now, place());
+        }
+    }
+
     /// Records something seen.
     pub fn see(&mut self, seen: Seen) {
         self.records.push(Record { at: self.now, seen });
@@ -323,6 +350,9 @@
             self.schedule(thaw, happening);
             return;
         }
+        if self.traced.is_some() {
+            self.trace_line(|| "->".into(), &happening);
+        }
         match happening {
             // A wake-up that was replaced by an earlier one is void.
             Happening::WakeGateway(index) => {
@@ -395,13 +425,19 @@
             Happening::RepeatHeartbeat(worker, life) => self.repeat_heartbeat(worker, life),
             Happening::Submit(caller) => self.submit(caller),
             Happening::Request(index, incarnation, call, request) => {
-                let is_waited_for =
-                    self.callers[number_of(call)].gateway == Some((index, incarnation));
+                let caller = &self.callers[number_of(call)];
+                let is_waited_for = caller.gateway == Some((index, incarnation))
+                    && caller.call(number_of(call)) == call;
                 if self.gateways[index].incarnation == incarnation && is_waited_for {
                     let request = *request;
                     self.gateway_event(index, GatewayEvent::Submit { call, request });
                 }
             }
+            Happening::CallerGone(index, incarnation, call) => {
+                if self.gateways[index].incarnation == incarnation {
+                    self.gateway_event(index, GatewayEvent::CallerDisconnected { call });
+                }
+            }
             Happening::Cancel(caller) => self.cancel(caller),
             Happening::Leave(caller) => self.leave(caller),
             Happening::Fault(index) => self.fault_begins(self.faults[index]),
@@ -439,6 +475,7 @@
             Happening::WakeGateway(index)
             | Happening::Request(index, ..)
             | Happening::ToGateway(index, ..)
+            | Happening::CallerGone(index, ..)
             | Happening::ToPeer(index, ..)
             | Happening::PeerSessionEnds(index, _)
             | Happening::GatewaySessionEnds(index, ..)
@@ -473,5 +510,5 @@
 
 /// Whether a call cancels a job.
 fn is_cancel(call: CallNumber) -> bool {
-    call.0 >= FIRST_CANCEL
+    call.0 & FIRST_CANCEL != 0
 }
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -25,6 +25,7 @@
             self.schedule(at, Happening::WakeAgent(index));
         }
         for effect in effects {
+            self.trace_line(|| format!("agent-{index}"), &effect);
             match effect {
                 AgentEffect::Send { session, message } => {
                     let Some(gateway) = self.agents[index].sessions.get(&session).copied() else {
@@ -63,6 +64,7 @@
     }
 
     pub(super) fn carry_out(&mut self, index: usize, effect: GatewayEffect) {
+        self.trace_line(|| format!("gateway-{index}"), &effect);
         match effect {
             GatewayEffect::ToAgent { session, message } => {
                 let Some(agent) = self.gateways[index].sessions.get(&session).copied() else {
