Play agents that fall silent while a caller submits again

Faults came at random times, so none met the 35 ms between the loss of an agent's runs and the second submission.

--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -60,9 +60,11 @@
             /// Instead of these: few gateways and workers, tasks of some seconds, and callers
             /// whose connections break while their gateways run on.
             optional --resending
-            /// With --resending: gateways notice broken connections within so many ms.
+            /// The same, with agents that fall silent soon after, and no other faults.
+            optional --silences
+            /// With these two: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
-            /// With --resending: print what happens to the job of this number.
+            /// With these two: print what happens to the job of this number.
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -395,6 +395,48 @@
     faults
 }
 
+/// Draws connections of callers that break, all noticed within `latest_notice`, in microseconds,
+/// while agents fall silent some milliseconds later, or while their gateway stands still.
+pub fn draw_of_silences(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    latest_notice: u64,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    let mut add = |at, length, fault| faults.push(ScheduledFault { at, length, fault });
+    for _ in 0..random.random_range(3..9) {
+        let at = random.random_range(500_000..length);
+        let gateway = random.random_range(0..gateways);
+        let notice = match random.random_range(0..3) {
+            0 => random.random_range(100..2_000),
+            1 => random.random_range(2_000..100_000),
+            _ => random.random_range(2_000..1_200_000),
+        };
+        let notice = notice.min(latest_notice);
+        let frozen = match random.random_bool(0.3) {
+            true => random.random_range(1_000..notice.max(2_000)),
+            false => 0,
+        };
+        if frozen > 0 {
+            add(at, frozen, Fault::FreezeGateway(gateway));
+        }
+        add(at + 1, notice, Fault::BreakCallers(gateway));
+        for worker in 0..workers {
+            let silent_at = at + random.random_range(0..notice.max(frozen) + 100_000);
+            let silent = random.random_range(1_300_000..3_000_000);
+            match random.random_range(0..6) {
+                0 | 1 => add(silent_at, silent, Fault::Cut(worker, gateway)),
+                2 => add(silent_at, silent, Fault::FreezeAgent(worker)),
+                3 => add(silent_at, silent, Fault::KillAgent(worker)),
+                _ => {}
+            }
+        }
+    }
+    faults
+}
+
 fn draw_one(gateways: usize, workers: usize, random: &mut Pcg64) -> Fault {
     let gateway = random.random_range(0..gateways);
     let worker = random.random_range(0..workers);
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -16,6 +16,6 @@
 pub use faults::{Fault, OtherWord, Sabotage, ScheduledFault};
 pub use run::{
     Outcome, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
-    run_resending_seed, run_returning_seed, run_seed,
+    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 pub use surge::{Surge, run_surge};
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -11,6 +11,7 @@
 use super::faults::{
     Sabotage, ScheduledFault, draw, draw_hazards, draw_of_herds, draw_of_leaving,
     draw_of_operators, draw_of_other_writers, draw_of_resending, draw_of_returning,
+    draw_of_silences,
 };
 use super::worker::SimWorker;
 use super::world::{SimJob, TASK_ROOM, World};
@@ -32,6 +33,7 @@
 const OTHER_WRITERS_STREAM: u64 = 0x07e2;
 const HERDS_STREAM: u64 = 0x4e2d;
 const RESENDING_STREAM: u64 = 0x2e5e4d;
+const SILENCES_STREAM: u64 = 0x511e;
 const FEW_WORKERS_STREAM: u64 = 0xfe3;
 /// One in so many jobs has a task that takes its workers down.
 const POISON_ONE_IN: u32 = 150;
@@ -39,6 +41,10 @@
 const CANCELLED_ONE_IN: u32 = 30;
 const LATEST_CANCEL: u64 = 1_000_000;
 
+/// Longest stop of a worker, and latest notice of a broken connection, in microseconds.
+const LONGEST_STOP: u64 = 50_000;
+const LATEST_NOTICE: u64 = 1_200_000;
+
 /// What became of a seed.
 #[derive(Debug)]
 pub struct Outcome {
@@ -145,6 +151,27 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed of the same scene, where agents fall silent soon after connections of callers
+/// have broken, and stops take up to 50 ms.
+pub fn run_silences_seed(
+    seed: u64,
+    sabotage: Option<Sabotage>,
+    latest_notice: Option<u64>,
+    traced: Option<u64>,
+) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_small_scene(seed, sabotage, &mut random);
+    let mut silences = Pcg64::seed_from_u64(seed ^ SILENCES_STREAM);
+    for worker in &mut scene.workers {
+        worker.stop_time = silences.random_range(5_000..=LONGEST_STOP);
+    }
+    let latest_notice = latest_notice.unwrap_or(LATEST_NOTICE);
+    let (gateways, workers) = (scene.gateways, scene.workers.len());
+    scene.faults = draw_of_silences(FAULTY, gateways, workers, latest_notice, &mut silences);
+    scene.traced = traced;
+    play(random, sabotage, scene, true)
+}
+
 /// Few gateways and workers, and tasks of some seconds.
 fn draw_small_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
     let mut small = Pcg64::seed_from_u64(seed ^ FEW_WORKERS_STREAM);
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -12,7 +12,7 @@
 
 /// Longest lease, on the worker's clock, in milliseconds.
 const LONGEST_LEASE: u64 = 1_000;
-/// How long a stop takes, in microseconds.
+/// How long a stop takes unless told otherwise, in microseconds.
 const STOP_TIME: u64 = 30_000;
 
 /// The clock of a worker that starts again under its id reads anything below this, in
@@ -118,6 +118,8 @@
     pub mood: Mood,
     /// Whether leases run out (a switch of the proofs).
     pub has_leases: bool,
+    /// How long a stop takes, in microseconds.
+    pub stop_time: u64,
     /// Rate of its clock, in thousandths.
     pub clock_permille: u64,
     offset: u64,
@@ -147,6 +149,7 @@
             draining: false,
             mood: Mood::Well,
             has_leases: true,
+            stop_time: STOP_TIME,
             clock_permille,
             offset,
             counts_from: 0,
@@ -305,7 +308,7 @@
         if let Some(run) = self.runs.get_mut(&id.task)
             && run.number == id.run
         {
-            run.stops_at.get_or_insert(now + STOP_TIME);
+            run.stops_at.get_or_insert(now + self.stop_time);
         }
     }
 
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -81,6 +81,9 @@
 
     pub(super) fn fault_begins(&mut self, scheduled: ScheduledFault) {
         let end = self.now + scheduled.length;
+        if self.traced.is_some() {
+            println!("{:>12} us  fault  {scheduled:?}", self.now);
+        }
         match scheduled.fault {
             Fault::KillGateway(index) if self.gateways[index].is_up => {
                 self.gateways[index].in_planned_stop = false;
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -6,7 +6,7 @@
 use laurelstile_history::leased::DoubleRun;
 use laurelstile_sim::leased::{
     Outcome, Sabotage, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
-    run_resending_seed, run_returning_seed, run_seed,
+    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 
 use crate::flags::{Leased, seed_range};
@@ -55,6 +55,9 @@
         } else if flags.resending {
             let latest_notice = flags.notice_millis.map(|millis| millis * 1_000);
             run_resending_seed(seed, sabotage, latest_notice, flags.trace)
+        } else if flags.silences {
+            let latest_notice = flags.notice_millis.map(|millis| millis * 1_000);
+            run_silences_seed(seed, sabotage, latest_notice, flags.trace)
         } else if flags.hazards {
             run_hazard_seed(seed, sabotage)
         } else {
