Show that an earlier submission's run ends the present one (fails)

A gateway whose caller was disconnected forgets the job and stops its runs, but waits for their ends. If the caller submits again there before these are told, the new job numbers its runs from 1 as well; on_end compares task and run number, not the agent, and takes the former run's end for the present run's. It places the task again beside it. An end may be told by the agent, by its silence or by its successor.

--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -4,10 +4,13 @@
 use laurelstile_history::leased::Rule;
 use laurelstile_sim::leased::{
     Outcome, Sabotage, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
-    run_returning_seed, run_seed,
+    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 use rstest::rstest;
 
+/// How soon a gateway hears that its caller is gone, in microseconds.
+const PROMPT_NOTICE: u64 = 1_000;
+
 fn assert_keeps_every_rule(seed: u64, outcome: &Outcome) {
     let violations = &outcome.violations;
     assert!(violations.is_empty(), "seed {seed}: {violations:?}");
@@ -66,6 +69,26 @@
     }
 }
 
+/// Callers submit again while the gateway that has just heard that they are gone stops the runs of
+/// before.
+#[test]
+fn seeds_with_callers_that_submit_again_keep_every_rule() {
+    for seed in 0..15 {
+        let outcome = run_resending_seed(seed, None, Some(PROMPT_NOTICE), None);
+        assert_keeps_every_rule(seed, &outcome);
+    }
+}
+
+/// The loss of a run of the first submission was taken for that of the second's run at the same
+/// gateway, and the task was started beside it.
+#[rstest]
+#[case(69)]
+#[case(164)]
+fn an_agent_silent_since_the_first_submission_ends_no_run_of_the_second(#[case] seed: u64) {
+    let outcome = run_silences_seed(seed, None, Some(PROMPT_NOTICE), None);
+    assert_keeps_every_rule(seed, &outcome);
+}
+
 /// Seeds of workers that come back that broke something once, each for another cause.
 #[rstest]
 #[case::in_control_before_the_next_life_has_seen_its_token(1007)]
