Gateway: only a process whose successor came later ends with its session

Now only a process since whose last message another one has taken control ends with its session. a_predecessor_with_an_open_session_does_not_end_runs_of_the_present_process fails without this.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -280,33 +280,35 @@
             }
         }
         for old in ended {
-            self.mark_all_lost(now, old, EndSource::Successor, effects);
-            self.workers.remove(&old);
-            self.start_window.remove_agent(old);
-            self.ingress_delay.remove_agent(old);
+            self.end_predecessor(now, old, effects);
         }
     }
 
-    /// Ends an agent process whose session has closed if its successor is in control.
+    /// Ends an agent process whose session has closed since its successor took control.
     pub(super) fn end_if_succeeded(
         &mut self,
         now: Timestamp,
         closed: Incarnation,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let Some(name) = self.workers.get(&closed).map(|worker| worker.name.clone()) else {
-            return;
-        };
-        let mut others = self.workers.iter();
-        let successor = others.find(|(other, worker)| {
-            let is_in_control = worker.session.is_some() && worker.snapshot.is_some();
-            **other != closed && worker.name == name && is_in_control
-        });
-        if let Some(successor) = successor.map(|(other, _)| *other) {
-            self.end_predecessors(now, successor, &name, effects);
+        let worker = self.workers.get(&closed);
+        if worker.is_some_and(|worker| worker.may_be_succeeded) {
+            self.end_predecessor(now, closed, effects);
         }
     }
 
+    fn end_predecessor(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.mark_all_lost(now, agent, EndSource::Successor, effects);
+        self.workers.remove(&agent);
+        self.start_window.remove_agent(agent);
+        self.ingress_delay.remove_agent(agent);
+    }
+
     /// Marks as lost the tasks of agents that have been silent for so long that the leases have
     /// expired. Removes disconnected agents without tasks that were last heard more than
     /// [`DISCONNECTED_AGENT_RETENTION`] ago.
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -223,6 +223,20 @@
     }
 }
 
+/// The connection to the predecessor has failed without being closed, and the present process loses
+/// its session.
+#[test]
+fn a_predecessor_with_an_open_session_does_not_end_runs_of_the_present_process() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.join(at(600), 2, "agent-1", cpu(4_000));
+    rig.submit(at(610), 1, job(1, 1, 1_000));
+    assert_eq!(rig.next_start().0, SessionId(2));
+    rig.join(at(620), 3, "agent-3", cpu(4_000));
+    rig.lose_session(at(630), 2);
+    assert!(rig.starts.is_empty(), "the run continues");
+}
+
 /// The connection to the predecessor fails without being closed.
 #[test]
 fn the_runs_of_a_silent_predecessor_end_with_its_expiry() {
