Agent: sessions of a gateway that has ended are closed

If a gateway refused a connection at one address while a session to it was open at another, the agent forgot the gateway and kept the session, on which nothing was sent and which was never closed: the gateway had no use of that worker until its own connection ended.

--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -89,6 +89,9 @@
     ) {
         self.stop_runs_of(now, gateway, effects);
         self.forget_gateway(gateway);
+        let of_gateway = |_: &SessionId, owner: &mut Incarnation| *owner == gateway;
+        let sessions = self.sessions.extract_if(.., of_gateway);
+        effects.extend(sessions.map(|(session, _)| AgentEffect::Close(session)));
     }
 
     /// Forgets a gateway. Its process may still be running and connect again; it ignores ends with
--- a/laurelstile-core/tests/leased_agent.rs
+++ b/laurelstile-core/tests/leased_agent.rs
@@ -157,6 +157,22 @@
     assert_eq!(rig.take_stops(), vec![id]);
 }
 
+/// Guards against a session that is neither used nor closed: an address refuses connections while a
+/// session to the gateway's other address is open.
+#[test]
+fn the_sessions_of_a_gateway_that_has_ended_are_closed() {
+    let mut rig = AgentRig::with_worker(cpu(2_000));
+    rig.event(at(3), AgentEvent::GatewayEnded { gateway: GATEWAY });
+    assert_eq!(rig.closed, [SessionId(70)]);
+    rig.open(at(10), SessionId(71), GATEWAY);
+    rig.answer_watch(at(11), RunLists::default());
+    assert!(
+        rig.sent
+            .iter()
+            .any(|(session, _)| *session == SessionId(71))
+    );
+}
+
 #[test]
 fn nothing_starts_on_a_draining_worker() {
     let mut rig = AgentRig::with_worker(cpu(2_000));
