Gateway: a late handshake of an earlier agent process ends no runs; first echo at once

Handshakes carry the uptime of the process, so its start can be estimated: only a process that started earlier is succeeded by another. A delay makes the estimate too late, which at worst leaves the tasks to the expiry. a_late_predecessor_does_not_end_runs_of_the_present_process failed in both cases before. * A stop that is repeated as a session opens counted as its first echo, so that the first timestamp of the session was echoed 100 ms later and runs could be stopped. The first echo is now that of a timestamp received on the session. the_first_timestamp_of_a_session_is_echoed_at_once_also_after_a_repeated_stop failed before.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -262,8 +262,8 @@
     }
 
     /// Marks as lost the tasks of earlier processes of an agent that has its worker under control.
-    /// A process with an open session may be the later one, whose predecessor's handshake was
-    /// delayed; its tasks wait until its session closes, or it has been silent for long.
+    /// Start times are estimates, which a delayed handshake makes too late, so the tasks of a
+    /// process with an open session wait until that closes or the process has been silent for long.
     fn end_predecessors(
         &mut self,
         now: Timestamp,
@@ -271,8 +271,17 @@
         name: &str,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let others = self.workers.iter_mut();
-        let others = others.filter(|(other, worker)| **other != agent && worker.name == name);
+        let Some(started_at) = self
+            .workers
+            .get(&agent)
+            .map(|worker| worker.process_started_at)
+        else {
+            return;
+        };
+        let others = self.workers.iter_mut().filter(|(other, worker)| {
+            let is_earlier = worker.process_started_at < started_at;
+            **other != agent && worker.name == name && is_earlier
+        });
         let mut ended = Vec::new();
         for (other, worker) in others {
             worker.may_be_succeeded = true;
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -269,13 +269,13 @@
         let worker = self
             .workers
             .entry(remote.incarnation)
-            .or_insert_with(|| Worker::new(now, remote.name));
+            .or_insert_with(|| Worker::new(now, &remote));
         if let Some(old) = worker.session {
             self.agent_sessions.remove(&old);
             self.membership.on_agent_closed(old);
             effects.push(GatewayEffect::Close(old));
         }
-        worker.open_session(now, session);
+        worker.open_session(now, session, remote.uptime);
         self.start_window.remove_agent(remote.incarnation);
         self.agent_sessions.insert(session, remote.incarnation);
         self.repeat_stops(now, remote.incarnation, effects);
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -12,7 +12,7 @@
     AGENT_EXPIRY, BUSY_HEARTBEAT_INTERVAL, BUSY_SUSPECT_AFTER, IDLE_SUSPECT_AFTER,
 };
 use super::job::StepRequest;
-use crate::session::SessionId;
+use crate::session::{Remote, SessionId};
 
 /// A batch of starts that no report has acknowledged yet.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +28,9 @@
 pub struct Worker {
     /// Name of the agent, which outlives its process.
     pub name: String,
+    /// Estimate of when the agent's process started, in microseconds of this gateway's clock. A
+    /// delayed handshake makes it too late.
+    pub process_started_at: i64,
     /// The open session, if any.
     pub session: Option<SessionId>,
     /// The agent's latest snapshot on this session; `None` before the agent has the worker
@@ -43,8 +46,8 @@
     pub last_heard: Timestamp,
     /// Time of the latest message to the agent.
     pub last_sent: Timestamp,
-    /// Whether no timestamp has been echoed on this session yet.
-    pub awaits_echo: bool,
+    /// `clock` when the session was opened.
+    clock_at_open: Timestamp,
     /// Highest number among the ends that were received from the agent.
     pub last_received_end: u64,
     /// Highest number among the ends that were acknowledged to the agent.
@@ -70,9 +73,10 @@
 
 impl Worker {
     /// Creates the state of a worker whose agent has just connected for the first time.
-    pub fn new(now: Timestamp, name: String) -> Self {
+    pub fn new(now: Timestamp, remote: &Remote) -> Self {
         Self {
-            name,
+            name: remote.name.clone(),
+            process_started_at: process_start(now, remote.uptime),
             session: None,
             snapshot: None,
             report: Report {
@@ -85,7 +89,7 @@
             echoed: Timestamp::default(),
             last_heard: now,
             last_sent: now,
-            awaits_echo: true,
+            clock_at_open: Timestamp::default(),
             last_received_end: 0,
             last_acknowledged_end: 0,
             tasks: BTreeMap::new(),
@@ -101,13 +105,15 @@
     }
 
     /// Resets the session state for a new session.
-    pub fn open_session(&mut self, now: Timestamp, session: SessionId) {
+    pub fn open_session(&mut self, now: Timestamp, session: SessionId, uptime: Span) {
+        let started_at = process_start(now, uptime);
+        self.process_started_at = self.process_started_at.min(started_at);
         self.session = Some(session);
         self.snapshot = None;
         self.report.limit = 0;
         self.last_heard = now;
         self.last_sent = now;
-        self.awaits_echo = true;
+        self.clock_at_open = self.clock;
         self.last_batch = 0;
         self.offers.clear();
         self.unreported.clear();
@@ -270,7 +276,6 @@
 
     /// Records that a message with the current echo and acknowledgement is sent.
     pub fn record_sent(&mut self, now: Timestamp) {
-        self.awaits_echo &= self.clock <= self.echoed;
         self.last_sent = now;
         self.echoed = self.clock;
         self.last_acknowledged_end = self.last_received_end;
@@ -283,7 +288,8 @@
         self.session?;
         let needs_heartbeat =
             self.clock > self.echoed || self.last_received_end > self.last_acknowledged_end;
-        let interval = if self.awaits_echo {
+        let awaits_echo = self.echoed <= self.clock_at_open;
+        let interval = if awaits_echo {
             Span::default()
         } else {
             BUSY_HEARTBEAT_INTERVAL
@@ -291,3 +297,10 @@
         needs_heartbeat.then(|| self.last_sent.after(interval))
     }
 }
+
+/// When a process with this uptime started, in microseconds of this gateway's clock; negative if
+/// that was before the gateway's own start.
+fn process_start(now: Timestamp, uptime: Span) -> i64 {
+    let micros = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+    micros(now.0) - micros(uptime.0)
+}
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -237,6 +237,29 @@
     assert!(rig.starts.is_empty(), "the run continues");
 }
 
+/// Guards against a late handshake of an agent's previous process that ends the runs of the present
+/// one, whose session is broken for a moment.
+#[rstest]
+#[case::session_closed_before(15)]
+#[case::session_closed_after(25)]
+fn a_late_predecessor_does_not_end_runs_of_the_present_process(#[case] closed_millis: u64) {
+    let mut rig = GatewayRig::new();
+    let (earlier, later) = (Span::from_secs(30), Span::from_secs(1));
+    rig.join_with_uptime(at(1), 2, "agent-1", cpu(1_000), later);
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    rig.next_start();
+    for millis in [15, 20, 25] {
+        if millis == closed_millis {
+            rig.lose_session(at(millis), 2);
+        }
+        if millis == 20 {
+            rig.join_with_uptime(at(millis), 1, "agent-1", cpu(1_000), earlier);
+        }
+    }
+    rig.tick(at(30));
+    assert!(rig.starts.is_empty(), "the run continues");
+}
+
 /// The connection to the predecessor fails without being closed.
 #[test]
 fn the_runs_of_a_silent_predecessor_end_with_its_expiry() {
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -15,6 +15,7 @@
 use laurelstile_core::leased::timing::{AGENT_EXPIRY, OWNER_TIMEOUT};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
 use leased_support::{AgentRig, GATEWAY, GatewayRig, at, cpu, job, lists, task, worker_clock};
 use rstest::rstest;
 
@@ -266,6 +267,27 @@
     );
 }
 
+/// Guards against runs that are stopped because a repeated stop delays the first echo of a session.
+#[test]
+fn the_first_timestamp_of_a_session_is_echoed_at_once_also_after_a_repeated_stop() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), 7, "agent-7", cpu(2_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    rig.submit(at(11), 2, job(2, 1, 2_000));
+    rig.tick(at(120));
+    rig.report(at(150), 7, 2, cpu(0), FromAgentBody::Heartbeat);
+    rig.report(at(160), 7, 2, cpu(0), FromAgentBody::Heartbeat);
+    rig.lose_session(at(161), 7);
+    let call = CallNumber(1);
+    rig.event(at(170), GatewayEvent::CallerDisconnected { call });
+    let uptime = Span::default();
+    rig.open_agent(at(400), 71, "agent-7", Incarnation(7), uptime);
+    assert_eq!(rig.stops, [task(1, 0)]);
+    rig.echoes.clear();
+    rig.report(at(401), 71, 0, cpu(0), FromAgentBody::Heartbeat);
+    assert_eq!(rig.echoes, [at(401)]);
+}
+
 /// A gateway with a one-core worker, one running job and one waiting job, that is suspended
 /// until 1.5 s. The end of the first job is the first message it reads.
 fn gateway_resumed_with_a_waiting_job() -> GatewayRig {
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -166,6 +166,47 @@
         self.join_from(now, session, name, service, "here", capacity);
     }
 
+    /// An agent joins whose process has run for `uptime`.
+    pub fn join_with_uptime(
+        &mut self,
+        now: Timestamp,
+        session: u64,
+        name: &str,
+        capacity: Resources,
+        uptime: Span,
+    ) {
+        let incarnation = Incarnation(session);
+        self.open_agent(now, session, name, incarnation, uptime);
+        let snapshot = Snapshot {
+            service: "parcels".into(),
+            zone: "here".into(),
+            capacity,
+            labels: Vec::new(),
+            held: Vec::new(),
+        };
+        self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
+    }
+
+    /// An agent process opens a session.
+    pub fn open_agent(
+        &mut self,
+        now: Timestamp,
+        session: u64,
+        name: &str,
+        incarnation: Incarnation,
+        uptime: Span,
+    ) {
+        let opened = GatewayEvent::AgentOpened {
+            session: SessionId(session),
+            remote: Remote {
+                name: name.into(),
+                incarnation,
+                uptime,
+            },
+        };
+        self.event(now, opened);
+    }
+
     /// An agent of `zone` joins whose worker serves `service`.
     pub fn join_from(
         &mut self,
