Agent: the lease of a worker that rejects watches expires

A worker that rejects watches as unhealthy counted as alive although no lease was renewed, so its runs never ended for their gateways: seen for 6 s in a test, found by review. It delayed jobs until their deadline, and since duplicates are answered when the earlier run has ended, and a gateway waits for the runs of an earlier submission, also resubmitted ones. A rejected watch now counts like one without an answer. runs_of_a_worker_that_rejects_stops_and_watches_end_with_their_lease failed before.

--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -100,19 +100,27 @@
                 self.on_incarnation_ended(now, incarnation, IncarnationEnd::Crashed, effects);
             }
             Err(CommandError::NoAnswer | CommandError::ConnectionRefused) => {
-                worker.unanswered_watches += 1;
-                worker.watch_from = now.after(watch_retry_delay(worker.unanswered_watches));
-                if worker.unanswered_watches == 1 {
-                    let incarnation = worker.incarnation.clone();
-                    effects.push(AgentEffect::Decided(AgentDecision::WorkerSilent {
-                        incarnation,
-                    }));
-                }
+                self.on_watch_without_effect(now, effects);
             }
             Ok(answer) => self.on_watch_answered(now, queried_at, answer, effects),
         }
     }
 
+    /// Handles a watch that was not answered, or that the worker rejected: it has renewed no lease.
+    fn on_watch_without_effect(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        worker.unanswered_watches += 1;
+        worker.watch_from = now.after(watch_retry_delay(worker.unanswered_watches));
+        if worker.unanswered_watches == 1 {
+            let incarnation = worker.incarnation.clone();
+            effects.push(AgentEffect::Decided(AgentDecision::WorkerSilent {
+                incarnation,
+            }));
+        }
+    }
+
     fn on_watch_answered(
         &mut self,
         now: Timestamp,
@@ -132,6 +140,12 @@
             self.update_clock(now, answer.clock);
             return;
         }
+        let is_fenced = answer.lists == Err(Rejection::Fenced);
+        if answer.lists.is_err() && !is_fenced {
+            self.update_clock(now, answer.clock);
+            self.on_watch_without_effect(now, effects);
+            return;
+        }
         worker.unanswered_watches = 0;
         worker.expired_tasks.clear();
         self.dismiss_successor(queried_at, effects);
@@ -143,8 +157,7 @@
                     self.on_lists(now, queried_at, &lists, effects);
                 }
             }
-            Err(Rejection::Fenced) => self.raise_token(),
-            Err(_) => {}
+            Err(_) => self.raise_token(),
         }
     }
 
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -68,7 +68,7 @@
     pub has_synced: bool,
     /// Whether the agent has logged that it took control of the incarnation.
     pub has_logged_control: bool,
-    /// Consecutive watches without an answer.
+    /// Consecutive watches that were not answered, or that the worker rejected.
     pub unanswered_watches: u32,
     /// When the pending watch was sent; `None` if none is pending.
     pub watching: Option<Timestamp>,
--- a/laurelstile-core/tests/leased_end_proofs.rs
+++ b/laurelstile-core/tests/leased_end_proofs.rs
@@ -7,9 +7,10 @@
 
 use laurelstile_core::leased::agent::worker::{Rejection, RunLists, WorkerEndKind};
 use laurelstile_core::leased::agent::{AgentEvent, CommandAnswer};
-use laurelstile_core::leased::messages::{FromAgentBody, ToAgentBody};
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason, ToAgentBody};
 use laurelstile_core::leased::timing::RUNS_OVER_AFTER;
 use laurelstile_core::session::SessionId;
+use laurelstile_types::id::Incarnation;
 use leased_support::{AgentRig, GATEWAY, at, cpu, lists, run, worker_clock};
 use rstest::rstest;
 
@@ -159,3 +160,94 @@
     assert!(rig.take_starts().is_empty());
     assert_eq!(rig.machine.run_count(), 0);
 }
+
+/// Guards against a run that never ends for its gateway because its worker rejects all watches: no
+/// lease has been renewed since. The task is requested a second time by another gateway.
+#[test]
+fn runs_of_a_worker_that_rejects_stops_and_watches_end_with_their_lease() {
+    let (gateway, session) = (Incarnation(9), SessionId(90));
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let started = rig.take_starts()[0];
+    rig.answer_start(at(11), started, None);
+    rig.open(at(20), session, gateway);
+    let again = rig.batch(1, 1, 4);
+    rig.message_from(at(21), session, again);
+    let lease_end = rig.leases().into_iter().max().expect("a lease");
+    let expired = lease_end.0 - worker_clock(at(0)).0;
+    for millis in (30..1_000).step_by(10) {
+        assert!(millis > expired || rig.ends().is_empty(), "{millis} ms");
+        let unhealthy = Some(Rejection::Unhealthy);
+        for stop in rig.take_stops() {
+            let answer = CommandAnswer {
+                clock: None,
+                rejection: unhealthy,
+            };
+            let incarnation = "life-1".into();
+            rig.event(
+                at(millis),
+                AgentEvent::StopAnswered {
+                    run: stop,
+                    incarnation,
+                    answer: Ok(answer),
+                },
+            );
+        }
+        rig.answer_watch_as(at(millis), Err(Rejection::Unhealthy));
+        rig.message(at(millis), ToAgentBody::Heartbeat);
+        rig.message_from(at(millis), session, ToAgentBody::Heartbeat);
+    }
+    let duplicate = EndKind::NotStarted(NotStartedReason::Duplicate);
+    let expected = [(run(1, 0).task, EndKind::Lost), (run(1, 0).task, duplicate)];
+    assert_eq!(rig.ends(), expected);
+}
+
+/// A duplicate request belongs to what the agent holds for its gateway, which would otherwise place
+/// the task elsewhere after a new session; if the earlier run completes, so does the request.
+#[test]
+fn a_duplicate_is_held_over_sessions_and_completes_with_the_earlier_run() {
+    let gateway = Incarnation(9);
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let started = rig.take_starts()[0];
+    rig.answer_start(at(11), started, None);
+    rig.open(at(20), SessionId(90), gateway);
+    let again = rig.batch(1, 1, 4);
+    rig.message_from(at(21), SessionId(90), again);
+    assert!(!rig.machine.is_idle_for(SessionId(90)));
+    rig.open(at(30), SessionId(91), gateway);
+    rig.answer_watch(at(32), lists(&[(started, 1)], &[]));
+    let held = rig
+        .sent
+        .iter()
+        .find_map(|(session, message)| match &message.body {
+            FromAgentBody::Snapshot(snapshot) if *session == SessionId(91) => Some(&snapshot.held),
+            _ => None,
+        });
+    assert_eq!(held, Some(&vec![(started.task, started.run)]));
+    let done = [(1, started, WorkerEndKind::Done)];
+    rig.answer_watch(at(40), lists(&[], &done));
+    let expected = [(started.task, EndKind::Done); 2];
+    assert_eq!(rig.ends(), expected);
+}
+
+/// The number of a start that was answered late can be used again.
+#[test]
+fn a_start_is_accepted_once_an_earlier_one_of_the_same_run_is_answered() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let started = rig.take_starts()[0];
+    for millis in [40, 70] {
+        rig.time_out_watch(at(millis));
+    }
+    rig.tick(at(900));
+    rig.answer_watch(at(910), RunLists::default());
+    rig.open(at(920), SessionId(90), Incarnation(9));
+    rig.answer_start(at(921), started, Some(Rejection::LeaseExpired));
+    let batch = rig.batch(1, 1, 4);
+    rig.message_from(at(922), SessionId(90), batch);
+    assert_eq!(rig.take_starts(), [started]);
+}
