Gateway: no job is refused as not run while an earlier run of it continues

A resubmitted job whose task waited for its earlier run was refused as overloaded after a quarter of its objective, which tells the caller that it is not run, although the earlier run was at work and a worker was free (found by review: refused 91 ms after a resubmission, while the run ended later). Such a job now waits for the earlier run until its deadline, as one with a lost run does.

--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -356,14 +356,14 @@
         self.placed_count == 0 && !self.may_have_started
     }
 
-    /// Keeps a task from being placed while `run`, of an earlier submission, has not ended. Later
-    /// runs have higher numbers. Ignores a task that the job does not have.
+    /// Keeps a task from being placed while `run`, of an earlier submission, has not ended. Ignores a
+    /// task that the job does not have.
     pub fn await_earlier_run(&mut self, run: RunId) {
         let Some(task) = self.task_mut(run.task) else {
             return;
         };
         task.state = TaskState::EndingEarlierRun;
-        task.run = task.run.max(run.run);
+        self.may_have_started = true;
         let step = &mut self.steps[run.task.step as usize];
         step.waiting.remove(&run.task.index);
         step.separated.remove(&run.task.index);
