--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -38,6 +38,20 @@
             /// Print a JSON line for each size.
             optional --json
         }
+        /// Play all combinations of a few faults in a small world, and print those that let a
+        /// task run twice at the same time.
+        cmd search {
+            /// Number of faults in each history: 1, 2 or 3.
+            required --faults faults: usize
+            /// Number of threads; 2 unless given.
+            optional --threads threads: usize
+            /// Leave out faults that the platform's documents do not state.
+            optional --only-stated
+            /// Play only each n-th choice of the first fault.
+            optional --stride stride: usize
+            /// Print the timelines.
+            optional --verbose
+        }
         /// Run seeds of leased workers under faults and judge their histories.
         cmd leased {
             /// Seeds to run, A..B.
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -4,7 +4,7 @@
 
 mod crashing;
 mod faults;
-mod nodes;
+pub(crate) mod nodes;
 mod orders;
 mod run;
 mod served;
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -117,6 +117,8 @@
     pub mood: Mood,
     /// Whether leases run out (a switch of the proofs).
     pub has_leases: bool,
+    /// How long a stop takes, in microseconds.
+    pub stop_time: u64,
     /// Rate of its clock, in thousandths.
     pub clock_permille: u64,
     offset: u64,
@@ -146,6 +148,7 @@
             draining: false,
             mood: Mood::Well,
             has_leases: true,
+            stop_time: STOP_TIME,
             clock_permille,
             offset,
             counts_from: 0,
@@ -299,12 +302,13 @@
     }
 
     fn stop(&mut self, now: u64, id: RunId) {
+        let stops_at = now + self.stop_time;
         let highest = self.highest.entry(id.task).or_default();
         *highest = (*highest).max(id.run);
         if let Some(run) = self.runs.get_mut(&id.task)
             && run.number == id.run
         {
-            run.stops_at.get_or_insert(now + STOP_TIME);
+            run.stops_at.get_or_insert(stops_at);
         }
     }
 
@@ -375,6 +379,26 @@
             .collect()
     }
 
+    /// When [`Self::settle`] next ends a run if nothing else happens before; `None` if nothing
+    /// runs.
+    pub fn next_end(&self) -> Option<u64> {
+        let lease_left = self.lease.0.saturating_sub(self.offset) * 1_000_000;
+        let expires_at = self.counts_from + lease_left.div_ceil(self.clock_permille);
+        let expires_at = self.has_leases.then_some(expires_at);
+        let ends = self.runs.values().flat_map(|run| {
+            let ends_at = run.ends_at.map(|(at, _)| at);
+            [ends_at, run.stops_at, expires_at]
+        });
+        ends.flatten().min()
+    }
+
+    /// All runs stop making progress, and do not end by themselves.
+    pub fn stand_still(&mut self) {
+        for run in self.runs.values_mut() {
+            run.ends_at = None;
+        }
+    }
+
     fn end(&mut self, task: TaskId, number: RunNumber, how: WorkerEndKind) -> Change {
         self.runs.remove(&task);
         let highest = self.highest.entry(task).or_default();
--- a/laurelstile-sim/src/lib.rs
+++ b/laurelstile-sim/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod leased;
 pub mod prove;
 pub mod replay;
+pub mod search;
 pub mod workload;
 pub mod world;
--- a/laurelstile-sim/src/main.rs
+++ b/laurelstile-sim/src/main.rs
@@ -6,6 +6,7 @@
 mod flags;
 mod leased_command;
 mod scale_command;
+mod search_command;
 
 use std::process::ExitCode;
 
@@ -19,6 +20,7 @@
         LaurelstileSimCmd::Leased(flags) => leased_command::run(&flags),
         LaurelstileSimCmd::Crashes(flags) => crashes_command::run(&flags),
         LaurelstileSimCmd::Scale(flags) => scale_command::run(&flags),
+        LaurelstileSimCmd::Search(flags) => search_command::run(&flags),
     }
 }
 
