--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -47,6 +47,10 @@
             optional --threads threads: usize
             /// Leave out faults that the platform's documents do not state.
             optional --only-stated
+            /// Workers report when they started, and may restart under the same id.
+            optional --start-times
+            /// Switch a mechanism off: leases or owner-timeout.
+            optional --without mechanism: String
             /// Play only each n-th choice of the first fault.
             optional --stride stride: usize
             /// Print the timelines.
--- /dev/null
+++ b/laurelstile-sim/tests/search.rs
@@ -0,0 +1,49 @@
+//! No single fault that the platform's documents state lets a task run twice at the same time.
+
+use laurelstile_sim::search::{Detail, Mechanism, SearchOptions, Setup, play, search};
+use rstest::rstest;
+
+/// All kinds of faults at some of the times and durations; `laurelstile-sim search` plays all.
+fn one_stated_fault(setup: Setup) -> SearchOptions {
+    SearchOptions {
+        faults: 1,
+        setup,
+        detail: Some(Detail::Medium),
+        threads: 1,
+        only_stated: true,
+        stride: 1,
+    }
+}
+
+#[test]
+fn without_faults_the_task_runs_once() {
+    assert!(play(Setup::default(), &[]).is_none());
+}
+
+/// Guards against two runs of a task at the same time.
+#[rstest]
+#[case::new_id_at_each_start(false)]
+#[case::same_id_and_start_time(true)]
+fn one_stated_fault_keeps_the_task_to_one_run(#[case] has_start_times: bool) {
+    let setup = Setup {
+        has_start_times,
+        without: None,
+    };
+    let report = search(one_stated_fault(setup));
+    assert!(report.played > 1_000, "{} histories", report.played);
+    assert!(report.classes.is_empty(), "{:#?}", report.classes);
+}
+
+/// The search finds what the mechanisms prevent.
+#[rstest]
+#[case::leases(Mechanism::Leases, "agent frozen")]
+#[case::owner_timeout(Mechanism::OwnerTimeout, "agent cut off from all gateways")]
+fn without_a_mechanism_one_fault_breaks_the_rule(#[case] without: Mechanism, #[case] kind: &str) {
+    let setup = Setup {
+        has_start_times: false,
+        without: Some(without),
+    };
+    let report = search(one_stated_fault(setup));
+    let is_found = report.classes.iter().any(|class| class.kinds == [kind]);
+    assert!(is_found, "{:#?}", report.classes);
+}
