Search: slow agent drivers, resubmission at the same gateway, commands held by a process

A command that is carried out late is lost with the worker's process, unless the fault says that it outlives it (the platform excludes that).

--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -49,6 +49,8 @@
             optional --only-stated
             /// Workers report when they started, and may restart under the same id.
             optional --start-times
+            /// The caller submits its job again at the same gateway instead of the other.
+            optional --same-gateway
             /// Switch a mechanism off: leases or owner-timeout.
             optional --without mechanism: String
             /// Play only each n-th choice of the first fault.
--- a/laurelstile-sim/src/search/commands.rs
+++ b/laurelstile-sim/src/search/commands.rs
@@ -5,6 +5,7 @@
     AgentEvent, CommandAnswer, CommandKind, WatchAnswer, WorkerCommand,
 };
 use laurelstile_core::leased::worker_incarnation::WorkerIncarnation;
+use laurelstile_history::leased::Life;
 use laurelstile_types::id::Incarnation;
 
 use super::fault::{CommandType, Fault, LateLease, Micros};
@@ -45,6 +46,17 @@
     }
 }
 
+/// How a command is delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// It is answered.
+    Answered,
+    /// It is not answered.
+    Unanswered,
+    /// It is not answered, and is lost if this incarnation of the worker has ended.
+    HeldBy(Life),
+}
+
 /// A watch that waits at a worker.
 #[derive(Clone, Debug)]
 pub struct PendingWatch {
@@ -91,13 +103,19 @@
         }
         self.time_out(index, agent, &command);
         match fault {
-            Fault::AnswerLost(..) => self.arrive_later(index, agent, command, NEARBY, false),
+            Fault::AnswerLost(..) => {
+                self.arrive_later(index, agent, command, NEARBY, Delivery::Unanswered)
+            }
             Fault::CarriedOutLate(_, _, micros, lease) => {
                 let command = match lease {
-                    LateLease::Absolute => command,
+                    LateLease::Absolute | LateLease::OutlivesProcess => command,
                     LateLease::FromExecution => Box::new(with_lease_after(*command, micros)),
                 };
-                self.arrive_later(index, agent, command, micros, false);
+                let delivery = match lease {
+                    LateLease::OutlivesProcess => Delivery::Unanswered,
+                    _ => Delivery::HeldBy(self.workers[index].life),
+                };
+                self.arrive_later(index, agent, command, micros, delivery);
             }
             _ => {}
         }
@@ -123,7 +141,7 @@
             self.answer(index, agent, NEARBY, event);
             return;
         }
-        self.arrive_later(index, agent, command, NEARBY, true);
+        self.arrive_later(index, agent, command, NEARBY, Delivery::Answered);
     }
 
     fn arrive_later(
@@ -132,10 +150,10 @@
         agent: Incarnation,
         command: Box<WorkerCommand>,
         delay: Micros,
-        is_answered: bool,
+        delivery: Delivery,
     ) {
         self.commands_in_flight += 1;
-        let event = Event::CommandArrives(index, agent, command, is_answered);
+        let event = Event::CommandArrives(index, agent, command, delivery);
         self.schedule(self.now + delay, event);
     }
 
@@ -159,10 +177,14 @@
         index: usize,
         agent: Incarnation,
         command: &WorkerCommand,
-        is_answered: bool,
+        delivery: Delivery,
     ) {
         self.settle(index);
+        let is_answered = delivery == Delivery::Answered;
         let worker = &self.workers[index];
+        if matches!(delivery, Delivery::HeldBy(life) if life != worker.life) {
+            return;
+        }
         if worker.life == 0 || *worker.id != *command.incarnation.id {
             let failure = if worker.life == 0 {
                 CommandError::ConnectionRefused
--- a/laurelstile-sim/src/search/fault.rs
+++ b/laurelstile-sim/src/search/fault.rs
@@ -32,6 +32,9 @@
     Absolute,
     /// It lasts from the execution as long as it would have lasted from the arrival.
     FromExecution,
+    /// As [`Self::Absolute`], and the command outlives the worker's process: the next one under
+    /// the same id carries it out.
+    OutlivesProcess,
 }
 
 /// First fencing token of an agent that restarts.
@@ -56,6 +59,15 @@
     AgentMessages,
 }
 
+/// Inputs of an agent's driver that may wait in a queue of their own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum AgentInput {
+    /// Messages of gateways.
+    GatewayMessages,
+    /// Answers of the worker, and its heartbeats.
+    WorkerMessages,
+}
+
 /// A fault. Agents and workers, and gateways, are named by index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Fault {
@@ -113,6 +125,8 @@
     Deadline(Micros),
     /// Inputs of a kind wait in a gateway's driver for this long, while others do not.
     SlowDriver(usize, GatewayInput, Micros),
+    /// Inputs of a kind wait in an agent's driver for this long, while others do not.
+    SlowAgentDriver(usize, AgentInput, Micros),
 }
 
 /// Whether the platform's documents allow a fault.
@@ -165,6 +179,9 @@
                 LateLease::FromExecution => {
                     format!("{command} carried out late, lease counted from then")
                 }
+                LateLease::OutlivesProcess => {
+                    format!("{command} carried out late, also by the next process")
+                }
             },
             Self::HeldInAgent(_, command, _) => format!("{command} waits in the agent"),
             Self::RefusesUnannounced(_, _, keeps_watches) => {
@@ -185,6 +202,7 @@
             Self::CallerBreaks(None) => "caller's connection breaks, gateway never learns".into(),
             Self::Deadline(_) => "caller's deadline passes".into(),
             Self::SlowDriver(_, input, _) => format!("gateway handles {input} late"),
+            Self::SlowAgentDriver(_, input, _) => format!("agent handles {input} late"),
         }
     }
 
@@ -227,6 +245,10 @@
                 Basis::Excluded,
                 "PROTOCOL: deadline_ms is a time by the worker's clock",
             ),
+            Self::CarriedOutLate(_, _, _, LateLease::OutlivesProcess) => (
+                Basis::Excluded,
+                "fleet/LATER: starting again, a worker knows and holds nothing from before",
+            ),
             Self::HeldInAgent(..) => (Basis::Stated, "own driver; SYSTEM: node_slow"),
             Self::RefusesUnannounced(..) | Self::RefusesAnnounced(..) => (
                 Basis::Open,
@@ -252,7 +274,7 @@
                 Basis::Open,
                 "PROTOCOL names a broken connection, and not when the node learns of it",
             ),
-            Self::SlowDriver(..) => (
+            Self::SlowDriver(..) | Self::SlowAgentDriver(..) => (
                 Basis::Open,
                 "SYSTEM: node_slow; that inputs of one kind wait alone is not stated",
             ),
@@ -279,6 +301,15 @@
     }
 }
 
+impl fmt::Display for AgentInput {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::GatewayMessages => "gateways' messages",
+            Self::WorkerMessages => "its worker's messages",
+        })
+    }
+}
+
 impl fmt::Display for GatewayInput {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
--- a/laurelstile-sim/src/search/menu.rs
+++ b/laurelstile-sim/src/search/menu.rs
@@ -1,6 +1,8 @@
 //! Which faults are combined, and when each begins.
 
-use super::fault::{CommandType, Direction, Fault, GatewayInput, LateLease, Micros, TokenStart};
+use super::fault::{
+    AgentInput, CommandType, Direction, Fault, GatewayInput, LateLease, Micros, TokenStart,
+};
 use super::world::SUBMITTED_AT;
 
 const MILLI: Micros = 1_000;
@@ -36,7 +38,10 @@
 pub fn is_timeless(fault: Fault) -> bool {
     matches!(
         fault,
-        Fault::ClockRate(..) | Fault::Deadline(_) | Fault::SlowDriver(..)
+        Fault::ClockRate(..)
+            | Fault::Deadline(_)
+            | Fault::SlowDriver(..)
+            | Fault::SlowAgentDriver(..)
     )
 }
 
@@ -218,7 +223,11 @@
             for micros in late.iter().map(|millis| millis * MILLI) {
                 let leases: &[LateLease] = match command {
                     CommandType::Stop => &[LateLease::Absolute],
-                    _ => &[LateLease::Absolute, LateLease::FromExecution],
+                    _ => &[
+                        LateLease::Absolute,
+                        LateLease::FromExecution,
+                        LateLease::OutlivesProcess,
+                    ],
                 };
                 for lease in leases {
                     faults.push(Fault::CarriedOutLate(agent, command, micros, *lease));
@@ -292,6 +301,9 @@
     for micros in waits.iter().map(|millis| millis * MILLI) {
         faults.push(Fault::SlowDriver(0, GatewayInput::Submissions, micros));
         if micros < 500 * MILLI {
+            for input in [AgentInput::GatewayMessages, AgentInput::WorkerMessages] {
+                faults.push(Fault::SlowAgentDriver(0, input, micros));
+            }
             faults.push(Fault::SlowDriver(0, GatewayInput::AgentMessages, micros));
         }
     }
--- a/laurelstile-sim/src/search_command.rs
+++ b/laurelstile-sim/src/search_command.rs
@@ -22,6 +22,7 @@
     };
     let setup = Setup {
         has_start_times: flags.start_times,
+        has_same_gateway: flags.same_gateway,
         without,
     };
     let options = SearchOptions {
