--- a/laurelstile-sim/src/search/menu.rs
+++ b/laurelstile-sim/src/search/menu.rs
@@ -270,11 +270,11 @@
     faults.push(Fault::CallerBreaks(Some(0)));
     faults.push(Fault::CallerBreaks(None));
     let notices = detail.pick(
-        &[500, 1_250],
-        &[100, 500, 1_000, 1_250, 1_350],
+        &[1_250, 10_000],
+        &[100, 500, 1_000, 1_250, 1_350, 10_000],
         &[
             25, 50, 100, 300, 450, 700, 815, 1_000, 1_165, 1_200, 1_225, 1_250, 1_275, 1_300,
-            1_325, 2_000, 3_000,
+            1_325, 2_000, 3_000, 10_000,
         ],
     );
     for micros in notices.iter().map(|millis| millis * MILLI) {
