--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -49,10 +49,14 @@
             optional --only-stated
             /// Workers report when they started, and may restart under the same id.
             optional --start-times
+            /// Each gateway has had a short job on each worker shortly before.
+            optional --busy-sessions
             /// The caller submits its job again at the same gateway instead of the other.
             optional --same-gateway
             /// Switch a mechanism off: leases or owner-timeout.
             optional --without mechanism: String
+            /// Play only first faults whose kind contains this text.
+            optional --first kind: String
             /// Play only each n-th choice of the first fault.
             optional --stride stride: usize
             /// Print the timelines.
--- a/laurelstile-sim/src/search/commands.rs
+++ b/laurelstile-sim/src/search/commands.rs
@@ -4,12 +4,13 @@
 use laurelstile_core::leased::agent::{
     AgentEvent, CommandAnswer, CommandKind, WatchAnswer, WorkerCommand,
 };
+use laurelstile_core::leased::task::RunId;
 use laurelstile_core::leased::worker_incarnation::WorkerIncarnation;
 use laurelstile_history::leased::Life;
 use laurelstile_types::id::Incarnation;
 
 use super::fault::{CommandType, Fault, LateLease, Micros};
-use super::world::{Event, RUN_TIME, World};
+use super::world::{EARLIER_RUN_TIME, Event, JOB, RUN_TIME, World};
 use crate::leased::worker::{Change, RunPlan};
 
 /// One-way delay between an agent and its worker.
@@ -211,8 +212,13 @@
         command: &WorkerCommand,
         is_answered: bool,
     ) {
+        let is_judged = |run: &RunId| run.task.job == JOB;
+        let duration = match &command.kind {
+            CommandKind::Start { run, .. } if !is_judged(run) => EARLIER_RUN_TIME,
+            _ => RUN_TIME,
+        };
         let plan = RunPlan {
-            duration: RUN_TIME,
+            duration,
             crashes: false,
             is_late: false,
         };
@@ -226,6 +232,7 @@
             )
         });
         if let CommandKind::Start { run, .. } = &command.kind
+            && is_judged(run)
             && changes
                 .iter()
                 .any(|change| matches!(change, Change::Started(..)))
--- a/laurelstile-sim/src/search/mod.rs
+++ b/laurelstile-sim/src/search/mod.rs
@@ -19,7 +19,7 @@
 pub use world::{Mechanism, Overlap, SUBMITTED_AT, Setup};
 
 /// What is searched.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct SearchOptions {
     /// Number of faults in each history, up to three.
     pub faults: usize,
@@ -31,6 +31,8 @@
     pub threads: usize,
     /// Whether to leave out faults that the platform's documents exclude or do not mention.
     pub only_stated: bool,
+    /// Plays only first faults whose kind contains this text.
+    pub first: String,
     /// Plays only each n-th choice of the first fault; 1 plays all.
     pub stride: usize,
 }
@@ -76,7 +78,7 @@
 }
 
 /// Plays all histories of a number of faults.
-pub fn search(options: SearchOptions) -> SearchReport {
+pub fn search(options: &SearchOptions) -> SearchReport {
     let detail = options.detail.unwrap_or(match options.faults {
         0 | 1 => Detail::High,
         2 => Detail::Medium,
@@ -86,6 +88,7 @@
     menu.retain(|fault| !options.only_stated || fault.basis().0 == Basis::Stated);
     let firsts: Vec<ScheduledFault> = menu
         .iter()
+        .filter(|fault| fault.kind().contains(&options.first))
         .flat_map(|fault| {
             let times = menu::first_times(detail, *fault);
             times
--- a/laurelstile-sim/src/search/world.rs
+++ b/laurelstile-sim/src/search/world.rs
@@ -29,6 +29,13 @@
 pub const NODES: usize = 2;
 /// When the job is submitted.
 pub const SUBMITTED_AT: Micros = 500_000;
+/// The job.
+pub const JOB: JobId = JobId(1);
+/// When the first gateway gets an earlier job, if it does, and how much later the next one.
+const EARLIER_JOBS_AT: Micros = 20_000;
+const EARLIER_JOBS_INTERVAL: Micros = 10_000;
+/// How long the tasks of an earlier job run.
+pub const EARLIER_RUN_TIME: Micros = 2_000;
 /// How long the task runs.
 pub const RUN_TIME: Micros = 3_000_000;
 /// End of a history.
@@ -72,6 +79,9 @@
 pub struct Setup {
     /// Whether workers report when their process started, and may restart under the same id.
     pub has_start_times: bool,
+    /// Whether each gateway has had a short job on each worker shortly before, so that agents send
+    /// it frequent heartbeats.
+    pub has_busy_sessions: bool,
     /// Whether the caller submits the job again at the same gateway instead of the other.
     pub has_same_gateway: bool,
     /// A mechanism that is switched off.
@@ -119,6 +129,8 @@
     GatewayStop(usize, Incarnation),
     /// A gateway reads the configuration.
     Configuration(usize, Incarnation),
+    /// Another caller submits a short job.
+    EarlierJob(usize),
     /// The caller submits the job.
     Submit,
     /// A submission reaches a gateway.
@@ -314,6 +326,12 @@
             let at = self.faults[index].at;
             self.schedule(at, Event::Fault(index));
         }
+        if self.setup.has_busy_sessions {
+            for index in 0..NODES {
+                let at = EARLIER_JOBS_AT + EARLIER_JOBS_INTERVAL * index as u64;
+                self.schedule(at, Event::EarlierJob(index));
+            }
+        }
         self.schedule(SUBMITTED_AT, Event::Submit);
     }
 
@@ -529,12 +547,18 @@
                     self.gateway_event(index, GatewayEvent::Stop);
                 }
             }
+            Event::EarlierJob(index) => {
+                let id = JobId(JOB.0 + 1 + index as u64);
+                let request = request(id, NODES, EARLIER_RUN_TIME, Span(DEADLINE));
+                let call = CallNumber(MAX_SUBMISSIONS + 1 + index as u64);
+                self.gateway_event(index, GatewayEvent::Submit { call, request });
+            }
             Event::Submit => self.submit(),
             Event::Submission(index, incarnation, call, time_left) => {
                 if self.is_gateway(index, incarnation) {
                     self.read_calls.insert(call);
                     self.note(|| format!("gateway-{index} reads submission {}", call.0));
-                    let request = request(time_left);
+                    let request = request(JOB, 1, RUN_TIME, time_left);
                     self.gateway_event(index, GatewayEvent::Submit { call, request });
                 }
             }
@@ -1083,20 +1107,19 @@
     }
 }
 
-/// The job, of one task.
-fn request(time_left: Span) -> JobRequest {
+fn request(id: JobId, tasks: usize, estimate: Micros, time_left: Span) -> JobRequest {
     JobRequest {
-        id: JobId(1),
+        id,
         queue: Arc::new(nodes::queue(0)),
         input: "input".into(),
         steps: vec![StepRequest {
-            count: 1,
+            count: u32::try_from(tasks).unwrap_or(1),
             resources: Resources {
                 cpu_millis: CPU_MILLIS,
                 memory_mib: 0,
                 gpus: 0,
             },
-            estimate: Span(RUN_TIME),
+            estimate: Span(estimate),
             after: Vec::new(),
             label: None,
             near: None,
--- a/laurelstile-sim/src/search_command.rs
+++ b/laurelstile-sim/src/search_command.rs
@@ -22,6 +22,7 @@
     };
     let setup = Setup {
         has_start_times: flags.start_times,
+        has_busy_sessions: flags.busy_sessions,
         has_same_gateway: flags.same_gateway,
         without,
     };
@@ -31,13 +32,14 @@
         faults: flags.faults,
         threads: flags.threads.unwrap_or(2),
         only_stated: flags.only_stated,
+        first: flags.first.clone().unwrap_or_default(),
         stride: flags.stride.unwrap_or(1),
     };
     if !(1..=3).contains(&options.faults) {
         eprintln!("--faults takes 1, 2 or 3");
         return ExitCode::from(2);
     }
-    let report = search(options);
+    let report = search(&options);
     for class in &report.classes {
         show(setup, class, flags.verbose);
     }
--- a/laurelstile-sim/tests/search.rs
+++ b/laurelstile-sim/tests/search.rs
@@ -11,6 +11,7 @@
         detail: Some(Detail::Medium),
         threads: 1,
         only_stated: true,
+        first: String::new(),
         stride: 1,
     }
 }
@@ -29,7 +30,7 @@
         has_start_times,
         ..Setup::default()
     };
-    let report = search(one_stated_fault(setup));
+    let report = search(&one_stated_fault(setup));
     assert!(report.played > 1_000, "{} histories", report.played);
     assert!(report.classes.is_empty(), "{:#?}", report.classes);
 }
@@ -43,7 +44,7 @@
         without: Some(without),
         ..Setup::default()
     };
-    let report = search(one_stated_fault(setup));
+    let report = search(&one_stated_fault(setup));
     let is_found = report.classes.iter().any(|class| class.kinds == [kind]);
     assert!(is_found, "{:#?}", report.classes);
 }
