Judge: tell the two runs of a task that ran twice, and who ordered them

A double run was reported with the workers' lives only, so that an end that a gateway believed could not be told from a job that a caller had submitted again.

--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -102,13 +102,14 @@
                 tasks,
                 room,
                 max_attempts,
+                ..
             } => self.on_submitted(*job, tasks, *room, *max_attempts),
             Seen::Answered {
                 job,
                 told,
                 in_planned_stop,
             } => self.on_answered(at, *job, *told, *in_planned_stop),
-            Seen::Began { life, zone } => {
+            Seen::Began { life, zone, .. } => {
                 self.zones.insert(*life, zone.clone());
             }
             Seen::Evacuated { zone } => {
@@ -122,6 +123,7 @@
                 task,
                 capacity,
                 promptness,
+                ..
             } => {
                 self.on_started(at, *life, *task, *capacity, bounds);
                 if promptness.is_prompt() {
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -1,10 +1,12 @@
 //! Histories of leased workers: what callers and workers have seen, and the
 //! judge of what must hold there.
 
+mod double_runs;
 mod judge;
 
 use serde::{Deserialize, Serialize};
 
+pub use double_runs::{CallSeen, DoubleRun, RunSeen, Source, double_runs};
 pub use judge::{Bounds, judge};
 
 /// A task, as workers name it.
@@ -55,6 +57,22 @@
     }
 }
 
+/// Where an order to start came from, as far as the worker can tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Origin {
+    /// Number of the run, by which the task's starts at one gateway are counted.
+    pub run: u32,
+    /// Fencing token of the agent.
+    pub token: u64,
+    /// The gateway, by its index.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub gateway: Option<u32>,
+    /// Which of the caller's calls the gateway had the job from, from 1.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub call: Option<u32>,
+}
+
 /// What a caller was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -85,6 +103,9 @@
         room: u32,
         /// Failures of a task that end it.
         max_attempts: u32,
+        /// The gateway that is called, by its index.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        gateway: Option<u32>,
     },
     /// A call has ended.
     Answered {
@@ -101,6 +122,9 @@
         life: Life,
         /// Its zone.
         zone: String,
+        /// The agent beside it, by its index.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        agent: Option<u32>,
     },
     /// The operator's word that a zone is evacuated was acknowledged.
     Evacuated {
@@ -123,6 +147,9 @@
         /// How late its order was carried out.
         #[serde(default, skip_serializing_if = "Promptness::is_prompt")]
         promptness: Promptness,
+        /// Where its order came from.
+        #[serde(default)]
+        origin: Origin,
     },
     /// A run ends at its worker.
     Ended {
--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -2,7 +2,7 @@
 //! for each rule.
 
 use laurelstile_history::leased::{
-    Bounds, Promptness, Record, Rule, RunEnd, Seen, TaskName, Told, judge,
+    Bounds, Origin, Promptness, Record, Rule, RunEnd, Seen, TaskName, Told, judge,
 };
 use rstest::rstest;
 
@@ -24,6 +24,7 @@
         tasks: vec![2],
         room: 600,
         max_attempts: 2,
+        gateway: None,
     }
 }
 
@@ -33,6 +34,7 @@
         task: task(index),
         capacity: 1_200,
         promptness: Promptness::Prompt,
+        origin: Origin::default(),
     }
 }
 
@@ -43,6 +45,7 @@
         task: task(index),
         capacity: 1_200,
         promptness,
+        origin: Origin::default(),
     }
 }
 
@@ -167,6 +170,7 @@
         Seen::Began {
             life: LIFE,
             zone: "a".into(),
+            agent: None,
         },
         evacuated("a"),
         evacuated("b"),
@@ -268,9 +272,9 @@
 #[case::drain_of_a_worker_that_came_back(
     vec![
         submitted(),
-        Seen::Began { life: LIFE, zone: "a".into() },
+        Seen::Began { life: LIFE, zone: "a".into(), agent: None },
         Seen::Crashed { life: LIFE, by: None },
-        Seen::Began { life: OTHER_LIFE, zone: "a".into() },
+        Seen::Began { life: OTHER_LIFE, zone: "a".into(), agent: None },
         Seen::DrainAcknowledged { life: OTHER_LIFE },
         answered(Told::Nothing),
         answered(Told::Nothing),
@@ -281,7 +285,7 @@
 #[case::evacuation(
     vec![
         submitted(),
-        Seen::Began { life: LIFE, zone: "a".into() },
+        Seen::Began { life: LIFE, zone: "a".into(), agent: None },
         Seen::Evacuated { zone: "a".into() },
         started(LIFE, 0),
         answered(Told::Nothing),
--- a/laurelstile-sim/src/leased/orders.rs
+++ b/laurelstile-sim/src/leased/orders.rs
@@ -163,6 +163,8 @@
                 duration: 0,
                 crashes: false,
                 is_late: false,
+                gateway: None,
+                call: None,
             },
         };
         let (answer, changes) = self.workers[worker].order(self.now, order.token, kind, plan);
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -8,7 +8,7 @@
 use laurelstile_core::leased::agent::{CommandAnswer, CommandKind};
 use laurelstile_core::leased::task::{RunId, RunNumber, TaskId};
 use laurelstile_core::leased::worker_incarnation::{StartTime, WorkerIncarnation};
-use laurelstile_history::leased::{Life, Promptness, RunEnd, Seen, TaskName};
+use laurelstile_history::leased::{Life, Origin, Promptness, RunEnd, Seen, TaskName};
 
 /// Longest lease, on the worker's clock, in milliseconds.
 const LONGEST_LEASE: u64 = 1_000;
@@ -48,6 +48,10 @@
     pub crashes: bool,
     /// Whether its order is carried out long after it was sent.
     pub is_late: bool,
+    /// The gateway that orders it, by its index, if its input tells.
+    pub gateway: Option<u32>,
+    /// Which of the caller's calls that gateway had the job from, if its input tells.
+    pub call: Option<u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -63,8 +67,8 @@
 /// What changed at a worker that callers of it want recorded.
 #[derive(Clone, Copy, Debug)]
 pub enum Change {
-    /// A run began, by an order that was carried out so late.
-    Started(TaskId, Promptness),
+    /// A run began, by an order that came from there and was carried out so late.
+    Started(TaskId, Promptness, Origin),
     /// A run ended.
     Ended(TaskId, RunEnd),
 }
@@ -73,11 +77,12 @@
     /// What is seen of it, at a worker of that life and room.
     pub fn seen(self, life: Life, capacity: u32) -> Seen {
         match self {
-            Self::Started(task, promptness) => Seen::Started {
+            Self::Started(task, promptness, origin) => Seen::Started {
                 life,
                 task: name_of(task),
                 capacity,
                 promptness,
+                origin,
             },
             Self::Ended(task, how) => Seen::Ended {
                 life,
@@ -283,7 +288,13 @@
             stops_at: None,
         };
         self.runs.insert(id.task, run);
-        changes.push(Change::Started(id.task, self.promptness(plan)));
+        let origin = Origin {
+            run: id.run.0,
+            token: self.token.0,
+            gateway: plan.gateway,
+            call: plan.call,
+        };
+        changes.push(Change::Started(id.task, self.promptness(plan), origin));
         None
     }
 
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -34,6 +34,7 @@
             tasks: vec![job.tasks],
             room: TASK_ROOM,
             max_attempts: nodes::MAX_ATTEMPTS,
+            gateway: u32::try_from(gateway).ok(),
         });
         self.callers[index].gateway = Some((gateway, self.gateways[gateway].incarnation));
         self.schedule(first + DEADLINE, Happening::Leave(index));
--- a/laurelstile-sim/src/leased/world/leaving.rs
+++ b/laurelstile-sim/src/leased/world/leaving.rs
@@ -76,7 +76,8 @@
         let life = self.fresh();
         self.workers[worker].begin(self.now, life);
         let zone = nodes::worker_zone(worker);
-        self.see(Seen::Began { life, zone });
+        let agent = u32::try_from(worker).ok();
+        self.see(Seen::Began { life, zone, agent });
         self.schedule(self.now, Happening::Heartbeat(worker, life));
     }
 
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -459,6 +459,8 @@
             duration: job.map_or(1_000, |job| job.duration),
             crashes: job.is_some_and(|job| job.crashing == Some(task.index)),
             is_late: false,
+            gateway: None,
+            call: None,
         }
     }
 }
