--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -324,6 +324,14 @@
         self.lease = self.lease.max(until.min(longest));
     }
 
+    /// Takes the tokens that it has seen for higher by that much, if they are below `below`: as if
+    /// the wall clock of their agents had been ahead.
+    pub fn step_token(&mut self, below: FenceToken, by: u64) {
+        if self.token < below {
+            self.token = FenceToken(self.token.0 + by);
+        }
+    }
+
     /// Takes in the renewal and the acknowledgement of a watch.
     ///
     /// # Errors
