--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -5,6 +5,7 @@
 mod capacity_freshness;
 mod crash_history;
 mod deregistration;
+mod duplicates;
 pub mod events;
 mod health;
 mod heartbeats;
@@ -25,7 +26,7 @@
 pub mod worker;
 mod worker_state;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use laurelstile_types::id::Incarnation;
@@ -39,6 +40,7 @@
 use capacity_freshness::CapacityFreshness;
 pub use capacity_freshness::HeartbeatTiming;
 use crash_history::CrashHistory;
+use duplicates::DuplicateRequest;
 pub use events::{
     AgentDecision, AgentEffect, AgentEvent, CommandAnswer, CommandKind, HeartbeatIgnoreReason,
     IncarnationEnd, IncarnationSource, LostRun, WatchAnswer, WorkerCommand,
@@ -79,6 +81,11 @@
     /// were sent to an incarnation which has ended.
     held_worker_id: Option<Arc<str>>,
     runs: RunTable,
+    /// Runs whose start command has neither been answered nor failed, whether or not they are still
+    /// in `runs`.
+    pending_starts: BTreeSet<RunId>,
+    /// Requests to start tasks of which the worker has an earlier run.
+    duplicates: Vec<DuplicateRequest>,
     health: Health,
     crash_history: CrashHistory,
     /// How long the reported capacity of the current incarnation is valid.
@@ -87,6 +94,8 @@
     has_overdue_stop: bool,
     evacuations: Evacuations,
     owners: BTreeMap<Incarnation, Owner>,
+    /// Highest number of an end that was queued for a gateway forgotten since.
+    last_forgotten_end: u64,
     sessions: BTreeMap<SessionId, Incarnation>,
     stopping_since: Option<Timestamp>,
     has_reported_stop: bool,
@@ -106,12 +115,15 @@
             past_incarnations: PastIncarnations::default(),
             held_worker_id: None,
             runs: RunTable::default(),
+            pending_starts: BTreeSet::new(),
+            duplicates: Vec::new(),
             health: Health::default(),
             crash_history: CrashHistory::default(),
             capacity_freshness: CapacityFreshness::default(),
             has_overdue_stop: false,
             evacuations: Evacuations::default(),
             owners: BTreeMap::new(),
+            last_forgotten_end: 0,
             sessions: BTreeMap::new(),
             stopping_since: None,
             has_reported_stop: false,
@@ -247,6 +259,7 @@
         if let Some(owner) = self.owners.get_mut(&run.owner) {
             owner.push_end(id, how);
         }
+        self.answer_duplicates(task, how, effects);
         if let (EndKind::Done, RunState::Running { .. }, Some(worker)) =
             (how, run.state, &self.worker)
         {
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -28,7 +28,8 @@
             .owners
             .get(gateway)
             .is_some_and(Owner::has_unacknowledged);
-        !has_unacknowledged && !self.owns_runs(*gateway)
+        let awaits_answers = self.duplicates_of(*gateway).next().is_some();
+        !has_unacknowledged && !awaits_answers && !self.owns_runs(*gateway)
     }
 
     pub(super) fn on_opened(
@@ -41,7 +42,7 @@
         let owner = self
             .owners
             .entry(gateway)
-            .or_insert_with(|| Owner::new(now));
+            .or_insert_with(|| Owner::new(now, self.last_forgotten_end));
         // A new session of the same incarnation replaces the old one.
         if let Some(old) = owner.session {
             self.sessions.remove(&old);
@@ -87,7 +88,16 @@
         effects: &mut Vec<AgentEffect>,
     ) {
         self.stop_runs_of(now, gateway, effects);
-        self.owners.remove(&gateway);
+        self.forget_gateway(gateway);
+    }
+
+    /// Forgets a gateway. Its process may still be running and connect again; it ignores ends with
+    /// numbers that it has received before.
+    pub(super) fn forget_gateway(&mut self, gateway: Incarnation) {
+        self.drop_duplicates_of(gateway);
+        if let Some(owner) = self.owners.remove(&gateway) {
+            self.last_forgotten_end = self.last_forgotten_end.max(owner.last_number());
+        }
     }
 
     pub(super) fn on_message(
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -63,45 +63,52 @@
                 started: WorkerClock::default(),
                 progressed: WorkerClock::default(),
             };
-            if let Some(reason) = self.refusal_reason(now, echo, task, &run, effects) {
-                self.refuse(gateway, RunId { task, run: *number }, reason, effects);
+            let id = RunId { task, run: *number };
+            if self.runs.get(task).is_some() {
+                self.add_duplicate(now, gateway, id, effects);
+                continue;
+            }
+            if let Some(reason) = self.refusal_reason(now, echo, id, &run) {
+                self.end_unstarted(gateway, id, EndKind::NotStarted(reason), effects);
                 continue;
             }
             self.runs.insert(task, run);
         }
     }
 
-    fn refuse(
+    /// Reports the end of a requested run that is not in the run table.
+    pub(super) fn end_unstarted(
         &mut self,
         gateway: Incarnation,
         run: RunId,
-        reason: NotStartedReason,
+        how: EndKind,
         effects: &mut Vec<AgentEffect>,
     ) {
-        let how = EndKind::NotStarted(reason);
-        effects.push(AgentEffect::Decided(AgentDecision::Ended {
-            run,
-            how,
-            proof: EndProof::NotSent,
-        }));
+        if how != EndKind::Done {
+            let proof = EndProof::NotSent;
+            effects.push(AgentEffect::Decided(AgentDecision::Ended {
+                run,
+                how,
+                proof,
+            }));
+        }
         if let Some(owner) = self.owners.get_mut(&gateway) {
             owner.push_end(run, how);
         }
     }
 
-    /// Why a requested run is refused; `None` if it is accepted. Stops an earlier run of the task.
+    /// Why a requested run is refused; `None` if it is accepted.
     fn refusal_reason(
-        &mut self,
+        &self,
         now: Timestamp,
         echo: Timestamp,
-        task: TaskId,
+        id: RunId,
         run: &Run,
-        effects: &mut Vec<AgentEffect>,
     ) -> Option<NotStartedReason> {
-        if self.runs.get(task).is_some() {
-            // The latest request wins; the earlier run is stopped first.
-            self.stop_run(now, task, StopReason::OwnerSilent, effects);
-            return Some(NotStartedReason::Duplicate);
+        if self.pending_starts.contains(&id) {
+            // Two gateways may use the same number, and the answer to the earlier start could not
+            // be told from the answer to this one.
+            return Some(NotStartedReason::OldRun);
         }
         if now.since(echo) > MAX_START_ECHO_AGE {
             return Some(NotStartedReason::StaleSender);
@@ -166,6 +173,7 @@
             task,
             run: run.number,
         };
+        self.pending_starts.insert(run);
         let lease_until = self.renew(now);
         let kind = CommandKind::Start {
             run,
@@ -210,6 +218,7 @@
         answer: Result<CommandAnswer, CommandError>,
         effects: &mut Vec<AgentEffect>,
     ) {
+        self.pending_starts.remove(&id);
         if !self.is_current(incarnation) {
             self.on_late_start_answer(now, id, answer, effects);
             return;
@@ -305,6 +314,28 @@
         if let Some(worker) = &mut self.worker {
             let step = 1 << worker.fenced.min(MAX_TOKEN_DOUBLINGS);
             worker.fenced += 1;
+            worker.has_contested_token = true;
+            self.raise_token_by(step);
+        }
+    }
+
+    /// Raises the token above one that was accepted after others had been rejected: it may equal
+    /// that of an earlier agent, whose delayed commands would take effect. Returns whether the
+    /// token was raised.
+    pub(super) fn exceed_contested_token(&mut self) -> bool {
+        let Some(worker) = &mut self.worker else {
+            return false;
+        };
+        let is_contested = std::mem::take(&mut worker.has_contested_token);
+        if is_contested {
+            worker.wants_watch = true;
+            self.raise_token_by(1);
+        }
+        is_contested
+    }
+
+    fn raise_token_by(&mut self, step: u64) {
+        if let Some(worker) = &mut self.worker {
             worker.token = FenceToken(worker.token.0 + step);
             self.token = self.token.max(worker.token);
         }
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -56,6 +56,7 @@
             run: end.run,
         };
         self.on_end(now, &name, run, end.how, EndSource::Agent, effects);
+        self.on_earlier_run_end(now, end.task, end.how, effects);
     }
 
     fn on_end(
@@ -96,20 +97,28 @@
         self.requeue_task(now, id, how, effects);
     }
 
-    fn on_task_done(&mut self, now: Timestamp, id: TaskId, effects: &mut Vec<GatewayEffect>) {
+    pub(super) fn on_task_done(
+        &mut self,
+        now: Timestamp,
+        id: TaskId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
         let Some(task) = job.task_mut(id) else {
             return;
         };
+        let is_placed_here = task.state == TaskState::Placed;
         task.state = TaskState::Done;
         let duration = now.since(task.placed_at);
         let step = &mut job.steps[id.step as usize];
         step.done += 1;
-        step.longest = step.longest.max(duration);
+        if is_placed_here {
+            step.longest = step.longest.max(duration);
+        }
         let is_step_done = step.is_done();
-        if is_step_done {
+        if is_step_done && step.longest > Span::default() {
             self.run_times
                 .record(&job.queue.name, step.caller_estimate, step.longest);
             effects.push(GatewayEffect::Decided(GatewayDecision::StepDone {
@@ -185,6 +194,22 @@
         self.refuse_or_give_up(now, id.job, effects);
     }
 
+    /// Queues a task that waited for its earlier runs to end.
+    pub(super) fn queue_task(&mut self, id: TaskId) {
+        let is_clear = self.crashes.suspicion(id) == Suspicion::Clear;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(id) {
+            task.state = TaskState::Waiting;
+        }
+        job.steps[id.step as usize].waiting.insert(id.index);
+        if !is_clear {
+            job.separate(id);
+        }
+        self.enqueue_if_placeable(id.job);
+    }
+
     pub(super) fn delay_placement(&mut self, id: JobId, until: Timestamp) {
         if let Some(job) = self.jobs.get_mut(&id)
             && until > job.not_before
@@ -205,8 +230,8 @@
 
     /// Handles an agent's snapshot of its worker and the tasks that it holds for this gateway.
     /// Tasks not in the first snapshot of a session have ended, as have all tasks of earlier
-    /// processes of the same name. Tasks that are held but no longer wanted are stopped;
-    /// otherwise they could run beside a resubmission of their job.
+    /// processes of the same name. Tasks that are held but not known here are stopped; otherwise
+    /// they could run beside a resubmission of their job.
     pub(super) fn on_snapshot(
         &mut self,
         now: Timestamp,
@@ -232,20 +257,58 @@
             }
             self.mark_lost(now, agent, &lost, EndSource::Snapshot, effects);
         }
-        let predecessors: Vec<Incarnation> = self
-            .workers
-            .iter()
-            .filter(|(other, worker)| **other != agent && worker.name == name)
-            .map(|(other, _)| *other)
-            .collect();
-        for old in predecessors {
-            self.mark_all_lost(now, old, EndSource::Successor, effects);
-            self.workers.remove(&old);
-            self.start_window.remove_agent(old);
-            self.ingress_delay.remove_agent(old);
+        self.end_predecessors(now, agent, &name, effects);
+    }
+
+    /// Marks as lost the tasks of earlier processes of an agent that has its worker under control.
+    /// A process with an open session may be the later one, whose predecessor's handshake was
+    /// delayed; its tasks wait until its session closes, or it has been silent for long.
+    fn end_predecessors(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        name: &str,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let others = self.workers.iter_mut();
+        let others = others.filter(|(other, worker)| **other != agent && worker.name == name);
+        let mut ended = Vec::new();
+        for (other, worker) in others {
+            worker.may_be_succeeded = true;
+            if worker.session.is_none() {
+                ended.push(*other);
+            }
+        }
+        for old in ended {
+            self.end_predecessor(now, old, effects);
+        }
+    }
+
+    /// Ends an agent process whose session has closed since its successor took control.
+    pub(super) fn end_if_succeeded(
+        &mut self,
+        now: Timestamp,
+        closed: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let worker = self.workers.get(&closed);
+        if worker.is_some_and(|worker| worker.may_be_succeeded) {
+            self.end_predecessor(now, closed, effects);
         }
     }
 
+    fn end_predecessor(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        self.mark_all_lost(now, agent, EndSource::Successor, effects);
+        self.workers.remove(&agent);
+        self.start_window.remove_agent(agent);
+        self.ingress_delay.remove_agent(agent);
+    }
+
     /// Marks as lost the tasks of agents that have been silent for so long that the leases have
     /// expired. Removes disconnected agents without tasks that were last heard more than
     /// [`DISCONNECTED_AGENT_RETENTION`] ago.
@@ -308,6 +371,7 @@
             };
             let run = RunId { task: *task, run };
             self.on_end(now, &name, run, EndKind::Lost, source, effects);
+            self.on_earlier_run_end(now, *task, EndKind::Lost, effects);
         }
     }
 }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod cancels;
 mod candidate;
 mod containment;
+mod earlier_runs;
 mod ends;
 mod evacuation;
 pub mod events;
@@ -41,6 +42,7 @@
 use crate::session::{Remote, SessionId};
 use cancels::CancelLog;
 use containment::Containment;
+use earlier_runs::EarlierRuns;
 pub use events::{Answer, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Refusal};
 use ingress_delay::IngressDelay;
 use job::{CallNumber, Job};
@@ -99,6 +101,7 @@
     /// Bounds the bytes of start batches in flight to agents.
     start_window: StartWindow,
     cancels: CancelLog,
+    earlier_runs: EarlierRuns,
     crashes: CrashLog,
     containment: Containment,
     /// When the first job was submitted in the current period without any worker; `None` while
@@ -131,6 +134,7 @@
             ingress_delay: IngressDelay::default(),
             start_window: StartWindow::default(),
             cancels: CancelLog::default(),
+            earlier_runs: EarlierRuns::default(),
             crashes: CrashLog::default(),
             containment: Containment::default(),
             without_worker_since: None,
@@ -192,7 +196,7 @@
             GatewayEvent::AgentOpened { session, remote } => {
                 self.on_agent_opened(now, session, remote, effects);
             }
-            GatewayEvent::AgentClosed { session } => self.on_agent_closed(session),
+            GatewayEvent::AgentClosed { session } => self.on_agent_closed(now, session, effects),
             GatewayEvent::AgentMessage { session, message } => {
                 self.on_agent_message(now, session, message, effects);
             }
@@ -274,6 +278,7 @@
         worker.open_session(now, session);
         self.start_window.remove_agent(remote.incarnation);
         self.agent_sessions.insert(session, remote.incarnation);
+        self.repeat_stops(now, remote.incarnation, effects);
         self.send_evacuations_to_agent(now, session, effects);
         self.send_predecessor_silence(now, remote.incarnation, effects);
     }
@@ -296,7 +301,12 @@
         }
     }
 
-    fn on_agent_closed(&mut self, session: SessionId) {
+    fn on_agent_closed(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         let Some(agent) = self.agent_sessions.remove(&session) else {
             return;
         };
@@ -306,6 +316,7 @@
             worker.session = None;
             worker.offers.clear();
         }
+        self.end_if_succeeded(now, agent, effects);
     }
 
     fn on_agent_message(
@@ -323,6 +334,7 @@
         };
         self.ingress_delay.record(now, agent, message.clock);
         worker.last_heard = now;
+        worker.may_be_succeeded = false;
         worker.clock = worker.clock.max(message.clock);
         if let Some(report) = message.report {
             worker.on_report(report);
@@ -389,6 +401,21 @@
         }
     }
 
+    /// Sends the stops again that may have been lost with an agent's previous session. They must not
+    /// wait for the snapshot, since the first echo already keeps the agent's runs alive.
+    fn repeat_stops(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let unwanted = self.workers.get(&agent).map(Worker::unwanted);
+        let unwanted = unwanted.unwrap_or_default();
+        if !unwanted.is_empty() {
+            self.send(now, agent, ToAgentBody::Stop(unwanted), effects);
+        }
+    }
+
     fn stop_tasks(&mut self, now: Timestamp, job: JobId, effects: &mut Vec<GatewayEffect>) {
         let workers = self.workers.iter_mut();
         let stops: Vec<(Incarnation, Vec<TaskId>)> = workers
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -7,7 +7,7 @@
 use super::super::evacuation::Evacuations;
 use super::super::messages::{Offer, Report, Snapshot};
 use super::super::resources::Resources;
-use super::super::task::{JobId, RunNumber, TaskId};
+use super::super::task::{JobId, RunId, RunNumber, TaskId};
 use super::super::timing::{
     AGENT_EXPIRY, BUSY_HEARTBEAT_INTERVAL, BUSY_SUSPECT_AFTER, IDLE_SUSPECT_AFTER,
 };
@@ -55,6 +55,9 @@
     unwanted: BTreeSet<TaskId>,
     /// Whether the worker has crashed and no new incarnation is under control yet.
     pub has_crashed: bool,
+    /// Whether another process of the same name has taken control of the worker since the last
+    /// message. Either this one has ended, or the other's handshake was delayed.
+    pub may_be_succeeded: bool,
     /// The latest task that was placed on the worker to run exclusively; it may have ended.
     pub exclusive_task: Option<TaskId>,
     /// Resources that the agent reserves for this gateway, not answered yet.
@@ -88,6 +91,7 @@
             tasks: BTreeMap::new(),
             unwanted: BTreeSet::new(),
             has_crashed: false,
+            may_be_succeeded: false,
             exclusive_task: None,
             offers: Vec::new(),
             is_evacuated: false,
@@ -117,6 +121,20 @@
         tasks
     }
 
+    /// The tasks that are to be stopped.
+    pub fn unwanted(&self) -> Vec<TaskId> {
+        self.unwanted.iter().copied().collect()
+    }
+
+    /// The runs of a job's tasks at the agent that have not ended.
+    pub fn runs_of(&self, job: JobId) -> impl Iterator<Item = RunId> {
+        let own = self.tasks.iter().filter(move |(task, _)| task.job == job);
+        own.map(|(task, run)| RunId {
+            task: *task,
+            run: *run,
+        })
+    }
+
     /// Records a placed task.
     pub fn add_task(&mut self, task: TaskId, run: RunNumber) {
         self.unwanted.remove(&task);
@@ -136,13 +154,10 @@
         not_held.map(|(task, _)| *task).collect()
     }
 
-    /// The held tasks that are not wanted: their stop could not be sent, or was lost with a
-    /// session.
+    /// The held tasks of which the gateway has no record, which are to be stopped.
     pub fn orphaned(&self, held: &[(TaskId, RunNumber)]) -> Vec<TaskId> {
-        let is_wanted = |(task, run): &&(TaskId, RunNumber)| {
-            self.tasks.get(task) == Some(run) && !self.unwanted.contains(task)
-        };
-        let orphaned = held.iter().filter(|held| !is_wanted(held));
+        let is_known = |(task, run): &&(TaskId, RunNumber)| self.tasks.get(task) == Some(run);
+        let orphaned = held.iter().filter(|held| !is_known(held));
         orphaned.map(|(task, _)| *task).collect()
     }
 
@@ -202,6 +217,7 @@
         };
         self.session.is_some()
             && !self.is_evacuated
+            && !self.may_be_succeeded
             && silence <= bound
             && self.report.limit > 0
             && self
--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -109,7 +109,7 @@
                 told,
                 in_planned_stop,
             } => self.on_answered(at, *job, *told, *in_planned_stop),
-            Seen::Began { life, zone, .. } => {
+            Seen::Began { life, zone } => {
                 self.zones.insert(*life, zone.clone());
             }
             Seen::Evacuated { zone } => {
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -58,6 +58,11 @@
     SuspendGateway(usize),
     /// An agent's machine is suspended.
     SuspendAgent(usize),
+    /// The connections of a gateway's callers break; the gateway notices at the end of the fault.
+    BreakCallers(usize),
+    /// A gateway is cut off from its callers, not from agents: their connections break, it
+    /// notices after the probes of the connections, and new calls reach others.
+    CutCallers(usize),
 }
 
 impl Fault {
@@ -89,6 +94,8 @@
             Self::Shrink(_, _) => "shrink",
             Self::SuspendGateway(_) => "suspend_gateway",
             Self::SuspendAgent(_) => "suspend_agent",
+            Self::BreakCallers(_) => "break_callers",
+            Self::CutCallers(_) => "cut_callers",
         }
     }
 }
@@ -349,6 +356,87 @@
         .collect()
 }
 
+/// Draws connections of callers that break, in series; their gateway notices at once, late, or
+/// by the probes of the connections. With a `latest_notice`, in microseconds, there are no cuts,
+/// and it notices at that time or sooner.
+pub fn draw_of_resending(
+    length: u64,
+    gateways: usize,
+    latest_notice: Option<u64>,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    for _ in 0..random.random_range(2..6) {
+        let first = random.random_range(500_000..length);
+        let gateway = random.random_range(0..gateways);
+        let pause = random.random_range(200_000..2_000_000);
+        for number in 0..random.random_range(1..4) {
+            let at = first + number * pause;
+            let notice = match random.random_range(0..3) {
+                0 => random.random_range(100..2_000),
+                _ => random.random_range(2_000..1_300_000),
+            };
+            let (length, fault) = match random.random_range(0..3) {
+                kind if latest_notice.is_some() => {
+                    let latest = latest_notice.unwrap_or(notice);
+                    let notice = if kind == 0 {
+                        latest
+                    } else {
+                        notice.min(latest)
+                    };
+                    (notice, Fault::BreakCallers(gateway))
+                }
+                0 => (notice + 3_000_000, Fault::CutCallers(gateway)),
+                _ => (notice, Fault::BreakCallers(gateway)),
+            };
+            faults.push(ScheduledFault { at, length, fault });
+        }
+    }
+    faults
+}
+
+/// Draws connections of callers that break, all noticed within `latest_notice`, in microseconds,
+/// while agents fall silent some milliseconds later, or while their gateway stands still.
+pub fn draw_of_silences(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    latest_notice: u64,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    let mut add = |at, length, fault| faults.push(ScheduledFault { at, length, fault });
+    for _ in 0..random.random_range(3..9) {
+        let at = random.random_range(500_000..length);
+        let gateway = random.random_range(0..gateways);
+        let notice = match random.random_range(0..3) {
+            0 => random.random_range(100..2_000),
+            1 => random.random_range(2_000..100_000),
+            _ => random.random_range(2_000..1_200_000),
+        };
+        let notice = notice.min(latest_notice);
+        let frozen = match random.random_bool(0.3) {
+            true => random.random_range(1_000..notice.max(2_000)),
+            false => 0,
+        };
+        if frozen > 0 {
+            add(at, frozen, Fault::FreezeGateway(gateway));
+        }
+        add(at + 1, notice, Fault::BreakCallers(gateway));
+        for worker in 0..workers {
+            let silent_at = at + random.random_range(0..notice.max(frozen) + 100_000);
+            let silent = random.random_range(1_300_000..3_000_000);
+            match random.random_range(0..6) {
+                0 | 1 => add(silent_at, silent, Fault::Cut(worker, gateway)),
+                2 => add(silent_at, silent, Fault::FreezeAgent(worker)),
+                3 => add(silent_at, silent, Fault::KillAgent(worker)),
+                _ => {}
+            }
+        }
+    }
+    faults
+}
+
 fn draw_one(gateways: usize, workers: usize, random: &mut Pcg64) -> Fault {
     let gateway = random.random_range(0..gateways);
     let worker = random.random_range(0..workers);
