--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -102,6 +102,7 @@
                 tasks,
                 room,
                 max_attempts,
+                ..
             } => self.on_submitted(*job, tasks, *room, *max_attempts),
             Seen::Answered {
                 job,
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use double_runs::{DoubleRun, OverlappingRun, double_runs};
+pub use double_runs::{CallSeen, DoubleRun, OverlappingRun, Source, double_runs};
 pub use judge::{Bounds, judge};
 
 /// A task, as workers name it.
@@ -62,14 +62,22 @@
 pub struct StartOrder {
     /// Number of the gateway.
     pub gateway: usize,
-    /// Incarnation of the gateway.
-    pub gateway_incarnation: u64,
+    /// Incarnation of the gateway, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub gateway_incarnation: Option<u64>,
     /// Number of the agent.
     pub agent: usize,
     /// Number of the run.
     pub run: u32,
-    /// When the gateway sent it, in microseconds.
-    pub sent_at: u64,
+    /// When the gateway sent it, in microseconds, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sent_at: Option<u64>,
+    /// Fencing token of the agent, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<u64>,
+    /// Which of the caller's calls the gateway had the job from, from 1, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub call: Option<usize>,
 }
 
 /// What a caller was told.
@@ -102,6 +110,9 @@
         room: u32,
         /// Failures of a task that end it.
         max_attempts: u32,
+        /// Number of the gateway that is called, if it is known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        gateway: Option<usize>,
     },
     /// A call has ended.
     Answered {
--- a/laurelstile-history/tests/double_runs.rs
+++ b/laurelstile-history/tests/double_runs.rs
@@ -17,6 +17,7 @@
         tasks: vec![1],
         room: 1,
         max_attempts: 2,
+        gateway: None,
     }
 }
 
@@ -28,10 +29,12 @@
         promptness,
         order: Some(StartOrder {
             gateway,
-            gateway_incarnation: 100 + gateway as u64,
+            gateway_incarnation: Some(100 + gateway as u64),
             agent: 0,
             run: 1,
-            sent_at: 0,
+            sent_at: Some(0),
+            token: None,
+            call: None,
         }),
     }
 }
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -51,6 +51,7 @@
             tasks: vec![job.tasks],
             room: TASK_ROOM,
             max_attempts: nodes::MAX_ATTEMPTS,
+            gateway: Some(gateway),
         });
         self.callers[index].gateway = Some((gateway, self.gateways[gateway].incarnation));
         self.schedule(first + DEADLINE, Happening::Leave(index));
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -109,10 +109,12 @@
             };
             let order = StartOrder {
                 gateway,
-                gateway_incarnation: self.gateways[gateway].incarnation.0,
+                gateway_incarnation: Some(self.gateways[gateway].incarnation.0),
                 agent,
                 run: run.0,
-                sent_at: self.now,
+                sent_at: Some(self.now),
+                token: None,
+                call: None,
             };
             let run = RunId { task, run: *run };
             self.start_orders.insert((agent, run), order);
