--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -62,9 +62,11 @@
             optional --resending
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
-            /// With these two: gateways notice broken connections within so many ms.
+            /// The same scene with another kind of disruption: commands.
+            optional --disruption disruption: String
+            /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
-            /// With these two: print what happens to the job of this number.
+            /// With these three: print what happens to the job of this number.
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -4,6 +4,7 @@
 use rand_pcg::Pcg64;
 
 use super::nodes::WORKER_ZONES;
+use super::world::commands::CommandGroup;
 
 /// Something that goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +64,12 @@
     /// A gateway is cut off from its callers, not from agents: their connections break, it
     /// notices after the probes of the connections, and new calls reach others.
     CutCallers(usize),
+    /// Commands to a worker, and their answers, take up to 100 ms each.
+    DelayCommands(usize),
+    /// Commands to a worker get no answer; they are carried out, at once or later, or lost.
+    UnansweredCommands(usize, CommandGroup),
+    /// A worker that runs on rejects commands as unhealthy.
+    RejectCommands(usize, CommandGroup),
 }
 
 impl Fault {
@@ -96,6 +103,9 @@
             Self::SuspendAgent(_) => "suspend_agent",
             Self::BreakCallers(_) => "break_callers",
             Self::CutCallers(_) => "cut_callers",
+            Self::DelayCommands(_) => "delay_commands",
+            Self::UnansweredCommands(..) => "unanswered_commands",
+            Self::RejectCommands(..) => "reject_commands",
         }
     }
 }
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -3,6 +3,7 @@
 //! and seeded faults; judged by `laurelstile_history::leased`.
 
 mod crashing;
+mod disruptions;
 mod faults;
 mod nodes;
 mod orders;
@@ -13,9 +14,10 @@
 mod world;
 
 pub use crashing::{CrashOutcome, CrashPlan, PoisonTasks, run_crashing};
+pub use disruptions::Disruption;
 pub use faults::{Fault, OtherWord, Sabotage, ScheduledFault};
 pub use run::{
-    Outcome, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
-    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
+    Outcome, run_disruption_seed, run_hazard_seed, run_herd_seed, run_leaving_seed,
+    run_other_writers_seed, run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 pub use surge::{Surge, run_surge};
--- a/laurelstile-sim/src/leased/orders.rs
+++ b/laurelstile-sim/src/leased/orders.rs
@@ -31,15 +31,46 @@
 pub enum Delivery {
     /// It is carried out and answered.
     Answered,
+    /// It is carried out, and answered so many microseconds later.
+    AnsweredAfter(u64),
     /// It is carried out, and not answered.
     Unanswered,
     /// It is carried out seconds later, and not answered.
     Late,
 }
 
+impl Delivery {
+    /// How long the answer takes, if there is one.
+    fn answer_delay(self) -> Option<u64> {
+        match self {
+            Self::Answered => Some(NEARBY),
+            Self::AnsweredAfter(delay) => Some(delay),
+            Self::Unanswered | Self::Late => None,
+        }
+    }
+}
+
 impl World {
     /// An agent gives its worker an order.
     pub fn give(&mut self, index: usize, agent: Incarnation, order: WorkerCommand) {
+        if !self.admit_command(index, &order) {
+            return;
+        }
+        let limit = match &order.kind {
+            CommandKind::Watch { wait, .. } => wait.0 + WATCH_LIMIT,
+            CommandKind::Start { .. } | CommandKind::Stop { .. } => ORDER_LIMIT,
+        };
+        if let Some((arrival, delivery)) = self.faulty_delivery(index, &order.kind, ORDER_LIMIT) {
+            if delivery.answer_delay().is_none() {
+                let event = unanswered(&order, CommandError::NoAnswer);
+                self.answer_agent(index, agent, limit, event);
+            }
+            if let Some(delay) = arrival {
+                let happening = Happening::OrderArrives(index, agent, order, delivery);
+                self.schedule(self.now + delay, happening);
+            }
+            return;
+        }
         let is_late =
             self.now < self.late_orders_until && self.random.random_range(0..1_000) < LOST_PERMILLE;
         if !is_late {
@@ -47,10 +78,6 @@
             self.schedule(self.now + NEARBY, happening);
             return;
         }
-        let limit = match &order.kind {
-            CommandKind::Watch { wait, .. } => wait.0 + WATCH_LIMIT,
-            CommandKind::Start { .. } | CommandKind::Stop { .. } => ORDER_LIMIT,
-        };
         self.answer_agent(
             index,
             agent,
@@ -80,7 +107,7 @@
         order: &WorkerCommand,
         delivery: Delivery,
     ) {
-        let is_lost = delivery != Delivery::Answered;
+        let answer_delay = delivery.answer_delay();
         // What is due first may end the life.
         self.settle(worker);
         let life = self.workers[worker].life;
@@ -92,9 +119,15 @@
             } else {
                 CommandError::IncarnationEnded
             };
-            if !is_lost {
+            if let Some(delay) = answer_delay {
                 let event = unanswered(order, failure);
-                self.answer_agent(worker, agent, NEARBY, event);
+                self.answer_agent(worker, agent, delay, event);
+            }
+            return;
+        }
+        if let Some(event) = self.unhealthy_answer(worker, order) {
+            if let Some(delay) = answer_delay {
+                self.answer_agent(worker, agent, delay, event);
             }
             return;
         }
@@ -116,18 +149,21 @@
                         incarnation: order.incarnation.clone(),
                         answer: Ok(answer),
                     };
-                    if !is_lost {
-                        self.answer_agent(worker, agent, NEARBY, event);
+                    if let Some(delay) = answer_delay {
+                        self.answer_agent(worker, agent, delay, event);
                     }
                     return;
                 }
                 let number = self.fresh();
-                if !is_lost {
+                // A watch of an earlier agent process does not replace that of the present one.
+                let is_current = agent == self.agents[worker].incarnation;
+                if let Some(answer_delay) = answer_delay.filter(|_| is_current) {
                     let incarnation = order.incarnation.clone();
                     self.watches[worker] = Some(PendingWatch {
                         number,
                         agent,
                         incarnation,
+                        answer_delay,
                     });
                 }
                 let has_ends = !self.workers[worker].lists(self.now).ended.is_empty();
@@ -139,8 +175,8 @@
                     self.carry_out_order(worker, order, kind, delivery);
                 self.see_changes(life, worker, &changes);
                 let event = answered(order, answer);
-                if !is_lost {
-                    self.answer_agent(worker, agent, NEARBY, event);
+                if let Some(delay) = answer_delay {
+                    self.answer_agent(worker, agent, delay, event);
                 }
             }
         }
@@ -241,7 +277,7 @@
             incarnation: watch.incarnation,
             answer: Ok(answer),
         };
-        self.answer_agent(worker, watch.agent, NEARBY, event);
+        self.answer_agent(worker, watch.agent, watch.answer_delay, event);
     }
 
     fn hide_foreign(&self, worker: usize, lists: &mut RunLists) {
@@ -256,7 +292,7 @@
     changes: Vec<super::worker::Change>,
 }
 
-fn answered(order: &WorkerCommand, answer: CommandAnswer) -> AgentEvent {
+pub(super) fn answered(order: &WorkerCommand, answer: CommandAnswer) -> AgentEvent {
     event_of(order, Ok(answer))
 }
 
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+use super::disruptions::Disruption;
 use super::faults::{
     Sabotage, ScheduledFault, draw, draw_hazards, draw_of_herds, draw_of_leaving,
     draw_of_operators, draw_of_other_writers, draw_of_resending, draw_of_returning,
@@ -172,6 +173,31 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed of the same scene with a further kind of disruption, beside the faults of a
+/// plain seed in half of the seeds.
+pub fn run_disruption_seed(
+    seed: u64,
+    disruption: Disruption,
+    sabotage: Option<Sabotage>,
+    traced: Option<u64>,
+) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_small_scene(seed, sabotage, &mut random);
+    let mut disrupting = Pcg64::seed_from_u64(seed ^ disruption.stream());
+    for worker in &mut scene.workers {
+        worker.stop_time = disrupting.random_range(5_000..=LONGEST_STOP);
+    }
+    if disrupting.random_bool(0.5) {
+        scene.faults.clear();
+    }
+    let (gateways, workers) = (scene.gateways, scene.workers.len());
+    let faults = disruption.draw(FAULTY, gateways, workers, &mut disrupting);
+    scene.faults.extend(faults);
+    scene.traced = traced;
+    scene.limits_commands = true;
+    play(random, sabotage, scene, true)
+}
+
 /// Few gateways and workers, and tasks of some seconds.
 fn draw_small_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
     let mut small = Pcg64::seed_from_u64(seed ^ FEW_WORKERS_STREAM);
@@ -213,6 +239,8 @@
     faults: Vec<ScheduledFault>,
     /// The job whose events are printed.
     traced: Option<u64>,
+    /// Whether agents send few commands at once.
+    limits_commands: bool,
 }
 
 fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
@@ -240,6 +268,7 @@
         jobs,
         faults,
         traced: None,
+        limits_commands: false,
     }
 }
 
@@ -250,6 +279,7 @@
         jobs,
         faults,
         traced,
+        limits_commands,
     } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
@@ -257,6 +287,7 @@
     }
     let arrivals: Vec<u64> = jobs.iter().map(|job| job.at).collect();
     let mut world = World::new(random, sabotage, gateways, workers, jobs, faults);
+    world.limits_commands = limits_commands;
     if let Some(job) = traced {
         world.trace(job);
     }
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -66,6 +66,7 @@
         let machine = nodes::agent(index, self.now);
         self.agents[index] = Process::begin(machine, incarnation, self.now);
         self.watches[index] = None;
+        self.command_faults[index].restart();
         // Gateways tell each other, which is not emulated: an agent that has just started, and
         // knows nothing yet, meets none that has not heard.
         for gateway in 0..self.gateways.len() {
@@ -163,6 +164,13 @@
             Fault::Failing(worker) => self.set_mood(scheduled, worker, Mood::Failing),
             Fault::Hanging(worker) => self.set_mood(scheduled, worker, Mood::Hanging),
             Fault::Slow(worker) => self.set_mood(scheduled, worker, Mood::Slow),
+            Fault::DelayCommands(worker) => self.command_faults[worker].delay(end),
+            Fault::UnansweredCommands(worker, group) => {
+                self.command_faults[worker].leave_unanswered(group, end);
+            }
+            Fault::RejectCommands(worker, group) => {
+                self.command_faults[worker].reject(group, end);
+            }
             Fault::LateOrders => self.late_orders_until = end,
             Fault::Configure => {
                 self.version += 3;
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -1,6 +1,7 @@
 //! The emulated world: its queue of happenings, its links, its callers.
 
 mod callers;
+pub mod commands;
 mod faulting;
 mod heartbeats;
 mod leaving;
@@ -25,6 +26,7 @@
 use laurelstile_types::id::Incarnation;
 use rand_pcg::Pcg64;
 
+use commands::CommandFaults;
 use links::ThinLinks;
 
 use super::faults::{Sabotage, ScheduledFault};
@@ -157,6 +159,8 @@
     pub agent: Incarnation,
     /// The life that it asked.
     pub incarnation: WorkerIncarnation,
+    /// How long its answer takes, in microseconds.
+    pub answer_delay: u64,
 }
 
 /// The world.
@@ -183,6 +187,10 @@
     deregistering: Vec<Option<Life>>,
     /// Until when orders are lost or late.
     pub late_orders_until: u64,
+    /// What befalls the commands to each worker.
+    pub command_faults: Vec<CommandFaults>,
+    /// Whether agents send few commands at once.
+    pub limits_commands: bool,
     /// What was seen.
     pub records: Vec<Record>,
     gateways: Vec<Process<LeasedGateway>>,
@@ -218,6 +226,7 @@
         jobs: Vec<SimJob>,
         faults: Vec<ScheduledFault>,
     ) -> Self {
+        let command_faults = workers.iter().map(|_| CommandFaults::default()).collect();
         let mut world = Self {
             now: 0,
             random,
@@ -237,6 +246,8 @@
             input: "input".into(),
             workers,
             late_orders_until: 0,
+            command_faults,
+            limits_commands: false,
             records: Vec::new(),
             gateways: Vec::new(),
             callers: Vec::new(),
@@ -413,6 +424,7 @@
             }
             Happening::OrderAnswered(index, incarnation, event) => {
                 if self.agents[index].incarnation == incarnation && self.agents[index].is_up {
+                    self.command_over(index, incarnation, &event);
                     self.agent_event(index, *event);
                 }
             }
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -5,8 +5,9 @@
 
 use laurelstile_history::leased::DoubleRun;
 use laurelstile_sim::leased::{
-    Outcome, Sabotage, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
-    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
+    Disruption, Outcome, Sabotage, run_disruption_seed, run_hazard_seed, run_herd_seed,
+    run_leaving_seed, run_other_writers_seed, run_resending_seed, run_returning_seed, run_seed,
+    run_silences_seed,
 };
 
 use crate::flags::{Leased, seed_range};
@@ -38,13 +39,25 @@
             return ExitCode::from(2);
         }
     };
+    let disruption = match flags.disruption.as_deref() {
+        None => None,
+        Some(name) => {
+            let Some(disruption) = Disruption::named(name) else {
+                eprintln!("--disruption takes commands");
+                return ExitCode::from(2);
+            };
+            Some(disruption)
+        }
+    };
     let mut bad = 0_u64;
     let (mut prompt, mut late, mut excused) = (0_u64, 0_u64, 0_u64);
     let mut told = BTreeMap::<&str, u64>::new();
     let mut faults = BTreeMap::<&str, u64>::new();
     let mut calm_percents = Vec::new();
     for seed in from..to {
-        let outcome = if flags.leaving {
+        let outcome = if let Some(disruption) = disruption {
+            run_disruption_seed(seed, disruption, sabotage, flags.trace)
+        } else if flags.leaving {
             run_leaving_seed(seed, sabotage)
         } else if flags.herds {
             run_herd_seed(seed, sabotage)
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -3,8 +3,9 @@
 
 use laurelstile_history::leased::Rule;
 use laurelstile_sim::leased::{
-    Outcome, Sabotage, run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed,
-    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
+    Disruption, Outcome, Sabotage, run_disruption_seed, run_hazard_seed, run_herd_seed,
+    run_leaving_seed, run_other_writers_seed, run_resending_seed, run_returning_seed, run_seed,
+    run_silences_seed,
 };
 use rstest::rstest;
 
@@ -79,6 +80,15 @@
     }
 }
 
+#[rstest]
+#[case::commands(Disruption::Commands)]
+fn seeds_with_a_further_disruption_keep_every_rule(#[case] disruption: Disruption) {
+    for seed in 0..15 {
+        let outcome = run_disruption_seed(seed, disruption, None, None);
+        assert_keeps_every_rule(seed, &outcome);
+    }
+}
+
 /// The loss of a run of the first submission was taken for that of the second's run at the same
 /// gateway, and the task was started beside it.
 #[rstest]
