--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -6,6 +6,8 @@
 use super::faults::{Fault, ScheduledFault, draw_of_resending};
 use super::world::commands::CommandGroup;
 
+/// How long a call waits for its answer where callers submit again after a 504.
+const CALL_LIMIT: u64 = 2_000_000;
 /// Latest notice of a caller's broken connection, in microseconds.
 const LATEST_NOTICE: u64 = 20_000;
 
@@ -14,6 +16,8 @@
 pub enum Disruption {
     /// Commands to workers that wait, arrive late, or are lost or rejected.
     Commands,
+    /// Sessions that are reset and refused, agents that fail unnoticed, delayed handshakes.
+    Sessions,
 }
 
 impl Disruption {
@@ -21,6 +25,7 @@
     pub fn named(name: &str) -> Option<Self> {
         match name {
             "commands" => Some(Self::Commands),
+            "sessions" => Some(Self::Sessions),
             _ => None,
         }
     }
@@ -29,9 +34,15 @@
     pub(super) fn stream(self) -> u64 {
         match self {
             Self::Commands => 0xc033a,
+            Self::Sessions => 0x5e551,
         }
     }
 
+    /// How long a call waits for its answer, if that is less than its caller does.
+    pub(super) fn call_limit(self) -> Option<u64> {
+        (self == Self::Sessions).then_some(CALL_LIMIT)
+    }
+
     /// Draws the faults of a scene, beside connections of callers that break.
     pub(super) fn draw(
         self,
@@ -43,11 +54,53 @@
         let mut faults = draw_of_resending(length, gateways, Some(LATEST_NOTICE), random);
         match self {
             Self::Commands => draw_of_commands(length, workers, random, &mut faults),
+            Self::Sessions => draw_of_sessions(length, gateways, workers, random, &mut faults),
         }
         faults
     }
 }
 
+/// Draws series of resets, of failures of one process, and delays of handshakes around them.
+fn draw_of_sessions(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+    faults: &mut Vec<ScheduledFault>,
+) {
+    let mut add = |at, length, fault| faults.push(ScheduledFault { at, length, fault });
+    for _ in 0..random.random_range(2..8) {
+        let mut at = random.random_range(500_000..length);
+        let (gateway, worker) = (
+            random.random_range(0..gateways),
+            random.random_range(0..workers),
+        );
+        if random.random_bool(0.4) {
+            let delayed = random.random_range(1_000_000..4_000_000);
+            add(at, delayed, Fault::DelayHandshakes(worker));
+        }
+        let kind = random.random_range(0..4);
+        for _ in 0..random.random_range(1..6) {
+            let (away, fault) = match kind {
+                0 | 1 => (
+                    random.random_range(100_000..3_000_000),
+                    Fault::RefuseSessions(worker, gateway),
+                ),
+                2 => (
+                    random.random_range(200_000..2_000_000),
+                    Fault::DarkAgent(worker),
+                ),
+                _ => (
+                    random.random_range(200_000..2_000_000),
+                    Fault::DarkGateway(gateway),
+                ),
+            };
+            add(at, away, fault);
+            at += away + random.random_range(1_000..500_000);
+        }
+    }
+}
+
 fn draw_of_commands(
     length: u64,
     workers: usize,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -70,6 +70,12 @@
     UnansweredCommands(usize, CommandGroup),
     /// A worker that runs on rejects commands as unhealthy.
     RejectCommands(usize, CommandGroup),
+    /// The sessions of an agent and a gateway are reset, and refused for a while.
+    RefuseSessions(usize, usize),
+    /// An agent's process fails without the end of its sessions.
+    DarkAgent(usize),
+    /// The handshakes of an agent's sessions take up to 1.5 s.
+    DelayHandshakes(usize),
 }
 
 impl Fault {
@@ -106,6 +112,9 @@
             Self::DelayCommands(_) => "delay_commands",
             Self::UnansweredCommands(..) => "unanswered_commands",
             Self::RejectCommands(..) => "reject_commands",
+            Self::RefuseSessions(..) => "refuse_sessions",
+            Self::DarkAgent(_) => "dark_agent",
+            Self::DelayHandshakes(_) => "delay_handshakes",
         }
     }
 }
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -195,6 +195,7 @@
     scene.faults.extend(faults);
     scene.traced = traced;
     scene.limits_commands = true;
+    scene.call_limit = disruption.call_limit();
     play(random, sabotage, scene, true)
 }
 
@@ -241,6 +242,8 @@
     traced: Option<u64>,
     /// Whether agents send few commands at once.
     limits_commands: bool,
+    /// How long a call waits for its answer, if that is less than its caller does.
+    call_limit: Option<u64>,
 }
 
 fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
@@ -269,6 +272,7 @@
         faults,
         traced: None,
         limits_commands: false,
+        call_limit: None,
     }
 }
 
@@ -280,6 +284,7 @@
         faults,
         traced,
         limits_commands,
+        call_limit,
     } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
@@ -288,6 +293,7 @@
     let arrivals: Vec<u64> = jobs.iter().map(|job| job.at).collect();
     let mut world = World::new(random, sabotage, gateways, workers, jobs, faults);
     world.limits_commands = limits_commands;
+    world.call_limit = call_limit;
     if let Some(job) = traced {
         world.trace(job);
     }
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -70,7 +70,11 @@
                 label: None,
                 near: None,
             }],
-            time_left: Span(first + DEADLINE - self.now),
+            time_left: Span(
+                self.call_limit
+                    .unwrap_or(DEADLINE)
+                    .min(first + DEADLINE - self.now),
+            ),
             unsupported: Vec::new(),
         };
         let call = self.callers[index].call(index);
@@ -115,7 +119,12 @@
             Answer::Refused { .. } => Told::Refused,
             Answer::GivenUp | Answer::Cancelled | Answer::Unknown => Told::GivenUp,
         };
-        self.callers[index].is_over = true;
+        let is_repeated = told == Told::GivenUp && self.call_limit.is_some();
+        if is_repeated {
+            self.callers[index].former_calls += 1;
+            self.schedule(self.now + RESEND, Happening::Submit(index));
+        }
+        self.callers[index].is_over = !is_repeated;
         self.callers[index].gateway = None;
         self.see(Seen::Answered {
             job: index as u64,
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -171,6 +171,11 @@
             Fault::RejectCommands(worker, group) => {
                 self.command_faults[worker].reject(group, end);
             }
+            Fault::RefuseSessions(agent, gateway) => self.refuse_sessions(agent, gateway, end),
+            Fault::DarkAgent(index) if self.agents[index].is_up => self.darken_agent(index, end),
+            Fault::DelayHandshakes(agent) => {
+                self.handshakes_delayed_until.insert(agent, end);
+            }
             Fault::LateOrders => self.late_orders_until = end,
             Fault::Configure => {
                 self.version += 3;
--- a/laurelstile-sim/src/leased/world/links.rs
+++ b/laurelstile-sim/src/leased/world/links.rs
@@ -114,6 +114,9 @@
             if is_cut || has_session {
                 continue;
             }
+            if self.is_dial_refused(index, gateway) {
+                continue;
+            }
             let other = &self.gateways[gateway];
             if other.is_up && other.frozen_until <= self.now {
                 self.connect(index, gateway);
@@ -134,6 +137,9 @@
         };
         self.agents[index].sessions.insert(session, gateway);
         self.gateways[gateway].sessions.insert(session, index);
+        if self.open_late(index, gateway, session, &remote) {
+            return;
+        }
         let to = self.gateways[gateway].incarnation;
         self.gateway_event(gateway, GatewayEvent::AgentOpened { session, remote });
         let opened = AgentEvent::Opened {
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -8,6 +8,7 @@
 mod links;
 mod peering;
 mod processes;
+mod session_faults;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -21,13 +22,14 @@
 use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody, ToPeer};
 use laurelstile_core::leased::task::{JobId, RunId, TaskId};
 use laurelstile_core::leased::worker_incarnation::WorkerIncarnation;
-use laurelstile_core::session::SessionId;
+use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_history::leased::{Life, Record, Seen, StartOrder};
 use laurelstile_types::id::Incarnation;
 use rand_pcg::Pcg64;
 
 use commands::CommandFaults;
 use links::ThinLinks;
+use session_faults::Refusal;
 
 use super::faults::{Sabotage, ScheduledFault};
 use super::nodes::{self, Process};
@@ -91,6 +93,10 @@
     AgentSessionEnds(usize, Incarnation, SessionId),
     /// A gateway notices the end of a session.
     GatewaySessionEnds(usize, Incarnation, SessionId),
+    /// A gateway opens a session whose handshake was delayed.
+    GatewaySessionOpens(usize, Incarnation, SessionId, Remote),
+    /// An agent opens a session whose handshake was delayed.
+    AgentSessionOpens(usize, Incarnation, SessionId, Incarnation),
     /// An agent dials.
     Dial(usize),
     /// An order reaches a worker.
@@ -191,6 +197,15 @@
     pub command_faults: Vec<CommandFaults>,
     /// Whether agents send few commands at once.
     pub limits_commands: bool,
+    /// Gateways that refuse dials, by agent and gateway.
+    refusals: BTreeMap<(usize, usize), Refusal>,
+    /// Until when the handshakes of an agent are delayed.
+    handshakes_delayed_until: BTreeMap<usize, u64>,
+    /// When gateways handle sessions whose handshakes are delayed.
+    opening: BTreeMap<SessionId, u64>,
+    /// How long a call waits for its answer, if that is less than the caller does; a caller
+    /// submits again after such an answer.
+    pub call_limit: Option<u64>,
     /// What was seen.
     pub records: Vec<Record>,
     gateways: Vec<Process<LeasedGateway>>,
@@ -248,6 +263,10 @@
             late_orders_until: 0,
             command_faults,
             limits_commands: false,
+            refusals: BTreeMap::new(),
+            handshakes_delayed_until: BTreeMap::new(),
+            opening: BTreeMap::new(),
+            call_limit: None,
             records: Vec::new(),
             gateways: Vec::new(),
             callers: Vec::new(),
@@ -412,7 +431,18 @@
                     self.agent_event(index, AgentEvent::Closed { session });
                 }
             }
+            Happening::GatewaySessionOpens(index, incarnation, session, remote) => {
+                self.gateway_session_opens(index, incarnation, session, remote);
+            }
+            Happening::AgentSessionOpens(index, incarnation, session, gateway) => {
+                self.agent_session_opens(index, incarnation, session, gateway);
+            }
             Happening::GatewaySessionEnds(index, incarnation, session) => {
+                if let Some(opens_at) = self.opens_at(session) {
+                    let ends = Happening::GatewaySessionEnds(index, incarnation, session);
+                    self.schedule(opens_at + 1, ends);
+                    return;
+                }
                 if self.gateways[index].incarnation == incarnation && self.gateways[index].is_up {
                     self.gateways[index].sessions.remove(&session);
                     self.gateway_event(index, GatewayEvent::AgentClosed { session });
@@ -490,11 +520,13 @@
             | Happening::CallerGone(index, ..)
             | Happening::ToPeer(index, ..)
             | Happening::PeerSessionEnds(index, _)
+            | Happening::GatewaySessionOpens(index, ..)
             | Happening::GatewaySessionEnds(index, ..)
             | Happening::ReadConfiguration(index, _)
             | Happening::ReadEvacuations(index) => self.gateways[*index].frozen_until,
             Happening::WakeAgent(index)
             | Happening::ToAgent(index, ..)
+            | Happening::AgentSessionOpens(index, ..)
             | Happening::AgentSessionEnds(index, ..)
             | Happening::Dial(index)
             | Happening::OrderAnswered(index, ..) => self.agents[*index].frozen_until,
