--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -62,7 +62,8 @@
             optional --resending
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
-            /// The same scene with another kind of disruption: commands or sessions.
+            /// The same scene with another kind of disruption: commands, sessions,
+            /// closing-workers or clock-steps.
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -18,6 +18,10 @@
     Commands,
     /// Sessions that are reset and refused, agents that fail unnoticed, delayed handshakes.
     Sessions,
+    /// Workers that refuse connections before their runs have ended.
+    ClosingWorkers,
+    /// Agents that start with a wall clock that is set back.
+    ClockSteps,
 }
 
 impl Disruption {
@@ -26,6 +30,8 @@
         match name {
             "commands" => Some(Self::Commands),
             "sessions" => Some(Self::Sessions),
+            "closing-workers" => Some(Self::ClosingWorkers),
+            "clock-steps" => Some(Self::ClockSteps),
             _ => None,
         }
     }
@@ -35,6 +41,8 @@
         match self {
             Self::Commands => 0xc033a,
             Self::Sessions => 0x5e551,
+            Self::ClosingWorkers => 0xc105e,
+            Self::ClockSteps => 0x57e95,
         }
     }
 
@@ -55,6 +63,8 @@
         match self {
             Self::Commands => draw_of_commands(length, workers, random, &mut faults),
             Self::Sessions => draw_of_sessions(length, gateways, workers, random, &mut faults),
+            Self::ClosingWorkers => draw_of_closing(length, workers, random, &mut faults),
+            Self::ClockSteps => draw_of_clock_steps(length, workers, random, &mut faults),
         }
         faults
     }
@@ -101,6 +111,49 @@
     }
 }
 
+fn draw_of_closing(
+    length: u64,
+    workers: usize,
+    random: &mut Pcg64,
+    faults: &mut Vec<ScheduledFault>,
+) {
+    for _ in 0..random.random_range(2..8) {
+        let is_restarted = random.random_bool(0.5);
+        faults.push(ScheduledFault {
+            at: random.random_range(500_000..length),
+            length: random.random_range(20_000..2_500_000),
+            fault: Fault::ShutWorker(random.random_range(0..workers), is_restarted),
+        });
+    }
+}
+
+/// Draws agents that start with earlier clocks while commands of their earlier processes are
+/// still to be carried out: earlier by any time, or by a power of two more than all that has passed.
+fn draw_of_clock_steps(
+    length: u64,
+    workers: usize,
+    random: &mut Pcg64,
+    faults: &mut Vec<ScheduledFault>,
+) {
+    for _ in 0..random.random_range(2..8) {
+        let at = random.random_range(500_000..length);
+        let worker = random.random_range(0..workers);
+        let back = match random.random_bool(0.5) {
+            true => random.random_range(1..10_000),
+            false => (at + 300_000) / 1_000 + (1 << random.random_range(0..14)),
+        };
+        let mut add = |at, length, fault| faults.push(ScheduledFault { at, length, fault });
+        let before = random.random_range(0..300_000);
+        let late = before + random.random_range(300_000..2_000_000);
+        let fault = match random.random_bool(0.5) {
+            true => Fault::LateOrders,
+            false => Fault::UnansweredCommands(worker, CommandGroup::StartsAndStops),
+        };
+        add(at - before, late, fault);
+        add(at, 0, Fault::StepClockBack(worker, back));
+    }
+}
+
 fn draw_of_commands(
     length: u64,
     workers: usize,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -76,6 +76,12 @@
     DarkAgent(usize),
     /// The handshakes of an agent's sessions take up to 1.5 s.
     DelayHandshakes(usize),
+    /// A worker refuses connections for the length of the fault and then ends, while its runs go
+    /// on; its agent does not hear that it drains, and may start anew without a record.
+    ShutWorker(usize, bool),
+    /// An agent's process is killed, and starts with a wall clock that is set back by so many
+    /// milliseconds.
+    StepClockBack(usize, u64),
 }
 
 impl Fault {
@@ -115,6 +121,8 @@
             Self::RefuseSessions(..) => "refuse_sessions",
             Self::DarkAgent(_) => "dark_agent",
             Self::DelayHandshakes(_) => "delay_handshakes",
+            Self::ShutWorker(..) => "shut_worker",
+            Self::StepClockBack(..) => "step_clock_back",
         }
     }
 }
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -129,8 +129,9 @@
     format!("zone-{zone}")
 }
 
-/// An agent's machine that starts at `now`, in microseconds.
-pub fn agent(index: usize, now: u64) -> LeasedAgent {
+/// An agent's machine that starts at `now`, in microseconds, with a wall clock that is
+/// `back_millis` behind.
+pub fn agent(index: usize, now: u64, back_millis: u64) -> LeasedAgent {
     LeasedAgent::new(AgentOptions {
         zone: worker_zone(index),
         shutdown_timeout: Span::from_secs(5),
@@ -138,7 +139,7 @@
             interval: Span::from_millis(1_500),
             grace: Span::from_millis(3_000),
         },
-        token_floor: FenceToken(UNIX_MILLIS + now / 1_000),
+        token_floor: FenceToken(UNIX_MILLIS + now / 1_000 - back_millis),
     })
 }
 
--- a/laurelstile-sim/src/leased/orders.rs
+++ b/laurelstile-sim/src/leased/orders.rs
@@ -112,8 +112,9 @@
         self.settle(worker);
         let life = self.workers[worker].life;
         let worker_state = &self.workers[worker];
-        let is_nobody_there = life == 0 && worker_state.keeps_id;
-        if life == 0 || *worker_state.id != *order.incarnation.id {
+        let is_shut = self.is_shut(worker);
+        let is_nobody_there = is_shut || life == 0 && worker_state.keeps_id;
+        if life == 0 || is_shut || *worker_state.id != *order.incarnation.id {
             let failure = if is_nobody_there {
                 CommandError::ConnectionRefused
             } else {
@@ -232,6 +233,12 @@
         self.schedule(self.now + away, Happening::WorkerBegins(worker));
     }
 
+    /// Whether a worker runs on and refuses connections.
+    pub fn is_shut(&self, worker: usize) -> bool {
+        let life = self.workers[worker].life;
+        life != 0 && self.shut[worker] == Some(life)
+    }
+
     /// The connection breaks on which an agent waits for its worker's lists.
     pub fn break_watch(&mut self, worker: usize) {
         let Some(watch) = self.watches[worker].take() else {
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -63,7 +63,7 @@
 
     pub(super) fn restart_agent(&mut self, index: usize) {
         let incarnation = self.fresh();
-        let machine = nodes::agent(index, self.now);
+        let machine = nodes::agent(index, self.now, self.clocks_back[index]);
         self.agents[index] = Process::begin(machine, incarnation, self.now);
         self.watches[index] = None;
         self.command_faults[index].restart();
@@ -176,6 +176,19 @@
             Fault::DelayHandshakes(agent) => {
                 self.handshakes_delayed_until.insert(agent, end);
             }
+            Fault::ShutWorker(worker, is_restarted) if self.workers[worker].life != 0 => {
+                self.shut_worker(worker, end);
+                if is_restarted && self.agents[worker].is_up {
+                    self.recorded[worker] = None;
+                    self.kill_agent(worker);
+                    self.schedule(self.now + RESTART, Happening::RestartAgent(worker));
+                }
+            }
+            Fault::StepClockBack(index, millis) if self.agents[index].is_up => {
+                self.clocks_back[index] += millis;
+                self.kill_agent(index);
+                self.schedule(self.now + RESTART, Happening::RestartAgent(index));
+            }
             Fault::LateOrders => self.late_orders_until = end,
             Fault::Configure => {
                 self.version += 3;
--- a/laurelstile-sim/src/leased/world/heartbeats.rs
+++ b/laurelstile-sim/src/leased/world/heartbeats.rs
@@ -82,6 +82,9 @@
     /// A worker tells its agent of itself. One that keeps its id waits for an answer, as workers
     /// do: an agent that stands still for less than that hears it as it goes on.
     pub(super) fn tell_agent(&mut self, worker: usize) {
+        if self.is_shut(worker) {
+            return;
+        }
         if self.is_deaf(worker) {
             let agent = &self.agents[worker];
             let thaw = agent.frozen_until;
--- a/laurelstile-sim/src/leased/world/leaving.rs
+++ b/laurelstile-sim/src/leased/world/leaving.rs
@@ -67,6 +67,16 @@
         }
     }
 
+    /// A worker refuses connections, also those of its heartbeats, until its process ends.
+    pub(super) fn shut_worker(&mut self, worker: usize, end: u64) {
+        let life = self.workers[worker].life;
+        self.shut[worker] = Some(life);
+        if self.random.random_bool(0.5) {
+            self.break_watch(worker);
+        }
+        self.schedule(end, Happening::WorkerLeaves(worker, life));
+    }
+
     /// A worker's process starts, unless another fault has started it meanwhile.
     pub(super) fn begin_worker(&mut self, worker: usize) {
         let state = &self.workers[worker];
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -203,6 +203,10 @@
     handshakes_delayed_until: BTreeMap<usize, u64>,
     /// When gateways handle sessions whose handshakes are delayed.
     opening: BTreeMap<SessionId, u64>,
+    /// The life of each worker that refuses connections.
+    pub shut: Vec<Option<Life>>,
+    /// How far each agent's wall clock is behind, in milliseconds.
+    clocks_back: Vec<u64>,
     /// How long a call waits for its answer, if that is less than the caller does; a caller
     /// submits again after such an answer.
     pub call_limit: Option<u64>,
@@ -259,14 +263,16 @@
             start_orders: BTreeMap::new(),
             thin_links: None,
             input: "input".into(),
-            workers,
             late_orders_until: 0,
             command_faults,
             limits_commands: false,
             refusals: BTreeMap::new(),
             handshakes_delayed_until: BTreeMap::new(),
             opening: BTreeMap::new(),
+            shut: vec![None; workers.len()],
+            clocks_back: vec![0; workers.len()],
             call_limit: None,
+            workers,
             records: Vec::new(),
             gateways: Vec::new(),
             callers: Vec::new(),
@@ -284,7 +290,7 @@
             world.schedule(10_000, Happening::ReadConfiguration(index, 1));
         }
         for index in 0..world.workers.len() {
-            let process = Process::begin(nodes::agent(index, 0), world.fresh(), 0);
+            let process = Process::begin(nodes::agent(index, 0, 0), world.fresh(), 0);
             world.agents.push(process);
             world.schedule(1_000, Happening::WorkerBegins(index));
             world.schedule(2_000, Happening::Dial(index));
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -43,7 +43,7 @@
         None => None,
         Some(name) => {
             let Some(disruption) = Disruption::named(name) else {
-                eprintln!("--disruption takes commands or sessions");
+                eprintln!("--disruption takes commands, sessions, closing-workers or clock-steps");
                 return ExitCode::from(2);
             };
             Some(disruption)
