--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -63,7 +63,7 @@
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
             /// The same scene with another kind of disruption: commands, sessions,
-            /// closing-workers or clock-steps.
+            /// closing-workers, clock-steps or slow-processes.
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -22,6 +22,8 @@
     ClosingWorkers,
     /// Agents that start with a wall clock that is set back.
     ClockSteps,
+    /// Gateways and agents that take longer for each input.
+    SlowProcesses,
 }
 
 impl Disruption {
@@ -32,6 +34,7 @@
             "sessions" => Some(Self::Sessions),
             "closing-workers" => Some(Self::ClosingWorkers),
             "clock-steps" => Some(Self::ClockSteps),
+            "slow-processes" => Some(Self::SlowProcesses),
             _ => None,
         }
     }
@@ -43,6 +46,7 @@
             Self::Sessions => 0x5e551,
             Self::ClosingWorkers => 0xc105e,
             Self::ClockSteps => 0x57e95,
+            Self::SlowProcesses => 0x510a,
         }
     }
 
@@ -65,6 +69,7 @@
             Self::Sessions => draw_of_sessions(length, gateways, workers, random, &mut faults),
             Self::ClosingWorkers => draw_of_closing(length, workers, random, &mut faults),
             Self::ClockSteps => draw_of_clock_steps(length, workers, random, &mut faults),
+            Self::SlowProcesses => draw_of_slow(length, gateways, workers, random, &mut faults),
         }
         faults
     }
@@ -154,6 +159,35 @@
     }
 }
 
+/// Draws slow processes; half of the time all agents, or all gateways, at once.
+fn draw_of_slow(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+    faults: &mut Vec<ScheduledFault>,
+) {
+    for _ in 0..random.random_range(2..8) {
+        let at = random.random_range(500_000..length);
+        let slow = random.random_range(300_000..4_000_000);
+        let factor = random.random_range(5..=50);
+        let (is_gateway, is_alone) = (random.random_bool(0.5), random.random_bool(0.5));
+        let count = if is_gateway { gateways } else { workers };
+        let chosen = random.random_range(0..count);
+        for index in (0..count).filter(|index| !is_alone || *index == chosen) {
+            let fault = match is_gateway {
+                true => Fault::SlowGateway(index, factor),
+                false => Fault::SlowAgent(index, factor),
+            };
+            faults.push(ScheduledFault {
+                at,
+                length: slow,
+                fault,
+            });
+        }
+    }
+}
+
 fn draw_of_commands(
     length: u64,
     workers: usize,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -82,6 +82,10 @@
     /// An agent's process is killed, and starts with a wall clock that is set back by so many
     /// milliseconds.
     StepClockBack(usize, u64),
+    /// Each input takes a gateway so many times as long as usual.
+    SlowGateway(usize, u64),
+    /// Each input takes an agent so many times as long as usual.
+    SlowAgent(usize, u64),
 }
 
 impl Fault {
@@ -123,6 +127,8 @@
             Self::DelayHandshakes(_) => "delay_handshakes",
             Self::ShutWorker(..) => "shut_worker",
             Self::StepClockBack(..) => "step_clock_back",
+            Self::SlowGateway(..) => "slow_gateway",
+            Self::SlowAgent(..) => "slow_agent",
         }
     }
 }
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -25,6 +25,9 @@
 /// Failures that end a task.
 pub const MAX_ATTEMPTS: u32 = 3;
 
+/// How long an input usually takes, in microseconds.
+const INPUT_TIME: u64 = 400;
+
 /// A process of either role and its life.
 #[derive(Debug)]
 pub struct Process<M> {
@@ -40,6 +43,10 @@
     pub refuses: bool,
     /// Until when it stands still.
     pub frozen_until: u64,
+    /// How many times as long as usual an input takes, and until when.
+    pub slowness: Option<(u64, u64)>,
+    /// Until when it works on the last input, if it is slow.
+    pub busy_until: u64,
     /// Until when its callers cannot reach it.
     pub callers_cut_until: u64,
     /// How long its clock has stood still, in microseconds.
@@ -62,6 +69,8 @@
             is_up: true,
             refuses: false,
             frozen_until: 0,
+            slowness: None,
+            busy_until: 0,
             callers_cut_until: 0,
             uncounted: 0,
             in_planned_stop: false,
@@ -97,6 +106,27 @@
         }
     }
 
+    /// Each input takes `factor` times as long as usual until `end`.
+    pub fn slow_down(&mut self, factor: u64, end: u64) {
+        self.slowness = Some((factor, end));
+    }
+
+    /// Whether each input takes longer than usual.
+    pub fn is_slow(&self) -> bool {
+        self.slowness.is_some()
+    }
+
+    /// Takes the time that a slow process needs for an input.
+    pub fn work(&mut self, now: u64) {
+        if let Some((factor, until)) = self.slowness {
+            if now >= until {
+                self.slowness = None;
+            } else {
+                self.busy_until = now + factor * INPUT_TIME;
+            }
+        }
+    }
+
     /// The process's own clock.
     pub fn clock(&self, now: u64) -> Timestamp {
         Timestamp(now.saturating_sub(self.started + self.uncounted))
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -105,7 +105,7 @@
                     && self.gateways[index].frozen_until <= self.now
                     && !self.gateways[index].machine.is_stopping() =>
             {
-                self.gateways[index].in_planned_stop = true;
+                self.gateways[index].in_planned_stop = !self.gateways[index].is_slow();
                 let incarnation = self.gateways[index].incarnation;
                 self.schedule(self.now + GRACE, Happening::GraceEnds(index, incarnation));
                 self.gateway_event(index, GatewayEvent::Stop);
@@ -189,6 +189,11 @@
                 self.kill_agent(index);
                 self.schedule(self.now + RESTART, Happening::RestartAgent(index));
             }
+            Fault::SlowGateway(index, factor) => {
+                self.gateways[index].in_planned_stop = false;
+                self.gateways[index].slow_down(factor, end);
+            }
+            Fault::SlowAgent(index, factor) => self.agents[index].slow_down(factor, end),
             Fault::LateOrders => self.late_orders_until = end,
             Fault::Configure => {
                 self.version += 3;
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -386,6 +386,7 @@
             self.schedule(thaw, happening);
             return;
         }
+        self.work_on(&happening);
         if self.traced.is_some() {
             self.trace_line(|| "->".into(), &happening);
         }
@@ -517,28 +518,28 @@
         }
     }
 
-    /// When the process that a happening is for goes on, if it stands still.
+    /// When the process that a happening is for goes on, if it stands still or is at work.
     fn thaw_of(&self, happening: &Happening) -> Option<u64> {
-        let frozen_until = match happening {
-            Happening::WakeGateway(index)
-            | Happening::Request(index, ..)
-            | Happening::ToGateway(index, ..)
-            | Happening::CallerGone(index, ..)
-            | Happening::ToPeer(index, ..)
-            | Happening::PeerSessionEnds(index, _)
-            | Happening::GatewaySessionOpens(index, ..)
-            | Happening::GatewaySessionEnds(index, ..)
-            | Happening::ReadConfiguration(index, _)
-            | Happening::ReadEvacuations(index) => self.gateways[*index].frozen_until,
-            Happening::WakeAgent(index)
-            | Happening::ToAgent(index, ..)
-            | Happening::AgentSessionOpens(index, ..)
-            | Happening::AgentSessionEnds(index, ..)
-            | Happening::Dial(index)
-            | Happening::OrderAnswered(index, ..) => self.agents[*index].frozen_until,
-            _ => 0,
+        let free_at = match receiver_of(happening)? {
+            Receiver::Gateway(index) => {
+                let process = &self.gateways[index];
+                process.frozen_until.max(process.busy_until)
+            }
+            Receiver::Agent(index) => {
+                let process = &self.agents[index];
+                process.frozen_until.max(process.busy_until)
+            }
         };
-        (frozen_until > self.now).then_some(frozen_until)
+        (free_at > self.now).then_some(free_at)
+    }
+
+    /// A slow process takes time for what happens to it.
+    fn work_on(&mut self, happening: &Happening) {
+        match receiver_of(happening) {
+            Some(Receiver::Gateway(index)) => self.gateways[index].work(self.now),
+            Some(Receiver::Agent(index)) => self.agents[index].work(self.now),
+            None => {}
+        }
     }
 
     /// What a run of a task does.
@@ -553,6 +554,35 @@
     }
 }
 
+/// A process that takes inputs in turn.
+enum Receiver {
+    Gateway(usize),
+    Agent(usize),
+}
+
+/// The process whose input a happening is, if it is one.
+fn receiver_of(happening: &Happening) -> Option<Receiver> {
+    match happening {
+        Happening::WakeGateway(index)
+        | Happening::Request(index, ..)
+        | Happening::ToGateway(index, ..)
+        | Happening::CallerGone(index, ..)
+        | Happening::ToPeer(index, ..)
+        | Happening::PeerSessionEnds(index, _)
+        | Happening::GatewaySessionOpens(index, ..)
+        | Happening::GatewaySessionEnds(index, ..)
+        | Happening::ReadConfiguration(index, _)
+        | Happening::ReadEvacuations(index) => Some(Receiver::Gateway(*index)),
+        Happening::WakeAgent(index)
+        | Happening::ToAgent(index, ..)
+        | Happening::AgentSessionOpens(index, ..)
+        | Happening::AgentSessionEnds(index, ..)
+        | Happening::Dial(index)
+        | Happening::OrderAnswered(index, ..) => Some(Receiver::Agent(*index)),
+        _ => None,
+    }
+}
+
 /// The caller that a call is of.
 fn number_of(call: CallNumber) -> usize {
     usize::try_from(call.0 % FIRST_CANCEL).unwrap_or(usize::MAX)
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -43,7 +43,10 @@
         None => None,
         Some(name) => {
             let Some(disruption) = Disruption::named(name) else {
-                eprintln!("--disruption takes commands, sessions, closing-workers or clock-steps");
+                eprintln!(
+                    "--disruption takes commands, sessions, closing-workers, \
+                     clock-steps or slow-processes"
+                );
                 return ExitCode::from(2);
             };
             Some(disruption)
