--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -63,7 +63,8 @@
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
             /// The same scene with another kind of disruption: commands, sessions,
-            /// closing-workers, clock-steps or slow-processes.
+            /// closing-workers, clock-steps, slow-processes
+            /// or timed-faults.
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -5,6 +5,7 @@
 
 use super::faults::{Fault, ScheduledFault, draw_of_resending};
 use super::world::commands::CommandGroup;
+use super::world::timed_faults::TimedFaults;
 
 /// How long a call waits for its answer where callers submit again after a 504.
 const CALL_LIMIT: u64 = 2_000_000;
@@ -24,6 +25,8 @@
     ClockSteps,
     /// Gateways and agents that take longer for each input.
     SlowProcesses,
+    /// Faults within milliseconds of an order, an end or the opening of a session.
+    TimedFaults,
 }
 
 impl Disruption {
@@ -35,6 +38,7 @@
             "closing-workers" => Some(Self::ClosingWorkers),
             "clock-steps" => Some(Self::ClockSteps),
             "slow-processes" => Some(Self::SlowProcesses),
+            "timed-faults" => Some(Self::TimedFaults),
             _ => None,
         }
     }
@@ -47,6 +51,7 @@
             Self::ClosingWorkers => 0xc105e,
             Self::ClockSteps => 0x57e95,
             Self::SlowProcesses => 0x510a,
+            Self::TimedFaults => 0x71e3d,
         }
     }
 
@@ -55,6 +60,14 @@
         (self == Self::Sessions).then_some(CALL_LIMIT)
     }
 
+    /// Events after which faults strike that last until `length`, if there are any.
+    pub(super) fn timed_faults(self, length: u64, random: &mut Pcg64) -> Option<TimedFaults> {
+        (self == Self::TimedFaults).then(|| TimedFaults {
+            one_in: random.random_range(5..100),
+            until: length,
+        })
+    }
+
     /// Draws the faults of a scene, beside connections of callers that break.
     pub(super) fn draw(
         self,
@@ -70,6 +83,7 @@
             Self::ClosingWorkers => draw_of_closing(length, workers, random, &mut faults),
             Self::ClockSteps => draw_of_clock_steps(length, workers, random, &mut faults),
             Self::SlowProcesses => draw_of_slow(length, gateways, workers, random, &mut faults),
+            Self::TimedFaults => {}
         }
         faults
     }
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -15,6 +15,7 @@
     draw_of_silences,
 };
 use super::worker::SimWorker;
+use super::world::timed_faults::TimedFaults;
 use super::world::{SimJob, TASK_ROOM, World};
 
 const GATEWAYS: usize = 3;
@@ -196,6 +197,7 @@
     scene.traced = traced;
     scene.limits_commands = true;
     scene.call_limit = disruption.call_limit();
+    scene.timed_faults = disruption.timed_faults(FAULTY, &mut disrupting);
     play(random, sabotage, scene, true)
 }
 
@@ -244,6 +246,8 @@
     limits_commands: bool,
     /// How long a call waits for its answer, if that is less than its caller does.
     call_limit: Option<u64>,
+    /// Events after which faults strike, if there are any.
+    timed_faults: Option<TimedFaults>,
 }
 
 fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
@@ -273,6 +277,7 @@
         traced: None,
         limits_commands: false,
         call_limit: None,
+        timed_faults: None,
     }
 }
 
@@ -285,6 +290,7 @@
         traced,
         limits_commands,
         call_limit,
+        timed_faults,
     } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
@@ -294,6 +300,7 @@
     let mut world = World::new(random, sabotage, gateways, workers, jobs, faults);
     world.limits_commands = limits_commands;
     world.call_limit = call_limit;
+    world.timed_faults = timed_faults;
     if let Some(job) = traced {
         world.trace(job);
     }
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -9,6 +9,7 @@
 mod peering;
 mod processes;
 mod session_faults;
+pub mod timed_faults;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -30,6 +31,7 @@
 use commands::CommandFaults;
 use links::ThinLinks;
 use session_faults::Refusal;
+use timed_faults::TimedFaults;
 
 use super::faults::{Sabotage, ScheduledFault};
 use super::nodes::{self, Process};
@@ -123,6 +125,8 @@
     Leave(usize),
     /// A fault begins.
     Fault(usize),
+    /// A fault begins that an event has drawn.
+    TimedFault(ScheduledFault),
     /// A fault ends.
     FaultEnds(usize),
     /// A process begins anew.
@@ -207,6 +211,8 @@
     pub shut: Vec<Option<Life>>,
     /// How far each agent's wall clock is behind, in milliseconds.
     clocks_back: Vec<u64>,
+    /// Events after which faults strike, if there are any.
+    pub timed_faults: Option<TimedFaults>,
     /// How long a call waits for its answer, if that is less than the caller does; a caller
     /// submits again after such an answer.
     pub call_limit: Option<u64>,
@@ -271,6 +277,7 @@
             opening: BTreeMap::new(),
             shut: vec![None; workers.len()],
             clocks_back: vec![0; workers.len()],
+            timed_faults: None,
             call_limit: None,
             workers,
             records: Vec::new(),
@@ -490,6 +497,7 @@
             Happening::Cancel(caller) => self.cancel(caller),
             Happening::Leave(caller) => self.leave(caller),
             Happening::Fault(index) => self.fault_begins(self.faults[index]),
+            Happening::TimedFault(fault) => self.fault_begins(fault),
             Happening::FaultEnds(index) => self.fault_ends(self.faults[index].fault),
             Happening::RestartGateway(index) => self.restart_gateway(index),
             Happening::RestartAgent(index) => self.restart_agent(index),
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -2,7 +2,7 @@
 
 use laurelstile_core::leased::agent::{AgentEffect, AgentEvent};
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent};
-use laurelstile_core::leased::messages::ToAgentBody;
+use laurelstile_core::leased::messages::{FromAgentBody, ToAgentBody};
 use laurelstile_core::leased::task::{RunId, TaskId};
 use laurelstile_history::leased::{Seen, StartOrder};
 use rand::Rng;
@@ -40,6 +40,9 @@
                     let Some(gateway) = self.agents[index].sessions.get(&session).copied() else {
                         continue;
                     };
+                    if matches!(message.body, FromAgentBody::Ends(_)) {
+                        self.strike(index, gateway);
+                    }
                     let to = self.gateways[gateway].incarnation;
                     let happening = Happening::ToGateway(gateway, to, session, message);
                     self.transmit(index, gateway, session, true, happening);
@@ -86,6 +89,9 @@
                 };
                 let to = self.agents[agent].incarnation;
                 self.note_starts(index, agent, &message.body);
+                if matches!(message.body, ToAgentBody::Start(_)) {
+                    self.strike(agent, index);
+                }
                 let happening = Happening::ToAgent(agent, to, session, message);
                 self.transmit(agent, index, session, false, happening);
             }
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -85,6 +85,7 @@
 #[case::sessions(Disruption::Sessions)]
 #[case::clock_steps(Disruption::ClockSteps)]
 #[case::slow_processes(Disruption::SlowProcesses)]
+#[case::timed_faults(Disruption::TimedFaults)]
 fn seeds_with_a_further_disruption_keep_every_rule(#[case] disruption: Disruption) {
     for seed in 0..15 {
         let outcome = run_disruption_seed(seed, disruption, None, None);
