--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -93,6 +93,21 @@
     }
 }
 
+/// A stop that the worker rejected as unhealthy counted as done while the start before it was still
+/// under way, and the task ran twice. In the other seeds it ran twice after a resubmission.
+#[rstest]
+#[case::rejected_stop(Disruption::Commands, 101)]
+#[case::resubmitted(Disruption::Commands, 150)]
+#[case::resubmitted_again(Disruption::Commands, 152)]
+#[case::resubmitted_beside_timed_faults(Disruption::TimedFaults, 50)]
+#[case::resubmitted_beside_timed_faults_again(Disruption::TimedFaults, 78)]
+fn mended_seed_of_a_further_disruption_keeps_every_rule(
+    #[case] disruption: Disruption,
+    #[case] seed: u64,
+) {
+    assert_keeps_every_rule(seed, &run_disruption_seed(seed, disruption, None, None));
+}
+
 /// The loss of a run of the first submission was taken for that of the second's run at the same
 /// gateway, and the task was started beside it.
 #[rstest]
