--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -8,12 +8,14 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+use super::disruptions::Disruption;
 use super::faults::{
     Sabotage, ScheduledFault, draw, draw_hazards, draw_of_herds, draw_of_leaving,
     draw_of_operators, draw_of_other_writers, draw_of_resending, draw_of_returning,
     draw_of_silences,
 };
 use super::worker::SimWorker;
+use super::world::timed_faults::TimedFaults;
 use super::world::{SimJob, TASK_ROOM, World};
 
 const GATEWAYS: usize = 3;
@@ -172,6 +174,33 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed of the same scene with a further kind of disruption, beside the faults of a
+/// plain seed in half of the seeds.
+pub fn run_disruption_seed(
+    seed: u64,
+    disruption: Disruption,
+    sabotage: Option<Sabotage>,
+    traced: Option<u64>,
+) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_small_scene(seed, sabotage, &mut random);
+    let mut disrupting = Pcg64::seed_from_u64(seed ^ disruption.stream());
+    for worker in &mut scene.workers {
+        worker.stop_time = disrupting.random_range(5_000..=LONGEST_STOP);
+    }
+    if disrupting.random_bool(0.5) {
+        scene.faults.clear();
+    }
+    let (gateways, workers) = (scene.gateways, scene.workers.len());
+    let faults = disruption.draw(FAULTY, gateways, workers, &mut disrupting);
+    scene.faults.extend(faults);
+    scene.traced = traced;
+    scene.limits_commands = true;
+    scene.call_limit = disruption.call_limit();
+    scene.timed_faults = disruption.timed_faults(FAULTY, &mut disrupting);
+    play(random, sabotage, scene, true)
+}
+
 /// Few gateways and workers, and tasks of some seconds.
 fn draw_small_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
     let mut small = Pcg64::seed_from_u64(seed ^ FEW_WORKERS_STREAM);
@@ -213,6 +242,12 @@
     faults: Vec<ScheduledFault>,
     /// The job whose events are printed.
     traced: Option<u64>,
+    /// Whether agents send few commands at once.
+    limits_commands: bool,
+    /// How long a call waits for its answer, if that is less than its caller does.
+    call_limit: Option<u64>,
+    /// Events after which faults strike, if there are any.
+    timed_faults: Option<TimedFaults>,
 }
 
 fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
@@ -240,6 +275,9 @@
         jobs,
         faults,
         traced: None,
+        limits_commands: false,
+        call_limit: None,
+        timed_faults: None,
     }
 }
 
@@ -250,6 +288,9 @@
         jobs,
         faults,
         traced,
+        limits_commands,
+        call_limit,
+        timed_faults,
     } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
@@ -257,6 +298,9 @@
     }
     let arrivals: Vec<u64> = jobs.iter().map(|job| job.at).collect();
     let mut world = World::new(random, sabotage, gateways, workers, jobs, faults);
+    world.limits_commands = limits_commands;
+    world.call_limit = call_limit;
+    world.timed_faults = timed_faults;
     if let Some(job) = traced {
         world.trace(job);
     }
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -63,9 +63,10 @@
 
     pub(super) fn restart_agent(&mut self, index: usize) {
         let incarnation = self.fresh();
-        let machine = nodes::agent(index, self.now);
+        let machine = nodes::agent(index, self.now, self.clocks_back[index]);
         self.agents[index] = Process::begin(machine, incarnation, self.now);
         self.watches[index] = None;
+        self.command_faults[index].restart();
         // Gateways tell each other, which is not emulated: an agent that has just started, and
         // knows nothing yet, meets none that has not heard.
         for gateway in 0..self.gateways.len() {
@@ -104,7 +105,7 @@
                     && self.gateways[index].frozen_until <= self.now
                     && !self.gateways[index].machine.is_stopping() =>
             {
-                self.gateways[index].in_planned_stop = true;
+                self.gateways[index].in_planned_stop = !self.gateways[index].is_slow();
                 let incarnation = self.gateways[index].incarnation;
                 self.schedule(self.now + GRACE, Happening::GraceEnds(index, incarnation));
                 self.gateway_event(index, GatewayEvent::Stop);
@@ -163,6 +164,36 @@
             Fault::Failing(worker) => self.set_mood(scheduled, worker, Mood::Failing),
             Fault::Hanging(worker) => self.set_mood(scheduled, worker, Mood::Hanging),
             Fault::Slow(worker) => self.set_mood(scheduled, worker, Mood::Slow),
+            Fault::DelayCommands(worker) => self.command_faults[worker].delay(end),
+            Fault::UnansweredCommands(worker, group) => {
+                self.command_faults[worker].leave_unanswered(group, end);
+            }
+            Fault::RejectCommands(worker, group) => {
+                self.command_faults[worker].reject(group, end);
+            }
+            Fault::RefuseSessions(agent, gateway) => self.refuse_sessions(agent, gateway, end),
+            Fault::DarkAgent(index) if self.agents[index].is_up => self.darken_agent(index, end),
+            Fault::DelayHandshakes(agent) => {
+                self.handshakes_delayed_until.insert(agent, end);
+            }
+            Fault::ShutWorker(worker, is_restarted) if self.workers[worker].life != 0 => {
+                self.shut_worker(worker, end);
+                if is_restarted && self.agents[worker].is_up {
+                    self.recorded[worker] = None;
+                    self.kill_agent(worker);
+                    self.schedule(self.now + RESTART, Happening::RestartAgent(worker));
+                }
+            }
+            Fault::StepClockBack(index, millis) if self.agents[index].is_up => {
+                self.clocks_back[index] += millis;
+                self.kill_agent(index);
+                self.schedule(self.now + RESTART, Happening::RestartAgent(index));
+            }
+            Fault::SlowGateway(index, factor) => {
+                self.gateways[index].in_planned_stop = false;
+                self.gateways[index].slow_down(factor, end);
+            }
+            Fault::SlowAgent(index, factor) => self.agents[index].slow_down(factor, end),
             Fault::LateOrders => self.late_orders_until = end,
             Fault::Configure => {
                 self.version += 3;
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -1,12 +1,15 @@
 //! The emulated world: its queue of happenings, its links, its callers.
 
 mod callers;
+pub mod commands;
 mod faulting;
 mod heartbeats;
 mod leaving;
 mod links;
 mod peering;
 mod processes;
+mod session_faults;
+pub mod timed_faults;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -20,12 +23,15 @@
 use laurelstile_core::leased::messages::{FromAgent, FromAgentBody, ToAgent, ToAgentBody, ToPeer};
 use laurelstile_core::leased::task::{JobId, RunId, TaskId};
 use laurelstile_core::leased::worker_incarnation::WorkerIncarnation;
-use laurelstile_core::session::SessionId;
+use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_history::leased::{Life, Record, Seen, StartOrder};
 use laurelstile_types::id::Incarnation;
 use rand_pcg::Pcg64;
 
+use commands::CommandFaults;
 use links::ThinLinks;
+use session_faults::Refusal;
+use timed_faults::TimedFaults;
 
 use super::faults::{Sabotage, ScheduledFault};
 use super::nodes::{self, Process};
@@ -89,6 +95,10 @@
     AgentSessionEnds(usize, Incarnation, SessionId),
     /// A gateway notices the end of a session.
     GatewaySessionEnds(usize, Incarnation, SessionId),
+    /// A gateway opens a session whose handshake was delayed.
+    GatewaySessionOpens(usize, Incarnation, SessionId, Remote),
+    /// An agent opens a session whose handshake was delayed.
+    AgentSessionOpens(usize, Incarnation, SessionId, Incarnation),
     /// An agent dials.
     Dial(usize),
     /// An order reaches a worker.
@@ -115,6 +125,8 @@
     Leave(usize),
     /// A fault begins.
     Fault(usize),
+    /// A fault begins that an event has drawn.
+    TimedFault(ScheduledFault),
     /// A fault ends.
     FaultEnds(usize),
     /// A process begins anew.
@@ -157,6 +169,8 @@
     pub agent: Incarnation,
     /// The life that it asked.
     pub incarnation: WorkerIncarnation,
+    /// How long its answer takes, in microseconds.
+    pub answer_delay: u64,
 }
 
 /// The world.
@@ -183,6 +197,25 @@
     deregistering: Vec<Option<Life>>,
     /// Until when orders are lost or late.
     pub late_orders_until: u64,
+    /// What befalls the commands to each worker.
+    pub command_faults: Vec<CommandFaults>,
+    /// Whether agents send few commands at once.
+    pub limits_commands: bool,
+    /// Gateways that refuse dials, by agent and gateway.
+    refusals: BTreeMap<(usize, usize), Refusal>,
+    /// Until when the handshakes of an agent are delayed.
+    handshakes_delayed_until: BTreeMap<usize, u64>,
+    /// When gateways handle sessions whose handshakes are delayed.
+    opening: BTreeMap<SessionId, u64>,
+    /// The life of each worker that refuses connections.
+    pub shut: Vec<Option<Life>>,
+    /// How far each agent's wall clock is behind, in milliseconds.
+    clocks_back: Vec<u64>,
+    /// Events after which faults strike, if there are any.
+    pub timed_faults: Option<TimedFaults>,
+    /// How long a call waits for its answer, if that is less than the caller does; a caller
+    /// submits again after such an answer.
+    pub call_limit: Option<u64>,
     /// What was seen.
     pub records: Vec<Record>,
     gateways: Vec<Process<LeasedGateway>>,
@@ -218,6 +251,7 @@
         jobs: Vec<SimJob>,
         faults: Vec<ScheduledFault>,
     ) -> Self {
+        let command_faults = workers.iter().map(|_| CommandFaults::default()).collect();
         let mut world = Self {
             now: 0,
             random,
@@ -235,8 +269,17 @@
             start_orders: BTreeMap::new(),
             thin_links: None,
             input: "input".into(),
-            workers,
             late_orders_until: 0,
+            command_faults,
+            limits_commands: false,
+            refusals: BTreeMap::new(),
+            handshakes_delayed_until: BTreeMap::new(),
+            opening: BTreeMap::new(),
+            shut: vec![None; workers.len()],
+            clocks_back: vec![0; workers.len()],
+            timed_faults: None,
+            call_limit: None,
+            workers,
             records: Vec::new(),
             gateways: Vec::new(),
             callers: Vec::new(),
@@ -254,7 +297,7 @@
             world.schedule(10_000, Happening::ReadConfiguration(index, 1));
         }
         for index in 0..world.workers.len() {
-            let process = Process::begin(nodes::agent(index, 0), world.fresh(), 0);
+            let process = Process::begin(nodes::agent(index, 0, 0), world.fresh(), 0);
             world.agents.push(process);
             world.schedule(1_000, Happening::WorkerBegins(index));
             world.schedule(2_000, Happening::Dial(index));
@@ -350,6 +393,7 @@
             self.schedule(thaw, happening);
             return;
         }
+        self.work_on(&happening);
         if self.traced.is_some() {
             self.trace_line(|| "->".into(), &happening);
         }
@@ -401,7 +445,18 @@
                     self.agent_event(index, AgentEvent::Closed { session });
                 }
             }
+            Happening::GatewaySessionOpens(index, incarnation, session, remote) => {
+                self.gateway_session_opens(index, incarnation, session, remote);
+            }
+            Happening::AgentSessionOpens(index, incarnation, session, gateway) => {
+                self.agent_session_opens(index, incarnation, session, gateway);
+            }
             Happening::GatewaySessionEnds(index, incarnation, session) => {
+                if let Some(opens_at) = self.opens_at(session) {
+                    let ends = Happening::GatewaySessionEnds(index, incarnation, session);
+                    self.schedule(opens_at + 1, ends);
+                    return;
+                }
                 if self.gateways[index].incarnation == incarnation && self.gateways[index].is_up {
                     self.gateways[index].sessions.remove(&session);
                     self.gateway_event(index, GatewayEvent::AgentClosed { session });
@@ -413,6 +468,7 @@
             }
             Happening::OrderAnswered(index, incarnation, event) => {
                 if self.agents[index].incarnation == incarnation && self.agents[index].is_up {
+                    self.command_over(index, incarnation, &event);
                     self.agent_event(index, *event);
                 }
             }
@@ -441,6 +497,7 @@
             Happening::Cancel(caller) => self.cancel(caller),
             Happening::Leave(caller) => self.leave(caller),
             Happening::Fault(index) => self.fault_begins(self.faults[index]),
+            Happening::TimedFault(fault) => self.fault_begins(fault),
             Happening::FaultEnds(index) => self.fault_ends(self.faults[index].fault),
             Happening::RestartGateway(index) => self.restart_gateway(index),
             Happening::RestartAgent(index) => self.restart_agent(index),
@@ -469,26 +526,28 @@
         }
     }
 
-    /// When the process that a happening is for goes on, if it stands still.
+    /// When the process that a happening is for goes on, if it stands still or is at work.
     fn thaw_of(&self, happening: &Happening) -> Option<u64> {
-        let frozen_until = match happening {
-            Happening::WakeGateway(index)
-            | Happening::Request(index, ..)
-            | Happening::ToGateway(index, ..)
-            | Happening::CallerGone(index, ..)
-            | Happening::ToPeer(index, ..)
-            | Happening::PeerSessionEnds(index, _)
-            | Happening::GatewaySessionEnds(index, ..)
-            | Happening::ReadConfiguration(index, _)
-            | Happening::ReadEvacuations(index) => self.gateways[*index].frozen_until,
-            Happening::WakeAgent(index)
-            | Happening::ToAgent(index, ..)
-            | Happening::AgentSessionEnds(index, ..)
-            | Happening::Dial(index)
-            | Happening::OrderAnswered(index, ..) => self.agents[*index].frozen_until,
-            _ => 0,
+        let free_at = match receiver_of(happening)? {
+            Receiver::Gateway(index) => {
+                let process = &self.gateways[index];
+                process.frozen_until.max(process.busy_until)
+            }
+            Receiver::Agent(index) => {
+                let process = &self.agents[index];
+                process.frozen_until.max(process.busy_until)
+            }
         };
-        (frozen_until > self.now).then_some(frozen_until)
+        (free_at > self.now).then_some(free_at)
+    }
+
+    /// A slow process takes time for what happens to it.
+    fn work_on(&mut self, happening: &Happening) {
+        match receiver_of(happening) {
+            Some(Receiver::Gateway(index)) => self.gateways[index].work(self.now),
+            Some(Receiver::Agent(index)) => self.agents[index].work(self.now),
+            None => {}
+        }
     }
 
     /// What a run of a task does.
@@ -503,6 +562,35 @@
     }
 }
 
+/// A process that takes inputs in turn.
+enum Receiver {
+    Gateway(usize),
+    Agent(usize),
+}
+
+/// The process whose input a happening is, if it is one.
+fn receiver_of(happening: &Happening) -> Option<Receiver> {
+    match happening {
+        Happening::WakeGateway(index)
+        | Happening::Request(index, ..)
+        | Happening::ToGateway(index, ..)
+        | Happening::CallerGone(index, ..)
+        | Happening::ToPeer(index, ..)
+        | Happening::PeerSessionEnds(index, _)
+        | Happening::GatewaySessionOpens(index, ..)
+        | Happening::GatewaySessionEnds(index, ..)
+        | Happening::ReadConfiguration(index, _)
+        | Happening::ReadEvacuations(index) => Some(Receiver::Gateway(*index)),
+        Happening::WakeAgent(index)
+        | Happening::ToAgent(index, ..)
+        | Happening::AgentSessionOpens(index, ..)
+        | Happening::AgentSessionEnds(index, ..)
+        | Happening::Dial(index)
+        | Happening::OrderAnswered(index, ..) => Some(Receiver::Agent(*index)),
+        _ => None,
+    }
+}
+
 /// The caller that a call is of.
 fn number_of(call: CallNumber) -> usize {
     usize::try_from(call.0 % FIRST_CANCEL).unwrap_or(usize::MAX)
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -2,12 +2,16 @@
 
 use laurelstile_core::leased::agent::{AgentEffect, AgentEvent};
 use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent};
-use laurelstile_core::leased::messages::ToAgentBody;
+use laurelstile_core::leased::messages::{FromAgentBody, ToAgentBody};
 use laurelstile_core::leased::task::{RunId, TaskId};
 use laurelstile_history::leased::{Seen, StartOrder};
+use rand::Rng;
 
 use super::{Happening, RESTART, World};
 
+/// Chance that an input of a slow process is the last of its batch, after which it is flushed.
+const LAST_OF_BATCH: f64 = 0.3;
+
 impl World {
     /// Gives an agent an event and carries out what it wants.
     pub fn agent_event(&mut self, index: usize, event: AgentEvent) {
@@ -18,8 +22,13 @@
         let clock = process.clock(self.now);
         let mut effects = Vec::new();
         process.machine.handle(clock, event, &mut effects);
-        process.machine.flush(clock, &mut effects);
-        let wakeup = process.machine.next_wakeup(clock);
+        let is_last = !process.is_slow() || self.random.random_bool(LAST_OF_BATCH);
+        let wakeup = if is_last {
+            process.machine.flush(clock, &mut effects);
+            process.machine.next_wakeup(clock)
+        } else {
+            Some(clock)
+        };
         let incarnation = process.incarnation;
         if let Some(at) = process.wake_sooner(clock, wakeup) {
             self.schedule(at, Happening::WakeAgent(index));
@@ -31,6 +40,9 @@
                     let Some(gateway) = self.agents[index].sessions.get(&session).copied() else {
                         continue;
                     };
+                    if matches!(message.body, FromAgentBody::Ends(_)) {
+                        self.strike(index, gateway);
+                    }
                     let to = self.gateways[gateway].incarnation;
                     let happening = Happening::ToGateway(gateway, to, session, message);
                     self.transmit(index, gateway, session, true, happening);
@@ -53,8 +65,13 @@
         let clock = process.clock(self.now);
         let mut effects = Vec::new();
         process.machine.handle(clock, event, &mut effects);
-        process.machine.flush(clock, &mut effects);
-        let wakeup = process.machine.next_wakeup();
+        let is_last = !process.is_slow() || self.random.random_bool(LAST_OF_BATCH);
+        let wakeup = if is_last {
+            process.machine.flush(clock, &mut effects);
+            process.machine.next_wakeup()
+        } else {
+            Some(clock)
+        };
         if let Some(at) = process.wake_sooner(clock, wakeup) {
             self.schedule(at, Happening::WakeGateway(index));
         }
@@ -72,6 +89,9 @@
                 };
                 let to = self.agents[agent].incarnation;
                 self.note_starts(index, agent, &message.body);
+                if matches!(message.body, ToAgentBody::Start(_)) {
+                    self.strike(agent, index);
+                }
                 let happening = Happening::ToAgent(agent, to, session, message);
                 self.transmit(agent, index, session, false, happening);
             }
