--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -24,7 +24,8 @@
 /// stall on one worker after another until the caller's deadline. Workers that stall are on
 /// probation after their first task, so a healthy task seldom meets several of them.
 const MAX_STALLS: u32 = 4;
-/// Delay before a task is placed again while its earlier run is being stopped.
+/// Delay before a task is placed again whose start was rejected as a duplicate. Agents of earlier
+/// versions reject it while the other run is still being stopped.
 const DUPLICATE_BACKOFF: Span = Span::from_millis(100);
 /// How long the state of a disconnected agent is kept, so that the next agent process of the
 /// same name can be sent the time since the agent was last heard.
--- a/laurelstile-core/src/leased/gateway/evacuation.rs
+++ b/laurelstile-core/src/leased/gateway/evacuation.rs
@@ -62,8 +62,7 @@
         self.refuse_evacuated(now, effects);
     }
 
-    /// Sends the evacuated zones to an agent. This is the first message of a session, so that
-    /// no start precedes it.
+    /// Sends the evacuated zones to an agent as a session opens, so that no start precedes them.
     pub(super) fn send_evacuations_to_agent(
         &mut self,
         now: Timestamp,
--- a/laurelstile-core/src/leased/gateway/start_window.rs
+++ b/laurelstile-core/src/leased/gateway/start_window.rs
@@ -3,8 +3,8 @@
 //! The gateway's link may be narrow. Starts that are queued in it become stale and are refused
 //! by agents, and sending them again adds to the congestion, which can then outlast the burst
 //! that caused it: without a bound, three times the usual load for 5 s over links of 2 Mbit/s
-//! ends the service for good. Beyond the window, starts therefore wait in the gateway, where the most
-//! urgent one goes first and a job of which nothing was sent can still be refused.
+//! ends the service for good. Beyond the window, starts therefore wait in the gateway, where the
+//! most urgent one goes first and a job of which nothing was sent can still be refused.
 //!
 //! The window follows the time from sending a batch to the report that the agent has processed
 //! it, since the starts also cause reports and ends on the return path. The minimum over
--- a/laurelstile-core/tests/leased_resubmission.rs
+++ b/laurelstile-core/tests/leased_resubmission.rs
@@ -7,12 +7,13 @@
 mod leased_support;
 
 use laurelstile_core::leased::gateway::job::CallNumber;
-use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
+use laurelstile_core::leased::gateway::{Answer, EndSource, GatewayEvent};
 use laurelstile_core::leased::messages::{EndKind, FromAgentBody, StartBatch};
 use laurelstile_core::leased::task::RunNumber;
 use laurelstile_core::leased::timing::{AGENT_EXPIRY, CALLER_RETRY_DELAY};
 use laurelstile_core::session::SessionId;
 use leased_support::{GatewayRig, at, cpu, job, task};
+use rstest::rstest;
 
 /// When the caller of [`abandoned_job`] disconnects, in milliseconds.
 const DISCONNECTED: u64 = 100;
@@ -142,3 +143,139 @@
     let batch = rig.next_start();
     assert_eq!(batch.1.tasks[0].1, RunNumber(2));
 }
+
+const EARLIER: u64 = 1;
+const LATER: u64 = 2;
+/// When the first agent was last heard, in milliseconds.
+const SILENT_FROM: u64 = 600;
+
+/// How the gateway learns that the earlier submission's run has ended.
+#[derive(Clone, Copy)]
+enum End {
+    /// Its agent was silent for too long.
+    Silence,
+    /// Its agent reports it.
+    Report(EndKind),
+}
+
+/// Guards against a second run of a task while its first goes on: an agent's late report of a run
+/// that the caller had abandoned must not end the run since placed elsewhere. The task is started
+/// once, after the first run, under a higher number.
+#[rstest]
+#[case::silence(End::Silence)]
+#[case::stopped(End::Report(EndKind::Stopped))]
+#[case::lost(End::Report(EndKind::Lost))]
+fn the_end_of_an_abandoned_run_starts_no_second_run(#[case] end: End) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(1), EARLIER, "agent-1", cpu(1_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    let abandoned = rig.starts.pop_front().expect("a start");
+    let call = CallNumber(1);
+    rig.event(at(50), GatewayEvent::CallerDisconnected { call });
+    assert_eq!(rig.stops.len(), 1);
+    rig.join(at(60), LATER, "agent-2", cpu(1_000));
+    for millis in (100..=1_400).step_by(100) {
+        rig.report(at(millis), LATER, 0, cpu(1_000), FromAgentBody::Heartbeat);
+        if millis <= SILENT_FROM {
+            rig.report(at(millis), EARLIER, 1, cpu(0), FromAgentBody::Heartbeat);
+        }
+    }
+    rig.submit(at(1_400), 2, job(1, 1, 2_000));
+    assert!(rig.starts.is_empty(), "started beside the first run");
+    rig.report(at(1_405), LATER, 0, cpu(1_000), FromAgentBody::Heartbeat);
+    let ends_at = match end {
+        End::Silence => SILENT_FROM + AGENT_EXPIRY.0 / 1_000,
+        End::Report(_) => 1_500,
+    };
+    let mut present = None;
+    for millis in (1_410..2_500).step_by(10) {
+        if millis % 100 == 0 {
+            let confirmed = present
+                .as_ref()
+                .map_or(0, |batch: &StartBatch| batch.number);
+            let body = FromAgentBody::Heartbeat;
+            rig.report(at(millis), LATER, confirmed, cpu(1_000), body);
+        }
+        if let End::Report(how) = end
+            && millis == ends_at
+        {
+            rig.end(at(millis), &abandoned, how, cpu(1_000));
+        }
+        rig.tick(at(millis));
+        let Some((session, batch)) = rig.starts.pop_front() else {
+            continue;
+        };
+        assert!(
+            millis >= ends_at,
+            "started beside the first run at {millis} ms"
+        );
+        assert!(present.is_none(), "a second run at {millis} ms");
+        assert!(matches!(session.0, EARLIER | LATER));
+        let (index, run) = batch.tasks[0];
+        assert_eq!((index, batch.tasks.len()), (0, 1));
+        assert!(run > abandoned.1.tasks[0].1);
+        present = Some(batch);
+    }
+    assert!(present.is_some(), "not started after the first run");
+    assert!(rig.starts.is_empty());
+}
+
+const FORMER_AGENT: u64 = 11;
+const AGENT: u64 = 12;
+const SPARE_AGENT: u64 = 13;
+
+/// A gateway whose caller was disconnected and submits again while the agent of the first run has
+/// not reported its end. Two other agents have free resources.
+fn resubmitted_job() -> (GatewayRig, (SessionId, StartBatch)) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), FORMER_AGENT, "agent-11", cpu(1_000));
+    rig.submit(at(10), 1, job(7, 1, 2_000));
+    let former = rig.next_start();
+    assert_eq!(former.0, SessionId(FORMER_AGENT));
+    let call = CallNumber(1);
+    rig.event(at(100), GatewayEvent::CallerDisconnected { call });
+    assert_eq!(rig.stops.len(), 1);
+    rig.report(at(140), FORMER_AGENT, 1, cpu(0), FromAgentBody::Heartbeat);
+    rig.pass_time(500, 1_390);
+    rig.join(at(1_390), AGENT, "agent-12", cpu(1_000));
+    rig.submit(at(1_400), 2, job(7, 1, 2_000));
+    rig.join(at(1_402), SPARE_AGENT, "agent-13", cpu(1_000));
+    (rig, former)
+}
+
+/// Guards against a loss or an end of a run of the first submission that is taken for that of the
+/// second's run: the task is started once, after it and under a higher number.
+#[rstest]
+#[case::by_silence(EndSource::Silence)]
+#[case::by_its_end(EndSource::Agent)]
+#[case::by_its_successor(EndSource::Successor)]
+fn the_end_of_an_earlier_submissions_run_does_not_end_the_present_run(#[case] source: EndSource) {
+    let (mut rig, former) = resubmitted_job();
+    assert!(rig.starts.is_empty(), "started beside the first run");
+    match source {
+        EndSource::Silence => rig.tick(at(1_406)),
+        EndSource::Agent => rig.end(at(1_404), &former, EndKind::Stopped, cpu(1_000)),
+        _ => {
+            rig.join(at(1_404), 21, "agent-11", cpu(1_000));
+            rig.lose_session(at(1_405), FORMER_AGENT);
+        }
+    }
+    rig.tick(at(1_407));
+    let (_, present) = rig.next_start();
+    assert!(present.tasks[0].1 > former.1.tasks[0].1);
+    for millis in [1_450, 1_500, 1_550] {
+        rig.report(at(millis), AGENT, 1, cpu(0), FromAgentBody::Heartbeat);
+        rig.report(
+            at(millis),
+            SPARE_AGENT,
+            0,
+            cpu(1_000),
+            FromAgentBody::Heartbeat,
+        );
+    }
+    assert!(
+        rig.starts.is_empty(),
+        "started beside the present run: {:?}",
+        rig.starts
+    );
+}
--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -60,7 +60,7 @@
         (self == Self::Sessions).then_some(CALL_LIMIT)
     }
 
-    /// Events after which faults strike that last until `length`, if there are any.
+    /// Events after which faults follow, until `length`, if there are any.
     pub(super) fn timed_faults(self, length: u64, random: &mut Pcg64) -> Option<TimedFaults> {
         (self == Self::TimedFaults).then(|| TimedFaults {
             one_in: random.random_range(5..100),
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -246,7 +246,7 @@
     limits_commands: bool,
     /// How long a call waits for its answer, if that is less than its caller does.
     call_limit: Option<u64>,
-    /// Events after which faults strike, if there are any.
+    /// Events after which faults follow, if there are any.
     timed_faults: Option<TimedFaults>,
 }
 
--- a/laurelstile-sim/src/leased/world/links.rs
+++ b/laurelstile-sim/src/leased/world/links.rs
@@ -128,7 +128,7 @@
     }
 
     fn connect(&mut self, index: usize, gateway: usize) {
-        self.strike(index, gateway);
+        self.disrupt_soon(index, gateway);
         let session = SessionId(self.fresh());
         let incarnation = self.agents[index].incarnation;
         let remote = Remote {
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -211,7 +211,7 @@
     pub shut: Vec<Option<Life>>,
     /// How far each agent's wall clock is behind, in milliseconds.
     clocks_back: Vec<u64>,
-    /// Events after which faults strike, if there are any.
+    /// Events after which faults follow, if there are any.
     pub timed_faults: Option<TimedFaults>,
     /// How long a call waits for its answer, if that is less than the caller does; a caller
     /// submits again after such an answer.
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -41,7 +41,7 @@
                         continue;
                     };
                     if matches!(message.body, FromAgentBody::Ends(_)) {
-                        self.strike(index, gateway);
+                        self.disrupt_soon(index, gateway);
                     }
                     let to = self.gateways[gateway].incarnation;
                     let happening = Happening::ToGateway(gateway, to, session, message);
@@ -90,7 +90,7 @@
                 let to = self.agents[agent].incarnation;
                 self.note_starts(index, agent, &message.body);
                 if matches!(message.body, ToAgentBody::Start(_)) {
-                    self.strike(agent, index);
+                    self.disrupt_soon(agent, index);
                 }
                 let happening = Happening::ToAgent(agent, to, session, message);
                 self.transmit(agent, index, session, false, happening);
--- a/laurelstile-sim/src/leased/world/timed_faults.rs
+++ b/laurelstile-sim/src/leased/world/timed_faults.rs
@@ -1,4 +1,4 @@
-//! Faults that strike within milliseconds of an event.
+//! Faults within milliseconds of an event.
 
 use rand::Rng;
 
@@ -7,26 +7,26 @@
 use super::{Happening, World};
 
 /// Latest time after the event, in microseconds.
-const LATEST_STRIKE: u64 = 5_000;
+const MAX_FAULT_DELAY: u64 = 5_000;
 /// Longest of these faults.
 const LONGEST: u64 = 2_000_000;
 /// Latest notice of a caller's broken connection.
 const LATEST_NOTICE: u64 = 20_000;
-/// Other faults that strike a few milliseconds after one, at most.
+/// Maximum number of other faults a few milliseconds after one.
 const MOST_FOLLOWING: usize = 2;
 
-/// Events after which faults strike.
+/// Events after which faults follow.
 #[derive(Debug)]
 pub struct TimedFaults {
     /// Events without a fault are one in so many.
     pub one_in: u32,
-    /// When the last faults strike.
+    /// When the last faults begin.
     pub until: u64,
 }
 
 impl World {
     /// An order was given, an end was reported, or a session was opened, between these two.
-    pub(super) fn strike(&mut self, agent: usize, gateway: usize) {
+    pub(super) fn disrupt_soon(&mut self, agent: usize, gateway: usize) {
         let Some(timed) = &self.timed_faults else {
             return;
         };
@@ -40,7 +40,7 @@
                 Fault::BreakCallers(_) => self.random.random_range(100..LATEST_NOTICE),
                 _ => self.random.random_range(20_000..LONGEST),
             };
-            let at = self.now + self.random.random_range(0..LATEST_STRIKE);
+            let at = self.now + self.random.random_range(0..MAX_FAULT_DELAY);
             let scheduled = ScheduledFault { at, length, fault };
             self.schedule(at, Happening::TimedFault(scheduled));
         }
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -101,7 +101,7 @@
 #[case::resubmitted_again(Disruption::Commands, 152)]
 #[case::resubmitted_beside_timed_faults(Disruption::TimedFaults, 50)]
 #[case::resubmitted_beside_timed_faults_again(Disruption::TimedFaults, 78)]
-fn mended_seed_of_a_further_disruption_keeps_every_rule(
+fn fixed_seed_of_a_further_disruption_keeps_every_rule(
     #[case] disruption: Disruption,
     #[case] seed: u64,
 ) {
