--- a/laurelstile-history/src/leased/double_runs.rs
+++ b/laurelstile-history/src/leased/double_runs.rs
@@ -40,7 +40,7 @@
     OneCall,
     /// Different ones.
     TwoCalls,
-    /// The history does not tell.
+    /// The history does not say.
     Unknown,
 }
 
--- a/laurelstile-history/tests/leased_double_runs.rs
+++ b/laurelstile-history/tests/leased_double_runs.rs
@@ -1,4 +1,4 @@
-//! A double run is reported with what tells its causes apart.
+//! A double run is reported with what distinguishes its causes.
 
 use laurelstile_history::leased::{
     CallSeen, DoubleRun, Promptness, Record, RunEnd, Seen, Source, StartOrder, TaskName, Told,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -77,7 +77,7 @@
     /// The handshakes of an agent's sessions take up to 1.5 s.
     DelayHandshakes(usize),
     /// A worker refuses connections for the length of the fault and then ends, while its runs go
-    /// on; its agent does not hear that it drains, and may start anew without a record.
+    /// on; its agent is not notified that it drains, and may restart without a record.
     ShutWorker(usize, bool),
     /// An agent's process is killed, and starts with a wall clock that is set back by so many
     /// milliseconds.
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -9,7 +9,7 @@
 };
 use rstest::rstest;
 
-/// How soon a gateway hears that its caller is gone, in microseconds.
+/// Maximum delay until a gateway learns that its caller has disconnected, in microseconds.
 const PROMPT_NOTICE: u64 = 1_000;
 
 fn assert_keeps_every_rule(seed: u64, outcome: &Outcome) {
@@ -70,7 +70,7 @@
     }
 }
 
-/// Callers submit again while the gateway that has just heard that they are gone stops the runs of
+/// Callers resubmit while the gateway that has just learned that they disconnected stops the runs of
 /// before.
 #[test]
 fn seeds_with_callers_that_submit_again_keep_every_rule() {
