--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -24,6 +24,7 @@
         tasks: vec![2],
         room: 600,
         max_attempts: 2,
+        gateway: None,
     }
 }
 
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -38,6 +38,30 @@
             /// Print a JSON line for each size.
             optional --json
         }
+        /// Play all combinations of a few faults in a small world, and print those that let a
+        /// task run twice at the same time.
+        cmd search {
+            /// Number of faults in each history: 1, 2 or 3.
+            required --faults faults: usize
+            /// Number of threads; 2 unless given.
+            optional --threads threads: usize
+            /// Leave out faults that the platform's documents do not state.
+            optional --only-stated
+            /// Workers report when they started, and may restart under the same id.
+            optional --start-times
+            /// Each gateway has had a short job on each worker shortly before.
+            optional --busy-sessions
+            /// The caller submits its job again at the same gateway instead of the other.
+            optional --same-gateway
+            /// Switch a mechanism off: leases or owner-timeout.
+            optional --without mechanism: String
+            /// Play only first faults whose kind contains this text.
+            optional --first kind: String
+            /// Play only each n-th choice of the first fault.
+            optional --stride stride: usize
+            /// Print the timelines.
+            optional --verbose
+        }
         /// Run seeds of leased workers under faults and judge their histories.
         cmd leased {
             /// Seeds to run, A..B.
@@ -62,9 +86,13 @@
             optional --resending
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
-            /// With these two: gateways notice broken connections within so many ms.
+            /// The same scene with another kind of disruption: commands, sessions,
+            /// closing-workers, clock-steps, slow-processes
+            /// or timed-faults.
+            optional --disruption disruption: String
+            /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
-            /// With these two: print what happens to the job of this number.
+            /// With these three: print what happens to the job of this number.
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -4,6 +4,7 @@
 use rand_pcg::Pcg64;
 
 use super::nodes::WORKER_ZONES;
+use super::world::commands::CommandGroup;
 
 /// Something that goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +64,28 @@
     /// A gateway is cut off from its callers, not from agents: their connections break, it
     /// notices after the probes of the connections, and new calls reach others.
     CutCallers(usize),
+    /// Commands to a worker, and their answers, take up to 100 ms each.
+    DelayCommands(usize),
+    /// Commands to a worker get no answer; they are carried out, at once or later, or lost.
+    UnansweredCommands(usize, CommandGroup),
+    /// A worker that runs on rejects commands as unhealthy.
+    RejectCommands(usize, CommandGroup),
+    /// The sessions of an agent and a gateway are reset, and refused for a while.
+    RefuseSessions(usize, usize),
+    /// An agent's process fails without the end of its sessions.
+    DarkAgent(usize),
+    /// The handshakes of an agent's sessions take up to 1.5 s.
+    DelayHandshakes(usize),
+    /// A worker refuses connections for the length of the fault and then ends, while its runs go
+    /// on; its agent does not hear that it drains, and may start anew without a record.
+    ShutWorker(usize, bool),
+    /// An agent's process is killed, and starts with a wall clock that is set back by so many
+    /// milliseconds.
+    StepClockBack(usize, u64),
+    /// Each input takes a gateway so many times as long as usual.
+    SlowGateway(usize, u64),
+    /// Each input takes an agent so many times as long as usual.
+    SlowAgent(usize, u64),
 }
 
 impl Fault {
@@ -96,6 +119,16 @@
             Self::SuspendAgent(_) => "suspend_agent",
             Self::BreakCallers(_) => "break_callers",
             Self::CutCallers(_) => "cut_callers",
+            Self::DelayCommands(_) => "delay_commands",
+            Self::UnansweredCommands(..) => "unanswered_commands",
+            Self::RejectCommands(..) => "reject_commands",
+            Self::RefuseSessions(..) => "refuse_sessions",
+            Self::DarkAgent(_) => "dark_agent",
+            Self::DelayHandshakes(_) => "delay_handshakes",
+            Self::ShutWorker(..) => "shut_worker",
+            Self::StepClockBack(..) => "step_clock_back",
+            Self::SlowGateway(..) => "slow_gateway",
+            Self::SlowAgent(..) => "slow_agent",
         }
     }
 }
