A refused connection does not prove that a worker's runs have ended

Callers saw one task run twice at the same time, for up to 0.7 s: one gateway, one submission.

Cause: a watch whose connection was refused ended all runs of a worker that was not known to drain, and their gateways placed them again. A worker that shuts down may close its listener before its runs end, and its agent need not have heard that it drains.

Now: the runs end when the lease has expired, or at once when another process answers in the worker's place. A worker that still refuses by then has crashed; the ages of its runs count to the first refusal, so that a task which crashes its workers is recognized as before.

Where others crash a worker by a refused watch, the worker now refuses until its lease has expired, or the next process answers; what they assert afterwards is the same.

--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -174,7 +174,7 @@
 /// How an agent learned that an incarnation of its worker has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IncarnationEnd {
-    /// The worker's host refused a connection.
+    /// The worker refused connections until its lease had expired.
     Crashed,
     /// A worker with another id answered in its place.
     Superseded,
--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -37,10 +37,10 @@
         };
         self.record_incarnation_end(now, &mut ended, end, &BTreeSet::new(), effects);
         let proof = match end {
-            IncarnationEnd::Crashed | IncarnationEnd::Superseded | IncarnationEnd::Restarted => {
-                EndProof::IncarnationEnded
+            IncarnationEnd::Superseded | IncarnationEnd::Restarted => EndProof::IncarnationEnded,
+            IncarnationEnd::Crashed | IncarnationEnd::Deregistered | IncarnationEnd::Replaced => {
+                EndProof::LeaseExpired
             }
-            IncarnationEnd::Deregistered | IncarnationEnd::Replaced => EndProof::LeaseExpired,
         };
         // A superseded id does not return: the worker with the other id rejects commands for it.
         let may_restart = incarnation.may_restart() && end != IncarnationEnd::Superseded;
@@ -116,14 +116,15 @@
             .iter()
             .filter(|(task, run)| run.takes_resources() && !listed.contains(&run.id(*task)))
             .collect();
+        let ended_at = worker.refused_at.unwrap_or(now);
         let runs = lost.iter().map(|(task, run)| LostRun {
             run: run.id(*task),
-            age: now.since(run.sent),
+            age: ended_at.since(run.sent),
         });
         let runs = runs.collect();
         let crashed = lost.iter().map(|(task, run)| CrashedTask {
             task: *task,
-            is_early: is_early(run, now.since(run.sent)),
+            is_early: is_early(run, ended_at.since(run.sent)),
         });
         let started_tasks = crashed
             .chain(std::mem::take(&mut worker.expired_tasks))
--- a/laurelstile-core/src/leased/agent/proof.rs
+++ b/laurelstile-core/src/leased/agent/proof.rs
@@ -12,8 +12,7 @@
     /// The worker does not list the run, in an answer to a watch sent after the last change of the
     /// run's state.
     Unlisted,
-    /// The worker's process has ended: another incarnation answers, or connections are refused
-    /// although the incarnation had not announced its shutdown.
+    /// The worker's process has ended: another incarnation answers.
     IncarnationEnded,
     /// The run's lease has expired on the worker's clock.
     LeaseExpired,
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -94,12 +94,13 @@
             Err(CommandError::IncarnationEnded) => {
                 self.on_incarnation_ended(now, incarnation, IncarnationEnd::Superseded, effects);
             }
-            // A crashed process no longer listens. One that is shutting down may stop listening
-            // while its runs continue, so its leases are left to expire.
-            Err(CommandError::ConnectionRefused) if !worker.is_leaving() => {
-                self.on_incarnation_ended(now, incarnation, IncarnationEnd::Crashed, effects);
+            // A process may stop listening while its runs continue, so its lease is left to expire.
+            Err(CommandError::ConnectionRefused) => {
+                worker.refused_at.get_or_insert(now);
+                self.on_watch_without_effect(now, effects);
             }
-            Err(CommandError::NoAnswer | CommandError::ConnectionRefused) => {
+            Err(CommandError::NoAnswer) => {
+                worker.refused_at = None;
                 self.on_watch_without_effect(now, effects);
             }
             Ok(answer) => self.on_watch_answered(now, queried_at, answer, effects),
@@ -140,6 +141,7 @@
             self.update_clock(now, answer.clock);
             return;
         }
+        worker.refused_at = None;
         let is_fenced = answer.lists == Err(Rejection::Fenced);
         if answer.lists.is_err() && !is_fenced {
             self.update_clock(now, answer.clock);
@@ -304,11 +306,16 @@
 
     /// Ends the runs of a worker that is silent or has deregistered once the lease has expired;
     /// their gateways may repeat them. Nothing starts on a silent worker until new run lists
-    /// have arrived.
+    /// have arrived. A worker that refuses connections by then has crashed.
     pub(super) fn end_expired_runs(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         let has_expired =
             |worker: &WorkerState| worker.is_expiring() && now >= lease_expired_at(worker.renewed);
-        if !self.worker.as_ref().is_some_and(has_expired) {
+        let Some(worker) = self.worker.as_ref().filter(|worker| has_expired(worker)) else {
+            return;
+        };
+        if worker.is_refusing() {
+            let incarnation = worker.incarnation.clone();
+            self.on_incarnation_ended(now, &incarnation, IncarnationEnd::Crashed, effects);
             return;
         }
         let tasks = self.expiring_tasks();
@@ -338,8 +345,8 @@
     /// When [`Self::end_expired_runs`] is next due.
     pub(super) fn lease_expiry_at(&self) -> Option<Timestamp> {
         let worker = self.worker.as_ref()?;
-        let is_expiring = worker.is_expiring() && !self.expiring_tasks().is_empty();
-        is_expiring.then(|| lease_expired_at(worker.renewed))
+        let is_awaited = worker.is_refusing() || !self.expiring_tasks().is_empty();
+        (worker.is_expiring() && is_awaited).then(|| lease_expired_at(worker.renewed))
     }
 
     /// Tasks whose runs have ended once the lease has expired. Unconfirmed starts are excluded if
@@ -359,6 +366,11 @@
         self.is_silent() || self.has_deregistered()
     }
 
+    /// Whether the worker refuses connections without having announced its shutdown.
+    fn is_refusing(&self) -> bool {
+        self.refused_at.is_some() && !self.is_leaving()
+    }
+
     fn is_silent(&self) -> bool {
         self.unanswered_watches >= SILENT_WATCHES
     }
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -70,6 +70,8 @@
     pub has_logged_control: bool,
     /// Consecutive watches that were not answered, or that the worker rejected.
     pub unanswered_watches: u32,
+    /// Since when watches have been refused a connection; `None` if the latest was not.
+    pub refused_at: Option<Timestamp>,
     /// When the pending watch was sent; `None` if none is pending.
     pub watching: Option<Timestamp>,
     /// Earliest time of the next watch.
@@ -173,6 +175,7 @@
             has_synced: false,
             has_logged_control: false,
             unanswered_watches: 0,
+            refused_at: None,
             watching: None,
             watch_from: now,
             renewed: now,
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -16,6 +16,7 @@
 };
 use laurelstile_core::leased::resources::Resources;
 use laurelstile_core::leased::task::{JobId, RunId, RunNumber, TaskId};
+use laurelstile_core::leased::timing::RUNS_OVER_AFTER;
 use laurelstile_core::leased::worker_incarnation::{StartTime, WorkerIncarnation};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
@@ -446,6 +447,13 @@
         self.fail_watch(now, CommandError::ConnectionRefused);
     }
 
+    /// The worker refuses connections from now on, until its lease has expired.
+    pub fn crash(&mut self, now: Timestamp) {
+        self.refuse_watch(now);
+        self.refuse_watch(now);
+        self.tick(now.after(RUNS_OVER_AFTER));
+    }
+
     fn fail_watch(&mut self, now: Timestamp, error: CommandError) {
         self.take_watches();
         self.event(
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -83,6 +83,7 @@
 #[rstest]
 #[case::commands(Disruption::Commands)]
 #[case::sessions(Disruption::Sessions)]
+#[case::closing_workers(Disruption::ClosingWorkers)]
 #[case::clock_steps(Disruption::ClockSteps)]
 #[case::slow_processes(Disruption::SlowProcesses)]
 #[case::timed_faults(Disruption::TimedFaults)]
