Tests: run numbers of earlier submissions, contested tokens, suspects after an earlier run

Four parts of earlier fixes could be changed without a test that failed. Each mutation was made, the tests of gateway or agent were run, and it was reverted.

Not noticed still: wants_watch in exceed_contested_token. Without it the next watch is sent anyway while there are runs, orphans or no run lists; otherwise it has nothing to prove.

--- a/laurelstile-core/tests/leased_end_proofs.rs
+++ b/laurelstile-core/tests/leased_end_proofs.rs
@@ -64,6 +64,46 @@
     assert!(rig.last_token() > of_previous, "{:?}", rig.last_token());
 }
 
+/// Whether the agent has sent a gateway a snapshot of its worker, which tells that it is in control.
+fn has_sent_snapshot(rig: &AgentRig) -> bool {
+    let mut bodies = rig.sent.iter().map(|(_, message)| &message.body);
+    bodies.any(|body| matches!(body, FromAgentBody::Snapshot(_)))
+}
+
+/// Guards against a start of the previous agent that takes effect after the present one has taken
+/// control: lists that were requested under a token which may equal the previous agent's prove
+/// nothing.
+#[test]
+fn run_lists_under_a_contested_token_are_not_believed() {
+    let mut rig = AgentRig::new();
+    rig.register(at(0), "life-1", cpu(1_000), false);
+    rig.answer_watch_as(at(1), Err(Rejection::Fenced));
+    let contested = rig.last_token();
+    rig.message(at(2), ToAgentBody::Heartbeat);
+    rig.answer_watch(at(3), RunLists::default());
+    rig.message(at(4), ToAgentBody::Heartbeat);
+    assert!(!rig.is_available() && !has_sent_snapshot(&rig));
+    assert!(rig.last_token() > contested, "{:?}", rig.last_token());
+    rig.answer_watch(at(5), RunLists::default());
+    rig.message(at(6), ToAgentBody::Heartbeat);
+    assert!(rig.is_available() && has_sent_snapshot(&rig));
+}
+
+/// Guards against a run that is taken for ended because lists under a contested token lack it.
+#[test]
+fn a_run_that_lists_under_a_contested_token_lack_has_not_ended() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let started = rig.take_starts()[0];
+    rig.answer_start(at(11), started, None);
+    rig.answer_watch_as(at(20), Err(Rejection::Fenced));
+    rig.answer_watch(at(30), RunLists::default());
+    assert!(rig.ends().is_empty(), "{:?}", rig.ends());
+    rig.answer_watch(at(40), RunLists::default());
+    assert_eq!(rig.ends(), [(started.task, EndKind::Lost)]);
+}
+
 /// Numbers of ends in the messages to a gateway, in order.
 fn end_numbers(rig: &AgentRig) -> Vec<u64> {
     let bodies = rig.sent.iter().map(|(_, message)| &message.body);
--- a/laurelstile-core/tests/leased_resubmission.rs
+++ b/laurelstile-core/tests/leased_resubmission.rs
@@ -6,6 +6,7 @@
 
 mod leased_support;
 
+use laurelstile_core::leased::crashes::{CrashedTask, WorkerCrash};
 use laurelstile_core::leased::gateway::job::CallNumber;
 use laurelstile_core::leased::gateway::{Answer, EndSource, GatewayEvent};
 use laurelstile_core::leased::messages::{EndKind, FromAgentBody, StartBatch};
@@ -144,6 +145,100 @@
     assert_eq!(batch.1.tasks[0].1, RunNumber(2));
 }
 
+/// Has agents 2 and 3 send heartbeats until `until`, in milliseconds, and `jobs` other jobs complete
+/// at that time.
+fn complete_other_jobs(rig: &mut GatewayRig, until: u64, jobs: u64) {
+    for millis in (200..=until).step_by(100) {
+        heartbeats(rig, millis, &[2, 3]);
+    }
+    for id in 0..jobs {
+        rig.submit(at(until), 10 + id, job(10 + id, 1, 200));
+        let batch = rig.next_start();
+        rig.end(at(until), &batch, EndKind::Done, cpu(4_000));
+    }
+}
+
+/// Guards against run numbers that begin anew while agents may still report ends of earlier runs,
+/// and against memory that grows with each removed job.
+#[rstest]
+#[case::for_ten_seconds(DISCONNECTED + 10_000, 1, 2)]
+#[case::for_no_longer(DISCONNECTED + 10_001, 1, 1)]
+#[case::of_many_jobs(RESUBMITTED, 8_191, 2)]
+#[case::of_no_more_jobs(RESUBMITTED, 8_192, 1)]
+fn the_numbers_of_earlier_runs_are_kept(
+    #[case] resubmitted: u64,
+    #[case] other_jobs: u64,
+    #[case] next_run: u32,
+) {
+    let (mut rig, first) = abandoned_job();
+    rig.end(at(150), &first, EndKind::Stopped, cpu(4_000));
+    complete_other_jobs(&mut rig, resubmitted, other_jobs);
+    rig.submit(at(resubmitted), 2, job(1, 1, 2_000));
+    let (_, batch) = rig.next_start();
+    assert_eq!(batch.tasks, [(0, RunNumber(next_run))]);
+}
+
+/// Guards against a second run of a task whose present run is taken for ended: its agent was
+/// suspended for nearly ten seconds and then reports the end of the run of the earlier submission.
+#[test]
+fn an_end_reported_seconds_late_does_not_end_the_present_run() {
+    let (mut rig, first) = abandoned_job();
+    let resumed = DISCONNECTED + 9_900;
+    complete_other_jobs(&mut rig, resumed, 1);
+    for session in [2, 3] {
+        rig.lose_session(at(resumed), session);
+    }
+    heartbeats(&mut rig, resumed, &[1]);
+    rig.submit(at(resumed), 2, job(1, 1, 2_000));
+    let second = rig.next_start();
+    assert_eq!(second.0, SessionId(1));
+    rig.end(at(resumed + 10), &first, EndKind::Stopped, cpu(4_000));
+    heartbeats(&mut rig, resumed + 20, &[1]);
+    assert!(rig.starts.is_empty(), "the present run has not ended");
+}
+
+/// Guards against resubmitted tasks that crash worker after worker together: the worker crashed while
+/// it ran the earlier submission's tasks, which then are placed on different workers.
+#[rstest]
+#[case::before_the_resubmission(200)]
+#[case::while_the_tasks_wait(RESUBMITTED + 10)]
+fn tasks_whose_earlier_runs_crashed_a_worker_are_separated(#[case] crashed: u64) {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 2, 2_000));
+    let first = rig.next_start();
+    assert_eq!(first.1.tasks.len(), 2);
+    let call = CallNumber(1);
+    rig.event(at(DISCONNECTED), GatewayEvent::CallerDisconnected { call });
+    rig.join(at(DISCONNECTED), 2, "agent-2", cpu(4_000));
+    rig.join(at(DISCONNECTED), 3, "agent-3", cpu(4_000));
+    let tasks = [0, 1].map(|index| CrashedTask {
+        task: task(1, index),
+        is_early: false,
+    });
+    let crash = WorkerCrash {
+        incarnation: "life-1".into(),
+        runs: 2,
+        tasks: tasks.to_vec(),
+    };
+    for millis in (200..RESUBMITTED + 100).step_by(10) {
+        heartbeats(&mut rig, millis, &[1, 2, 3]);
+        if millis == crashed {
+            let crashes = FromAgentBody::Crashes(vec![crash.clone()]);
+            rig.report(at(millis), 1, 1, cpu(0), crashes);
+        }
+        if millis == RESUBMITTED {
+            rig.submit(at(millis), 2, job(1, 2, 2_000));
+        }
+    }
+    assert!(rig.starts.is_empty(), "the earlier runs have not ended");
+    rig.end(at(RESUBMITTED + 100), &first, EndKind::Lost, cpu(0));
+    let starts: Vec<(SessionId, StartBatch)> = rig.starts.drain(..).collect();
+    let sizes: Vec<usize> = starts.iter().map(|(_, batch)| batch.tasks.len()).collect();
+    assert_eq!(sizes, [1, 1]);
+    assert_ne!(starts[0].0, starts[1].0);
+}
+
 const EARLIER: u64 = 1;
 const LATER: u64 = 2;
 /// When the first agent was last heard, in milliseconds.
