The next process's answer does not end the runs of one that drains

Cause: an answer 421 ended all runs of the incarnation at once. A process that shuts down may stop listening while its runs continue, and the next process may then listen at its address; the tasks were placed again beside their runs.

Now: if the incarnation has announced its shutdown and has runs, 421 counts as a watch or stop without effect until the lease has expired. Without runs the next process is used at once, as before.

--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -10,6 +10,7 @@
 use super::super::task::{RunId, TaskId};
 use super::super::worker_incarnation::{StartTime, WorkerIncarnation};
 use super::crash_history::is_early;
+use super::lease::lease_expired_at;
 use super::proof::EndProof;
 use super::run_table::{Run, RunState, StopReason};
 use super::worker::{CommandError, Registration, WorkerClock};
@@ -63,6 +64,14 @@
         }
     }
 
+    /// Whether runs of the current incarnation may continue although another one answers at its
+    /// address. A process that shuts down may stop listening before its runs end.
+    pub(super) fn may_outlast_superseding(&self, now: Timestamp) -> bool {
+        let worker = self.worker.as_ref();
+        let leased = worker.filter(|worker| now < lease_expired_at(worker.renewed));
+        self.runs.active() > 0 && leased.is_some_and(WorkerState::is_leaving)
+    }
+
     /// The worker answered with another start time: it has restarted under the same id. The runs
     /// in `listed` are those that the new incarnation lists as its own; its later lists decide
     /// what became of all others.
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -237,7 +237,12 @@
                         effects,
                     );
                 }
-                self.on_incarnation_ended(now, incarnation, IncarnationEnd::Superseded, effects);
+                if self.may_outlast_superseding(now) {
+                    self.watch_at_once(now);
+                } else {
+                    let end = IncarnationEnd::Superseded;
+                    self.on_incarnation_ended(now, incarnation, end, effects);
+                }
             }
             Err(CommandError::ConnectionRefused) => {
                 if state == Some(RunState::Starting) {
--- a/laurelstile-core/src/leased/agent/stopping.rs
+++ b/laurelstile-core/src/leased/agent/stopping.rs
@@ -102,11 +102,11 @@
             return;
         }
         match answer {
-            Err(CommandError::IncarnationEnded) => {
+            Err(CommandError::IncarnationEnded) if !self.may_outlast_superseding(now) => {
                 self.on_incarnation_ended(now, incarnation, IncarnationEnd::Superseded, effects);
             }
-            Err(failure @ (CommandError::NoAnswer | CommandError::ConnectionRefused)) => {
-                if failure == CommandError::ConnectionRefused {
+            Err(failure) => {
+                if failure != CommandError::NoAnswer {
                     self.watch_at_once(now);
                 }
                 self.on_stop_without_effect(now, id, effects);
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -86,11 +86,15 @@
         if !self.is_current(incarnation) {
             return;
         }
+        let may_outlast = self.may_outlast_superseding(now);
         let Some(worker) = &mut self.worker else {
             return;
         };
         let queried_at = worker.watching.take().unwrap_or(now);
         match answer {
+            Err(CommandError::IncarnationEnded) if may_outlast => {
+                self.on_watch_without_effect(now, effects);
+            }
             Err(CommandError::IncarnationEnded) => {
                 self.on_incarnation_ended(now, incarnation, IncarnationEnd::Superseded, effects);
             }
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -18,7 +18,10 @@
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
-use leased_support::{AgentRig, GATEWAY, GatewayRig, at, cpu, job, lists, task, worker_clock};
+use leased_support::{
+    AgentRig, FIRST_START, GATEWAY, GatewayRig, at, cpu, heartbeat_of, in_first_incarnation, job,
+    lists, task, worker_clock,
+};
 use rstest::rstest;
 
 /// An agent whose worker has two cores and a run on each, started at 10 ms.
@@ -157,6 +160,100 @@
     assert_eq!(rig.ends().len(), runs.len());
 }
 
+/// Guards against a second run beside one of a process that shuts down: it may have stopped listening
+/// while its runs continue, and the next process may listen at its address already.
+#[rstest]
+fn the_runs_of_a_draining_process_outlast_the_first_answer_of_the_next_one(
+    #[values(false, true)] is_stopped: bool,
+) {
+    let (mut rig, runs) = agent_with_two_runs();
+    rig.register(at(40), "life-1", cpu(2_000), true);
+    rig.register(at(45), "life-2", cpu(2_000), false);
+    if is_stopped {
+        rig.message(at(46), ToAgentBody::Stop(vec![runs[0].task]));
+    }
+    for millis in [50, 51] {
+        for run in rig.take_stops() {
+            let incarnation = "life-1".into();
+            let answer = Err(CommandError::IncarnationEnded);
+            let answered = AgentEvent::StopAnswered {
+                run,
+                incarnation,
+                answer,
+            };
+            rig.event(at(millis), answered);
+        }
+        rig.end_incarnation(at(millis));
+    }
+    let held_back = if is_stopped { 46 } else { 50 };
+    let expiry = held_back + MAX_LEASE_DURATION.as_millis() + MAX_STOP_TIME.as_millis() + 1;
+    for millis in (60..expiry).step_by(20).chain([expiry - 1]) {
+        rig.end_incarnation(at(millis));
+        assert!(rig.ends().is_empty(), "at {millis} ms");
+        assert!(rig.leases().is_empty(), "renewed at {millis} ms");
+    }
+    rig.tick(at(expiry));
+    assert_eq!(rig.ends().len(), runs.len(), "the lease has expired");
+    rig.incarnation = "life-2".into();
+    rig.answer_watch(at(expiry + 1), RunLists::default());
+    assert!(rig.is_available(), "the next process is used");
+}
+
+/// As above, for a start that was sent before the process began to drain: the next process has not
+/// carried it out, but this proves nothing about other runs.
+#[test]
+fn a_start_that_reached_the_next_process_does_not_end_the_runs_of_a_draining_one() {
+    let mut rig = AgentRig::with_worker(cpu(2_000));
+    let first = rig.batch(1, 1, 4);
+    rig.message(at(10), first);
+    for run in rig.take_starts() {
+        rig.answer_start(at(11), run, None);
+    }
+    let second = rig.batch(2, 1, 4);
+    rig.message(at(20), second);
+    let run = rig.take_starts()[0];
+    rig.register(at(21), "life-1", cpu(2_000), true);
+    let incarnation = "life-1".into();
+    let answer = Err(CommandError::IncarnationEnded);
+    let answered = AgentEvent::StartAnswered {
+        run,
+        incarnation,
+        answer,
+    };
+    rig.event(at(22), answered);
+    assert_eq!(rig.ends(), [(task(2, 0), EndKind::Lost)]);
+}
+
+/// The start of a run was not answered. The worker may start again under its id, so the expiry of its
+/// lease does not end the run, but the next process proves that it did not.
+#[test]
+fn an_unanswered_start_at_a_draining_process_ends_after_its_lease() {
+    let mut rig = in_first_incarnation();
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let start = rig.take_starts()[0];
+    rig.heartbeat(at(20), heartbeat_of(FIRST_START, 9_020, 4_000, true));
+    rig.time_out_start(at(35), start);
+    for millis in (40..800).step_by(10) {
+        rig.end_incarnation(at(millis));
+        assert!(rig.ends().is_empty(), "at {millis} ms");
+    }
+    rig.end_incarnation(at(900));
+    assert_eq!(rig.ends().len(), 1);
+}
+
+/// A process without runs is replaced by the next one at once.
+#[test]
+fn a_draining_process_without_runs_ends_with_the_first_answer_of_the_next_one() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    rig.register(at(40), "life-1", cpu(1_000), true);
+    rig.register(at(45), "life-2", cpu(1_000), false);
+    rig.end_incarnation(at(50));
+    rig.incarnation = "life-2".into();
+    rig.answer_watch(at(51), RunLists::default());
+    assert!(rig.is_available());
+}
+
 /// Without runs there is no lease to wait for.
 #[test]
 fn a_worker_without_runs_that_refuses_connections_has_crashed() {
