The clock reading of a worker's record is not ahead of its clock

Cause: the record for the next agent took the worker's clock for as fast as the agent's. A clock may be 2% slow, so 1.4 s after the latest reading the record was 28 ms ahead, and the next agent's first leases lasted that much longer than the 715 ms that all bounds count. The margin of 100 ms covers it; no second start follows from this alone.

Now: the record has the lower bound, as leases do.

--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -106,7 +106,7 @@
             service: self.service.clone(),
             capacity: self.least_capacity,
             labels: self.labels.clone(),
-            clock: self.clock.at(now),
+            clock: self.clock.lower_bound(now),
             draining: self.draining,
             sequence: self.sequence,
         };
--- a/laurelstile-core/tests/leased_timing.rs
+++ b/laurelstile-core/tests/leased_timing.rs
@@ -1,11 +1,14 @@
 //! Inequalities between the leased path's time bounds that keep runs of a task from overlapping.
 
-use laurelstile_core::leased::agent::worker::{ClockEstimate, WorkerClock};
+mod leased_support;
+
+use laurelstile_core::leased::agent::worker::{ClockEstimate, Registration, WorkerClock};
 use laurelstile_core::leased::timing::{
     AGENT_EXPIRY, CALLER_RETRY_DELAY, LEASE_DURATION, MAX_LEASE_DURATION, MAX_START_ECHO_AGE,
     MAX_STOP_TIME, OWNER_TIMEOUT, RUNS_OVER_AFTER,
 };
 use laurelstile_types::time::Timestamp;
+use leased_support::{AgentRig, at, cpu, registration};
 use rstest::rstest;
 
 #[test]
@@ -58,3 +61,22 @@
         assert!(bound.0 <= clock_at(later_millis), "at {later_millis} ms");
     }
 }
+
+/// Guards against a lease that lasts too long because the next agent continues from a record whose
+/// clock reading is ahead: the worker's clock is 2% slow, and the agent stores the record some time
+/// after its latest reading.
+#[test]
+fn the_clock_reading_of_a_record_is_not_ahead_of_the_clock() {
+    let clock_at = |millis: u64| WorkerClock(10_000 + millis * 98 / 100);
+    let mut rig = AgentRig::new();
+    let heartbeat = Registration {
+        clock: clock_at(0),
+        ..registration(at(0), "life-1".into(), cpu(1_000), false)
+    };
+    rig.heartbeat(at(0), heartbeat);
+    rig.deregister(at(1_400));
+    let record = rig.stored_records.last().expect("a record");
+    assert!(record.registration.draining, "stored at the deregistration");
+    let reading = record.registration.clock;
+    assert!(reading <= clock_at(1_400), "{reading:?}");
+}
