A delayed handshake of an earlier session ends no runs of the same agent process

Cause: a gateway took the session that it handled last for the agent's latest. An agent opened a session whose handshake was delayed, lost it, opened another and was sent starts there. No agent process had restarted, so the comparison of processes by their start does not help.

Now: handshakes bear the process's uptime already. A session with a lower one than that of a session handled before is closed, also if that one has closed since. No message changes.

--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -270,6 +270,12 @@
             .workers
             .entry(remote.incarnation)
             .or_insert_with(|| Worker::new(now, &remote));
+        if worker.has_later_session(remote.uptime) {
+            // A delayed handshake. The agent has left this session, and its snapshot there lacks the
+            // runs that were started on the later one.
+            effects.push(GatewayEffect::Close(session));
+            return;
+        }
         if let Some(old) = worker.session {
             self.agent_sessions.remove(&old);
             self.membership.on_agent_closed(old);
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -33,6 +33,8 @@
     pub process_started_at: i64,
     /// The open session, if any.
     pub session: Option<SessionId>,
+    /// Highest uptime of the agent's process in the handshakes of its sessions.
+    latest_uptime: Span,
     /// The agent's latest snapshot on this session; `None` before the agent has the worker
     /// under control.
     pub snapshot: Option<Snapshot>,
@@ -78,6 +80,7 @@
             name: remote.name.clone(),
             process_started_at: process_start(now, remote.uptime),
             session: None,
+            latest_uptime: Span::default(),
             snapshot: None,
             report: Report {
                 processed: 0,
@@ -104,11 +107,17 @@
         }
     }
 
+    /// Whether the agent has opened a later session than one whose handshake has this uptime.
+    pub fn has_later_session(&self, uptime: Span) -> bool {
+        uptime < self.latest_uptime
+    }
+
     /// Resets the session state for a new session.
     pub fn open_session(&mut self, now: Timestamp, session: SessionId, uptime: Span) {
         let started_at = process_start(now, uptime);
         self.process_started_at = self.process_started_at.min(started_at);
         self.session = Some(session);
+        self.latest_uptime = uptime;
         self.snapshot = None;
         self.report.limit = 0;
         self.last_heard = now;
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -10,7 +10,9 @@
 use laurelstile_core::leased::agent::{AgentDecision, AgentEvent, IncarnationEnd};
 use laurelstile_core::leased::gateway::job::CallNumber;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
-use laurelstile_core::leased::messages::{EndKind, FromAgentBody, ToAgentBody, ToPeer};
+use laurelstile_core::leased::messages::{
+    EndKind, FromAgentBody, Snapshot, TaskEnd, ToAgentBody, ToPeer,
+};
 use laurelstile_core::leased::task::{JobId, RunId, RunNumber, TaskId};
 use laurelstile_core::leased::timing::{
     AGENT_EXPIRY, MAX_LEASE_DURATION, MAX_STOP_TIME, OWNER_TIMEOUT,
@@ -399,6 +401,47 @@
     assert!(rig.stops.is_empty() && rig.starts.is_empty());
 }
 
+/// Guards against a second run of a task beside one that the snapshot of an earlier session lacks: the
+/// agent had left that session before its delayed handshake reached the gateway.
+#[rstest]
+fn a_late_session_of_the_same_agent_process_ends_no_runs(
+    #[values(false, true)] is_later_one_closed: bool,
+) {
+    let mut rig = GatewayRig::new();
+    let (agent, uptime) = (Incarnation(7), Span::from_millis(1_100));
+    rig.open_agent(at(1), 70, "agent-7", agent, uptime);
+    let snapshot = Snapshot {
+        service: "parcels".into(),
+        zone: "here".into(),
+        capacity: cpu(1_000),
+        labels: Vec::new(),
+        held: Vec::new(),
+    };
+    let snapshot = FromAgentBody::Snapshot(snapshot);
+    rig.report(at(2), 70, 0, cpu(1_000), snapshot.clone());
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    let batch = rig.next_start();
+    rig.join(at(20), 8, "agent-8", cpu(1_000));
+    if is_later_one_closed {
+        rig.lose_session(at(50), 70);
+    }
+    let earlier = Span::from_millis(100);
+    rig.open_agent(at(60), 71, "agent-7", agent, earlier);
+    rig.report(at(61), 71, 0, cpu(1_000), snapshot);
+    rig.tick(at(62));
+    assert!(rig.starts.is_empty(), "started beside the first run");
+    let now = Span::from_millis(1_200);
+    rig.open_agent(at(100), 72, "agent-7", agent, now);
+    let ends = vec![TaskEnd {
+        number: 1,
+        task: task(1, 0),
+        run: batch.1.tasks[0].1,
+        how: EndKind::Done,
+    }];
+    rig.report(at(101), 72, 0, cpu(1_000), FromAgentBody::Ends(ends));
+    assert_eq!(rig.last_answer(), Some(Answer::Completed));
+}
+
 /// The agent keeps a gateway's runs alive only while its echoes are recent, and the last one
 /// may have aged while there was no session.
 #[test]
