Clock readings of a worker's answers take precedence over those of heartbeats

Cause: the highest reading won for 1 s, whoever sent it. A heartbeat of another sender with the worker's id, start time and service whose clock is ahead by 10 s gave leases of 10.7 s while the worker answered watches, and the worker's own answers did not correct it. The worker cuts a lease to 1,000 ms; runs are over 1,520 ms after the last reading then, while gateways expire agents after 1,266 ms.

Now: an answer replaces a heartbeat's reading, and a heartbeat does not replace an answer's that is at most 1 s old. What remains, in the audit: the first lease of a worker that was idle for 1 s.

The test failed before, both cases (leases to 1,010,739 where 1,000,740 is the bound).

--- a/laurelstile-core/src/leased/agent/heartbeats.rs
+++ b/laurelstile-core/src/leased/agent/heartbeats.rs
@@ -78,7 +78,7 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        worker.clock.update(now, registration.clock);
+        worker.clock.update_from_heartbeat(now, registration.clock);
         worker.service_confirmed_at = now;
         let is_first = worker.source == IncarnationSource::Lists;
         if is_first {
--- a/laurelstile-core/src/leased/agent/worker.rs
+++ b/laurelstile-core/src/leased/agent/worker.rs
@@ -142,6 +142,8 @@
 pub struct ClockEstimate {
     reading: WorkerClock,
     taken: Timestamp,
+    /// Whether the reading is from an answer of the worker rather than from a heartbeat.
+    is_answer: bool,
 }
 
 /// Rate of the slowest clock that a worker may have, in percent of the agent's clock.
@@ -150,16 +152,39 @@
 const MAX_READING_AGE_MICROS: u64 = 1_000_000;
 
 impl ClockEstimate {
-    /// Records a reading received at `now`. A reading that was delayed on the way is too low; it
-    /// replaces a higher one only once that is old.
+    /// Records a reading in an answer of the worker, received at `now`. A reading that was delayed on
+    /// the way is too low; it replaces a higher one only once that is old, or from a heartbeat.
     pub fn update(&mut self, now: Timestamp, reading: WorkerClock) {
-        let is_old = now.since(self.taken).0 > MAX_READING_AGE_MICROS;
-        if is_old || reading >= self.at(now) {
-            self.reading = reading;
-            self.taken = now;
+        if !self.is_answer || self.is_superseded_by(now, reading) {
+            self.set(now, reading, true);
         }
     }
 
+    /// Records a reading in a heartbeat. Another sender may use the worker's id, so it does not
+    /// replace a recent answer of the worker.
+    pub fn update_from_heartbeat(&mut self, now: Timestamp, reading: WorkerClock) {
+        let has_recent_answer = self.is_answer && !self.is_old(now);
+        if !has_recent_answer && self.is_superseded_by(now, reading) {
+            self.set(now, reading, false);
+        }
+    }
+
+    fn set(&mut self, now: Timestamp, reading: WorkerClock, is_answer: bool) {
+        *self = Self {
+            reading,
+            taken: now,
+            is_answer,
+        };
+    }
+
+    fn is_superseded_by(&self, now: Timestamp, reading: WorkerClock) -> bool {
+        self.is_old(now) || reading >= self.at(now)
+    }
+
+    fn is_old(&self, now: Timestamp) -> bool {
+        now.since(self.taken).0 > MAX_READING_AGE_MICROS
+    }
+
     /// The worker's clock at `now`, assuming that it runs at the same rate as the agent's.
     pub fn at(&self, now: Timestamp) -> WorkerClock {
         WorkerClock(self.reading.0 + now.since(self.taken).0 / 1_000)
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -152,7 +152,7 @@
             draining: registration.draining,
         }));
         let mut clock = ClockEstimate::default();
-        clock.update(now, registration.clock);
+        clock.update_from_heartbeat(now, registration.clock);
         self.worker = Some(WorkerState {
             incarnation: registration.incarnation,
             number: self.incarnation_number,
--- a/laurelstile-core/tests/leased_timing.rs
+++ b/laurelstile-core/tests/leased_timing.rs
@@ -2,13 +2,13 @@
 
 mod leased_support;
 
-use laurelstile_core::leased::agent::worker::{ClockEstimate, Registration, WorkerClock};
+use laurelstile_core::leased::agent::worker::{ClockEstimate, Registration, RunLists, WorkerClock};
 use laurelstile_core::leased::timing::{
     AGENT_EXPIRY, CALLER_RETRY_DELAY, LEASE_DURATION, MAX_LEASE_DURATION, MAX_START_ECHO_AGE,
     MAX_STOP_TIME, OWNER_TIMEOUT, RUNS_OVER_AFTER,
 };
 use laurelstile_types::time::Timestamp;
-use leased_support::{AgentRig, at, cpu, registration};
+use leased_support::{AgentRig, at, cpu, lists, registration, worker_clock};
 use rstest::rstest;
 
 #[test]
@@ -80,3 +80,34 @@
     let reading = record.registration.clock;
     assert!(reading <= clock_at(1_400), "{reading:?}");
 }
+
+/// Guards against leases that last too long because of a clock reading that is ahead in a heartbeat of
+/// another sender with the worker's id, received before the worker answers or while it does.
+#[rstest]
+#[case::before_the_first_answer(0)]
+#[case::beside_recent_answers(30)]
+fn a_heartbeat_with_a_clock_that_is_ahead_does_not_lengthen_leases(#[case] received: u64) {
+    let mut rig = AgentRig::new();
+    let ahead = Registration {
+        clock: WorkerClock(worker_clock(at(received)).0 + 10_000),
+        ..registration(at(received), "life-1".into(), cpu(1_000), false)
+    };
+    rig.register(at(0), "life-1", cpu(1_000), false);
+    if received == 0 {
+        rig.heartbeat(at(0), ahead.clone());
+    }
+    rig.answer_watch(at(10), RunLists::default());
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(20), batch);
+    let mut leases = rig.leases();
+    let started = rig.take_starts()[0];
+    rig.answer_start(at(21), started, None);
+    if received > 0 {
+        rig.heartbeat(at(received), ahead);
+    }
+    rig.answer_watch(at(40), lists(&[(started, 1)], &[]));
+    leases.extend(rig.leases());
+    let bound = worker_clock(at(40)).0 + LEASE_DURATION.as_millis();
+    assert!(leases.len() >= 2, "{leases:?}");
+    assert!(leases.iter().all(|lease| lease.0 <= bound), "{leases:?}");
+}
