--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -95,9 +95,11 @@
 }
 
 /// A stop that the worker rejected as unhealthy counted as done while the start before it was still
-/// under way, and the task ran twice. In the other seeds it ran twice after a resubmission.
+/// under way, and the task ran twice. A delayed handshake of a session that the agent had left ended
+/// the runs started on a later one. In the other seeds a task ran twice after a resubmission.
 #[rstest]
 #[case::rejected_stop(Disruption::Commands, 101)]
+#[case::late_session(Disruption::TimedFaults, 94)]
 #[case::resubmitted(Disruption::Commands, 150)]
 #[case::resubmitted_again(Disruption::Commands, 152)]
 #[case::resubmitted_beside_timed_faults(Disruption::TimedFaults, 50)]
