--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -106,7 +106,7 @@
             service: self.service.clone(),
             capacity: self.least_capacity,
             labels: self.labels.clone(),
-            clock: self.clock.at(now),
+            clock: self.clock.lower_bound(now),
             draining: self.draining,
             sequence: self.sequence,
         };
@@ -152,7 +152,7 @@
             draining: registration.draining,
         }));
         let mut clock = ClockEstimate::default();
-        clock.update(now, registration.clock);
+        clock.update_from_heartbeat(now, registration.clock);
         self.worker = Some(WorkerState {
             incarnation: registration.incarnation,
             number: self.incarnation_number,
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -10,7 +10,9 @@
 use laurelstile_core::leased::agent::{AgentDecision, AgentEvent, IncarnationEnd};
 use laurelstile_core::leased::gateway::job::CallNumber;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
-use laurelstile_core::leased::messages::{EndKind, FromAgentBody, ToAgentBody, ToPeer};
+use laurelstile_core::leased::messages::{
+    EndKind, FromAgentBody, Snapshot, TaskEnd, ToAgentBody, ToPeer,
+};
 use laurelstile_core::leased::task::{JobId, RunId, RunNumber, TaskId};
 use laurelstile_core::leased::timing::{
     AGENT_EXPIRY, MAX_LEASE_DURATION, MAX_STOP_TIME, OWNER_TIMEOUT,
@@ -18,7 +20,10 @@
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
-use leased_support::{AgentRig, GATEWAY, GatewayRig, at, cpu, job, lists, task, worker_clock};
+use leased_support::{
+    AgentRig, FIRST_START, GATEWAY, GatewayRig, at, cpu, heartbeat_of, in_first_incarnation, job,
+    lists, task, worker_clock,
+};
 use rstest::rstest;
 
 /// An agent whose worker has two cores and a run on each, started at 10 ms.
@@ -157,6 +162,100 @@
     assert_eq!(rig.ends().len(), runs.len());
 }
 
+/// Guards against a second run beside one of a process that shuts down: it may have stopped listening
+/// while its runs continue, and the next process may listen at its address already.
+#[rstest]
+fn the_runs_of_a_draining_process_outlast_the_first_answer_of_the_next_one(
+    #[values(false, true)] is_stopped: bool,
+) {
+    let (mut rig, runs) = agent_with_two_runs();
+    rig.register(at(40), "life-1", cpu(2_000), true);
+    rig.register(at(45), "life-2", cpu(2_000), false);
+    if is_stopped {
+        rig.message(at(46), ToAgentBody::Stop(vec![runs[0].task]));
+    }
+    for millis in [50, 51] {
+        for run in rig.take_stops() {
+            let incarnation = "life-1".into();
+            let answer = Err(CommandError::IncarnationEnded);
+            let answered = AgentEvent::StopAnswered {
+                run,
+                incarnation,
+                answer,
+            };
+            rig.event(at(millis), answered);
+        }
+        rig.end_incarnation(at(millis));
+    }
+    let held_back = if is_stopped { 46 } else { 50 };
+    let expiry = held_back + MAX_LEASE_DURATION.as_millis() + MAX_STOP_TIME.as_millis() + 1;
+    for millis in (60..expiry).step_by(20).chain([expiry - 1]) {
+        rig.end_incarnation(at(millis));
+        assert!(rig.ends().is_empty(), "at {millis} ms");
+        assert!(rig.leases().is_empty(), "renewed at {millis} ms");
+    }
+    rig.tick(at(expiry));
+    assert_eq!(rig.ends().len(), runs.len(), "the lease has expired");
+    rig.incarnation = "life-2".into();
+    rig.answer_watch(at(expiry + 1), RunLists::default());
+    assert!(rig.is_available(), "the next process is used");
+}
+
+/// As above, for a start that was sent before the process began to drain: the next process has not
+/// carried it out, but this proves nothing about other runs.
+#[test]
+fn a_start_that_reached_the_next_process_does_not_end_the_runs_of_a_draining_one() {
+    let mut rig = AgentRig::with_worker(cpu(2_000));
+    let first = rig.batch(1, 1, 4);
+    rig.message(at(10), first);
+    for run in rig.take_starts() {
+        rig.answer_start(at(11), run, None);
+    }
+    let second = rig.batch(2, 1, 4);
+    rig.message(at(20), second);
+    let run = rig.take_starts()[0];
+    rig.register(at(21), "life-1", cpu(2_000), true);
+    let incarnation = "life-1".into();
+    let answer = Err(CommandError::IncarnationEnded);
+    let answered = AgentEvent::StartAnswered {
+        run,
+        incarnation,
+        answer,
+    };
+    rig.event(at(22), answered);
+    assert_eq!(rig.ends(), [(task(2, 0), EndKind::Lost)]);
+}
+
+/// The start of a run was not answered. The worker may start again under its id, so the expiry of its
+/// lease does not end the run, but the next process proves that it did not.
+#[test]
+fn an_unanswered_start_at_a_draining_process_ends_after_its_lease() {
+    let mut rig = in_first_incarnation();
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let start = rig.take_starts()[0];
+    rig.heartbeat(at(20), heartbeat_of(FIRST_START, 9_020, 4_000, true));
+    rig.time_out_start(at(35), start);
+    for millis in (40..800).step_by(10) {
+        rig.end_incarnation(at(millis));
+        assert!(rig.ends().is_empty(), "at {millis} ms");
+    }
+    rig.end_incarnation(at(900));
+    assert_eq!(rig.ends().len(), 1);
+}
+
+/// A process without runs is replaced by the next one at once.
+#[test]
+fn a_draining_process_without_runs_ends_with_the_first_answer_of_the_next_one() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    rig.register(at(40), "life-1", cpu(1_000), true);
+    rig.register(at(45), "life-2", cpu(1_000), false);
+    rig.end_incarnation(at(50));
+    rig.incarnation = "life-2".into();
+    rig.answer_watch(at(51), RunLists::default());
+    assert!(rig.is_available());
+}
+
 /// Without runs there is no lease to wait for.
 #[test]
 fn a_worker_without_runs_that_refuses_connections_has_crashed() {
@@ -302,6 +401,47 @@
     assert!(rig.stops.is_empty() && rig.starts.is_empty());
 }
 
+/// Guards against a second run of a task beside one that the snapshot of an earlier session lacks: the
+/// agent had left that session before its delayed handshake reached the gateway.
+#[rstest]
+fn a_late_session_of_the_same_agent_process_ends_no_runs(
+    #[values(false, true)] is_later_one_closed: bool,
+) {
+    let mut rig = GatewayRig::new();
+    let (agent, uptime) = (Incarnation(7), Span::from_millis(1_100));
+    rig.open_agent(at(1), 70, "agent-7", agent, uptime);
+    let snapshot = Snapshot {
+        service: "parcels".into(),
+        zone: "here".into(),
+        capacity: cpu(1_000),
+        labels: Vec::new(),
+        held: Vec::new(),
+    };
+    let snapshot = FromAgentBody::Snapshot(snapshot);
+    rig.report(at(2), 70, 0, cpu(1_000), snapshot.clone());
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    let batch = rig.next_start();
+    rig.join(at(20), 8, "agent-8", cpu(1_000));
+    if is_later_one_closed {
+        rig.lose_session(at(50), 70);
+    }
+    let earlier = Span::from_millis(100);
+    rig.open_agent(at(60), 71, "agent-7", agent, earlier);
+    rig.report(at(61), 71, 0, cpu(1_000), snapshot);
+    rig.tick(at(62));
+    assert!(rig.starts.is_empty(), "started beside the first run");
+    let now = Span::from_millis(1_200);
+    rig.open_agent(at(100), 72, "agent-7", agent, now);
+    let ends = vec![TaskEnd {
+        number: 1,
+        task: task(1, 0),
+        run: batch.1.tasks[0].1,
+        how: EndKind::Done,
+    }];
+    rig.report(at(101), 72, 0, cpu(1_000), FromAgentBody::Ends(ends));
+    assert_eq!(rig.last_answer(), Some(Answer::Completed));
+}
+
 /// The agent keeps a gateway's runs alive only while its echoes are recent, and the last one
 /// may have aged while there was no session.
 #[test]
