A refused connection to a gateway does not drop its duplicate requests

Cause: an agent that took a gateway for ended, after one refused connection, dropped that gateway's requests for tasks of which the worker still had another gateway's run. Found by review; shown by a test of the agent, not played in emulator or soak.

--- a/laurelstile-core/src/leased/agent/duplicates.rs
+++ b/laurelstile-core/src/leased/agent/duplicates.rs
@@ -12,7 +12,8 @@
 use super::run_table::StopReason;
 use super::{AgentEffect, LeasedAgent};
 
-/// A requested run that is answered once the earlier run of its task has ended.
+/// A requested run that is answered once the earlier run of its task has ended. Kept also when its
+/// gateway is forgotten: that may connect again, and would take a run that is not listed for ended.
 #[derive(Clone, Copy, Debug)]
 pub struct DuplicateRequest {
     gateway: Incarnation,
@@ -60,11 +61,6 @@
         self.end_duplicates(is_withdrawn, how, effects);
     }
 
-    /// Drops the requests of a gateway that is forgotten.
-    pub(super) fn drop_duplicates_of(&mut self, gateway: Incarnation) {
-        self.duplicates.retain(|request| request.gateway != gateway);
-    }
-
     /// The runs that a gateway has requested and that are not answered.
     pub(super) fn duplicates_of(
         &self,
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -97,7 +97,6 @@
     /// Forgets a gateway. Its process may still be running and connect again; it ignores ends with
     /// numbers that it has received before.
     pub(super) fn forget_gateway(&mut self, gateway: Incarnation) {
-        self.drop_duplicates_of(gateway);
         if let Some(owner) = self.owners.remove(&gateway) {
             self.last_forgotten_end = self.last_forgotten_end.max(owner.last_number());
         }
--- a/laurelstile-core/tests/leased_end_proofs.rs
+++ b/laurelstile-core/tests/leased_end_proofs.rs
@@ -261,9 +261,12 @@
 }
 
 /// A duplicate request belongs to what the agent holds for its gateway, which would otherwise place
-/// the task elsewhere after a new session; if the earlier run completes, so does the request.
-#[test]
-fn a_duplicate_is_held_over_sessions_and_completes_with_the_earlier_run() {
+/// the task elsewhere after a new session, also if a connection to it was refused in between; if the
+/// earlier run completes, so does the request.
+#[rstest]
+fn a_duplicate_is_held_over_sessions_and_completes_with_the_earlier_run(
+    #[values(false, true)] has_been_refused: bool,
+) {
     let gateway = Incarnation(9);
     let mut rig = AgentRig::with_worker(cpu(1_000));
     let batch = rig.batch(1, 1, 4);
@@ -274,6 +277,9 @@
     let again = rig.batch(1, 1, 4);
     rig.message_from(at(21), SessionId(90), again);
     assert!(!rig.machine.is_idle_for(SessionId(90)));
+    if has_been_refused {
+        rig.event(at(25), AgentEvent::GatewayEnded { gateway });
+    }
     rig.open(at(30), SessionId(91), gateway);
     rig.answer_watch(at(32), lists(&[(started, 1)], &[]));
     let held = rig
