A late confirmation does not end a held start

Cause: a start whose worker had ended unanswered is held, since the next process under the id may carry it out. If its answer came late, while no incarnation was known, it was taken for that of the ended process, and the task was placed again although the next process could be running it. Found by review; shown by a test of the agent.

Now the start stays held until the next incarnation has answered its stop. The test failed before.

--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -249,8 +249,9 @@
                 let how = EndKind::NotStarted(NotStartedReason::Refused);
                 (how, EndProof::Rejected)
             }
-            // The ended incarnation carried it out, unless the next one lists the run.
-            Ok(_) if self.worker.is_none() => (EndKind::Lost, EndProof::IncarnationEnded),
+            // Either the ended incarnation carried it out or the next one has, whose lists will show
+            // it.
+            Ok(_) if self.worker.is_none() => return,
             Ok(_) => {
                 if is_starting {
                     self.mark_running(now, id.task);
--- a/laurelstile-core/tests/leased_held_starts.rs
+++ b/laurelstile-core/tests/leased_held_starts.rs
@@ -183,6 +183,33 @@
     assert_eq!(rig.ends(), [(task(1, 0), how)]);
 }
 
+/// The order names the worker's id only, so the next incarnation may have carried it out and
+/// answered before the agent heard of it.
+#[test]
+fn a_delayed_confirmation_does_not_end_a_held_start() {
+    let mut rig = in_first_incarnation();
+    let batch = rig.batch(1, 1, 50);
+    rig.message(at(10), batch);
+    let started = rig.take_starts()[0];
+    rig.crash(at(20));
+    let confirmed = AgentEvent::StartAnswered {
+        run: started,
+        incarnation: incarnation(FIRST_START),
+        answer: Ok(CommandAnswer {
+            clock: None,
+            rejection: None,
+        }),
+    };
+    rig.event(at(1_500), confirmed);
+    assert!(rig.ends().is_empty(), "it may run in the next incarnation");
+    rig.take_stops();
+    rig.incarnation = incarnation(SECOND_START);
+    rig.heartbeat(at(1_600), heartbeat_of(SECOND_START, 100, 4_000, false));
+    rig.answer_watch(at(1_601), lists(&[(run(1, 0), 10)], &[]));
+    assert_eq!(rig.take_stops(), [run(1, 0)]);
+    assert!(rig.ends().is_empty(), "the run has not ended");
+}
+
 /// An answer to an earlier run of a task must not confirm a later one.
 #[test]
 fn an_answer_to_an_earlier_run_confirms_no_later_one() {
