Crashes: ages of runs count to the first unanswered watch

Cause: counts a run's age at a crash to the first refused watch, and forgot it when a watch timed out in between. A task that crashes its worker at once was then reported as one that had run for up to 0.5 s, not as an early crash.

Now the time of the first unanswered watch is kept until the incarnation sends its run lists again, also for runs whose lease expired while the worker was silent. Whether the worker refuses connections is kept apart: only the latest watch counts.

Stricter besides: an_unconfirmed_deregistration_is_answered refuses watches until the lease has expired and reports no crash then; before it refused one, which proves nothing any more.

--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -125,7 +125,7 @@
             .iter()
             .filter(|(task, run)| run.takes_resources() && !listed.contains(&run.id(*task)))
             .collect();
-        let ended_at = worker.refused_at.unwrap_or(now);
+        let ended_at = worker.unanswered_since.unwrap_or(now);
         let runs = lost.iter().map(|(task, run)| LostRun {
             run: run.id(*task),
             age: ended_at.since(run.sent),
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -10,6 +10,7 @@
 use super::super::task::{RunId, TaskId};
 use super::super::timing::{MAX_LEASE_DURATION, MAX_STOP_TIME};
 use super::super::worker_incarnation::WorkerIncarnation;
+use super::crash_history::is_early;
 use super::lease::lease_expired_at;
 use super::proof::EndProof;
 use super::run_table::{Run, RunState, StopReason};
@@ -100,11 +101,13 @@
             }
             // A process may stop listening while its runs continue, so its lease is left to expire.
             Err(CommandError::ConnectionRefused) => {
-                worker.refused_at.get_or_insert(now);
+                worker.is_refusing = true;
+                worker.unanswered_since.get_or_insert(now);
                 self.on_watch_without_effect(now, effects);
             }
             Err(CommandError::NoAnswer) => {
-                worker.refused_at = None;
+                worker.is_refusing = false;
+                worker.unanswered_since.get_or_insert(now);
                 self.on_watch_without_effect(now, effects);
             }
             Ok(answer) => self.on_watch_answered(now, queried_at, answer, effects),
@@ -145,7 +148,7 @@
             self.update_clock(now, answer.clock);
             return;
         }
-        worker.refused_at = None;
+        worker.is_refusing = false;
         let is_fenced = answer.lists == Err(Rejection::Fenced);
         if answer.lists.is_err() && !is_fenced {
             self.update_clock(now, answer.clock);
@@ -153,6 +156,7 @@
             return;
         }
         worker.unanswered_watches = 0;
+        worker.unanswered_since = None;
         worker.expired_tasks.clear();
         self.dismiss_successor(queried_at, effects);
         self.update_clock(now, answer.clock);
@@ -317,7 +321,7 @@
         let Some(worker) = self.worker.as_ref().filter(|worker| has_expired(worker)) else {
             return;
         };
-        if worker.is_refusing() {
+        if worker.has_crashed() {
             let incarnation = worker.incarnation.clone();
             self.on_incarnation_ended(now, &incarnation, IncarnationEnd::Crashed, effects);
             return;
@@ -327,9 +331,12 @@
             return;
         };
         worker.has_synced &= !worker.is_silent();
-        let expired_tasks = tasks.iter().map(|task| CrashedTask {
-            task: *task,
-            is_early: false,
+        let ended_at = worker.unanswered_since.unwrap_or(now);
+        let expired_tasks = tasks.iter().filter_map(|task| {
+            let run = self.runs.get(*task)?;
+            let is_early = is_early(run, ended_at.since(run.sent));
+            let task = *task;
+            Some(CrashedTask { task, is_early })
         });
         worker.expired_tasks.extend(expired_tasks);
         for task in tasks {
@@ -349,7 +356,7 @@
     /// When [`Self::end_expired_runs`] is next due.
     pub(super) fn lease_expiry_at(&self) -> Option<Timestamp> {
         let worker = self.worker.as_ref()?;
-        let is_awaited = worker.is_refusing() || !self.expiring_tasks().is_empty();
+        let is_awaited = worker.has_crashed() || !self.expiring_tasks().is_empty();
         (worker.is_expiring() && is_awaited).then(|| lease_expired_at(worker.renewed))
     }
 
@@ -370,9 +377,10 @@
         self.is_silent() || self.has_deregistered()
     }
 
-    /// Whether the worker refuses connections without having announced its shutdown.
-    fn is_refusing(&self) -> bool {
-        self.refused_at.is_some() && !self.is_leaving()
+    /// Whether the worker, once its lease has expired, is known to have crashed: it refuses
+    /// connections without having announced its shutdown.
+    fn has_crashed(&self) -> bool {
+        self.is_refusing && !self.is_leaving()
     }
 
     fn is_silent(&self) -> bool {
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -70,8 +70,11 @@
     pub has_logged_control: bool,
     /// Consecutive watches that were not answered, or that the worker rejected.
     pub unanswered_watches: u32,
-    /// Since when watches have been refused a connection; `None` if the latest was not.
-    pub refused_at: Option<Timestamp>,
+    /// When the first watch was not answered since this incarnation last sent its run lists; it may
+    /// have ended then.
+    pub unanswered_since: Option<Timestamp>,
+    /// Whether the latest watch was refused a connection.
+    pub is_refusing: bool,
     /// When the pending watch was sent; `None` if none is pending.
     pub watching: Option<Timestamp>,
     /// Earliest time of the next watch.
@@ -175,7 +178,8 @@
             has_synced: false,
             has_logged_control: false,
             unanswered_watches: 0,
-            refused_at: None,
+            unanswered_since: None,
+            is_refusing: false,
             watching: None,
             watch_from: now,
             renewed: now,
--- a/laurelstile-core/tests/leased_crashes.rs
+++ b/laurelstile-core/tests/leased_crashes.rs
@@ -314,6 +314,40 @@
     }
 }
 
+/// A run's age counts to the first watch that was not answered, whatever the later ones show.
+#[rstest]
+#[case::time_out_between(&[AgentRig::refuse_watch, AgentRig::time_out_watch, AgentRig::refuse_watch])]
+#[case::broken_connection_first(&[AgentRig::time_out_watch, AgentRig::refuse_watch])]
+fn a_crash_is_early_by_the_first_unanswered_watch(
+    #[case] failures: &[fn(&mut AgentRig, Timestamp)],
+    #[values(false, true)] is_replaced: bool,
+) {
+    let mut rig = agent_with_two_runs(60);
+    for (millis, fail_watch) in (70..).step_by(200).zip(failures) {
+        fail_watch(&mut rig, at(millis));
+    }
+    if is_replaced {
+        rig.end_incarnation(at(800));
+    } else {
+        rig.crash(at(800));
+    }
+    let reported = reported_crashes(&rig, SESSION).0;
+    assert_eq!(reported.len(), 1);
+    let early = reported[0].tasks.iter().map(|crashed| crashed.is_early);
+    assert_eq!(early.collect::<Vec<_>>(), [LATE, EARLY]);
+}
+
+/// A worker that was only unreachable until its lease had expired has not crashed.
+#[test]
+fn a_worker_whose_latest_watch_was_not_refused_has_not_crashed() {
+    let mut rig = agent_with_two_runs(60);
+    rig.refuse_watch(at(70));
+    rig.time_out_watch(at(100));
+    rig.tick(at(1_200));
+    assert_eq!(rig.ends().len(), 2, "the lease has expired");
+    assert!(reported_crashes(&rig, SESSION).0.is_empty());
+}
+
 #[test]
 fn a_worker_that_drains_or_deregisters_has_not_crashed() {
     let mut rig = agent_with_two_runs(60);
--- a/laurelstile-core/tests/leased_late_words.rs
+++ b/laurelstile-core/tests/leased_late_words.rs
@@ -195,11 +195,16 @@
     rig.tick(at(900));
     assert_eq!(rig.deregistrations, ["worker-1"]);
     assert!(!rig.is_available());
-    rig.refuse_watch(at(950));
-    assert!(
-        rig.ends().is_empty(),
-        "it may stop listening before it exits"
-    );
+    for millis in (950..1_700).step_by(50) {
+        rig.message(at(millis), ToAgentBody::Heartbeat);
+        rig.refuse_watch(at(millis));
+        assert!(rig.ends().is_empty(), "at {millis} ms");
+    }
+    rig.tick(at(1_800));
+    assert_eq!(rig.ends().len(), 2, "the lease has expired");
+    let is_crash = |body: &FromAgentBody| matches!(body, FromAgentBody::Crashes(_));
+    let mut sent = rig.sent.iter();
+    assert!(!sent.any(|(_, message)| is_crash(&message.body)));
 }
 
 /// An unreadable entry may be the run that appears to be missing.
