Agents report the crash of a worker that refuses connections at once

Found by review: in the emulator another process answered in the place of a crashed worker at once, so no test noticed.

Now the crash is reported at the first refused watch, once, while the runs still wait for the lease. The emulator can have crashed workers refuse (CrashPlan::dead_workers_refuse), with two tests.

--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -120,25 +120,18 @@
         if let Some(deregistration) = &mut worker.deregistration {
             deregistration.answer(&worker.incarnation.id, effects);
         }
-        let lost: Vec<(TaskId, &Run)> = self
-            .runs
-            .iter()
-            .filter(|(task, run)| run.takes_resources() && !listed.contains(&run.id(*task)))
-            .collect();
         let ended_at = worker.unanswered_since.unwrap_or(now);
+        let lost = self.started_runs(listed);
         let runs = lost.iter().map(|(task, run)| LostRun {
             run: run.id(*task),
             age: ended_at.since(run.sent),
         });
         let runs = runs.collect();
-        let crashed = lost.iter().map(|(task, run)| CrashedTask {
-            task: *task,
-            is_early: is_early(run, ended_at.since(run.sent)),
-        });
-        let started_tasks = crashed
-            .chain(std::mem::take(&mut worker.expired_tasks))
-            .collect();
-        self.record_crash(&worker.incarnation, worker.draining, end, started_tasks);
+        let mut tasks = crashed_tasks(&lost, ended_at);
+        tasks.append(&mut worker.expired_tasks);
+        if !worker.has_reported_crash {
+            self.record_crash(&worker.incarnation, worker.draining, end, tasks);
+        }
         effects.push(AgentEffect::Decided(AgentDecision::IncarnationEnded {
             incarnation: worker.incarnation.clone(),
             end,
@@ -152,6 +145,31 @@
         }
     }
 
+    /// Reports a crash of a worker that refuses connections, so that a task which crashes its workers is
+    /// recognized before the lease has expired. Its runs do not count as ended.
+    pub(super) fn report_suspected_crash(&mut self, now: Timestamp) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if worker.is_leaving() || worker.has_reported_crash {
+            return;
+        }
+        worker.has_reported_crash = true;
+        let ended_at = worker.unanswered_since.unwrap_or(now);
+        let incarnation = worker.incarnation.clone();
+        let mut expired_tasks = std::mem::take(&mut worker.expired_tasks);
+        let mut tasks = crashed_tasks(&self.started_runs(&BTreeSet::new()), ended_at);
+        tasks.append(&mut expired_tasks);
+        self.record_crash(&incarnation, false, IncarnationEnd::Crashed, tasks);
+    }
+
+    /// The runs that may have started and are not in `listed`.
+    fn started_runs(&self, listed: &BTreeSet<RunId>) -> Vec<(TaskId, &Run)> {
+        let runs = self.runs.iter();
+        runs.filter(|(task, run)| run.takes_resources() && !listed.contains(&run.id(*task)))
+            .collect()
+    }
+
     /// Keeps a run whose start was unanswered when the incarnation ended. The worker may restart
     /// under the same id, and the new process would carry out a delayed start command. The run
     /// ends only once the next incarnation has answered its stop, or a worker with another id
@@ -263,3 +281,11 @@
         self.end_run(now, id.task, how, proof, effects);
     }
 }
+
+fn crashed_tasks(runs: &[(TaskId, &Run)], ended_at: Timestamp) -> Vec<CrashedTask> {
+    let crashed = runs.iter().map(|(task, run)| CrashedTask {
+        task: *task,
+        is_early: is_early(run, ended_at.since(run.sent)),
+    });
+    crashed.collect()
+}
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -104,6 +104,7 @@
                 worker.is_refusing = true;
                 worker.unanswered_since.get_or_insert(now);
                 self.on_watch_without_effect(now, effects);
+                self.report_suspected_crash(now);
             }
             Err(CommandError::NoAnswer) => {
                 worker.is_refusing = false;
@@ -157,6 +158,7 @@
         }
         worker.unanswered_watches = 0;
         worker.unanswered_since = None;
+        worker.has_reported_crash = false;
         worker.expired_tasks.clear();
         self.dismiss_successor(queried_at, effects);
         self.update_clock(now, answer.clock);
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -73,6 +73,8 @@
     /// When the first watch was not answered since this incarnation last sent its run lists; it may
     /// have ended then.
     pub unanswered_since: Option<Timestamp>,
+    /// Whether a crash was reported when connections were refused.
+    pub has_reported_crash: bool,
     /// Whether the latest watch was refused a connection.
     pub is_refusing: bool,
     /// When the pending watch was sent; `None` if none is pending.
@@ -179,6 +181,7 @@
             has_logged_control: false,
             unanswered_watches: 0,
             unanswered_since: None,
+            has_reported_crash: false,
             is_refusing: false,
             watching: None,
             watch_from: now,
--- a/laurelstile-sim/src/leased/crashing.rs
+++ b/laurelstile-sim/src/leased/crashing.rs
@@ -51,6 +51,8 @@
     pub deaths: Vec<(u64, usize)>,
     /// A mechanism that is switched off.
     pub sabotage: Option<Sabotage>,
+    /// Whether a worker that has ended refuses connections until it starts again.
+    pub dead_workers_refuse: bool,
 }
 
 impl CrashPlan {
@@ -60,6 +62,7 @@
             poison_tasks,
             deaths: Vec::new(),
             sabotage: None,
+            dead_workers_refuse: false,
         }
     }
 }
@@ -100,6 +103,7 @@
         jobs.clone(),
         faults,
     );
+    world.dead_workers_refuse = plan.dead_workers_refuse;
     world.join_peers();
     world.run((LENGTH + 6) * SECOND);
     let records = world.records;
--- a/laurelstile-sim/tests/leased_crashing_tasks.rs
+++ b/laurelstile-sim/tests/leased_crashing_tasks.rs
@@ -77,6 +77,41 @@
     assert!(served.iter().all(is_served), "{served:?}");
 }
 
+/// The runs of a worker that refuses connections are over when its lease has expired.
+#[rstest]
+fn a_queue_of_many_culprits_does_not_take_the_others_with_it_if_dead_workers_refuse(
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let plan = CrashPlan {
+        dead_workers_refuse: true,
+        ..CrashPlan::of(PoisonTasks::Share {
+            permille: 50,
+            from: 3,
+            until: 9,
+        })
+    };
+    let outcome = run_crashing(seed, &plan);
+    assert_bounded(&outcome);
+    let served = &outcome.served_elsewhere[4..16];
+    let is_served = |share: &u64| *share > SERVED_ELSEWHERE;
+    assert!(served.iter().all(is_served), "{served:?}");
+}
+
+#[rstest]
+fn a_task_that_takes_its_workers_down_is_given_up_if_dead_workers_refuse(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(vec![4_000_000], vec![4_000_000, 9_000_000])] times: Vec<u64>,
+) {
+    let plan = CrashPlan {
+        dead_workers_refuse: true,
+        ..CrashPlan::of(PoisonTasks::At(times))
+    };
+    let outcome = run_crashing(seed, &plan);
+    assert_bounded(&outcome);
+    let served = &outcome.served[1..16];
+    assert!(served.iter().all(|share| *share > SERVED), "{served:?}");
+}
+
 /// Without the agents' word of what ran where, the fault is back.
 #[test]
 fn the_budget_breaks_without_news_of_crashes() {
