--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -92,7 +92,7 @@
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
-            /// With these three: print what happens to the job of this number.
+            /// With these three, --herds or none: print what happens to the job of this number.
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -67,9 +67,10 @@
 }
 
 /// Runs one seed and judges it.
-pub fn run_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
+pub fn run_seed(seed: u64, sabotage: Option<Sabotage>, traced: Option<u64>) -> Outcome {
     let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
-    let scene = draw_scene(seed, sabotage, &mut random);
+    let mut scene = draw_scene(seed, sabotage, &mut random);
+    scene.traced = traced;
     play(random, sabotage, scene, false)
 }
 
@@ -104,7 +105,7 @@
 }
 
 /// Runs one seed with losses of many processes at once besides, and jobs that are cancelled.
-pub fn run_herd_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
+pub fn run_herd_seed(seed: u64, sabotage: Option<Sabotage>, traced: Option<u64>) -> Outcome {
     let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
     let mut scene = draw_scene(seed, sabotage, &mut random);
     let mut herds = Pcg64::seed_from_u64(seed ^ HERDS_STREAM);
@@ -115,6 +116,7 @@
             job.cancelled_after = Some(herds.random_range(0..LATEST_CANCEL));
         }
     }
+    scene.traced = traced;
     play(random, sabotage, scene, true)
 }
 
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -378,7 +378,8 @@
         };
         let text = format!("{what:?}");
         let is_list = text.contains("Watched");
-        if !is_list && text.contains(&format!("{job:?}")) {
+        let is_of_zones = text.contains("Evacuations");
+        if is_of_zones || !is_list && text.contains(&format!("{job:?}")) {
             println!("{:>12} us  {}  {text}", self.now, place());
         }
     }
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -63,7 +63,7 @@
         } else if flags.leaving {
             run_leaving_seed(seed, sabotage)
         } else if flags.herds {
-            run_herd_seed(seed, sabotage)
+            run_herd_seed(seed, sabotage, flags.trace)
         } else if flags.other_writers {
             run_other_writers_seed(seed, sabotage)
         } else if flags.returning {
@@ -77,7 +77,7 @@
         } else if flags.hazards {
             run_hazard_seed(seed, sabotage)
         } else {
-            run_seed(seed, sabotage)
+            run_seed(seed, sabotage, flags.trace)
         };
         add(&mut told, &outcome.told);
         add(&mut faults, &outcome.faults);
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -27,7 +27,7 @@
 #[test]
 fn seeds_keep_every_rule() {
     for seed in 0..25 {
-        assert_keeps_every_rule(seed, &run_seed(seed, None));
+        assert_keeps_every_rule(seed, &run_seed(seed, None, None));
     }
 }
 
@@ -50,7 +50,7 @@
 #[test]
 fn seeds_with_many_lost_at_once_keep_every_rule() {
     for seed in 0..20 {
-        assert_keeps_every_rule(seed, &run_herd_seed(seed, None));
+        assert_keeps_every_rule(seed, &run_herd_seed(seed, None, None));
     }
 }
 
@@ -208,12 +208,15 @@
 #[case::evacuated_beside_a_dark_gateway(30334)]
 #[case::evacuated_as_an_agent_starts(40859)]
 fn mended_seed_keeps_every_rule(#[case] seed: u64) {
-    assert_keeps_every_rule(seed, &run_seed(seed, None));
+    assert_keeps_every_rule(seed, &run_seed(seed, None, None));
 }
 
 #[test]
 fn a_seed_repeats_exactly() {
-    assert_eq!(run_seed(3, None).records, run_seed(3, None).records);
+    assert_eq!(
+        run_seed(3, None, None).records,
+        run_seed(3, None, None).records
+    );
 }
 
 #[rstest]
@@ -224,7 +227,7 @@
 #[case::evacuations(Sabotage::NoEvacuations, Rule::Evacuation)]
 fn a_rule_breaks_without_its_mechanism(#[case] sabotage: Sabotage, #[case] rule: Rule) {
     let is_broken = (0..80).any(|seed| {
-        let outcome = run_seed(seed, Some(sabotage));
+        let outcome = run_seed(seed, Some(sabotage), None);
         outcome
             .violations
             .iter()
