Emulator: an evacuation is in reach of each agent

Trace: zone-0 is evacuated at 1.677 s. Gateway 1 stands still from 1.558 to 5.155 s, gateway 0 is the one to which the emulator tells it 4 s late, and gateway 2, which reads it at 1.723 s, is cut off from agent 2 from 1.661 to 3.334 s. Gateway 0 places four tasks there at 3.295 s.

No fault of the product: gateways pass evacuations on to each other (evacuations_from_peers_apply_...), which plain seeds do not emulate. For that reason the late gateway reads it in time if none else in service has; a cut between that one and an agent was not considered.

Seed 359 is a case of mended_seed_keeps_every_rule.

--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -237,16 +237,24 @@
             };
             self.schedule(self.now + delay, Happening::ReadEvacuations(index));
         }
-        // Agents hear of it from gateways alone: one of those in service has to read it.
+        // Agents hear of it from gateways alone: each has to be in reach of one that has read it.
         self.schedule(self.now + LATEST_READING, Happening::ReadIfAlone(late));
     }
 
-    /// Whether a gateway in service knows which zones are evacuated now.
+    /// Whether each agent is in reach of a gateway in service that knows which zones are evacuated
+    /// now.
     pub(super) fn is_evacuation_known(&self) -> bool {
-        self.gateways.iter().any(|gateway| {
-            let is_in_service = gateway.is_up && gateway.frozen_until <= self.now;
-            is_in_service && gateway.machine.evacuations().revision == self.evacuations.revision
-        })
+        let is_informed = |gateway: &usize| {
+            let process = &self.gateways[*gateway];
+            let is_in_service = process.is_up && process.frozen_until <= self.now;
+            is_in_service && process.machine.evacuations().revision == self.evacuations.revision
+        };
+        let is_cut = |agent, gateway| {
+            let cut_until = self.cuts.get(&(agent, gateway));
+            cut_until.is_some_and(|until| *until > self.now)
+        };
+        let informed: Vec<usize> = (0..self.gateways.len()).filter(is_informed).collect();
+        (0..self.agents.len()).all(|agent| informed.iter().any(|gateway| !is_cut(agent, *gateway)))
     }
 
     pub(super) fn set_mood(&mut self, scheduled: ScheduledFault, worker: usize, mood: Mood) {
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -207,6 +207,7 @@
 #[case::evacuated_again_beside_a_freeze(30574)]
 #[case::evacuated_beside_a_dark_gateway(30334)]
 #[case::evacuated_as_an_agent_starts(40859)]
+#[case::evacuated_beside_a_cut(359)]
 fn mended_seed_keeps_every_rule(#[case] seed: u64) {
     assert_keeps_every_rule(seed, &run_seed(seed, None, None));
 }
