Judge: a cancel that no gateway survives is lost

Trace: job 102 is at gateway 2, which stands still; its cancel is answered by gateway 1 at 9.051 s, passed on to gateway 0, and waits at gateway 2. All three lose power at 9.459 s. Their caller submits the job again at 12.259 s, at a gateway that cannot have heard of the cancel, and it runs.

Gateways keep cancels in memory (GUARANTEES.md: lost with a gateway that has told nobody). When the last process of a gateway has ended, nobody can know of one.

--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -212,6 +212,12 @@
     assert_keeps_every_rule(seed, &run_seed(seed, None, None));
 }
 
+/// A job was submitted again after all gateways that knew of its cancelling had lost power.
+#[test]
+fn a_cancelling_that_no_gateway_survives_is_lost() {
+    assert_keeps_every_rule(341, &run_herd_seed(341, None, None));
+}
+
 #[test]
 fn a_seed_repeats_exactly() {
     assert_eq!(
