Search: choose the kinds of faults; workers that refuse connections for 20 and 700 ms

--kinds restricts all faults of a history, so that chosen triples can be played in minutes. Workers that refuse connections ran on for 2.5 s only, longer than any lease.

--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -55,6 +55,8 @@
             optional --same-gateway
             /// Switch a mechanism off: leases or owner-timeout.
             optional --without mechanism: String
+            /// Play only faults of these kinds, separated by semicolons.
+            optional --kinds kinds: String
             /// Play only first faults whose kind contains this text.
             optional --first kind: String
             /// Play only each n-th choice of the first fault.
@@ -87,7 +89,7 @@
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
             /// The same scene with another kind of disruption: commands, sessions,
-            /// closing-workers, clock-steps, slow-processes
+            /// closing-workers, succeeded-workers, clock-steps, slow-processes
             /// or timed-faults.
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
--- a/laurelstile-sim/src/search/menu.rs
+++ b/laurelstile-sim/src/search/menu.rs
@@ -238,9 +238,11 @@
 }
 
 fn add_workers(detail: Detail, faults: &mut Vec<Fault>) {
-    faults.push(Fault::RefusesUnannounced(0, 2_500 * MILLI, false));
-    faults.push(Fault::RefusesUnannounced(0, 2_500 * MILLI, true));
-    faults.push(Fault::RefusesAnnounced(0, 2_500 * MILLI));
+    for micros in [20, 700, 2_500].map(|millis| millis * MILLI) {
+        faults.push(Fault::RefusesUnannounced(0, micros, false));
+        faults.push(Fault::RefusesUnannounced(0, micros, true));
+        faults.push(Fault::RefusesAnnounced(0, micros));
+    }
     faults.push(Fault::OldHeartbeat(0));
     faults.push(Fault::StandsStill(0));
     faults.push(Fault::ClockRate(0, 980));
--- a/laurelstile-sim/src/search/mod.rs
+++ b/laurelstile-sim/src/search/mod.rs
@@ -31,6 +31,8 @@
     pub threads: usize,
     /// Whether to leave out faults that the platform's documents exclude or do not mention.
     pub only_stated: bool,
+    /// Plays only faults of these kinds, unless it is empty.
+    pub kinds: Vec<String>,
     /// Plays only first faults whose kind contains this text.
     pub first: String,
     /// Plays only each n-th choice of the first fault; 1 plays all.
@@ -86,6 +88,7 @@
     });
     let mut menu = menu::faults(detail);
     menu.retain(|fault| !options.only_stated || fault.basis().0 == Basis::Stated);
+    menu.retain(|fault| options.kinds.is_empty() || options.kinds.contains(&fault.kind()));
     let firsts: Vec<ScheduledFault> = menu
         .iter()
         .filter(|fault| fault.kind().contains(&options.first))
--- a/laurelstile-sim/src/search_command.rs
+++ b/laurelstile-sim/src/search_command.rs
@@ -32,6 +32,7 @@
         faults: flags.faults,
         threads: flags.threads.unwrap_or(2),
         only_stated: flags.only_stated,
+        kinds: flags.kinds.as_deref().map(split_kinds).unwrap_or_default(),
         first: flags.first.clone().unwrap_or_default(),
         stride: flags.stride.unwrap_or(1),
     };
@@ -62,6 +63,10 @@
     }
 }
 
+fn split_kinds(kinds: &str) -> Vec<String> {
+    kinds.split(';').map(|kind| kind.trim().into()).collect()
+}
+
 fn show(setup: Setup, class: &Class, is_verbose: bool) {
     println!("== {} ({} histories)", class.kinds.join(" + "), class.count);
     let overlap = &class.overlap;
--- a/laurelstile-sim/tests/search.rs
+++ b/laurelstile-sim/tests/search.rs
@@ -11,6 +11,7 @@
         detail: Some(Detail::Medium),
         threads: 1,
         only_stated: true,
+        kinds: Vec::new(),
         first: String::new(),
         stride,
     }
