Emulator: workers whose successors answer before their runs have ended

A worker closes its listener, its successor answers at the same address up to 1 s later, under another id or under the same id with another start time, and the first process runs on for up to 2.5 s. The disruption closing-workers starts the next process only when the first has ended.

A machine has one worker at a time (audit, HTTP 421), so this is beyond what the platform does and no test of the suite; kept to measure what waiting for the lease would give.

--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -21,6 +21,8 @@
     Sessions,
     /// Workers that refuse connections before their runs have ended.
     ClosingWorkers,
+    /// Workers whose successors answer at their addresses before their runs have ended.
+    SucceededWorkers,
     /// Agents that start with a wall clock that is set back.
     ClockSteps,
     /// Gateways and agents that take longer for each input.
@@ -36,6 +38,7 @@
             "commands" => Some(Self::Commands),
             "sessions" => Some(Self::Sessions),
             "closing-workers" => Some(Self::ClosingWorkers),
+            "succeeded-workers" => Some(Self::SucceededWorkers),
             "clock-steps" => Some(Self::ClockSteps),
             "slow-processes" => Some(Self::SlowProcesses),
             "timed-faults" => Some(Self::TimedFaults),
@@ -49,12 +52,18 @@
             Self::Commands => 0xc033a,
             Self::Sessions => 0x5e551,
             Self::ClosingWorkers => 0xc105e,
+            Self::SucceededWorkers => 0x5ccd,
             Self::ClockSteps => 0x57e95,
             Self::SlowProcesses => 0x510a,
             Self::TimedFaults => 0x71e3d,
         }
     }
 
+    /// Whether workers start again under the ids that they had.
+    pub(super) fn keeps_ids(self, random: &mut Pcg64) -> bool {
+        self == Self::SucceededWorkers && random.random_bool(0.5)
+    }
+
     /// How long a call waits for its answer, if that is less than its caller does.
     pub(super) fn call_limit(self) -> Option<u64> {
         (self == Self::Sessions).then_some(CALL_LIMIT)
@@ -81,6 +90,7 @@
             Self::Commands => draw_of_commands(length, workers, random, &mut faults),
             Self::Sessions => draw_of_sessions(length, gateways, workers, random, &mut faults),
             Self::ClosingWorkers => draw_of_closing(length, workers, random, &mut faults),
+            Self::SucceededWorkers => draw_of_succeeding(length, workers, random, &mut faults),
             Self::ClockSteps => draw_of_clock_steps(length, workers, random, &mut faults),
             Self::SlowProcesses => draw_of_slow(length, gateways, workers, random, &mut faults),
             Self::TimedFaults => {}
@@ -146,6 +156,21 @@
     }
 }
 
+fn draw_of_succeeding(
+    length: u64,
+    workers: usize,
+    random: &mut Pcg64,
+    faults: &mut Vec<ScheduledFault>,
+) {
+    for _ in 0..random.random_range(2..8) {
+        faults.push(ScheduledFault {
+            at: random.random_range(500_000..length),
+            length: random.random_range(20_000..2_500_000),
+            fault: Fault::SucceedWorker(random.random_range(0..workers)),
+        });
+    }
+}
+
 /// Draws agents that start with earlier clocks while commands of their earlier processes are
 /// still to be carried out: earlier by any time, or by a power of two more than all that has passed.
 fn draw_of_clock_steps(
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -79,6 +79,9 @@
     /// A worker refuses connections for the length of the fault and then ends, while its runs go
     /// on; its agent is not notified that it drains, and may restart without a record.
     ShutWorker(usize, bool),
+    /// A worker refuses connections; its successor answers at the same address soon, while its own
+    /// runs go on until the end of the fault.
+    SucceedWorker(usize),
     /// An agent's process is killed, and starts with a wall clock that is set back by so many
     /// milliseconds.
     StepClockBack(usize, u64),
@@ -126,6 +129,7 @@
             Self::DarkAgent(_) => "dark_agent",
             Self::DelayHandshakes(_) => "delay_handshakes",
             Self::ShutWorker(..) => "shut_worker",
+            Self::SucceedWorker(_) => "succeed_worker",
             Self::StepClockBack(..) => "step_clock_back",
             Self::SlowGateway(..) => "slow_gateway",
             Self::SlowAgent(..) => "slow_agent",
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -193,6 +193,12 @@
     if disrupting.random_bool(0.5) {
         scene.faults.clear();
     }
+    if disruption.keeps_ids(&mut disrupting) {
+        for worker in &mut scene.workers {
+            worker.keeps_id = true;
+            worker.tells_birth = true;
+        }
+    }
     let (gateways, workers) = (scene.gateways, scene.workers.len());
     let faults = disruption.draw(FAULTY, gateways, workers, &mut disrupting);
     scene.faults.extend(faults);
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -98,7 +98,7 @@
 }
 
 /// A worker and its present life.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct SimWorker {
     /// The life; 0 while it is down.
     pub life: Life,
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -187,6 +187,9 @@
                     self.schedule(self.now + RESTART, Happening::RestartAgent(worker));
                 }
             }
+            Fault::SucceedWorker(worker) if self.workers[worker].life != 0 => {
+                self.close_to_successor(worker, end);
+            }
             Fault::StepClockBack(index, millis) if self.agents[index].is_up => {
                 self.clocks_back[index] += millis;
                 self.kill_agent(index);
--- a/laurelstile-sim/src/leased/world/leaving.rs
+++ b/laurelstile-sim/src/leased/world/leaving.rs
@@ -15,6 +15,8 @@
 const LONGEST_LINGERING: u64 = 50_000;
 /// How long after its deregistration a worker ends that gets no answer.
 const UNANSWERED: u64 = 2_500_000;
+/// Longest time for which nothing answers between a worker and its successor.
+const LONGEST_GAP: u64 = 1_000_000;
 /// How soon both sides notice that a session was broken off.
 const NOTICE: u64 = 1_000;
 
@@ -77,6 +79,51 @@
         self.schedule(end, Happening::WorkerLeaves(worker, life));
     }
 
+    /// A worker refuses connections until its successor starts.
+    pub(super) fn close_to_successor(&mut self, worker: usize, end: u64) {
+        let life = self.workers[worker].life;
+        self.shut[worker] = Some(life);
+        self.break_watch(worker);
+        let gap = self
+            .random
+            .random_range(0..=(end - self.now).min(LONGEST_GAP));
+        self.schedule(self.now + gap, Happening::Succeeds(worker, life, end));
+    }
+
+    /// The successor of a worker starts, which runs on beside it.
+    pub(super) fn succeed_worker(&mut self, worker: usize, life: Life, end: u64) {
+        if self.workers[worker].life != life {
+            return;
+        }
+        self.ended_lives[worker] = Some(self.registration(worker));
+        let succeeded = self.workers[worker].clone();
+        self.succeeded.insert(life, (succeeded, end));
+        // Its runs go on there.
+        self.workers[worker].crash();
+        self.settle_succeeded(worker, life);
+        self.begin_worker(worker);
+    }
+
+    /// A worker that has a successor ends what is due, or its process ends.
+    pub(super) fn settle_succeeded(&mut self, worker: usize, life: Life) {
+        let Some((state, end)) = self.succeeded.get_mut(&life) else {
+            return;
+        };
+        let (now, end) = (self.now, *end);
+        let changes = state.settle(now);
+        let ends_at = state.next_end().map_or(end, |at| at.max(now + 1).min(end));
+        self.see_changes(life, worker, &changes);
+        if now < end {
+            self.schedule(ends_at, Happening::SettleSucceeded(worker, life));
+            return;
+        }
+        self.see(Seen::Crashed { life, by: None });
+        if let Some((mut state, _)) = self.succeeded.remove(&life) {
+            let changes = state.crash();
+            self.see_changes(life, worker, &changes);
+        }
+    }
+
     /// A worker's process starts, unless another fault has started it meanwhile.
     pub(super) fn begin_worker(&mut self, worker: usize) {
         let state = &self.workers[worker];
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -141,6 +141,10 @@
     Deregisters(usize, Life),
     /// A life of a worker that has deregistered ends.
     WorkerLeaves(usize, Life),
+    /// The successor of a life of a worker starts; the life itself ends at this time.
+    Succeeds(usize, Life, u64),
+    /// A life of a worker that has a successor may end something.
+    SettleSucceeded(usize, Life),
     /// A gateway reads a version of the configuration.
     ReadConfiguration(usize, u64),
     /// A gateway reads which zones are evacuated.
@@ -191,6 +195,8 @@
     pub settles: Vec<bool>,
     /// What agents have recorded of their workers.
     pub recorded: Vec<Option<Registration>>,
+    /// Workers that run on beside their successors, by life, and when they end.
+    succeeded: BTreeMap<Life, (SimWorker, u64)>,
     /// What the last life of each worker that has ended said of itself.
     ended_lives: Vec<Option<Registration>>,
     /// The life of each worker that waits for the answer to its deregistration.
@@ -260,6 +266,7 @@
             watches: workers.iter().map(|_| None).collect(),
             settles: vec![false; workers.len()],
             recorded: vec![None; workers.len()],
+            succeeded: BTreeMap::new(),
             ended_lives: vec![None; workers.len()],
             deregistering: vec![None; workers.len()],
             evacuations: Evacuations::default(),
@@ -511,6 +518,8 @@
             Happening::WorkerBegins(worker) => self.begin_worker(worker),
             Happening::Deregisters(worker, life) => self.deregister(worker, life),
             Happening::WorkerLeaves(worker, life) => self.worker_leaves(worker, life),
+            Happening::Succeeds(worker, life, end) => self.succeed_worker(worker, life, end),
+            Happening::SettleSucceeded(worker, life) => self.settle_succeeded(worker, life),
             Happening::ReadConfiguration(index, version) => {
                 let configuration = nodes::configuration(version);
                 self.gateway_event(index, GatewayEvent::Configuration(configuration));
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -45,7 +45,7 @@
             let Some(disruption) = Disruption::named(name) else {
                 eprintln!(
                     "--disruption takes commands, sessions, closing-workers, \
-                     clock-steps, slow-processes or timed-faults"
+                     succeeded-workers, clock-steps, slow-processes or timed-faults"
                 );
                 return ExitCode::from(2);
             };
