Test: a token that the next agent uses again (fails)

The task's start is carried out 100 ms late; the agent's process ends 25 ms after the submission and the next one starts 50 ms later with a first token equal to the last of the previous process. Its lists, at 76 ms, prove the end of the run (Successor), the gateway places the task on the other worker at 81 ms, and the late start takes effect at 101 ms: the worker accepts an equal token.

--- a/laurelstile-sim/tests/search.rs
+++ b/laurelstile-sim/tests/search.rs
@@ -1,6 +1,9 @@
 //! No single fault that the platform's documents state lets a task run twice at the same time.
 
-use laurelstile_sim::search::{Detail, Mechanism, SearchOptions, Setup, play, search};
+use laurelstile_sim::search::fault::{CommandType, Fault, LateLease, ScheduledFault, TokenStart};
+use laurelstile_sim::search::{
+    Detail, Mechanism, SUBMITTED_AT, SearchOptions, Setup, play, search,
+};
 use rstest::rstest;
 
 /// All kinds of faults at some of the times and durations; `laurelstile-sim search` plays all.
@@ -36,6 +39,21 @@
     assert!(report.classes.is_empty(), "{:#?}", report.classes);
 }
 
+/// A delayed start of the previous agent process took effect after the present one, whose first
+/// token equalled the last one of the previous process, had reported the run as lost.
+#[test]
+fn a_start_under_a_token_that_the_next_agent_uses_again_takes_no_effect() {
+    let late_start = ScheduledFault {
+        at: SUBMITTED_AT,
+        fault: Fault::CarriedOutLate(0, CommandType::Start, 100_000, LateLease::Absolute),
+    };
+    let restart = ScheduledFault {
+        at: SUBMITTED_AT + 25_000,
+        fault: Fault::AgentKilled(0, 50_000, TokenStart::Equal, true),
+    };
+    assert!(play(Setup::default(), &[late_start, restart]).is_none());
+}
+
 /// The search finds what the mechanisms prevent.
 #[rstest]
 #[case::leases(Mechanism::Leases, "agent frozen")]
