--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -55,6 +55,8 @@
             optional --same-gateway
             /// Switch a mechanism off: leases or owner-timeout.
             optional --without mechanism: String
+            /// Play only faults of these kinds, separated by semicolons.
+            optional --kinds kinds: String
             /// Play only first faults whose kind contains this text.
             optional --first kind: String
             /// Play only each n-th choice of the first fault.
@@ -87,12 +89,12 @@
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
             /// The same scene with another kind of disruption: commands, sessions,
-            /// closing-workers, clock-steps, slow-processes
+            /// closing-workers, succeeded-workers, clock-steps, slow-processes
             /// or timed-faults.
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
-            /// With these three: print what happens to the job of this number.
+            /// With these three, --herds or none: print what happens to the job of this number.
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -26,6 +26,9 @@
         let incarnation = self.gateways[index].incarnation;
         self.gateways[index].is_up = false;
         self.gateways[index].refuses = refuses;
+        if self.gateways.iter().all(|gateway| !gateway.is_up) {
+            self.see(Seen::GatewaysLost);
+        }
         let sessions = std::mem::take(&mut self.gateways[index].sessions);
         self.close_peers(index);
         let notice = if refuses { 1_000 } else { USER_TIMEOUT };
@@ -184,6 +187,9 @@
                     self.schedule(self.now + RESTART, Happening::RestartAgent(worker));
                 }
             }
+            Fault::SucceedWorker(worker) if self.workers[worker].life != 0 => {
+                self.close_to_successor(worker, end);
+            }
             Fault::StepClockBack(index, millis) if self.agents[index].is_up => {
                 self.clocks_back[index] += millis;
                 self.kill_agent(index);
@@ -237,16 +243,24 @@
             };
             self.schedule(self.now + delay, Happening::ReadEvacuations(index));
         }
-        // Agents hear of it from gateways alone: one of those in service has to read it.
+        // Agents hear of it from gateways alone: each has to be in reach of one that has read it.
         self.schedule(self.now + LATEST_READING, Happening::ReadIfAlone(late));
     }
 
-    /// Whether a gateway in service knows which zones are evacuated now.
+    /// Whether each agent is in reach of a gateway in service that knows which zones are evacuated
+    /// now.
     pub(super) fn is_evacuation_known(&self) -> bool {
-        self.gateways.iter().any(|gateway| {
-            let is_in_service = gateway.is_up && gateway.frozen_until <= self.now;
-            is_in_service && gateway.machine.evacuations().revision == self.evacuations.revision
-        })
+        let is_informed = |gateway: &usize| {
+            let process = &self.gateways[*gateway];
+            let is_in_service = process.is_up && process.frozen_until <= self.now;
+            is_in_service && process.machine.evacuations().revision == self.evacuations.revision
+        };
+        let is_cut = |agent, gateway| {
+            let cut_until = self.cuts.get(&(agent, gateway));
+            cut_until.is_some_and(|until| *until > self.now)
+        };
+        let informed: Vec<usize> = (0..self.gateways.len()).filter(is_informed).collect();
+        (0..self.agents.len()).all(|agent| informed.iter().any(|gateway| !is_cut(agent, *gateway)))
     }
 
     pub(super) fn set_mood(&mut self, scheduled: ScheduledFault, worker: usize, mood: Mood) {
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -47,7 +47,7 @@
             let Some(disruption) = Disruption::named(name) else {
                 eprintln!(
                     "--disruption takes commands, sessions, closing-workers, \
-                     clock-steps, slow-processes or timed-faults"
+                     succeeded-workers, clock-steps, slow-processes or timed-faults"
                 );
                 return ExitCode::from(2);
             };
@@ -65,7 +65,7 @@
         } else if flags.leaving {
             run_leaving_seed(seed, sabotage)
         } else if flags.herds {
-            run_herd_seed(seed, sabotage)
+            run_herd_seed(seed, sabotage, flags.trace)
         } else if flags.other_writers {
             run_other_writers_seed(seed, sabotage)
         } else if flags.returning {
@@ -79,7 +79,7 @@
         } else if flags.hazards {
             run_hazard_seed(seed, sabotage)
         } else {
-            run_seed(seed, sabotage)
+            run_seed(seed, sabotage, flags.trace)
         };
         add(&mut told, &outcome.told);
         add(&mut faults, &outcome.faults);
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -27,7 +27,7 @@
 #[test]
 fn seeds_keep_every_rule() {
     for seed in 0..25 {
-        assert_keeps_every_rule(seed, &run_seed(seed, None));
+        assert_keeps_every_rule(seed, &run_seed(seed, None, None));
     }
 }
 
@@ -50,7 +50,7 @@
 #[test]
 fn seeds_with_many_lost_at_once_keep_every_rule() {
     for seed in 0..20 {
-        assert_keeps_every_rule(seed, &run_herd_seed(seed, None));
+        assert_keeps_every_rule(seed, &run_herd_seed(seed, None, None));
     }
 }
 
@@ -236,13 +236,23 @@
 #[case::evacuated_again_beside_a_freeze(30574)]
 #[case::evacuated_beside_a_dark_gateway(30334)]
 #[case::evacuated_as_an_agent_starts(40859)]
+#[case::evacuated_beside_a_cut(359)]
 fn mended_seed_keeps_every_rule(#[case] seed: u64) {
-    assert_keeps_every_rule(seed, &run_seed(seed, None));
+    assert_keeps_every_rule(seed, &run_seed(seed, None, None));
+}
+
+/// A job was submitted again after all gateways that knew of its cancelling had lost power.
+#[test]
+fn a_cancelling_that_no_gateway_survives_is_lost() {
+    assert_keeps_every_rule(341, &run_herd_seed(341, None, None));
 }
 
 #[test]
 fn a_seed_repeats_exactly() {
-    assert_eq!(run_seed(3, None).records, run_seed(3, None).records);
+    assert_eq!(
+        run_seed(3, None, None).records,
+        run_seed(3, None, None).records
+    );
 }
 
 #[rstest]
@@ -253,7 +263,7 @@
 #[case::evacuations(Sabotage::NoEvacuations, Rule::Evacuation)]
 fn a_rule_breaks_without_its_mechanism(#[case] sabotage: Sabotage, #[case] rule: Rule) {
     let is_broken = (0..80).any(|seed| {
-        let outcome = run_seed(seed, Some(sabotage));
+        let outcome = run_seed(seed, Some(sabotage), None);
         outcome
             .violations
             .iter()
