--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -196,6 +196,23 @@
     assert_eq!(rig.next_start().0, SessionId(2));
 }
 
+/// Guards against a task that is placed elsewhere at once after an agent has rejected it as a
+/// duplicate: agents of earlier versions do so while the other run is still being stopped.
+#[test]
+fn a_duplicate_is_placed_again_after_a_delay() {
+    let mut rig = GatewayRig::new();
+    rig.join(at(0), 1, "agent-1", cpu(4_000));
+    rig.submit(at(10), 1, job(1, 1, 2_000));
+    let batch = rig.next_start();
+    rig.join(at(20), 2, "agent-2", cpu(4_000));
+    let duplicate = EndKind::NotStarted(NotStartedReason::Duplicate);
+    rig.end(at(50), &batch, duplicate, cpu(4_000));
+    rig.tick(at(149));
+    assert!(rig.starts.is_empty(), "the other run may continue");
+    rig.tick(at(150));
+    assert_eq!(rig.starts.len(), 1);
+}
+
 #[rstest]
 #[case::session_closed_before(100, 200)]
 #[case::session_closed_after(300, 300)]
