Releases are requested until confirmed, and apply to one submission

* A release renumbered tasks that were placed; their ends were ignored, and the job waited for its deadline.
Only later runs are numbered above the holder's now.
* A request that was lost, or had been sent for an earlier submission, was never sent again, and both gateways ran the job.
Requests are numbered and repeated; late copies have no effect.
* A holder that was suspended for longer than its claim is kept ignored the request and placed the job again beside the requester.
It gives up any job that it has claimed.
* A suspended holder without a session to the requester was waited for 300 ms.
Only one whose last session has closed, and that was not heard of since, counts as ended.
* Repeated claims held a job back, in some histories until its deadline.
Only the first request does.
* A release ended the delay of placement after a suspension.
It has a field of its own.
* Late copies of a claim delayed a released job; each submission of a job added claims; a job that the holder had never placed could not be refused any more.

--- a/laurelstile-core/src/leased/gateway/claim_log.rs
+++ b/laurelstile-core/src/leased/gateway/claim_log.rs
@@ -6,12 +6,11 @@
 
 use crate::leased::task::JobId;
 
-/// How long a claim is kept. Longer than the interval between claims and the
-/// delay after which callers resubmit together: a job may end just before its next claim is due.
-pub const RETENTION: Span = Span::from_secs(5);
-/// Maximum number of claims kept of other gateways' jobs, and of own jobs; beyond this the oldest
-/// are dropped.
-const MAX_CLAIMS: usize = 8_192;
+/// How long a claim is kept. Longer than the interval between claims of a job and the delay after which
+/// callers resubmit together: a job may end just before its next claim is due.
+const RETENTION: Span = Span::from_secs(5);
+/// Maximum number of claims in a log, repeated ones included; beyond this the oldest are dropped.
+const MAX_CLAIMS: usize = 16_384;
 
 /// The latest claim of each job by each gateway.
 #[derive(Debug, Default)]
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -222,16 +222,6 @@
         }
     }
 
-    /// Ends the delay of a job's placement.
-    pub(super) fn resume_placement(&mut self, now: Timestamp, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id)
-            && now < job.not_before
-        {
-            self.timers.remove(&(job.not_before, id));
-            job.not_before = now;
-        }
-    }
-
     fn enqueue_if_placeable(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get(&id)
             && job.has_placeable()
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -63,7 +63,7 @@
         let mut job = Job::new(arrival, call, request, &self.run_times);
         job.ingress_delay = ingress_delay;
         let max_delay = ingress_delay.0.max(self.suspension.max_read_delay(now).0);
-        job.claim_at = first_claim_at(Timestamp(now.0.saturating_sub(max_delay)));
+        let sent_at = Timestamp(now.0.saturating_sub(max_delay));
         self.separate_crashed_tasks(&mut job);
         self.await_earlier_runs(&mut job, effects);
         let holders = self.claims.holders(now, id);
@@ -84,10 +84,10 @@
         }
         self.timers.insert((job.refuse_at, id));
         self.timers.insert((job.deadline, id));
-        self.claims.add_own(id, job.claim_at);
+        self.claims.schedule(id, first_claim_at(sent_at));
         self.jobs.insert(id, job);
         for holder in holders {
-            self.request_release(now, id, holder, effects);
+            self.request_release(now, id, &holder, effects);
         }
         if self.suspension.is_reading_backlog(now) {
             self.delay_placement(id, self.suspension.backlog_read_until());
@@ -257,11 +257,11 @@
         self.timers.remove(&(job.deadline, id));
         self.timers.remove(&(job.not_before, id));
         self.earlier_runs.record(now, id, job.last_run());
-        self.claims.remove_requests(id);
+        self.releases.remove_requests(id);
         if job.placed_count > 0 {
             self.stop_tasks(now, id, effects);
         } else {
-            self.claims.remove_own(id, job.claim_at);
+            self.claims.cancel(id);
         }
     }
 
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -236,8 +236,14 @@
     pub refuse_at: Timestamp,
     /// When the job is given up.
     pub deadline: Timestamp,
-    /// When the job is first claimed.
-    pub claim_at: Timestamp,
+    /// Whether the job has been claimed at other gateways.
+    pub is_claimed: bool,
+    /// Whether another gateway has claimed the job and has not confirmed its release.
+    pub may_run_elsewhere: bool,
+    /// No task is placed before this time: other gateways may have runs of the job.
+    pub release_until: Timestamp,
+    /// Highest number of a run of an earlier submission. Later runs have higher ones.
+    pub earlier_run: RunNumber,
     /// No task is placed before this time (backoff).
     pub not_before: Timestamp,
     /// Whether any task may have started, so that the job can no longer be refused as not run.
@@ -290,7 +296,10 @@
             latest_start: now.after(slack),
             refuse_at: now.after(decision),
             deadline: now.after(Span(request.time_left.0.saturating_sub(ANSWER_MARGIN.0))),
-            claim_at: now,
+            is_claimed: false,
+            may_run_elsewhere: false,
+            release_until: now,
+            earlier_run: RunNumber::default(),
             not_before: now,
             may_have_started: false,
             placed_count: 0,
@@ -356,7 +365,7 @@
     /// Whether the job can still be refused as not run: no task is at an agent and none may
     /// have started.
     pub fn is_unstarted(&self) -> bool {
-        self.placed_count == 0 && !self.may_have_started
+        self.placed_count == 0 && !self.may_have_started && !self.may_run_elsewhere
     }
 
     /// Keeps a task from being placed while `run`, of an earlier submission, has not ended. Ignores a
@@ -374,15 +383,19 @@
 
     /// Has the next run of each task numbered higher than `run`.
     pub fn number_runs_after(&mut self, run: RunNumber) {
-        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
-            task.run = task.run.max(run);
-        }
+        self.earlier_run = self.earlier_run.max(run);
+    }
+
+    /// Whether delays of the job's placement are over.
+    pub fn is_placeable_at(&self, now: Timestamp) -> bool {
+        now >= self.not_before && now >= self.release_until
     }
 
     /// The highest number of a run of any task.
     pub fn last_run(&self) -> RunNumber {
         let tasks = self.steps.iter().flat_map(|step| &step.tasks);
-        tasks.map(|task| task.run).max().unwrap_or_default()
+        let runs = tasks.map(|task| task.run);
+        runs.fold(self.earlier_run, RunNumber::max)
     }
 
     /// Moves a waiting task to those that are placed separately.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod process_suspension;
 pub mod queues;
+mod releases;
 pub mod run_times;
 pub mod stages;
 pub mod start_window;
@@ -54,6 +55,7 @@
 use peers::Peer;
 use process_suspension::ProcessSuspension;
 use queues::QueueConfiguration;
+use releases::Releases;
 use run_times::RunTimes;
 use start_window::StartWindow;
 use workers::Worker;
@@ -106,6 +108,7 @@
     cancels: CancelLog,
     earlier_runs: EarlierRuns,
     claims: Claims,
+    releases: Releases,
     crashes: CrashLog,
     containment: Containment,
     /// When the first job was submitted in the current period without any worker; `None` while
@@ -140,6 +143,7 @@
             cancels: CancelLog::default(),
             earlier_runs: EarlierRuns::default(),
             claims: Claims::default(),
+            releases: Releases::default(),
             crashes: CrashLog::default(),
             containment: Containment::default(),
             without_worker_since: None,
@@ -234,7 +238,8 @@
         self.place_waiting(now, effects);
         self.run_timers(now, effects);
         self.claim_long_jobs(now, effects);
-        self.report_releases(effects);
+        self.confirm_releases(effects);
+        self.send_release_requests(now, effects);
         self.announce_waiting(now, effects);
         self.request_configuration(now, effects);
         self.flush_membership(now, effects);
@@ -261,7 +266,8 @@
         let members = self.membership.next_wakeup();
         let configuration = self.next_configuration_request_at();
         let claim = self.claims.next_due();
-        let others = [timer, stop, opening, members, configuration, claim]
+        let release = self.releases.next_due();
+        let others = [timer, stop, opening, members, configuration, claim, release]
             .into_iter()
             .flatten();
         workers.flatten().chain(others).min()
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -98,7 +98,7 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if now < job.not_before {
+            if !job.is_placeable_at(now) {
                 continue;
             }
             for step in job.placeable_steps() {
@@ -201,7 +201,7 @@
             let has_started_since = rank == 0 && announced.rank > 0;
             now.since(announced.at) < REANNOUNCE_INTERVAL && !has_started_since
         });
-        if is_recent || now < job.not_before {
+        if is_recent || !job.is_placeable_at(now) {
             return;
         }
         let mut agents = Vec::new();
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -18,8 +18,8 @@
 pub struct Peer {
     /// Version of the configuration in force at the peer, or `None` before it announced one.
     version: Option<u64>,
-    /// Name of the peer; empty before it has introduced itself.
-    name: String,
+    /// Name of the peer, or `None` before it has introduced itself.
+    name: Option<String>,
     /// Whether the peer understands [`ToPeer::Claim`].
     understands_claims: bool,
 }
@@ -58,12 +58,6 @@
         }));
     }
 
-    /// Whether the peer of a session understands [`ToPeer::Claim`].
-    pub(super) fn understands_claims(&self, session: SessionId) -> bool {
-        let peer = self.peers.get(&session);
-        peer.is_some_and(|peer| peer.understands_claims)
-    }
-
     /// Sessions to the peers that understand [`ToPeer::Claim`].
     pub(super) fn claim_peers(&self) -> Vec<SessionId> {
         let peers = self.peers.iter();
@@ -73,14 +67,16 @@
 
     /// Whether a session to the gateway of this name is open.
     pub(super) fn has_peer(&self, name: &str) -> bool {
-        self.peers.values().any(|peer| peer.name == name)
+        let mut names = self.peers.values().map(|peer| peer.name.as_deref());
+        names.any(|peer| peer == Some(name))
     }
 
     pub(super) fn on_peer_closed(&mut self, now: Timestamp, session: SessionId) {
         if let Some(peer) = self.peers.remove(&session)
-            && !self.has_peer(&peer.name)
+            && let Some(name) = peer.name
+            && !self.has_peer(&name)
         {
-            self.claims.record_closed(now, peer.name);
+            self.releases.record_closed(now, name);
         }
         self.membership.on_peer_closed(now, session);
     }
@@ -139,9 +135,10 @@
             ToPeer::Members(members) => self.membership.on_members(now, session, members),
             ToPeer::Introduction(introduction) => {
                 if let Some(peer) = self.peers.get_mut(&session) {
-                    peer.name.clone_from(&introduction.name);
+                    peer.name = Some(introduction.name.clone());
                     peer.understands_claims = introduction.understands_claims;
                 }
+                self.releases.record_alive(&introduction.name);
                 self.send_claims(now, session, effects);
                 let answer = self.membership.on_introduction(session, introduction);
                 if let Some(answer) = answer {
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -68,7 +68,7 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if now < job.not_before {
+            if !job.is_placeable_at(now) {
                 continue;
             }
             let latest_start = job.latest_start;
@@ -329,6 +329,7 @@
     step: usize,
     candidate: Candidate,
 ) -> Vec<(u32, RunNumber)> {
+    let earlier_run = job.earlier_run;
     let step = &mut job.steps[step];
     let count = candidate.tasks as usize;
     let mut taken = Vec::with_capacity(count);
@@ -343,7 +344,7 @@
         let task = &mut step.tasks[index as usize];
         task.state = TaskState::Placed;
         task.placed_at = now;
-        task.run = RunNumber(task.run.0 + 1);
+        task.run = RunNumber(task.run.max(earlier_run).0 + 1);
         taken.push((index, task.run));
     }
     job.placed_count += u32::try_from(taken.len()).unwrap_or(u32::MAX);
--- a/laurelstile-core/src/leased/gateway/process_suspension.rs
+++ b/laurelstile-core/src/leased/gateway/process_suspension.rs
@@ -21,12 +21,18 @@
 #[derive(Debug, Default)]
 pub struct ProcessSuspension {
     last_flush: Timestamp,
-    /// The interval before the last flush that followed a long one, and the time of that flush.
-    last_pause: (Span, Timestamp),
+    last_pause: Pause,
     /// End of the delay after a suspension; in the past if there was none.
     backlog_read_until: Timestamp,
 }
 
+/// A long interval without a flush, in which messages may have waited in their sockets.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pause {
+    length: Span,
+    ended_at: Timestamp,
+}
+
 impl ProcessSuspension {
     /// Whether placement is delayed until the backlog has been read.
     pub fn is_reading_backlog(&self, now: Timestamp) -> bool {
@@ -41,10 +47,9 @@
     /// How long a message that is read now may have waited in its socket, because the process was
     /// not running.
     pub fn max_read_delay(&self, now: Timestamp) -> Span {
-        let (pause, resumed_at) = self.last_pause;
-        let since_resumption = now.since(resumed_at);
-        if since_resumption < BACKLOG_READ_TIME {
-            Span(pause.0 + since_resumption.0)
+        let since_pause = now.since(self.last_pause.ended_at);
+        if since_pause < BACKLOG_READ_TIME {
+            Span(self.last_pause.length.0 + since_pause.0)
         } else {
             now.since(self.last_flush)
         }
@@ -56,11 +61,12 @@
     /// placement of all jobs.
     pub(super) fn detect_suspension(&mut self, now: Timestamp) {
         let last_flush = std::mem::replace(&mut self.suspension.last_flush, now);
-        let pause = now.since(last_flush);
-        if pause > BACKLOG_READ_TIME {
-            self.suspension.last_pause = (pause, now);
+        let length = now.since(last_flush);
+        if length > BACKLOG_READ_TIME {
+            let ended_at = now;
+            self.suspension.last_pause = Pause { length, ended_at };
         }
-        if pause <= SUSPENSION_THRESHOLD {
+        if length <= SUSPENSION_THRESHOLD {
             return;
         }
         self.suspension.backlog_read_until = now.after(BACKLOG_READ_TIME);
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -556,4 +556,6 @@
     pub holder: String,
     /// Name of the gateway to which it was resubmitted.
     pub requester: String,
+    /// Number of the request, rising with each request of the requester.
+    pub number: u64,
 }
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -3,6 +3,7 @@
 
 mod agent_rig;
 mod gateway_rig;
+mod gateways_rig;
 mod restarting_worker;
 
 use std::sync::Arc;
@@ -17,9 +18,10 @@
 
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use agent_rig::*;
-#[allow(unused_imports, reason = "each test uses a part")]
 pub use gateway_rig::*;
 #[allow(unused_imports, reason = "each test uses a part")]
+pub use gateways_rig::*;
+#[allow(unused_imports, reason = "each test uses a part")]
 pub use restarting_worker::*;
 
 /// A point in time, in milliseconds.
