A refused connection alone is not reported as a crash

Cause: reported a crash at the first refused watch.

Now the crash is reported early if the watch before was not answered: a process that crashes breaks its connections, one that closes its listener keeps them. Without that it is reported when the lease has expired. This is a suspicion, and ends no run.

--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -101,10 +101,15 @@
             }
             // A process may stop listening while its runs continue, so its lease is left to expire.
             Err(CommandError::ConnectionRefused) => {
+                // A process that closes its listener keeps its connections; one that has crashed has
+                // broken the watch before.
+                let has_broken_watch = worker.unanswered_watches > 0 && !worker.is_refusing;
                 worker.is_refusing = true;
                 worker.unanswered_since.get_or_insert(now);
                 self.on_watch_without_effect(now, effects);
-                self.report_suspected_crash(now);
+                if has_broken_watch {
+                    self.report_suspected_crash(now);
+                }
             }
             Err(CommandError::NoAnswer) => {
                 worker.is_refusing = false;
--- a/laurelstile-core/tests/leased_crashes.rs
+++ b/laurelstile-core/tests/leased_crashes.rs
@@ -348,6 +348,7 @@
 })]
 fn a_worker_that_refuses_connections_is_reported_as_crashed_once(#[case] go_on: fn(&mut AgentRig)) {
     let mut rig = agent_with_two_runs(60);
+    rig.time_out_watch(at(69));
     rig.refuse_watch(at(70));
     assert_eq!(reported_crashes(&rig, SESSION).0.len(), 1);
     assert!(rig.ends().is_empty(), "its runs may continue");
@@ -355,6 +356,19 @@
     assert_eq!(reported_crashes(&rig, SESSION).0.len(), 1);
 }
 
+/// A worker that shuts down closes its listener and answers on open connections. It has not crashed
+/// before its lease has expired.
+#[test]
+fn a_refused_connection_alone_is_not_reported_as_a_crash() {
+    let mut rig = agent_with_two_runs(60);
+    for millis in [70, 71, 90] {
+        rig.refuse_watch(at(millis));
+    }
+    assert!(reported_crashes(&rig, SESSION).0.is_empty());
+    rig.crash(at(91));
+    assert_eq!(reported_crashes(&rig, SESSION).0.len(), 1);
+}
+
 #[test]
 fn a_worker_that_drains_or_deregisters_has_not_crashed() {
     let mut rig = agent_with_two_runs(60);
