Gateways log sessions whose handshake was late

A gateway that closes a session for a later one of the same agent process writes late_handshake, so that a record tells this case from other closed sessions. No change of logic.

--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -310,6 +310,11 @@
         /// Number of these runs.
         runs: usize,
     },
+    /// A session was closed whose handshake was delayed: the agent has opened a later one.
+    LateHandshake {
+        /// Name of the agent.
+        agent: String,
+    },
     /// A job was admitted that another gateway holds; that one was asked to release it.
     ReleaseRequested {
         /// Id of the job.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -287,6 +287,9 @@
         if worker.has_later_session(remote.uptime) {
             // A delayed handshake. The agent has left this session, and its snapshot there lacks the
             // runs that were started on the later one.
+            let agent = worker.name.clone();
+            let decision = GatewayDecision::LateHandshake { agent };
+            effects.push(GatewayEffect::Decided(decision));
             effects.push(GatewayEffect::Close(session));
             return;
         }
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -127,6 +127,9 @@
             GatewayDecision::EarlierRunsPending { job, runs } => {
                 log::info!(event = "earlier_runs_pending", job:% = job, runs = *runs; "job submitted again before its earlier runs ended");
             }
+            GatewayDecision::LateHandshake { agent } => {
+                log::info!(event = "late_handshake", agent = agent.as_str(); "session closed: the agent has opened a later one");
+            }
             GatewayDecision::ReleaseRequested { job, holder } => {
                 log::info!(event = "release_requested", job:% = job, holder = holder.as_str(); "job submitted again while another gateway holds it");
             }
