Gateways warn of runs that they consider ended without a report

A record of two runs of one task could not tell why the first was taken for ended: came_back is a line of information under the limit of 400 lines a second, and nothing told which session it came from.

runs_lost is a warning with the agent, the evidence and up to 40 runs, limited with the outcomes; agent_session tells each accepted session with the process's uptime and whether it replaced an open one; laurelstile_runs_lost_total counts by evidence. No decision changes.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -372,17 +372,26 @@
         source: EndSource,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        for task in tasks {
-            let Some(worker) = self.workers.get_mut(&agent) else {
-                return;
-            };
-            let name = worker.name.clone();
-            let Some(run) = worker.remove_task(*task) else {
-                continue;
-            };
-            let run = RunId { task: *task, run };
+        let Some(worker) = self.workers.get_mut(&agent) else {
+            return;
+        };
+        let name = worker.name.clone();
+        let removed = tasks.iter().filter_map(|task| {
+            let run = worker.remove_task(*task)?;
+            Some(RunId { task: *task, run })
+        });
+        let runs: Vec<RunId> = removed.collect();
+        if runs.is_empty() {
+            return;
+        }
+        effects.push(GatewayEffect::Decided(GatewayDecision::RunsLost {
+            agent: name.clone(),
+            runs: runs.clone(),
+            source,
+        }));
+        for run in runs {
             self.on_end(now, &name, run, EndKind::Lost, source, effects);
-            self.on_earlier_run_end(now, *task, EndKind::Lost, effects);
+            self.on_earlier_run_end(now, run.task, EndKind::Lost, effects);
         }
     }
 }
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -310,6 +310,26 @@
         /// Number of these runs.
         runs: usize,
     },
+    /// An agent's session was accepted. Starts sent on its earlier sessions have no effect.
+    SessionAccepted {
+        /// Name of the agent.
+        agent: String,
+        /// Uptime of the agent's process when it sent its handshake.
+        uptime: Span,
+        /// Whether an open session of the same process was closed for it.
+        is_replacement: bool,
+        /// Number of runs recorded at the agent.
+        runs: usize,
+    },
+    /// Runs are considered ended although their agent has not reported their ends.
+    RunsLost {
+        /// Name of the agent.
+        agent: String,
+        /// The runs, including those of jobs that are no longer held.
+        runs: Vec<RunId>,
+        /// Evidence of their ends.
+        source: EndSource,
+    },
     /// A session was closed whose handshake was delayed: the agent has opened a later one.
     LateHandshake {
         /// Name of the agent.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -293,6 +293,12 @@
             effects.push(GatewayEffect::Close(session));
             return;
         }
+        effects.push(GatewayEffect::Decided(GatewayDecision::SessionAccepted {
+            agent: worker.name.clone(),
+            uptime: remote.uptime,
+            is_replacement: worker.session.is_some(),
+            runs: worker.tasks.len(),
+        }));
         if let Some(old) = worker.session {
             self.agent_sessions.remove(&old);
             self.membership.on_agent_closed(old);
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -6,14 +6,14 @@
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
 use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{
-    Answer, GatewayDecision, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
+    Answer, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
 };
 use laurelstile_core::leased::messages::{
     Announcement, EndKind, FromAgent, FromAgentBody, Member, NO_TASK_LIMIT, Offer, Report,
     Snapshot, StartBatch, TaskEnd, ToAgentBody, ToPeer,
 };
 use laurelstile_core::leased::resources::Resources;
-use laurelstile_core::leased::task::{RunNumber, TaskId};
+use laurelstile_core::leased::task::{RunId, RunNumber, TaskId};
 use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
@@ -46,6 +46,8 @@
     pub stages: Vec<StageTimes>,
     /// Echoes of agents' clocks, in order.
     pub echoes: Vec<Timestamp>,
+    /// Runs that the gateway considered ended without a report, with the evidence, in order.
+    pub lost: Vec<(EndSource, Vec<RunId>)>,
     /// Whether the gateway has stopped.
     pub stopped: bool,
     /// Versions of the configurations put in force, in order.
@@ -83,6 +85,7 @@
             predecessors: Vec::new(),
             stages: Vec::new(),
             echoes: Vec::new(),
+            lost: Vec::new(),
             stopped: false,
             in_force: Vec::new(),
             ends: 0,
@@ -125,6 +128,9 @@
                 GatewayEffect::Decided(GatewayDecision::Answered { stages, .. }) => {
                     self.stages.push(stages);
                 }
+                GatewayEffect::Decided(GatewayDecision::RunsLost { source, runs, .. }) => {
+                    self.lost.push((source, runs));
+                }
                 GatewayEffect::Stopped => self.stopped = true,
                 _ => {}
             }
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -10,22 +10,22 @@
 use laurelstile_core::leased::gateway::on_time_rates::SizeGroup;
 use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision};
+use laurelstile_core::leased::task::RunId;
 use metrics::{counter, gauge, histogram};
 
 use super::ports::HeartbeatError;
 use crate::telemetry::{
     CAPACITY_STALE, CONTAINED_QUEUES, EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS,
     JOB_STAGE_SECONDS, JOBS_ANSWERED, KNOWN_GATEWAYS, MISSING_SESSIONS, OFFERS, OFFERS_EXPIRED,
-    RUN_TIME_RATIO, RUNS_ENDED, RUNS_STOPPED, STARTS_HELD, STOPS_UNANSWERED, TASKS_RETURNED,
-    TASKS_SUSPECTED, WORKER_CRASHES, WORKER_UNRESPONSIVE,
+    RUN_TIME_RATIO, RUNS_ENDED, RUNS_LOST, RUNS_STOPPED, STARTS_HELD, STOPS_UNANSWERED,
+    TASKS_RETURNED, TASKS_SUSPECTED, WORKER_CRASHES, WORKER_UNRESPONSIVE,
 };
 
 /// Maximum number of lines about intermediate steps per period.
 const MAX_STEP_LINES: u32 = 400;
 /// Maximum number of lines about outcomes per period.
 const MAX_OUTCOME_LINES: u32 = 600;
-/// Maximum number of lost runs named in the line about the end of a worker incarnation, which
-/// bounds the length of the line.
+/// Maximum number of lost runs named in one line, which bounds its length.
 const MAX_NAMED_RUNS: usize = 40;
 /// Period after which the line counts of the rate limit start again from zero.
 const RATE_LIMIT_PERIOD: Duration = Duration::from_secs(1);
@@ -54,6 +54,8 @@
                 | GatewayDecision::Contained { .. }
                 | GatewayDecision::Evacuated(_)
                 | GatewayDecision::Neighbors(_)
+                | GatewayDecision::SessionAccepted { .. }
+                | GatewayDecision::RunsLost { .. }
         );
         if !self.admit_line(is_outcome) {
             return;
@@ -127,6 +129,22 @@
             GatewayDecision::EarlierRunsPending { job, runs } => {
                 log::info!(event = "earlier_runs_pending", job:% = job, runs = *runs; "job submitted again before its earlier runs ended");
             }
+            GatewayDecision::SessionAccepted {
+                agent,
+                uptime,
+                is_replacement,
+                runs,
+            } => {
+                log::info!(event = "agent_session", agent = agent.as_str(), uptime_ms = uptime.as_millis(), is_replacement = *is_replacement, runs = *runs; "session with an agent accepted");
+            }
+            GatewayDecision::RunsLost {
+                agent,
+                runs,
+                source,
+            } => {
+                let tasks = format_runs(runs);
+                log::warn!(event = "runs_lost", agent = agent.as_str(), source = source.name(), runs = runs.len(), tasks = tasks.as_str(); "runs considered ended without a report of their agent");
+            }
             GatewayDecision::LateHandshake { agent } => {
                 log::info!(event = "late_handshake", agent = agent.as_str(); "session closed: the agent has opened a later one");
             }
@@ -351,6 +369,9 @@
             let suspicion = if *is_given_up { "given_up" } else { "alone" };
             counter!(TASKS_SUSPECTED, "standing" => suspicion).increment(1);
         }
+        GatewayDecision::RunsLost { runs, source, .. } => {
+            counter!(RUNS_LOST, "evidence" => source.name()).increment(runs.len() as u64);
+        }
         GatewayDecision::TaskReturned { how, .. } => {
             counter!(TASKS_RETURNED, "how" => how.name()).increment(1);
         }
@@ -409,6 +430,13 @@
     formatted.collect::<Vec<_>>().join(" ")
 }
 
+/// Lists runs as `task/run`.
+fn format_runs(runs: &[RunId]) -> String {
+    let formatted = runs.iter().take(MAX_NAMED_RUNS);
+    let formatted = formatted.map(|run| format!("{}/{}", run.task, run.run.0));
+    formatted.collect::<Vec<_>>().join(" ")
+}
+
 fn answer_name(answer: &Answer) -> String {
     match answer {
         Answer::Refused { reason, .. } => format!("refused:{reason:?}"),
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -56,6 +56,9 @@
 pub const RUN_TIME_RATIO: &str = "laurelstile_run_time_ratio";
 /// Tasks that ended at an agent without being completed; label `how`.
 pub const TASKS_RETURNED: &str = "laurelstile_tasks_came_back_total";
+/// Runs that a gateway considers ended although their agent has not reported their ends; label
+/// `evidence`.
+pub const RUNS_LOST: &str = "laurelstile_runs_lost_total";
 /// Runs at this agent that were not started, or ended without being completed; labels `how`,
 /// `proof`.
 pub const RUNS_ENDED: &str = "laurelstile_runs_ended_total";
