Tests: late sessions that the gateway takes for the latest

* An agent dials a gateway at two addresses (a seed and the advertised one).
Hellos are written in one order, the handshakes end in the other.
* The handshake of an agent process that was killed soon after its start arrives 0.7 s late, while the next process has just lost its session: by its estimated start time it is the later process, so the runs of the next one are lost at once (source successor).

--- /dev/null
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -0,0 +1,112 @@
+//! Sessions and processes of an agent whose handshakes reach the gateway late or in another order
+//! than that in which the agent opened them. Messages pass between an agent's and a gateway's state
+//! machine.
+
+mod leased_support;
+
+use laurelstile_core::leased::agent::AgentEvent;
+use laurelstile_core::leased::agent::worker::FenceToken;
+use laurelstile_core::leased::gateway::GatewayEvent;
+use laurelstile_core::leased::messages::{StartBatch, ToAgentBody};
+use laurelstile_core::session::SessionId;
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Span;
+use leased_support::{AgentRig, GATEWAY, GatewayRig, SESSION, TOKEN_FLOOR, at, cpu, job};
+
+/// Name of the agent.
+const NAME: &str = "agent-7";
+
+/// The gateway reads the last message of a handshake, whose hello had this uptime, and what the agent
+/// has sent on the session since.
+fn open_at_gateway(
+    gateway: &mut GatewayRig,
+    agent: &mut AgentRig,
+    millis: u64,
+    process: Incarnation,
+    session: SessionId,
+    uptime_millis: u64,
+) {
+    let uptime = Span::from_millis(uptime_millis);
+    gateway.open_agent(at(millis), session.0, NAME, process, uptime);
+    deliver(gateway, agent, millis, session);
+}
+
+/// The gateway reads what the agent has sent on the session.
+fn deliver(gateway: &mut GatewayRig, agent: &mut AgentRig, millis: u64, session: SessionId) {
+    let sent = std::mem::take(&mut agent.sent);
+    for (to, message) in sent {
+        if to == session {
+            let event = GatewayEvent::AgentMessage { session, message };
+            gateway.event(at(millis), event);
+        } else {
+            agent.sent.push((to, message));
+        }
+    }
+}
+
+/// The agent reads the starts that the gateway has sent, and its worker carries them out.
+fn start_tasks(gateway: &mut GatewayRig, agent: &mut AgentRig, millis: u64) -> Vec<StartBatch> {
+    let mut batches = Vec::new();
+    for (session, batch) in gateway.starts.drain(..) {
+        batches.push(batch.clone());
+        agent.message_from(at(millis), session, ToAgentBody::Start(batch));
+    }
+    for run in agent.take_starts() {
+        agent.answer_start(at(millis), run, None);
+    }
+    batches
+}
+
+/// The session ends at both sides.
+fn break_session(gateway: &mut GatewayRig, agent: &mut AgentRig, millis: u64, session: SessionId) {
+    agent.event(at(millis), AgentEvent::Closed { session });
+    gateway.lose_session(at(millis), session.0);
+}
+
+/// Guards against a second run of a task beside one that was started on the agent's latest session:
+/// it dials two addresses of a gateway, and the dial that began last was the first to end.
+#[test]
+fn of_two_dials_that_overlap_the_one_that_the_agent_left_ends_no_runs() {
+    let process = Incarnation(7);
+    let (left, latest) = (SessionId(72), SessionId(71));
+    let mut gateway = GatewayRig::new();
+    let mut agent = AgentRig::with_worker(cpu(1_000));
+    open_at_gateway(&mut gateway, &mut agent, 1, process, SESSION, 1);
+    break_session(&mut gateway, &mut agent, 50, SESSION);
+    agent.open(at(103), left, GATEWAY);
+    agent.open(at(105), latest, GATEWAY);
+    assert_eq!(agent.closed, [left]);
+    open_at_gateway(&mut gateway, &mut agent, 106, process, latest, 100);
+    gateway.submit(at(110), 1, job(1, 1, 2_000));
+    let batches = start_tasks(&mut gateway, &mut agent, 111);
+    assert_eq!(batches.len(), 1);
+    assert_eq!(agent.machine.run_count(), 1);
+    gateway.join(at(120), 8, "agent-8", cpu(1_000));
+    open_at_gateway(&mut gateway, &mut agent, 300, process, left, 101);
+    gateway.tick(at(301));
+    assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
+    assert!(gateway.starts.is_empty(), "started beside the first run");
+}
+
+/// Guards against a second run of a task beside one of the present agent process: the process before
+/// it was ended soon after its start, and its handshake is so late that it seems to have started later.
+#[test]
+fn a_late_session_of_an_agent_process_that_seems_to_have_started_last_ends_no_runs() {
+    let (previous, present) = (Incarnation(6), Incarnation(7));
+    let (late, session) = (SessionId(60), SessionId(71));
+    let mut gateway = GatewayRig::new();
+    let mut ended = AgentRig::with_worker(cpu(1_000));
+    ended.open(at(20), late, GATEWAY);
+    let token_floor = FenceToken(TOKEN_FLOOR.0 + 300);
+    let mut agent = AgentRig::with_worker_and_token_floor(cpu(1_000), token_floor);
+    agent.open(at(300), session, GATEWAY);
+    open_at_gateway(&mut gateway, &mut agent, 301, present, session, 1);
+    gateway.submit(at(310), 1, job(1, 1, 2_000));
+    assert_eq!(start_tasks(&mut gateway, &mut agent, 311).len(), 1);
+    gateway.join(at(320), 8, "agent-8", cpu(1_000));
+    break_session(&mut gateway, &mut agent, 650, session);
+    open_at_gateway(&mut gateway, &mut ended, 700, previous, late, 20);
+    gateway.tick(at(701));
+    assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
+    assert!(gateway.starts.is_empty(), "started beside the first run");
+}
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -94,11 +94,15 @@
 
     /// As [`Self::new`], with the given heartbeat times.
     pub fn with_heartbeats(heartbeats: HeartbeatTiming) -> Self {
+        Self::with_options(heartbeats, TOKEN_FLOOR)
+    }
+
+    fn with_options(heartbeats: HeartbeatTiming, token_floor: FenceToken) -> Self {
         let options = AgentOptions {
             zone: "here".into(),
             shutdown_timeout: Span::from_secs(5),
             heartbeats,
-            token_floor: TOKEN_FLOOR,
+            token_floor,
         };
         let mut rig = Self {
             machine: LeasedAgent::new(options),
@@ -167,7 +171,12 @@
 
     /// An agent that controls a worker with this capacity.
     pub fn with_worker(capacity: Resources) -> Self {
-        let mut rig = Self::new();
+        Self::with_worker_and_token_floor(capacity, TOKEN_FLOOR)
+    }
+
+    /// As [`Self::with_worker`], with fencing tokens that are greater than `token_floor`.
+    pub fn with_worker_and_token_floor(capacity: Resources, token_floor: FenceToken) -> Self {
+        let mut rig = Self::with_options(RARE_HEARTBEATS, token_floor);
         rig.register(at(0), "life-1", capacity, false);
         rig.answer_watch(at(0), RunLists::default());
         rig
