Agents number their sessions, and gateways believe only the latest

Two dials that overlap, to a seed and to the advertised address of one gateway, can end in the other order.

--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -97,6 +97,8 @@
     /// Highest number of an end that was queued for a gateway forgotten since.
     last_forgotten_end: u64,
     sessions: BTreeMap<SessionId, Incarnation>,
+    /// Number of the session that was opened last, to any gateway.
+    last_session: u64,
     stopping_since: Option<Timestamp>,
     has_reported_stop: bool,
     last_flush: Timestamp,
@@ -125,6 +127,7 @@
             owners: BTreeMap::new(),
             last_forgotten_end: 0,
             sessions: BTreeMap::new(),
+            last_session: 0,
             stopping_since: None,
             has_reported_stop: false,
             last_flush: Timestamp::default(),
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -178,6 +178,7 @@
             .chain(self.duplicates_of(gateway))
             .collect();
         let worker = self.worker.as_ref();
+        let owner = self.owners.get(&gateway);
         Snapshot {
             service: worker
                 .map(|worker| worker.service.clone())
@@ -188,6 +189,7 @@
                 .map(|worker| worker.labels.clone())
                 .unwrap_or_default(),
             held,
+            session: owner.map(|owner| owner.session_number),
         }
     }
 
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -54,6 +54,9 @@
 pub struct Owner {
     /// The gateway's session, if one is open.
     pub session: Option<SessionId>,
+    /// Number of the latest session. The order of the handshakes at the gateway may differ from
+    /// the order in which this agent opened the sessions.
+    pub session_number: u64,
     /// When the latest session was opened.
     pub opened: Timestamp,
     /// The latest reading of this agent's clock that the gateway has echoed.
@@ -93,6 +96,7 @@
     pub fn new(now: Timestamp, last_number: u64) -> Self {
         Self {
             session: None,
+            session_number: 0,
             opened: now,
             echo: now,
             processed: 0,
@@ -116,8 +120,9 @@
     /// Starts a new session. Everything unacknowledged is sent again. The echo is left
     /// unchanged: an open connection is no evidence that the gateway has heard this agent
     /// recently.
-    pub fn open(&mut self, now: Timestamp, session: SessionId) {
+    pub fn open(&mut self, now: Timestamp, session: SessionId, number: u64) {
         self.session = Some(session);
+        self.session_number = number;
         self.opened = now;
         self.processed = 0;
         self.last_report = None;
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -49,7 +49,8 @@
             effects.push(AgentEffect::Close(old));
         }
         let silence = owner.echo_age(now);
-        owner.open(now, session);
+        self.last_session += 1;
+        owner.open(now, session, self.last_session);
         self.sessions.insert(session, gateway);
         self.log_resumed_session(gateway, silence, effects);
     }
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -245,6 +245,13 @@
             return;
         };
         let name = worker.name.clone();
+        if snapshot
+            .session
+            .is_some_and(|number| !worker.record_session_number(number))
+        {
+            self.close_left_session(now, agent, effects);
+            return;
+        }
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
         let is_first = worker.snapshot.is_none();
         worker.snapshot = Some(snapshot);
@@ -262,6 +269,27 @@
         self.end_predecessors(now, agent, &name, effects);
     }
 
+    /// Closes a session that the agent has left for one on which a snapshot was received. The runs
+    /// that its snapshot lacks may have been started since.
+    fn close_left_session(
+        &mut self,
+        now: Timestamp,
+        agent: Incarnation,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(worker) = self.workers.get(&agent) else {
+            return;
+        };
+        let decision = GatewayDecision::LateHandshake {
+            agent: worker.name.clone(),
+        };
+        effects.push(GatewayEffect::Decided(decision));
+        if let Some(session) = worker.session {
+            effects.push(GatewayEffect::Close(session));
+            self.on_agent_closed(now, session, effects);
+        }
+    }
+
     /// Marks as lost the tasks of earlier processes of an agent that has its worker under control.
     /// Start times are estimates, which a delayed handshake makes too late, so the tasks of a
     /// process with an open session wait until that closes or the process has been silent for long.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -330,7 +330,7 @@
         }
     }
 
-    fn on_agent_closed(
+    pub(super) fn on_agent_closed(
         &mut self,
         now: Timestamp,
         session: SessionId,
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -35,6 +35,8 @@
     pub session: Option<SessionId>,
     /// Highest uptime of the agent's process in the handshakes of its sessions.
     latest_uptime: Span,
+    /// Number of the latest session on which a snapshot was received; 0 if no snapshot had one.
+    latest_number: u64,
     /// The agent's latest snapshot on this session; `None` before the agent has the worker
     /// under control.
     pub snapshot: Option<Snapshot>,
@@ -81,6 +83,7 @@
             process_started_at: process_start(now, remote.uptime),
             session: None,
             latest_uptime: Span::default(),
+            latest_number: 0,
             snapshot: None,
             report: Report {
                 processed: 0,
@@ -112,6 +115,14 @@
         uptime < self.latest_uptime
     }
 
+    /// Records the number of a session on which a snapshot was received. Returns whether it is the
+    /// agent's latest, as far as is known.
+    pub fn record_session_number(&mut self, number: u64) -> bool {
+        let is_latest = number >= self.latest_number;
+        self.latest_number = self.latest_number.max(number);
+        is_latest
+    }
+
     /// Resets the session state for a new session.
     pub fn open_session(&mut self, now: Timestamp, session: SessionId, uptime: Span) {
         let started_at = process_start(now, uptime);
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -235,6 +235,10 @@
     pub labels: Vec<String>,
     /// The gateway's runs at this agent that have not ended.
     pub held: Vec<(TaskId, RunNumber)>,
+    /// Number of the session, rising with each that the agent process opens; `None` from an older
+    /// version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<u64>,
 }
 
 /// Current state of a worker.
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -4,16 +4,16 @@
 use ciborium::value::Value;
 use laurelstile_core::leased::input::{InputError, JobInput, MAX_INPUT_BYTES};
 use laurelstile_core::leased::messages::{
-    EndKind, FromAgent, FromAgentBody, NO_TASK_LIMIT, Report, StartBatch, TaskEnd, ToAgent,
-    ToAgentBody,
+    EndKind, FromAgent, FromAgentBody, NO_TASK_LIMIT, Report, Snapshot, StartBatch, TaskEnd,
+    ToAgent, ToAgentBody,
 };
 use laurelstile_core::leased::resources::Resources;
 use laurelstile_core::leased::task::{JobId, RunNumber, TaskId};
 use laurelstile_types::time::Timestamp;
 use proptest::prelude::{Strategy, any, prop, proptest};
 use rstest::rstest;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 /// Clock reading of a process that has run for ten minutes.
 const CLOCK: Timestamp = Timestamp(600_000_000);
@@ -157,6 +157,52 @@
     assert!(matches!(decoded.body, FromAgentBody::Ends(ends) if ends == [sent]));
 }
 
+/// A snapshot as older versions define it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldSnapshot {
+    service: String,
+    zone: String,
+    capacity: Resources,
+    labels: Vec<String>,
+    held: Vec<(TaskId, RunNumber)>,
+}
+
+fn old_snapshot() -> OldSnapshot {
+    OldSnapshot {
+        service: "parcels".into(),
+        zone: "here".into(),
+        capacity: resources(12_000),
+        labels: vec!["large".into()],
+        held: vec![(end().task, RunNumber(3))],
+    }
+}
+
+/// Gateways and agents are not updated at the same time.
+#[test]
+fn older_versions_read_a_snapshot() {
+    let old = old_snapshot();
+    let sent = Snapshot {
+        service: old.service.clone(),
+        zone: old.zone.clone(),
+        capacity: old.capacity,
+        labels: old.labels.clone(),
+        held: old.held.clone(),
+        session: Some(4),
+    };
+    let decoded: OldSnapshot = decode(&encode(&sent));
+    assert_eq!(decoded, old);
+    let decoded: Snapshot = decode(&encode(&sent));
+    assert_eq!(decoded.session, sent.session);
+}
+
+#[test]
+fn a_snapshot_of_an_older_version_has_no_session_number() {
+    let old = old_snapshot();
+    let decoded: Snapshot = decode(&encode(&old));
+    assert_eq!(decoded.held, old.held);
+    assert_eq!(decoded.session, None);
+}
+
 fn input_of(message: &ToAgent) -> JobInput {
     match &message.body {
         ToAgentBody::Start(batch) => batch.input.clone(),
--- a/laurelstile-core/tests/leased_session_order.rs
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -86,6 +86,13 @@
     gateway.tick(at(301));
     assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
     assert!(gateway.starts.is_empty(), "started beside the first run");
+    break_session(&mut gateway, &mut agent, 302, latest);
+    let next = SessionId(73);
+    agent.open(at(330), next, GATEWAY);
+    open_at_gateway(&mut gateway, &mut agent, 331, process, next, 330);
+    assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
+    assert!(gateway.stops.is_empty(), "{:?}", gateway.stops);
+    assert!(agent.take_stops().is_empty());
 }
 
 /// Guards against a second run of a task beside one of the present agent process: the process before
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -194,6 +194,7 @@
             capacity,
             labels: Vec::new(),
             held: Vec::new(),
+            session: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -243,6 +244,7 @@
             capacity,
             labels: Vec::new(),
             held: Vec::new(),
+            session: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -277,6 +279,7 @@
             capacity,
             labels: Vec::new(),
             held,
+            session: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
