A process is succeeded only by one with a higher fencing token

The worker accepts no lower token than one that it has accepted, so a process with a higher token has superseded those with lower ones, and none with higher ones. Beside the estimated start times, which stay as a condition, the gateway compares the tokens if both are known.

--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -190,6 +190,7 @@
                 .unwrap_or_default(),
             held,
             session: owner.map(|owner| owner.session_number),
+            token: worker.and_then(|worker| worker.listed_token),
         }
     }
 
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -216,6 +216,10 @@
             };
             effects.push(AgentEffect::Decided(decision));
         }
+        let token = worker.token;
+        if worker.listed_token.replace(token) != Some(token) {
+            self.invalidate_snapshots();
+        }
     }
 
     fn on_listed_end(&mut self, now: Timestamp, end: &WorkerEnd, effects: &mut Vec<AgentEffect>) {
--- a/laurelstile-core/src/leased/agent/worker.rs
+++ b/laurelstile-core/src/leased/agent/worker.rs
@@ -28,7 +28,7 @@
 /// the wall-clock time of its host, so that its tokens exceed those of the previous agent; a
 /// worker has one agent at a time. The worker's own clock is unsuitable, since it restarts with
 /// each incarnation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct FenceToken(pub u64);
 
 /// What a worker reports when it registers and with each heartbeat.
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -66,6 +66,8 @@
     /// Whether this incarnation's run lists have been received. Reset when a silent worker's
     /// lease expires, and after a suspension of the agent.
     pub has_synced: bool,
+    /// Token under which the run lists were last received.
+    pub listed_token: Option<FenceToken>,
     /// Whether the agent has logged that it took control of the incarnation.
     pub has_logged_control: bool,
     /// Consecutive watches that were not answered, or that the worker rejected.
@@ -178,6 +180,7 @@
             last_seen_sent: 0,
             acknowledged: 0,
             has_synced: false,
+            listed_token: None,
             has_logged_control: false,
             unanswered_watches: 0,
             unanswered_since: None,
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -254,6 +254,7 @@
         }
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
         let is_first = worker.snapshot.is_none();
+        worker.token = snapshot.token;
         worker.snapshot = Some(snapshot);
         worker.has_crashed = false;
         worker.update_evacuation(&self.evacuations);
@@ -291,8 +292,8 @@
     }
 
     /// Marks as lost the tasks of earlier processes of an agent that has its worker under control.
-    /// Start times are estimates, which a delayed handshake makes too late, so the tasks of a
-    /// process with an open session wait until that closes or the process has been silent for long.
+    /// The tasks of a process with an open session wait until that closes or the process has been
+    /// silent for long: agents of older versions send no token, and their start times are estimates.
     fn end_predecessors(
         &mut self,
         now: Timestamp,
@@ -300,15 +301,15 @@
         name: &str,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let Some(started_at) = self
+        let Some((started_at, token)) = self
             .workers
             .get(&agent)
-            .map(|worker| worker.process_started_at)
+            .map(|worker| (worker.process_started_at, worker.token))
         else {
             return;
         };
         let others = self.workers.iter_mut().filter(|(other, worker)| {
-            let is_earlier = worker.process_started_at < started_at;
+            let is_earlier = worker.may_be_earlier_than(started_at, token);
             **other != agent && worker.name == name && is_earlier
         });
         let mut ended = Vec::new();
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -4,6 +4,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::super::agent::worker::FenceToken;
 use super::super::evacuation::Evacuations;
 use super::super::messages::{Offer, Report, Snapshot};
 use super::super::resources::Resources;
@@ -37,6 +38,9 @@
     latest_uptime: Span,
     /// Number of the latest session on which a snapshot was received; 0 if no snapshot had one.
     latest_number: u64,
+    /// Fencing token of the latest snapshot; `None` if it had none. A higher one is that of a later
+    /// process.
+    pub token: Option<FenceToken>,
     /// The agent's latest snapshot on this session; `None` before the agent has the worker
     /// under control.
     pub snapshot: Option<Snapshot>,
@@ -84,6 +88,7 @@
             session: None,
             latest_uptime: Span::default(),
             latest_number: 0,
+            token: None,
             snapshot: None,
             report: Report {
                 processed: 0,
@@ -139,6 +144,14 @@
         self.unreported.clear();
     }
 
+    /// Whether a process with this start time and token may be a later one of the same agent. Start
+    /// times are estimates, which a delayed handshake makes too late; the worker accepts no token
+    /// below one that it has accepted.
+    pub fn may_be_earlier_than(&self, started_at: i64, token: Option<FenceToken>) -> bool {
+        let has_lower_token = self.token.is_none() || token.is_none() || self.token < token;
+        self.process_started_at < started_at && has_lower_token
+    }
+
     /// Marks a job's tasks as unwanted and returns them, to be stopped.
     pub fn abandon_job(&mut self, job: JobId) -> Vec<TaskId> {
         let own = self.tasks.keys().filter(|task| task.job == job);
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -6,6 +6,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 
+use super::agent::worker::FenceToken;
 use super::crashes::WorkerCrash;
 use super::evacuation::Evacuations;
 use super::gateway::queues::QueueConfiguration;
@@ -239,6 +240,10 @@
     /// version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub session: Option<u64>,
+    /// Fencing token under which the agent received its worker's run lists; `None` from an older
+    /// version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<FenceToken>,
 }
 
 /// Current state of a worker.
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -2,6 +2,7 @@
 //! what was encoded. In a large deployment each byte is sent about ten thousand times a second.
 
 use ciborium::value::Value;
+use laurelstile_core::leased::agent::worker::FenceToken;
 use laurelstile_core::leased::input::{InputError, JobInput, MAX_INPUT_BYTES};
 use laurelstile_core::leased::messages::{
     EndKind, FromAgent, FromAgentBody, NO_TASK_LIMIT, Report, Snapshot, StartBatch, TaskEnd,
@@ -188,19 +189,20 @@
         labels: old.labels.clone(),
         held: old.held.clone(),
         session: Some(4),
+        token: Some(FenceToken(u64::MAX)),
     };
     let decoded: OldSnapshot = decode(&encode(&sent));
     assert_eq!(decoded, old);
     let decoded: Snapshot = decode(&encode(&sent));
-    assert_eq!(decoded.session, sent.session);
+    assert_eq!((decoded.session, decoded.token), (sent.session, sent.token));
 }
 
 #[test]
-fn a_snapshot_of_an_older_version_has_no_session_number() {
+fn a_snapshot_of_an_older_version_has_neither_session_number_nor_token() {
     let old = old_snapshot();
     let decoded: Snapshot = decode(&encode(&old));
     assert_eq!(decoded.held, old.held);
-    assert_eq!(decoded.session, None);
+    assert_eq!((decoded.session, decoded.token), (None, None));
 }
 
 fn input_of(message: &ToAgent) -> JobInput {
--- a/laurelstile-core/tests/leased_session_order.rs
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -5,9 +5,9 @@
 mod leased_support;
 
 use laurelstile_core::leased::agent::AgentEvent;
-use laurelstile_core::leased::agent::worker::FenceToken;
+use laurelstile_core::leased::agent::worker::{FenceToken, Rejection, RunLists};
 use laurelstile_core::leased::gateway::GatewayEvent;
-use laurelstile_core::leased::messages::{StartBatch, ToAgentBody};
+use laurelstile_core::leased::messages::{FromAgentBody, StartBatch, ToAgentBody};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
@@ -117,3 +117,49 @@
     assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
     assert!(gateway.starts.is_empty(), "started beside the first run");
 }
+
+/// The next process takes the tasks of the one before over at once: its token is higher.
+#[test]
+fn a_later_process_ends_the_runs_of_one_whose_session_has_closed() {
+    let (previous, present) = (Incarnation(6), Incarnation(7));
+    let session = SessionId(71);
+    let mut gateway = GatewayRig::new();
+    let mut ended = AgentRig::with_worker(cpu(1_000));
+    open_at_gateway(&mut gateway, &mut ended, 1, previous, SESSION, 1);
+    gateway.submit(at(10), 1, job(1, 1, 2_000));
+    assert_eq!(start_tasks(&mut gateway, &mut ended, 11).len(), 1);
+    break_session(&mut gateway, &mut ended, 200, SESSION);
+    let token_floor = FenceToken(TOKEN_FLOOR.0 + 300);
+    let mut agent = AgentRig::with_worker_and_token_floor(cpu(1_000), token_floor);
+    agent.open(at(300), session, GATEWAY);
+    open_at_gateway(&mut gateway, &mut agent, 301, present, session, 1);
+    assert_eq!(gateway.lost.len(), 1);
+    assert_eq!(gateway.starts.len(), 1);
+}
+
+/// The token of a snapshot is that of the run lists that it rests on.
+#[test]
+fn a_raised_token_is_reported_once_run_lists_were_received_under_it() {
+    let mut rig = AgentRig::with_worker(cpu(1_000));
+    let tokens = |rig: &AgentRig| {
+        let bodies = rig.sent.iter().map(|(_, message)| &message.body);
+        let snapshots = bodies.filter_map(|body| match body {
+            FromAgentBody::Snapshot(snapshot) => snapshot.token,
+            _ => None,
+        });
+        snapshots.collect::<Vec<_>>()
+    };
+    let first = tokens(&rig);
+    assert_eq!(first.len(), 1);
+    rig.register(at(9), "life-1", cpu(1_000), false);
+    let batch = rig.batch(1, 1, 4);
+    rig.message(at(10), batch);
+    let run = rig.take_starts()[0];
+    rig.answer_start(at(11), run, Some(Rejection::Fenced));
+    rig.answer_watch(at(12), RunLists::default());
+    assert_eq!(tokens(&rig), first);
+    rig.answer_watch(at(13), RunLists::default());
+    let reported = tokens(&rig);
+    assert_eq!(reported.len(), 2);
+    assert!(reported[1] > reported[0], "{reported:?}");
+}
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -195,6 +195,7 @@
             labels: Vec::new(),
             held: Vec::new(),
             session: None,
+            token: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -245,6 +246,7 @@
             labels: Vec::new(),
             held: Vec::new(),
             session: None,
+            token: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -280,6 +282,7 @@
             labels: Vec::new(),
             held,
             session: None,
+            token: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
