A process with nearly the token of an earlier one does not succeed it at once

Change: the runs of a process are lost at once only if the next one's token is higher by more than 64. Otherwise the runs wait for the expiry of the ended process, as without a successor. Tokens are milliseconds at the process's start, so this concerns processes that lived less than 64 ms, and clocks that were set back. No command is added and the tokens on the worker's wire stay as they are: a random part would lessen the chance only, and tokens with more bits would fence off older builds after a rollback.

--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -15,6 +15,11 @@
 use super::job::StepRequest;
 use crate::session::{Remote, SessionId};
 
+/// By how much the token of a start may exceed that of the agent's latest snapshot. The token rises
+/// with each incarnation of the worker, and an agent accepts a start only if its gateway had received
+/// all that the agent had sent until 300 ms before.
+const MAX_UNREPORTED_TOKENS: u64 = 64;
+
 /// A batch of starts that no report has acknowledged yet.
 #[derive(Clone, Copy, Debug)]
 struct UnreportedBatch {
@@ -148,7 +153,10 @@
     /// times are estimates, which a delayed handshake makes too late; the worker accepts no token
     /// below one that it has accepted.
     pub fn may_be_earlier_than(&self, started_at: i64, token: Option<FenceToken>) -> bool {
-        let has_lower_token = self.token.is_none() || token.is_none() || self.token < token;
+        let has_lower_token = match (self.token, token) {
+            (Some(own), Some(other)) => own.0.saturating_add(MAX_UNREPORTED_TOKENS) < other.0,
+            _ => true,
+        };
         self.process_started_at < started_at && has_lower_token
     }
 
--- a/laurelstile-core/tests/leased_session_order.rs
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -8,6 +8,7 @@
 use laurelstile_core::leased::agent::worker::{FenceToken, Rejection, RunLists};
 use laurelstile_core::leased::gateway::GatewayEvent;
 use laurelstile_core::leased::messages::{FromAgentBody, StartBatch, ToAgentBody};
+use laurelstile_core::leased::timing::AGENT_EXPIRY;
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
@@ -163,3 +164,43 @@
     assert_eq!(reported.len(), 2);
     assert!(reported[1] > reported[0], "{reported:?}");
 }
+
+/// Guards against a delayed start of the previous agent process that takes effect after its run was
+/// taken for lost: it was sent under a token that no snapshot has told yet, and the next process uses
+/// the same one, since the wall clock was set back.
+#[test]
+fn a_start_under_a_token_that_the_gateway_has_not_heard_of_is_not_lost_at_once() {
+    let (previous, present) = (Incarnation(6), Incarnation(7));
+    let session = SessionId(71);
+    let mut gateway = GatewayRig::new();
+    let mut ended = AgentRig::with_worker(cpu(1_000));
+    open_at_gateway(&mut gateway, &mut ended, 1, previous, SESSION, 1);
+    gateway.submit(at(10), 1, job(1, 1, 2_000));
+    ended.register(at(11), "life-2", cpu(1_000), false);
+    ended.end_incarnation(at(12));
+    ended.incarnation = "life-2".into();
+    ended.answer_watch(at(13), RunLists::default());
+    let (_, batch) = gateway.next_start();
+    ended.message(at(14), ToAgentBody::Start(batch));
+    let token = ended.last_token().expect("a start was sent");
+    assert_eq!(ended.take_starts().len(), 1);
+    gateway.lose_session(at(15), SESSION.0);
+    let token_floor = FenceToken(token - 1);
+    let mut agent = AgentRig::with_worker_and_token_floor(cpu(1_000), token_floor);
+    agent.open(at(300), session, GATEWAY);
+    open_at_gateway(&mut gateway, &mut agent, 301, present, session, 1);
+    assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
+    let expiry = 1 + AGENT_EXPIRY.as_millis() + 1;
+    for millis in (310..expiry).step_by(10) {
+        gateway.tick(at(millis));
+        assert!(gateway.starts.is_empty(), "at {millis} ms");
+    }
+    gateway.report(
+        at(expiry),
+        session.0,
+        0,
+        cpu(1_000),
+        FromAgentBody::Heartbeat,
+    );
+    assert_eq!(gateway.starts.len(), 1, "the leases have expired");
+}
