Emulator: sessions that overlap, late handshakes, short-lived agent processes

Handshakes take time step by step, each connection with delays of its own; an agent can dial a gateway by two addresses; a closed session is noticed by the other side behind what was sent before.

--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -5,12 +5,15 @@
 
 use super::faults::{Fault, ScheduledFault, draw_of_resending};
 use super::world::commands::CommandGroup;
+use super::world::handshakes::HandshakeDelays;
 use super::world::timed_faults::TimedFaults;
 
 /// How long a call waits for its answer where callers submit again after a 504.
 const CALL_LIMIT: u64 = 2_000_000;
 /// Latest notice of a caller's broken connection, in microseconds.
 const LATEST_NOTICE: u64 = 20_000;
+/// Longest delay of the last message of a handshake, in microseconds.
+const LONGEST_HANDSHAKE: u64 = 5_000_000;
 
 /// A kind of disruption.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +32,12 @@
     SlowProcesses,
     /// Faults within milliseconds of an order, an end or the opening of a session.
     TimedFaults,
+    /// Agents that dial each gateway by two addresses, and have a session for each.
+    OverlappingSessions,
+    /// Handshakes and first messages that arrive late, beside sessions that break.
+    LateHandshakes,
+    /// Agents that are killed within their first seconds, beside sessions that break.
+    ShortLivedProcesses,
 }
 
 impl Disruption {
@@ -42,6 +51,9 @@
             "clock-steps" => Some(Self::ClockSteps),
             "slow-processes" => Some(Self::SlowProcesses),
             "timed-faults" => Some(Self::TimedFaults),
+            "overlapping-sessions" => Some(Self::OverlappingSessions),
+            "late-handshakes" => Some(Self::LateHandshakes),
+            "short-lived-processes" => Some(Self::ShortLivedProcesses),
             _ => None,
         }
     }
@@ -56,6 +68,9 @@
             Self::ClockSteps => 0x57e95,
             Self::SlowProcesses => 0x510a,
             Self::TimedFaults => 0x71e3d,
+            Self::OverlappingSessions => 0x0e41a,
+            Self::LateHandshakes => 0x1a7e4a,
+            Self::ShortLivedProcesses => 0x5407,
         }
     }
 
@@ -94,9 +109,32 @@
             Self::ClockSteps => draw_of_clock_steps(length, workers, random, &mut faults),
             Self::SlowProcesses => draw_of_slow(length, gateways, workers, random, &mut faults),
             Self::TimedFaults => {}
+            Self::OverlappingSessions | Self::LateHandshakes => {
+                draw_of_breaks(length, gateways, workers, random, &mut faults);
+            }
+            Self::ShortLivedProcesses => {
+                draw_of_breaks(length, gateways, workers, random, &mut faults);
+                draw_of_short_lives(length, gateways, workers, random, &mut faults);
+            }
         }
         faults
     }
+
+    /// How sessions are opened, if their handshakes take time step by step.
+    pub(super) fn handshakes(self, length: u64, random: &mut Pcg64) -> Option<HandshakeDelays> {
+        let has_two_addresses = self == Self::OverlappingSessions;
+        let is_in_steps = matches!(
+            self,
+            Self::OverlappingSessions | Self::LateHandshakes | Self::ShortLivedProcesses
+        );
+        is_in_steps.then(|| HandshakeDelays {
+            has_two_addresses,
+            keeps_second_address: has_two_addresses && random.random_bool(0.3),
+            one_in: random.random_range(2..12),
+            longest: LONGEST_HANDSHAKE,
+            until: length,
+        })
+    }
 }
 
 /// Draws series of resets, of failures of one process, and delays of handshakes around them.
@@ -140,6 +178,73 @@
     }
 }
 
+/// Draws series of resets, each with cuts within tens of milliseconds of the next handshake.
+fn draw_of_breaks(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+    faults: &mut Vec<ScheduledFault>,
+) {
+    let mut add = |at, length, fault| faults.push(ScheduledFault { at, length, fault });
+    for _ in 0..random.random_range(3..12) {
+        let mut at = random.random_range(500_000..length);
+        let gateway = random.random_range(0..gateways);
+        let worker = random.random_range(0..workers);
+        let is_of_all = random.random_bool(0.5);
+        for _ in 0..random.random_range(1..6) {
+            let hit = (0..workers).filter(|other| is_of_all || *other == worker);
+            let refused = random.random_range(1..30_000);
+            let cut_after = refused + random.random_range(1_000..60_000);
+            let cut = match random.random_range(0..3) {
+                0 => 0,
+                1 => random.random_range(20_000..300_000),
+                _ => random.random_range(300_000..1_500_000),
+            };
+            for worker in hit {
+                add(at, refused, Fault::RefuseSessions(worker, gateway));
+                if cut > 0 {
+                    add(at + cut_after, cut, Fault::Cut(worker, gateway));
+                }
+            }
+            at += cut_after + cut + random.random_range(1_000..800_000);
+        }
+    }
+}
+
+/// Draws agents that are killed several times soon after their start, each time beside sessions
+/// that break.
+fn draw_of_short_lives(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+    faults: &mut Vec<ScheduledFault>,
+) {
+    /// From a kill to the next start.
+    const AWAY: u64 = 300_000;
+    let mut add = |at, length, fault| faults.push(ScheduledFault { at, length, fault });
+    for _ in 0..random.random_range(3..12) {
+        let mut at = random.random_range(500_000..length);
+        let worker = random.random_range(0..workers);
+        for _ in 0..random.random_range(1..5) {
+            add(at, 0, Fault::KillAgent(worker));
+            let life = match random.random_range(0..3) {
+                0 => random.random_range(10_000..200_000),
+                1 => random.random_range(200_000..1_000_000),
+                _ => random.random_range(1_000_000..3_000_000),
+            };
+            for _ in 0..random.random_range(0..4) {
+                let gateway = random.random_range(0..gateways);
+                let broken_at = at + AWAY + random.random_range(0..life + 2_000_000);
+                let refused = random.random_range(1..200_000);
+                add(broken_at, refused, Fault::RefuseSessions(worker, gateway));
+            }
+            at += AWAY + life;
+        }
+    }
+}
+
 fn draw_of_closing(
     length: u64,
     workers: usize,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -190,6 +190,8 @@
     DeregistrationIsEnd,
     /// Workers that start again under their ids do not tell their births.
     NoBirths,
+    /// Gateways take the session whose handshake arrived last for an agent's latest.
+    NoSessionOrder,
 }
 
 /// Draws `count` faults within `length`.
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -15,6 +15,7 @@
     draw_of_silences,
 };
 use super::worker::SimWorker;
+use super::world::handshakes::{HandshakeDelays, Handshakes};
 use super::world::timed_faults::TimedFaults;
 use super::world::{SimJob, TASK_ROOM, World};
 
@@ -206,6 +207,7 @@
     scene.limits_commands = true;
     scene.call_limit = disruption.call_limit();
     scene.timed_faults = disruption.timed_faults(FAULTY, &mut disrupting);
+    scene.handshakes = disruption.handshakes(FAULTY, &mut disrupting);
     play(random, sabotage, scene, true)
 }
 
@@ -256,6 +258,8 @@
     call_limit: Option<u64>,
     /// Events after which faults follow, if there are any.
     timed_faults: Option<TimedFaults>,
+    /// How sessions are opened, if their handshakes take time step by step.
+    handshakes: Option<HandshakeDelays>,
 }
 
 fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
@@ -286,6 +290,7 @@
         limits_commands: false,
         call_limit: None,
         timed_faults: None,
+        handshakes: None,
     }
 }
 
@@ -299,6 +304,7 @@
         limits_commands,
         call_limit,
         timed_faults,
+        handshakes,
     } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
@@ -309,6 +315,7 @@
     world.limits_commands = limits_commands;
     world.call_limit = call_limit;
     world.timed_faults = timed_faults;
+    world.handshakes = handshakes.map(Handshakes::new);
     if let Some(job) = traced {
         world.trace(job);
     }
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -314,7 +314,8 @@
         for (session, gateway) in sessions {
             let to = self.gateways[gateway].incarnation;
             let ends = Happening::GatewaySessionEnds(gateway, to, session);
-            self.schedule(self.now + 1_000, ends);
+            let at = self.end_heard_at(session);
+            self.schedule(at, ends);
         }
     }
 
--- a/laurelstile-sim/src/leased/world/links.rs
+++ b/laurelstile-sim/src/leased/world/links.rs
@@ -7,7 +7,7 @@
 use laurelstile_types::time::Span;
 use rand::Rng;
 
-use super::{Happening, USER_TIMEOUT, World};
+use super::{Happening, USER_TIMEOUT, World, handshakes};
 
 /// Pause between two dials.
 const REDIAL: u64 = 100_000;
@@ -73,8 +73,7 @@
         happening: Happening,
     ) {
         let latency = self.random.random_range(200..1_500);
-        let cut_until = self.cuts.get(&(agent, gateway)).copied().unwrap_or(0);
-        let mut sent = self.now.max(cut_until);
+        let mut sent = self.free_from(agent, gateway, session, is_to_gateway);
         if sent - self.now > USER_TIMEOUT {
             let at = self.now + USER_TIMEOUT;
             let (a, g) = (
@@ -98,10 +97,20 @@
     }
 
     pub(super) fn dial(&mut self, index: usize) {
-        self.schedule(self.now + REDIAL, Happening::Dial(index));
+        let is_in_steps = self.handshakes.is_some();
+        let pause = if is_in_steps {
+            handshakes::REDIAL
+        } else {
+            REDIAL
+        };
+        self.schedule(self.now + pause, Happening::Dial(index));
         if !self.agents[index].is_up {
             return;
         }
+        if is_in_steps {
+            self.dial_in_steps(index);
+            return;
+        }
         for gateway in 0..self.gateways.len() {
             let is_cut = self
                 .cuts
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 pub mod commands;
 mod faulting;
+pub mod handshakes;
 mod heartbeats;
 mod leaving;
 mod links;
@@ -30,6 +31,7 @@
 use rand_pcg::Pcg64;
 
 use commands::CommandFaults;
+use handshakes::Handshakes;
 use links::ThinLinks;
 use session_faults::Refusal;
 use timed_faults::TimedFaults;
@@ -220,6 +222,8 @@
     refusals: BTreeMap<(usize, usize), Refusal>,
     /// Until when the handshakes of an agent are delayed.
     handshakes_delayed_until: BTreeMap<usize, u64>,
+    /// Handshakes that take time step by step, if they do.
+    pub handshakes: Option<Handshakes>,
     /// When gateways handle sessions whose handshakes are delayed.
     opening: BTreeMap<SessionId, u64>,
     /// The life of each worker that refuses connections.
@@ -292,6 +296,7 @@
             dead_workers_refuse: false,
             refusals: BTreeMap::new(),
             handshakes_delayed_until: BTreeMap::new(),
+            handshakes: None,
             opening: BTreeMap::new(),
             shut: vec![None; workers.len()],
             clocks_back: vec![0; workers.len()],
@@ -460,6 +465,9 @@
             Happening::PeerSessionEnds(index, session) => self.peer_session_ends(index, session),
             Happening::AgentSessionEnds(index, incarnation, session) => {
                 if self.agents[index].incarnation == incarnation && self.agents[index].is_up {
+                    if let Some(handshakes) = &mut self.handshakes {
+                        handshakes.forget(session);
+                    }
                     self.agents[index].sessions.remove(&session);
                     self.agent_event(index, AgentEvent::Closed { session });
                 }
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -48,7 +48,10 @@
                     self.transmit(index, gateway, session, true, happening);
                 }
                 AgentEffect::Close(session) => {
-                    self.agents[index].sessions.remove(&session);
+                    let gateway = self.agents[index].sessions.remove(&session);
+                    if let Some(gateway) = gateway {
+                        self.gateway_hears_of_end(gateway, session);
+                    }
                 }
                 AgentEffect::Command(order) => self.give(index, incarnation, order),
                 AgentEffect::AnswerDeregistration(_) => self.deregistration_answered(index),
@@ -99,7 +102,10 @@
                 self.tell_peer(index, session, message);
             }
             GatewayEffect::Close(session) => {
-                self.gateways[index].sessions.remove(&session);
+                let agent = self.gateways[index].sessions.remove(&session);
+                if let Some(agent) = agent {
+                    self.agent_hears_of_end(agent, session);
+                }
             }
             GatewayEffect::Answer { call, answer } => self.answer(call, answer),
             GatewayEffect::InForce(configuration) => {
--- a/laurelstile-sim/src/leased/world/session_faults.rs
+++ b/laurelstile-sim/src/leased/world/session_faults.rs
@@ -113,8 +113,11 @@
         gateway: usize,
         incarnation: Incarnation,
         session: SessionId,
-        remote: Remote,
+        mut remote: Remote,
     ) {
+        if self.handshakes.is_some() {
+            self.last_step_arrives(gateway, incarnation, session, &mut remote);
+        }
         if self.gateways[gateway].incarnation == incarnation && self.gateways[gateway].is_up {
             self.gateway_event(gateway, GatewayEvent::AgentOpened { session, remote });
         }
@@ -127,6 +130,10 @@
         session: SessionId,
         gateway: Incarnation,
     ) {
+        if self.handshakes.is_some() {
+            self.hello_answered(agent, incarnation, session, gateway);
+            return;
+        }
         let process = &self.agents[agent];
         if process.incarnation == incarnation && process.sessions.contains_key(&session) {
             self.agent_event(agent, AgentEvent::Opened { session, gateway });
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -32,11 +32,12 @@
         Some("claims") => Some(Sabotage::NoClaims),
         Some("deregistrations") => Some(Sabotage::DeregistrationIsEnd),
         Some("births") => Some(Sabotage::NoBirths),
+        Some("session-order") => Some(Sabotage::NoSessionOrder),
         Some(_) => {
             eprintln!(
                 "--without takes owner-silence, leases, takeover, drains, evacuations, \
                  crash-news, capacity-news, steady-clocks, cancel-news, claims, \
-                 deregistrations or births"
+                 deregistrations, births or session-order"
             );
             return ExitCode::from(2);
         }
@@ -47,7 +48,8 @@
             let Some(disruption) = Disruption::named(name) else {
                 eprintln!(
                     "--disruption takes commands, sessions, closing-workers, \
-                     succeeded-workers, clock-steps, slow-processes or timed-faults"
+                     succeeded-workers, clock-steps, slow-processes, timed-faults, \
+                     overlapping-sessions, late-handshakes or short-lived-processes"
                 );
                 return ExitCode::from(2);
             };
