--- a/laurelstile-sim/src/leased/world/handshakes.rs
+++ b/laurelstile-sim/src/leased/world/handshakes.rs
@@ -18,8 +18,8 @@
 const DIAL_LIMIT: u64 = 600_000;
 /// Time limit of a handshake at the gateway.
 const HANDSHAKE_LIMIT: u64 = 5_000_000;
-/// Longest delay of an answer to a hello that is delayed.
-const LONGEST_ANSWER: u64 = 300_000;
+/// Longest delay of each step before the last.
+const LONGEST_STEP: u64 = 200_000;
 /// How long the seed address of a gateway is dialed after the start of an agent, and after a time
 /// without any session.
 const SEED_SPAN: u64 = 1_500_000;
@@ -143,8 +143,10 @@
         }
         let to = other.incarnation;
         let session = SessionId(self.fresh());
-        let hello = self.step_delay(LONGEST_ANSWER);
-        let answer = self.step_delay(LONGEST_ANSWER);
+        let connecting = self.step_delay(LONGEST_STEP);
+        let hello = self.step_delay(LONGEST_STEP);
+        let answer = self.step_delay(LONGEST_STEP);
+        let hello_sent_at = self.now + connecting;
         let process = &self.agents[agent];
         let dial = Dial {
             session,
@@ -152,12 +154,15 @@
             remote: Remote {
                 name: format!("agent-{agent}"),
                 incarnation: process.incarnation,
-                uptime: Span(self.now - process.started),
+                uptime: Span(hello_sent_at - process.started),
             },
-            gateway_limit: self.now + hello + HANDSHAKE_LIMIT,
+            gateway_limit: hello_sent_at + hello + HANDSHAKE_LIMIT,
         };
         let opens = Happening::AgentSessionOpens(agent, dial.agent, session, to);
-        self.schedule(self.now + (hello + answer).min(DIAL_LIMIT), opens);
+        self.schedule(
+            self.now + (connecting + hello + answer).min(DIAL_LIMIT),
+            opens,
+        );
         if let Some(handshakes) = &mut self.handshakes {
             handshakes.dials.insert(address, dial);
         }
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -78,6 +78,17 @@
 /// Calls of a caller after ones that their gateways may still hold are this far apart.
 const FORMER_CALL: u64 = 1 << 33;
 
+/// What is traced of sessions.
+const SESSION_EVENTS: [&str; 7] = [
+    "SessionOpens",
+    "SessionEnds",
+    "SessionAccepted",
+    "SessionSilent",
+    "LateHandshake",
+    "Close(",
+    "Snapshot(",
+];
+
 /// Room that every task needs, in thousandths of a core.
 pub const TASK_ROOM: u32 = 1_000;
 
@@ -402,7 +413,9 @@
         let text = format!("{what:?}");
         let is_list = text.contains("Watched");
         let is_of_zones = text.contains("Evacuations");
-        if is_of_zones || !is_list && text.contains(&format!("{job:?}")) {
+        let mut of_sessions = SESSION_EVENTS.iter();
+        let is_of_session = of_sessions.any(|event| text.contains(event));
+        if is_of_zones || is_of_session || !is_list && text.contains(&format!("{job:?}")) {
             println!("{:>12} us  {}  {text}", self.now, place());
         }
     }
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -138,6 +138,22 @@
     assert_keeps_every_rule(seed, &run_disruption_seed(seed, disruption, None, None));
 }
 
+/// An agent opens two sessions to a gateway at once. The one that it opens first, and leaves, begins
+/// its handshake last and arrives last: its snapshot ended the runs started on the other.
+#[test]
+fn a_session_left_for_one_that_was_dialed_before_ends_no_runs() {
+    let disruption = Disruption::OverlappingSessions;
+    assert_keeps_every_rule(42, &run_disruption_seed(42, disruption, None, None));
+}
+
+/// The handshake of a process that was killed in its first second arrives 3 s late: its estimated
+/// start was later than the present process's, whose runs ended with its session.
+#[test]
+fn a_late_handshake_of_a_short_lived_process_ends_no_runs_of_the_present_one() {
+    let disruption = Disruption::ShortLivedProcesses;
+    assert_keeps_every_rule(48, &run_disruption_seed(48, disruption, None, None));
+}
+
 /// The loss of a run of the first submission was taken for that of the second's run at the same
 /// gateway, and the task was started beside it.
 #[rstest]
