--- a/laurelstile-lab/src/lib.rs
+++ b/laurelstile-lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![deny(warnings)]
 #![forbid(unsafe_code)]
 
+pub mod cut;
 pub mod error;
 pub mod process;
 pub mod relay;
--- a/laurelstile-lab/src/relay.rs
+++ b/laurelstile-lab/src/relay.rs
@@ -12,9 +12,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::cut::Cuts;
 use crate::error::LabError;
 
-const BUFFER_BYTES: usize = 64 * 1024;
+pub(crate) const BUFFER_BYTES: usize = 64 * 1024;
 
 /// State of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,6 +49,7 @@
 pub struct Relay {
     links: Arc<Mutex<HashMap<IpAddr, watch::Sender<LinkState>>>>,
     accepted: Arc<AtomicUsize>,
+    cuts: Option<Cuts>,
 }
 
 impl Relay {
@@ -56,10 +58,23 @@
     /// # Errors
     /// [`LabError::Address`].
     pub async fn start(listen: SocketAddr, target: SocketAddr) -> Result<Self, LabError> {
+        Self::start_with_cuts(listen, target, None).await
+    }
+
+    /// Starts a relay from `listen` to `target` that cuts single connections.
+    ///
+    /// # Errors
+    /// [`LabError::Address`].
+    pub async fn start_with_cuts(
+        listen: SocketAddr,
+        target: SocketAddr,
+        cuts: Option<Cuts>,
+    ) -> Result<Self, LabError> {
         let listener = TcpListener::bind(listen).await.map_err(LabError::Address)?;
         let relay = Self {
             links: Arc::default(),
             accepted: Arc::default(),
+            cuts,
         };
         tokio::spawn(relay.clone().accept(listener, target));
         Ok(relay)
@@ -87,7 +102,10 @@
         while let Ok((stream, dialer)) = listener.accept().await {
             self.accepted.fetch_add(1, Ordering::SeqCst);
             let link = self.link(dialer.ip());
-            tokio::spawn(relay_one(stream, target, link));
+            match &self.cuts {
+                None => tokio::spawn(relay_one(stream, target, link)),
+                Some(cuts) => tokio::spawn(cuts.clone().relay(stream, target, link)),
+            };
         }
     }
 }
