Relay: a cut that resets does not send an end first; tests of cuts

Dropping a half of a connection shuts it down, so a reset was an end and a reset. Found by the new test of the lab, which failed on it.

--- a/laurelstile-lab/src/cut.rs
+++ b/laurelstile-lab/src/cut.rs
@@ -68,6 +68,8 @@
     pub left: u32,
     /// Cut connections whose bytes were delivered after their dialers had left.
     pub delivered: u32,
+    /// Bytes from dialers that were held.
+    pub held: u64,
 }
 
 type Plan = Box<dyn FnMut() -> Option<Cut> + Send>;
@@ -186,6 +188,9 @@
                 break;
             }
             let _ = chunks.send(buffer[..read].to_vec());
+            if *self.phase.borrow() == Phase::Cut {
+                self.counts.send_modify(|counts| counts.held += read as u64);
+            }
         }
         if *self.phase.borrow() == Phase::Cut {
             self.is_left.store(true, Ordering::SeqCst);
@@ -205,12 +210,14 @@
                 // Held bytes come before the sequel.
                 biased;
                 chunk = chunks.recv() => chunk,
-                () = self.over(), if has_sequel => {
-                    has_sequel = false;
-                    if self.apply_sequel(&mut to).await {
-                        return;
+                () = self.over(), if has_sequel => match self.cut.map(|cut| cut.sequel) {
+                    Some(Sequel::Reset) => return self.reset_listener(to),
+                    // Dropping it sends the end.
+                    Some(Sequel::HalfClosed) => return,
+                    None | Some(Sequel::GoesOn) => {
+                        has_sequel = false;
+                        continue;
                     }
-                    continue;
                 }
             };
             self.passable(|state| state.hold_forward, true).await;
@@ -227,19 +234,11 @@
         }
     }
 
-    /// Whether nothing more is written to the listener.
-    async fn apply_sequel(&self, to: &mut OwnedWriteHalf) -> bool {
-        match self.cut.map(|cut| cut.sequel) {
-            None | Some(Sequel::GoesOn) => return false,
-            Some(Sequel::Reset) => {
-                let _ = to.as_ref().set_zero_linger();
-                self.phase.send_replace(Phase::Reset);
-            }
-            Some(Sequel::HalfClosed) => {
-                let _ = to.shutdown().await;
-            }
-        }
-        true
+    fn reset_listener(&self, to: OwnedWriteHalf) {
+        let _ = to.as_ref().set_zero_linger();
+        // Dropping it would send an end before the reset.
+        to.forget();
+        self.phase.send_replace(Phase::Reset);
     }
 
     /// Passes the listener's bytes back until it has closed the connection.
@@ -255,8 +254,9 @@
                     continue;
                 }
                 () = self.reset() => {
-                    if let Some(to) = &to {
+                    if let Some(to) = to {
                         let _ = to.as_ref().set_zero_linger();
+                        to.forget();
                     }
                     return;
                 }
