Judge: double runs of a gateway that lost track of an undisturbed run

The points that are missed are printed, and apart from them those of which the history does not say.

--- a/laurelstile-history/src/leased/double_runs.rs
+++ b/laurelstile-history/src/leased/double_runs.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 
-use super::{Life, Promptness, Record, RunEnd, Seen, StartOrder, TaskName, Told};
+use super::{Life, Promptness, Record, Recorded, RunEnd, Seen, StartOrder, TaskName, Told};
 
 /// One of the runs of a task that overlap.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -20,6 +20,10 @@
     pub promptness: Promptness,
     /// The gateway's order, if it is known.
     pub order: Option<StartOrder>,
+    /// When the first stop reached it while it ran, in microseconds.
+    pub stopped_at: Option<u64>,
+    /// When its end was acknowledged, in microseconds, and the agent's fencing token.
+    pub acknowledged: Option<(u64, u64)>,
 }
 
 /// A call by which a job was submitted.
@@ -57,6 +61,8 @@
     pub submissions: u32,
     /// All submissions of the job, in their order.
     pub calls: Vec<CallSeen>,
+    /// What the history records besides the runs.
+    pub recorded: Recorded,
 }
 
 impl DoubleRun {
@@ -100,6 +106,12 @@
     }
 }
 
+impl OverlappingRun {
+    fn is_of(&self, life: Life, number: u32) -> bool {
+        self.life == life && self.order.is_some_and(|order| order.run == number)
+    }
+}
+
 impl fmt::Display for DoubleRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let TaskName { job, step, index } = self.task;
@@ -121,7 +133,7 @@
         for (call, number) in self.calls.iter().zip(1..) {
             write!(f, "\n    call {number} {call}")?;
         }
-        Ok(())
+        write!(f, "\n    {}", self.lost_track())
     }
 }
 
@@ -145,6 +157,12 @@
             Some((at, how)) => write!(f, "{} ms, {how:?}", Millis(at))?,
             None => write!(f, "the end")?,
         }
+        if let Some(at) = self.stopped_at {
+            write!(f, ", stop at {} ms", Millis(at))?;
+        }
+        if let Some((at, token)) = self.acknowledged {
+            write!(f, ", acknowledged at {} ms by {token}", Millis(at))?;
+        }
         if self.promptness == Promptness::Prompt {
             return Ok(());
         }
@@ -198,6 +216,7 @@
     let mut calls: BTreeMap<u64, Vec<CallSeen>> = BTreeMap::new();
     let mut runs: BTreeMap<TaskName, Vec<OverlappingRun>> = BTreeMap::new();
     let mut overlaps = Vec::new();
+    let mut recorded = Recorded::default();
     for Record { at, seen } in records {
         match seen {
             Seen::Submitted { job, gateway, .. } => calls.entry(*job).or_default().push(CallSeen {
@@ -225,6 +244,8 @@
                     ended: None,
                     promptness: *promptness,
                     order: *order,
+                    stopped_at: None,
+                    acknowledged: None,
                 });
                 let open: Vec<usize> = (0..runs.len())
                     .filter(|place| runs[*place].ended.is_none())
@@ -244,6 +265,26 @@
                     run.ended.get_or_insert((*at, *how));
                 }
             }
+            Seen::StopReceived { life, task, run } => {
+                recorded.stops = true;
+                let runs = runs.entry(*task).or_default().iter_mut();
+                let meant = runs.filter(|seen| seen.is_of(*life, *run) && seen.ended.is_none());
+                for seen in meant {
+                    seen.stopped_at.get_or_insert(*at);
+                }
+            }
+            Seen::Acknowledged {
+                life,
+                task,
+                run,
+                token,
+            } => {
+                recorded.acknowledgements = true;
+                let runs = runs.entry(*task).or_default().iter_mut();
+                for seen in runs.filter(|seen| seen.is_of(*life, *run)) {
+                    seen.acknowledged.get_or_insert((*at, *token));
+                }
+            }
             _ => {}
         }
     }
@@ -257,6 +298,7 @@
             .collect(),
         submissions: u32::try_from(overlap.submissions).unwrap_or(u32::MAX),
         calls: calls.get(&overlap.task.job).cloned().unwrap_or_default(),
+        recorded,
     });
     found.collect()
 }
--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -134,6 +134,7 @@
                 }
             }
             Seen::Ended { life, task, how } => self.on_ended(at, *life, *task, *how, bounds),
+            Seen::StopReceived { .. } | Seen::Acknowledged { .. } => {}
             Seen::Capacity { life, before } => {
                 let rooms = self.rooms_before.entry(*life).or_default();
                 rooms.push((at, *before));
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -3,11 +3,13 @@
 
 mod double_runs;
 mod judge;
+mod lost_track;
 
 use serde::{Deserialize, Serialize};
 
 pub use double_runs::{CallSeen, DoubleRun, OverlappingRun, Source, double_runs};
 pub use judge::{Bounds, judge};
+pub use lost_track::{LostTrack, Point, Recorded};
 
 /// A task, as workers name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -164,6 +166,26 @@
         /// How.
         how: RunEnd,
     },
+    /// An order to stop a run reaches its worker.
+    StopReceived {
+        /// Life of the worker.
+        life: Life,
+        /// The task.
+        task: TaskName,
+        /// Number of the run.
+        run: u32,
+    },
+    /// An agent acknowledges the end of a run to its worker.
+    Acknowledged {
+        /// Life of the worker.
+        life: Life,
+        /// The task.
+        task: TaskName,
+        /// Number of the run.
+        run: u32,
+        /// Fencing token of the agent.
+        token: u64,
+    },
     /// A life of a worker ends without its word, with all that it runs.
     Crashed {
         /// Life of the worker.
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -89,7 +89,8 @@
     }
 }
 
-fn name_of(task: TaskId) -> TaskName {
+/// The name of a task in histories.
+pub fn name_of(task: TaskId) -> TaskName {
     TaskName {
         job: task.job.0,
         step: task.step,
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -162,6 +162,7 @@
     for run in &double_run.runs {
         println!("  {run:?}");
     }
+    println!("  {}", double_run.lost_track());
 }
 
 fn show_history(outcome: &Outcome) {
