--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -6,6 +6,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 
+use super::agent::worker::FenceToken;
 use super::crashes::WorkerCrash;
 use super::evacuation::Evacuations;
 use super::gateway::queues::QueueConfiguration;
@@ -235,6 +236,14 @@
     pub labels: Vec<String>,
     /// The gateway's runs at this agent that have not ended.
     pub held: Vec<(TaskId, RunNumber)>,
+    /// Number of the session, rising with each that the agent process opens; `None` from an older
+    /// version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<u64>,
+    /// Fencing token under which the agent received its worker's run lists; `None` from an older
+    /// version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<FenceToken>,
 }
 
 /// Current state of a worker.
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -194,6 +194,8 @@
             capacity,
             labels: Vec::new(),
             held: Vec::new(),
+            session: None,
+            token: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -243,6 +245,8 @@
             capacity,
             labels: Vec::new(),
             held: Vec::new(),
+            session: None,
+            token: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -277,6 +281,8 @@
             capacity,
             labels: Vec::new(),
             held,
+            session: None,
+            token: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
