--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -192,6 +192,8 @@
     NoBirths,
     /// Gateways take the session whose handshake arrived last for an agent's latest.
     NoSessionOrder,
+    /// Gateways order the processes of an agent by their estimated starts alone.
+    NoProcessOrder,
 }
 
 /// Draws `count` faults within `length`.
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -469,6 +469,13 @@
                 {
                     message.body = FromAgentBody::Heartbeat;
                 }
+                if let FromAgentBody::Snapshot(snapshot) = &mut message.body {
+                    match self.sabotage {
+                        Some(Sabotage::NoSessionOrder) => snapshot.session = None,
+                        Some(Sabotage::NoProcessOrder) => snapshot.token = None,
+                        _ => {}
+                    }
+                }
                 let process = &self.gateways[index];
                 if process.incarnation == incarnation && process.is_up {
                     self.gateway_event(index, GatewayEvent::AgentMessage { session, message });
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -33,11 +33,12 @@
         Some("deregistrations") => Some(Sabotage::DeregistrationIsEnd),
         Some("births") => Some(Sabotage::NoBirths),
         Some("session-order") => Some(Sabotage::NoSessionOrder),
+        Some("process-order") => Some(Sabotage::NoProcessOrder),
         Some(_) => {
             eprintln!(
                 "--without takes owner-silence, leases, takeover, drains, evacuations, \
                  crash-news, capacity-news, steady-clocks, cancel-news, claims, \
-                 deregistrations, births or session-order"
+                 deregistrations, births, session-order or process-order"
             );
             return ExitCode::from(2);
         }
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -114,6 +114,9 @@
 #[case::clock_steps(Disruption::ClockSteps)]
 #[case::slow_processes(Disruption::SlowProcesses)]
 #[case::timed_faults(Disruption::TimedFaults)]
+#[case::overlapping_sessions(Disruption::OverlappingSessions)]
+#[case::late_handshakes(Disruption::LateHandshakes)]
+#[case::short_lived_processes(Disruption::ShortLivedProcesses)]
 fn seeds_with_a_further_disruption_keep_every_rule(#[case] disruption: Disruption) {
     for seed in 0..15 {
         let outcome = run_disruption_seed(seed, disruption, None, None);
@@ -154,6 +157,23 @@
     assert_keeps_every_rule(48, &run_disruption_seed(48, disruption, None, None));
 }
 
+/// A late handshake, of a session that the agent has left (late handshakes) or of its earlier process
+/// (short-lived processes), ends runs where gateways cannot tell it from the latest.
+#[rstest]
+#[case::session_order(Disruption::LateHandshakes, Sabotage::NoSessionOrder)]
+#[case::process_order(Disruption::ShortLivedProcesses, Sabotage::NoProcessOrder)]
+fn tasks_run_twice_where_the_order_is_unknown(
+    #[case] disruption: Disruption,
+    #[case] sabotage: Sabotage,
+) {
+    let is_broken = (0..60).any(|seed| {
+        let outcome = run_disruption_seed(seed, disruption, Some(sabotage), None);
+        let mut broken = outcome.violations.iter();
+        broken.any(|violation| violation.rule == Rule::OneRun)
+    });
+    assert!(is_broken, "no task ran twice with {sabotage:?}");
+}
+
 /// The loss of a run of the first submission was taken for that of the second's run at the same
 /// gateway, and the task was started beside it.
 #[rstest]
