--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -190,6 +190,10 @@
     DeregistrationIsEnd,
     /// Workers that start again under their ids do not tell their births.
     NoBirths,
+    /// Gateways take the session whose handshake arrived last for an agent's latest.
+    NoSessionOrder,
+    /// Gateways order the processes of an agent by their estimated starts alone.
+    NoProcessOrder,
 }
 
 /// Draws `count` faults within `length`.
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 pub mod commands;
 mod faulting;
+pub mod handshakes;
 mod heartbeats;
 mod leaving;
 mod links;
@@ -30,6 +31,7 @@
 use rand_pcg::Pcg64;
 
 use commands::CommandFaults;
+use handshakes::Handshakes;
 use links::ThinLinks;
 use session_faults::Refusal;
 use timed_faults::TimedFaults;
@@ -76,6 +78,17 @@
 /// Calls of a caller after ones that their gateways may still hold are this far apart.
 const FORMER_CALL: u64 = 1 << 33;
 
+/// What is traced of sessions.
+const SESSION_EVENTS: [&str; 7] = [
+    "SessionOpens",
+    "SessionEnds",
+    "SessionAccepted",
+    "SessionSilent",
+    "LateHandshake",
+    "Close(",
+    "Snapshot(",
+];
+
 /// Room that every task needs, in thousandths of a core.
 pub const TASK_ROOM: u32 = 1_000;
 
@@ -220,6 +233,8 @@
     refusals: BTreeMap<(usize, usize), Refusal>,
     /// Until when the handshakes of an agent are delayed.
     handshakes_delayed_until: BTreeMap<usize, u64>,
+    /// Handshakes that take time step by step, if they do.
+    pub handshakes: Option<Handshakes>,
     /// When gateways handle sessions whose handshakes are delayed.
     opening: BTreeMap<SessionId, u64>,
     /// The life of each worker that refuses connections.
@@ -292,6 +307,7 @@
             dead_workers_refuse: false,
             refusals: BTreeMap::new(),
             handshakes_delayed_until: BTreeMap::new(),
+            handshakes: None,
             opening: BTreeMap::new(),
             shut: vec![None; workers.len()],
             clocks_back: vec![0; workers.len()],
@@ -397,7 +413,9 @@
         let text = format!("{what:?}");
         let is_list = text.contains("Watched");
         let is_of_zones = text.contains("Evacuations");
-        if is_of_zones || !is_list && text.contains(&format!("{job:?}")) {
+        let mut of_sessions = SESSION_EVENTS.iter();
+        let is_of_session = of_sessions.any(|event| text.contains(event));
+        if is_of_zones || is_of_session || !is_list && text.contains(&format!("{job:?}")) {
             println!("{:>12} us  {}  {text}", self.now, place());
         }
     }
@@ -451,6 +469,13 @@
                 {
                     message.body = FromAgentBody::Heartbeat;
                 }
+                if let FromAgentBody::Snapshot(snapshot) = &mut message.body {
+                    match self.sabotage {
+                        Some(Sabotage::NoSessionOrder) => snapshot.session = None,
+                        Some(Sabotage::NoProcessOrder) => snapshot.token = None,
+                        _ => {}
+                    }
+                }
                 let process = &self.gateways[index];
                 if process.incarnation == incarnation && process.is_up {
                     self.gateway_event(index, GatewayEvent::AgentMessage { session, message });
@@ -460,6 +485,9 @@
             Happening::PeerSessionEnds(index, session) => self.peer_session_ends(index, session),
             Happening::AgentSessionEnds(index, incarnation, session) => {
                 if self.agents[index].incarnation == incarnation && self.agents[index].is_up {
+                    if let Some(handshakes) = &mut self.handshakes {
+                        handshakes.forget(session);
+                    }
                     self.agents[index].sessions.remove(&session);
                     self.agent_event(index, AgentEvent::Closed { session });
                 }
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -32,11 +32,13 @@
         Some("claims") => Some(Sabotage::NoClaims),
         Some("deregistrations") => Some(Sabotage::DeregistrationIsEnd),
         Some("births") => Some(Sabotage::NoBirths),
+        Some("session-order") => Some(Sabotage::NoSessionOrder),
+        Some("process-order") => Some(Sabotage::NoProcessOrder),
         Some(_) => {
             eprintln!(
                 "--without takes owner-silence, leases, takeover, drains, evacuations, \
                  crash-news, capacity-news, steady-clocks, cancel-news, claims, \
-                 deregistrations or births"
+                 deregistrations, births, session-order or process-order"
             );
             return ExitCode::from(2);
         }
@@ -47,7 +49,8 @@
             let Some(disruption) = Disruption::named(name) else {
                 eprintln!(
                     "--disruption takes commands, sessions, closing-workers, \
-                     succeeded-workers, clock-steps, slow-processes or timed-faults"
+                     succeeded-workers, clock-steps, slow-processes, timed-faults, \
+                     overlapping-sessions, late-handshakes or short-lived-processes"
                 );
                 return ExitCode::from(2);
             };
@@ -162,6 +165,7 @@
     for run in &double_run.runs {
         println!("  {run:?}");
     }
+    println!("  {}", double_run.lost_track());
 }
 
 fn show_history(outcome: &Outcome) {
