--- a/laurelstile-lab/src/cut.rs
+++ b/laurelstile-lab/src/cut.rs
@@ -141,9 +141,11 @@
             tokio::time::sleep(CLOSE_LIMIT).await;
         };
         tokio::select! {
-            () = forward => {}
-            () = connection.pass_back(from_listener, to_dialer) => {}
+            // A cut from the start begins before anything passes.
+            biased;
             () = connection.time_cut(self.released.subscribe()) => {}
+            () = connection.pass_back(from_listener, to_dialer) => {}
+            () = forward => {}
         }
     }
 }
@@ -296,7 +298,10 @@
         };
         let before = *released.borrow_and_update();
         if let CutStart::After(delay) = cut.start {
-            tokio::time::sleep(delay).await;
+            // Even a sleep of no length takes a millisecond.
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
             self.begin();
         }
         let mut phase = self.phase.subscribe();
