--- a/laurelstile-sim/src/search/fault.rs
+++ b/laurelstile-sim/src/search/fault.rs
@@ -48,6 +48,18 @@
     Equal,
 }
 
+/// What an agent does with a session whose handshake reaches its gateway late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LateSession {
+    /// It keeps the session.
+    Kept,
+    /// It loses the session at once, and opens another.
+    Left,
+    /// It leaves the session at once for one to another address of the gateway, which it had begun
+    /// to dial before.
+    LeftForEarlierDial,
+}
+
 /// Inputs of a gateway's driver that may wait in a queue of their own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum GatewayInput {
@@ -78,6 +90,9 @@
     /// Nothing arrives on the present session any more, and neither side is told. New sessions
     /// work.
     Silent(usize, usize),
+    /// A session is closed, and another opened whose handshake and messages reach the gateway after
+    /// this time.
+    LateHandshake(usize, usize, LateSession, Micros),
     /// A session is closed at once and cannot be opened again for this time.
     Severed(usize, usize, Micros),
     /// The links of an agent to all gateways stop both ways; what was sent arrives afterwards.
@@ -158,6 +173,13 @@
             Self::Silent(..) => "session silent".into(),
             Self::GatewayStops(..) => "gateway stops".into(),
             Self::AgentStops(..) => "agent stops".into(),
+            Self::LateHandshake(_, _, session, _) => match session {
+                LateSession::Kept => "handshake late".into(),
+                LateSession::Left => "handshake late, session left".into(),
+                LateSession::LeftForEarlierDial => {
+                    "handshake late, session left for an earlier dial".into()
+                }
+            },
             Self::Severed(..) => "session severed".into(),
             Self::AgentCut(..) => "agent cut off from all gateways".into(),
             Self::GatewayFrozen(..) => "gateway frozen".into(),
@@ -218,6 +240,11 @@
                 Basis::Stated,
                 "NEWS-27: open connections may go silent for good, while new ones work",
             ),
+            Self::LateHandshake(_, _, LateSession::LeftForEarlierDial, _) => (
+                Basis::Open,
+                "no document says by how many addresses a gateway is dialed",
+            ),
+            Self::LateHandshake(..) => (Basis::Stated, "SYSTEM: reset_conns with node_cut"),
             Self::Severed(..) => (Basis::Stated, "SYSTEM: reset_conns"),
             Self::GatewayFrozen(..) | Self::AgentFrozen(..) => {
                 (Basis::Stated, "SYSTEM: node_freeze")
--- a/laurelstile-sim/src/search/menu.rs
+++ b/laurelstile-sim/src/search/menu.rs
@@ -1,7 +1,8 @@
 //! Which faults are combined, and when each begins.
 
 use super::fault::{
-    AgentInput, CommandType, Direction, Fault, GatewayInput, LateLease, Micros, TokenStart,
+    AgentInput, CommandType, Direction, Fault, GatewayInput, LateLease, LateSession, Micros,
+    TokenStart,
 };
 use super::world::SUBMITTED_AT;
 
@@ -135,6 +136,13 @@
                 faults.push(Fault::Loss(agent, gateway, direction, duration));
             }
             faults.push(Fault::Severed(agent, gateway, duration));
+            for session in [
+                LateSession::Kept,
+                LateSession::Left,
+                LateSession::LeftForEarlierDial,
+            ] {
+                faults.push(Fault::LateHandshake(agent, gateway, session, duration));
+            }
         }
         faults.push(Fault::Silent(agent, gateway));
         if is_main {
--- a/laurelstile-sim/src/search/world/faulting.rs
+++ b/laurelstile-sim/src/search/world/faulting.rs
@@ -42,6 +42,9 @@
                 let event = Box::new(AgentEvent::Stop);
                 self.schedule(now, Event::AgentInput(index, incarnation, event));
             }
+            Fault::LateHandshake(agent, gateway, late, micros) => {
+                self.open_late(agent, gateway, late, micros);
+            }
             Fault::Severed(agent, gateway, micros) => {
                 self.severed_until[agent][gateway] = now + micros;
                 if let Some(session) = self.session(agent, gateway) {
--- a/laurelstile-sim/src/search/world/inputs.rs
+++ b/laurelstile-sim/src/search/world/inputs.rs
@@ -20,9 +20,9 @@
         let gateway = |index: usize, input| self.slow_gateways[index][input as usize];
         let agent = |index: usize, input| self.slow_agents[index][input as usize];
         match event {
-            Event::ToGateway(index, ..) | Event::GatewaySessionEnds(index, ..) => {
-                gateway(*index, GatewayInput::AgentMessages)
-            }
+            Event::ToGateway(index, ..)
+            | Event::GatewaySessionOpens(index, ..)
+            | Event::GatewaySessionEnds(index, ..) => gateway(*index, GatewayInput::AgentMessages),
             Event::Submission(index, ..) => gateway(*index, GatewayInput::Submissions),
             Event::Disconnect(index, ..) => gateway(*index, GatewayInput::Disconnects),
             Event::ToAgent(index, ..) | Event::AgentSessionEnds(index, ..) => {
@@ -38,6 +38,7 @@
         let frozen_until = match event {
             Event::WakeGateway(index)
             | Event::ToGateway(index, ..)
+            | Event::GatewaySessionOpens(index, ..)
             | Event::GatewaySessionEnds(index, ..)
             | Event::Submission(index, ..)
             | Event::Configuration(index, _)
@@ -103,6 +104,9 @@
                     self.gateway_event(index, GatewayEvent::AgentClosed { session });
                 }
             }
+            Event::GatewaySessionOpens(index, incarnation, session, remote) => {
+                self.gateway_session_opens(index, incarnation, session, remote);
+            }
             Event::Dial(index) => self.dial(index),
             Event::CommandArrives(worker, agent, command, delivery) => {
                 self.commands_in_flight -= 1;
--- a/laurelstile-sim/src/search/world/links.rs
+++ b/laurelstile-sim/src/search/world/links.rs
@@ -3,9 +3,10 @@
 use laurelstile_core::leased::agent::AgentEvent;
 use laurelstile_core::leased::gateway::GatewayEvent;
 use laurelstile_core::session::{Remote, SessionId};
+use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
 
-use super::super::fault::{Direction, Micros};
+use super::super::fault::{Direction, LateSession, Micros};
 use super::{CLOSE_NOTICE, Event, NODES, World};
 
 /// One-way delay between two processes.
@@ -30,7 +31,9 @@
         if self.broken.contains(&(session, direction)) {
             return;
         }
-        let at = self.now.max(link.held_until) + LATENCY;
+        let opens_at = self.opens_at.get(&session).copied();
+        let opens_at = opens_at.filter(|_| direction == Direction::ToGateway);
+        let at = self.now.max(link.held_until).max(opens_at.unwrap_or(0)) + LATENCY;
         self.schedule(at, event);
     }
 
@@ -74,6 +77,76 @@
         }
     }
 
+    /// Closes the session between an agent and a gateway, and opens another that the gateway learns
+    /// of late.
+    pub(super) fn open_late(
+        &mut self,
+        agent: usize,
+        gateway: usize,
+        late: LateSession,
+        micros: Micros,
+    ) {
+        if !self.agents[agent].is_up || !self.gateways[gateway].is_up {
+            return;
+        }
+        if let Some(session) = self.session(agent, gateway) {
+            self.broken.insert((session, Direction::ToAgent));
+            self.broken.insert((session, Direction::ToGateway));
+            self.agents[agent].sessions.remove(&session);
+            self.agent_event(agent, AgentEvent::Closed { session });
+            let of = self.gateways[gateway].incarnation;
+            let ends = Event::GatewaySessionEnds(gateway, of, session);
+            self.schedule(self.now + CLOSE_NOTICE, ends);
+        }
+        let session = SessionId(self.fresh());
+        let dialed_at = match late {
+            LateSession::LeftForEarlierDial => self.now + 2 * REDIAL,
+            LateSession::Kept | LateSession::Left => self.now,
+        };
+        let (of, to) = (
+            self.agents[agent].incarnation,
+            self.gateways[gateway].incarnation,
+        );
+        let remote = Remote {
+            name: format!("agent-{agent}"),
+            incarnation: of,
+            uptime: Span(dialed_at - self.agents[agent].started),
+        };
+        let opens_at = self.now + micros;
+        self.opens_at.insert(session, opens_at);
+        let opens = Event::GatewaySessionOpens(gateway, to, session, remote);
+        self.schedule(opens_at, opens);
+        self.last_gateways[agent][gateway] = Some(to);
+        self.agents[agent].sessions.insert(session, gateway);
+        self.note(|| format!("session {} opens at agent-{agent}", session.0));
+        let opened = AgentEvent::Opened {
+            session,
+            gateway: to,
+        };
+        self.agent_event(agent, opened);
+        if late != LateSession::Kept {
+            let ends_at = self.now + CLOSE_NOTICE;
+            self.schedule(ends_at, Event::AgentSessionEnds(agent, of, session));
+            let ends = Event::GatewaySessionEnds(gateway, to, session);
+            self.schedule(opens_at + 2 * LATENCY, ends);
+        }
+    }
+
+    pub(super) fn gateway_session_opens(
+        &mut self,
+        gateway: usize,
+        incarnation: Incarnation,
+        session: SessionId,
+        remote: Remote,
+    ) {
+        let index = remote.name.trim_start_matches("agent-").parse();
+        if let (true, Ok(agent)) = (self.is_gateway(gateway, incarnation), index) {
+            self.gateways[gateway].sessions.insert(session, agent);
+            self.note(|| format!("session {} opens at gateway-{gateway}", session.0));
+            self.gateway_event(gateway, GatewayEvent::AgentOpened { session, remote });
+        }
+    }
+
     pub(super) fn connect(&mut self, index: usize, gateway: usize) {
         let session = SessionId(self.fresh());
         let remote = Remote {
--- a/laurelstile-sim/src/search/world/mod.rs
+++ b/laurelstile-sim/src/search/world/mod.rs
@@ -15,7 +15,7 @@
 use laurelstile_core::leased::gateway::job::CallNumber;
 use laurelstile_core::leased::messages::{FromAgent, ToAgent};
 use laurelstile_core::leased::task::{JobId, RunId};
-use laurelstile_core::session::SessionId;
+use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
 
@@ -89,6 +89,8 @@
     AgentSessionEnds(usize, Incarnation, SessionId),
     /// A gateway notices the end of a session.
     GatewaySessionEnds(usize, Incarnation, SessionId),
+    /// The handshake of a session reaches its gateway late.
+    GatewaySessionOpens(usize, Incarnation, SessionId, Remote),
     /// An agent dials the gateways to which it has no session.
     Dial(usize),
     /// A command reaches a worker.
@@ -174,6 +176,8 @@
     links: [[[Link; 2]; NODES]; NODES],
     severed_until: [[Micros; NODES]; NODES],
     broken: BTreeSet<(SessionId, Direction)>,
+    /// When the handshakes of sessions reach their gateways that do so late.
+    opens_at: BTreeMap<SessionId, Micros>,
     last_gateways: [[Option<Incarnation>; NODES]; NODES],
     refusing_gateways: [bool; NODES],
     slow_gateways: [[Micros; 3]; NODES],
@@ -241,6 +245,7 @@
             links: Default::default(),
             severed_until: Default::default(),
             broken: BTreeSet::new(),
+            opens_at: BTreeMap::new(),
             last_gateways: Default::default(),
             refusing_gateways: [false; NODES],
             slow_gateways: Default::default(),
--- a/laurelstile-sim/src/search/world/processes.rs
+++ b/laurelstile-sim/src/search/world/processes.rs
@@ -9,6 +9,7 @@
 use laurelstile_types::time::Span;
 
 use super::super::fault::{Direction, Micros, TokenStart};
+use super::links::LATENCY;
 use super::workers::HEARTBEAT;
 use super::{CLOSE_NOTICE, Event, World};
 use crate::leased::nodes::{self, Process};
@@ -201,7 +202,8 @@
         self.watches[index] = None;
         for (session, gateway) in std::mem::take(&mut self.agents[index].sessions) {
             let of = self.gateways[gateway].incarnation;
-            let at = self.now + CLOSE_NOTICE;
+            let opens_at = self.opens_at.get(&session).copied().unwrap_or(0);
+            let at = self.now.max(opens_at + LATENCY) + CLOSE_NOTICE;
             self.schedule(at, Event::GatewaySessionEnds(gateway, of, session));
         }
     }
--- a/laurelstile-sim/tests/search.rs
+++ b/laurelstile-sim/tests/search.rs
@@ -1,6 +1,8 @@
 //! No single fault that the platform's documents state lets a task run twice at the same time.
 
-use laurelstile_sim::search::fault::{CommandType, Fault, LateLease, ScheduledFault, TokenStart};
+use laurelstile_sim::search::fault::{
+    CommandType, Fault, LateLease, LateSession, ScheduledFault, TokenStart,
+};
 use laurelstile_sim::search::{
     Detail, Mechanism, SUBMITTED_AT, SearchOptions, Setup, play, search,
 };
@@ -39,6 +41,19 @@
     assert!(report.classes.is_empty(), "{:#?}", report.classes);
 }
 
+/// The first snapshot of a session that the agent had left, which reached the gateway late, ended the
+/// run that was started on its next session.
+#[rstest]
+#[case::left(LateSession::Left)]
+#[case::left_for_an_earlier_dial(LateSession::LeftForEarlierDial)]
+fn a_late_handshake_of_a_session_that_was_left_ends_no_run(#[case] late: LateSession) {
+    let handshake = ScheduledFault {
+        at: SUBMITTED_AT - 425_000,
+        fault: Fault::LateHandshake(0, 0, late, 450_000),
+    };
+    assert!(play(Setup::default(), &[handshake]).is_none());
+}
+
 /// A delayed start of the previous agent process took effect after the present one, whose first
 /// token equalled the last one of the previous process, had reported the run as lost.
 #[test]
