--- a/laurelstile-sim/src/leased/disruptions.rs
+++ b/laurelstile-sim/src/leased/disruptions.rs
@@ -38,6 +38,8 @@
     LateHandshakes,
     /// Agents that are killed within their first seconds, beside sessions that break.
     ShortLivedProcesses,
+    /// The same, where machines restart with earlier clocks, and workers with their agents.
+    RestartedMachines,
 }
 
 impl Disruption {
@@ -54,6 +56,7 @@
             "overlapping-sessions" => Some(Self::OverlappingSessions),
             "late-handshakes" => Some(Self::LateHandshakes),
             "short-lived-processes" => Some(Self::ShortLivedProcesses),
+            "restarted-machines" => Some(Self::RestartedMachines),
             _ => None,
         }
     }
@@ -71,6 +74,7 @@
             Self::OverlappingSessions => 0x0e41a,
             Self::LateHandshakes => 0x1a7e4a,
             Self::ShortLivedProcesses => 0x5407,
+            Self::RestartedMachines => 0x4e57a,
         }
     }
 
@@ -112,9 +116,17 @@
             Self::OverlappingSessions | Self::LateHandshakes => {
                 draw_of_breaks(length, gateways, workers, random, &mut faults);
             }
-            Self::ShortLivedProcesses => {
+            Self::ShortLivedProcesses | Self::RestartedMachines => {
                 draw_of_breaks(length, gateways, workers, random, &mut faults);
-                draw_of_short_lives(length, gateways, workers, random, &mut faults);
+                let has_early_clocks = self == Self::RestartedMachines;
+                draw_of_short_lives(
+                    has_early_clocks,
+                    length,
+                    gateways,
+                    workers,
+                    random,
+                    &mut faults,
+                );
             }
         }
         faults
@@ -125,7 +137,10 @@
         let has_two_addresses = self == Self::OverlappingSessions;
         let is_in_steps = matches!(
             self,
-            Self::OverlappingSessions | Self::LateHandshakes | Self::ShortLivedProcesses
+            Self::OverlappingSessions
+                | Self::LateHandshakes
+                | Self::ShortLivedProcesses
+                | Self::RestartedMachines
         );
         is_in_steps.then(|| HandshakeDelays {
             has_two_addresses,
@@ -213,8 +228,9 @@
 }
 
 /// Draws agents that are killed several times soon after their start, each time beside sessions
-/// that break.
+/// that break; with earlier clocks, and beside crashes of their workers, if `has_early_clocks`.
 fn draw_of_short_lives(
+    has_early_clocks: bool,
     length: u64,
     gateways: usize,
     workers: usize,
@@ -228,7 +244,15 @@
         let mut at = random.random_range(500_000..length);
         let worker = random.random_range(0..workers);
         for _ in 0..random.random_range(1..5) {
-            add(at, 0, Fault::KillAgent(worker));
+            if has_early_clocks {
+                if random.random_bool(0.5) {
+                    add(at, AWAY, Fault::CrashWorker(worker));
+                }
+                let back = random.random_range(1..10_000);
+                add(at, 0, Fault::StepClockBack(worker, back));
+            } else {
+                add(at, 0, Fault::KillAgent(worker));
+            }
             let life = match random.random_range(0..3) {
                 0 => random.random_range(10_000..200_000),
                 1 => random.random_range(200_000..1_000_000),
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -50,7 +50,8 @@
                 eprintln!(
                     "--disruption takes commands, sessions, closing-workers, \
                      succeeded-workers, clock-steps, slow-processes, timed-faults, \
-                     overlapping-sessions, late-handshakes or short-lived-processes"
+                     overlapping-sessions, late-handshakes, short-lived-processes or \
+                     restarted-machines"
                 );
                 return ExitCode::from(2);
             };
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -157,6 +157,14 @@
     assert_keeps_every_rule(48, &run_disruption_seed(48, disruption, None, None));
 }
 
+/// A machine restarted with an earlier clock, so that the worker's next process accepted a lower
+/// fencing token: a late handshake of the agent's process of before ended the present one's runs.
+#[test]
+fn a_late_handshake_with_a_higher_token_of_before_a_clock_step_ends_no_runs() {
+    let disruption = Disruption::RestartedMachines;
+    assert_keeps_every_rule(53, &run_disruption_seed(53, disruption, None, None));
+}
+
 /// A late handshake, of a session that the agent has left (late handshakes) or of its earlier process
 /// (short-lived processes), ends runs where gateways cannot tell it from the latest.
 #[rstest]
