--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -174,9 +174,14 @@
         Self::with_worker_and_token_floor(capacity, TOKEN_FLOOR)
     }
 
+    /// As [`Self::new`], with fencing tokens that are greater than `token_floor`.
+    pub fn with_token_floor(token_floor: FenceToken) -> Self {
+        Self::with_options(RARE_HEARTBEATS, token_floor)
+    }
+
     /// As [`Self::with_worker`], with fencing tokens that are greater than `token_floor`.
     pub fn with_worker_and_token_floor(capacity: Resources, token_floor: FenceToken) -> Self {
-        let mut rig = Self::with_options(RARE_HEARTBEATS, token_floor);
+        let mut rig = Self::with_token_floor(token_floor);
         rig.register(at(0), "life-1", capacity, false);
         rig.answer_watch(at(0), RunLists::default());
         rig
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -48,6 +48,8 @@
     pub echoes: Vec<Timestamp>,
     /// Runs that the gateway considered ended without a report, with the evidence, in order.
     pub lost: Vec<(EndSource, Vec<RunId>)>,
+    /// Sessions that the gateway closed, in order.
+    pub closed: Vec<SessionId>,
     /// Whether the gateway has stopped.
     pub stopped: bool,
     /// Versions of the configurations put in force, in order.
@@ -86,6 +88,7 @@
             stages: Vec::new(),
             echoes: Vec::new(),
             lost: Vec::new(),
+            closed: Vec::new(),
             stopped: false,
             in_force: Vec::new(),
             ends: 0,
@@ -131,6 +134,7 @@
                 GatewayEffect::Decided(GatewayDecision::RunsLost { source, runs, .. }) => {
                     self.lost.push((source, runs));
                 }
+                GatewayEffect::Close(session) => self.closed.push(session),
                 GatewayEffect::Stopped => self.stopped = true,
                 _ => {}
             }
