Fencing tokens order processes of one worker incarnation only

What callers would see: a task runs twice, if a machine restarts with its clock set back by seconds and the handshake of the agent's process of before arrives late, while the present session is broken.

Runs on an earlier incarnation wait for the expiry of the process.

--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -8,6 +8,7 @@
 use super::super::timing::{BUSY_HEARTBEAT_INTERVAL, BUSY_LINGER, IDLE_HEARTBEAT_INTERVAL};
 use super::owner::Owner;
 use super::run_table::{RunState, StopReason};
+use super::worker_state::WorkerState;
 use super::{AgentEffect, LeasedAgent};
 use crate::session::SessionId;
 
@@ -190,7 +191,7 @@
                 .unwrap_or_default(),
             held,
             session: owner.map(|owner| owner.session_number),
-            token: worker.and_then(|worker| worker.listed_token),
+            control: worker.and_then(WorkerState::control),
         }
     }
 
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -5,6 +5,7 @@
 use laurelstile_types::time::Timestamp;
 
 use super::super::crashes::CrashedTask;
+use super::super::messages::Control;
 use super::super::resources::Resources;
 use super::super::task::RunId;
 use super::super::worker_incarnation::WorkerIncarnation;
@@ -106,6 +107,15 @@
         self.draining || self.deregistration.is_some()
     }
 
+    /// The control of the incarnation, once its run lists have been received.
+    pub fn control(&self) -> Option<Control> {
+        let token = self.listed_token?;
+        Some(Control {
+            incarnation: self.incarnation.clone(),
+            token,
+        })
+    }
+
     /// The record that the next agent reads at start, with the smallest capacity reported.
     pub fn record(&self, now: Timestamp) -> IncarnationRecord {
         let registration = Registration {
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -254,7 +254,7 @@
         }
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
         let is_first = worker.snapshot.is_none();
-        worker.token = snapshot.token;
+        worker.control = snapshot.control.clone();
         worker.snapshot = Some(snapshot);
         worker.has_crashed = false;
         worker.update_evacuation(&self.evacuations);
@@ -301,15 +301,15 @@
         name: &str,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let Some((started_at, token)) = self
+        let Some((started_at, control)) = self
             .workers
             .get(&agent)
-            .map(|worker| (worker.process_started_at, worker.token))
+            .map(|worker| (worker.process_started_at, worker.control.clone()))
         else {
             return;
         };
         let others = self.workers.iter_mut().filter(|(other, worker)| {
-            let is_earlier = worker.may_be_earlier_than(started_at, token);
+            let is_earlier = worker.is_succeeded_by(started_at, control.as_ref());
             **other != agent && worker.name == name && is_earlier
         });
         let mut ended = Vec::new();
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -4,9 +4,8 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::super::agent::worker::FenceToken;
 use super::super::evacuation::Evacuations;
-use super::super::messages::{Offer, Report, Snapshot};
+use super::super::messages::{Control, Offer, Report, Snapshot};
 use super::super::resources::Resources;
 use super::super::task::{JobId, RunId, RunNumber, TaskId};
 use super::super::timing::{
@@ -15,11 +14,6 @@
 use super::job::StepRequest;
 use crate::session::{Remote, SessionId};
 
-/// By how much the token of a start may exceed that of the agent's latest snapshot. The token rises
-/// with each incarnation of the worker, and an agent accepts a start only if its gateway had received
-/// all that the agent had sent until 300 ms before.
-const MAX_UNREPORTED_TOKENS: u64 = 64;
-
 /// A batch of starts that no report has acknowledged yet.
 #[derive(Clone, Copy, Debug)]
 struct UnreportedBatch {
@@ -43,9 +37,8 @@
     latest_uptime: Span,
     /// Number of the latest session on which a snapshot was received; 0 if no snapshot had one.
     latest_number: u64,
-    /// Fencing token of the latest snapshot; `None` if it had none. A higher one is that of a later
-    /// process.
-    pub token: Option<FenceToken>,
+    /// What the agent controlled as of its latest snapshot; `None` if that did not say.
+    pub control: Option<Control>,
     /// The agent's latest snapshot on this session; `None` before the agent has the worker
     /// under control.
     pub snapshot: Option<Snapshot>,
@@ -93,7 +86,7 @@
             session: None,
             latest_uptime: Span::default(),
             latest_number: 0,
-            token: None,
+            control: None,
             snapshot: None,
             report: Report {
                 processed: 0,
@@ -149,15 +142,14 @@
         self.unreported.clear();
     }
 
-    /// Whether a process with this start time and token may be a later one of the same agent. Start
-    /// times are estimates, which a delayed handshake makes too late; the worker accepts no token
-    /// below one that it has accepted.
-    pub fn may_be_earlier_than(&self, started_at: i64, token: Option<FenceToken>) -> bool {
-        let has_lower_token = match (self.token, token) {
-            (Some(own), Some(other)) => own.0.saturating_add(MAX_UNREPORTED_TOKENS) < other.0,
+    /// Whether a process of the same agent with this start time and control has succeeded this one.
+    /// Start times are estimates, which a delayed handshake makes too late.
+    pub fn is_succeeded_by(&self, started_at: i64, control: Option<&Control>) -> bool {
+        let is_superseded = match (&self.control, control) {
+            (Some(own), Some(other)) => other.supersedes(own),
             _ => true,
         };
-        self.process_started_at < started_at && has_lower_token
+        self.process_started_at < started_at && is_superseded
     }
 
     /// Marks a job's tasks as unwanted and returns them, to be stopped.
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -15,6 +15,7 @@
 use super::resources::Resources;
 use super::serde_defaults::is_false;
 use super::task::{JobId, RunNumber, TaskId};
+use super::worker_incarnation::WorkerIncarnation;
 
 /// A message from a gateway to an agent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -240,10 +241,33 @@
     /// version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub session: Option<u64>,
-    /// Fencing token under which the agent received its worker's run lists; `None` from an older
-    /// version.
+    /// What the agent controls; `None` from an older version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub token: Option<FenceToken>,
+    pub control: Option<Control>,
+}
+
+/// By how much the token of a start may exceed that of the agent's latest snapshot. A token is raised
+/// each time that it is rejected, and an agent accepts a start only if its gateway had received all
+/// that the agent had sent until 300 ms before.
+const MAX_UNREPORTED_TOKENS: u64 = 64;
+
+/// Control of a worker incarnation by an agent process that has received its run lists.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Control {
+    /// The worker incarnation.
+    pub incarnation: WorkerIncarnation,
+    /// Fencing token under which the run lists were received.
+    pub token: FenceToken,
+}
+
+impl Control {
+    /// Whether the worker rejects every command of the process that had the control `earlier`. Not
+    /// known, and so `false`, if that was of another worker incarnation: tokens are accepted by each
+    /// incarnation anew, and a clock that is set back lowers those of later processes.
+    pub fn supersedes(&self, earlier: &Self) -> bool {
+        let max_token = earlier.token.0.saturating_add(MAX_UNREPORTED_TOKENS);
+        self.incarnation == earlier.incarnation && max_token < self.token.0
+    }
 }
 
 /// Current state of a worker.
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -5,8 +5,8 @@
 use laurelstile_core::leased::agent::worker::FenceToken;
 use laurelstile_core::leased::input::{InputError, JobInput, MAX_INPUT_BYTES};
 use laurelstile_core::leased::messages::{
-    EndKind, FromAgent, FromAgentBody, NO_TASK_LIMIT, Report, Snapshot, StartBatch, TaskEnd,
-    ToAgent, ToAgentBody,
+    Control, EndKind, FromAgent, FromAgentBody, NO_TASK_LIMIT, Report, Snapshot, StartBatch,
+    TaskEnd, ToAgent, ToAgentBody,
 };
 use laurelstile_core::leased::resources::Resources;
 use laurelstile_core::leased::task::{JobId, RunNumber, TaskId};
@@ -189,20 +189,24 @@
         labels: old.labels.clone(),
         held: old.held.clone(),
         session: Some(4),
-        token: Some(FenceToken(u64::MAX)),
+        control: Some(Control {
+            incarnation: "worker-1".into(),
+            token: FenceToken(u64::MAX),
+        }),
     };
     let decoded: OldSnapshot = decode(&encode(&sent));
     assert_eq!(decoded, old);
     let decoded: Snapshot = decode(&encode(&sent));
-    assert_eq!((decoded.session, decoded.token), (sent.session, sent.token));
+    assert_eq!(decoded.session, sent.session);
+    assert_eq!(decoded.control, sent.control);
 }
 
 #[test]
-fn a_snapshot_of_an_older_version_has_neither_session_number_nor_token() {
+fn a_snapshot_of_an_older_version_has_neither_session_number_nor_control() {
     let old = old_snapshot();
     let decoded: Snapshot = decode(&encode(&old));
     assert_eq!(decoded.held, old.held);
-    assert_eq!((decoded.session, decoded.token), (None, None));
+    assert_eq!((decoded.session, decoded.control), (None, None));
 }
 
 fn input_of(message: &ToAgent) -> JobInput {
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -417,7 +417,7 @@
         labels: Vec::new(),
         held: Vec::new(),
         session: None,
-        token: None,
+        control: None,
     };
     let snapshot = FromAgentBody::Snapshot(snapshot);
     rig.report(at(2), 70, 0, cpu(1_000), snapshot.clone());
--- a/laurelstile-core/tests/leased_session_order.rs
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -138,6 +138,33 @@
     assert_eq!(gateway.starts.len(), 1);
 }
 
+/// Guards against a second run of a task beside one of the present agent process: worker and agent
+/// restarted, the clock was set back, and the handshake of the agent's earlier process arrives late, with
+/// a token that is higher but of the worker's earlier incarnation.
+#[test]
+fn a_late_session_with_a_higher_token_of_an_earlier_worker_incarnation_ends_no_runs() {
+    let (previous, present) = (Incarnation(6), Incarnation(7));
+    let (late, session) = (SessionId(60), SessionId(71));
+    let mut gateway = GatewayRig::new();
+    let later_clock = FenceToken(TOKEN_FLOOR.0 + 9_000);
+    let mut ended = AgentRig::with_worker_and_token_floor(cpu(1_000), later_clock);
+    ended.open(at(20), late, GATEWAY);
+    let mut agent = AgentRig::new();
+    agent.incarnation = "life-2".into();
+    agent.register(at(200), "life-2", cpu(1_000), false);
+    agent.answer_watch(at(201), RunLists::default());
+    agent.open(at(300), session, GATEWAY);
+    open_at_gateway(&mut gateway, &mut agent, 301, present, session, 1);
+    gateway.submit(at(310), 1, job(1, 1, 2_000));
+    assert_eq!(start_tasks(&mut gateway, &mut agent, 311).len(), 1);
+    gateway.join(at(320), 8, "agent-8", cpu(1_000));
+    break_session(&mut gateway, &mut agent, 650, session);
+    open_at_gateway(&mut gateway, &mut ended, 700, previous, late, 20);
+    gateway.tick(at(701));
+    assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
+    assert!(gateway.starts.is_empty(), "started beside the first run");
+}
+
 /// The token of a snapshot is that of the run lists that it rests on.
 #[test]
 fn a_raised_token_is_reported_once_run_lists_were_received_under_it() {
@@ -145,7 +172,7 @@
     let tokens = |rig: &AgentRig| {
         let bodies = rig.sent.iter().map(|(_, message)| &message.body);
         let snapshots = bodies.filter_map(|body| match body {
-            FromAgentBody::Snapshot(snapshot) => snapshot.token,
+            FromAgentBody::Snapshot(snapshot) => Some(snapshot.control.as_ref()?.token),
             _ => None,
         });
         snapshots.collect::<Vec<_>>()
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -199,7 +199,7 @@
             labels: Vec::new(),
             held: Vec::new(),
             session: None,
-            token: None,
+            control: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -250,7 +250,7 @@
             labels: Vec::new(),
             held: Vec::new(),
             session: None,
-            token: None,
+            control: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
@@ -286,7 +286,7 @@
             labels: Vec::new(),
             held,
             session: None,
-            token: None,
+            control: None,
         };
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -472,7 +472,7 @@
                 if let FromAgentBody::Snapshot(snapshot) = &mut message.body {
                     match self.sabotage {
                         Some(Sabotage::NoSessionOrder) => snapshot.session = None,
-                        Some(Sabotage::NoProcessOrder) => snapshot.token = None,
+                        Some(Sabotage::NoProcessOrder) => snapshot.control = None,
                         _ => {}
                     }
                 }
