Test: a late session of an agent process of an older version ends runs of the present one (fails)

A gateway orders two processes of an agent by estimated start times alone if either names no control (workers.rs, is_succeeded_by). Decision 0016 lists agents of older versions as left.

--- a/laurelstile-core/tests/leased_session_order.rs
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -119,6 +119,35 @@
     assert!(gateway.starts.is_empty(), "started beside the first run");
 }
 
+/// Guards against a second run of a task beside one of the present agent process: the process before
+/// it was of a version whose snapshots name neither session nor control, and was ended by the update.
+#[test]
+fn a_late_session_of_an_ended_process_of_an_older_version_ends_no_runs() {
+    let (previous, present) = (Incarnation(6), Incarnation(7));
+    let (late, session) = (SessionId(60), SessionId(71));
+    let mut gateway = GatewayRig::new();
+    let mut ended = AgentRig::with_worker(cpu(1_000));
+    ended.open(at(20), late, GATEWAY);
+    for (_, message) in &mut ended.sent {
+        if let FromAgentBody::Snapshot(snapshot) = &mut message.body {
+            snapshot.session = None;
+            snapshot.control = None;
+        }
+    }
+    let token_floor = FenceToken(TOKEN_FLOOR.0 + 300);
+    let mut agent = AgentRig::with_worker_and_token_floor(cpu(1_000), token_floor);
+    agent.open(at(300), session, GATEWAY);
+    open_at_gateway(&mut gateway, &mut agent, 301, present, session, 1);
+    gateway.submit(at(310), 1, job(1, 1, 2_000));
+    assert_eq!(start_tasks(&mut gateway, &mut agent, 311).len(), 1);
+    gateway.join(at(320), 8, "agent-8", cpu(1_000));
+    break_session(&mut gateway, &mut agent, 650, session);
+    open_at_gateway(&mut gateway, &mut ended, 700, previous, late, 20);
+    gateway.tick(at(701));
+    assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
+    assert!(gateway.starts.is_empty(), "started beside the first run");
+}
+
 /// The next process takes the tasks of the one before over at once: its token is higher.
 #[test]
 fn a_later_process_ends_the_runs_of_one_whose_session_has_closed() {
