--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -89,8 +89,9 @@
             /// The same, with agents that fall silent soon after, and no other faults.
             optional --silences
             /// The same scene with another kind of disruption: commands, sessions,
-            /// closing-workers, succeeded-workers, clock-steps, slow-processes
-            /// or timed-faults.
+            /// closing-workers, succeeded-workers, clock-steps, slow-processes,
+            /// timed-faults, overlapping-sessions, late-handshakes, short-lived-processes
+            /// or restarted-machines.
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
@@ -98,7 +99,7 @@
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
-            /// cancel-news, claims, deregistrations or births.
+            /// cancel-news, claims, deregistrations, births, session-order or process-order.
             optional --without mechanism: String
         }
     }
