--- a/laurelstile-core/tests/leased_session_order.rs
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -85,6 +85,7 @@
     gateway.join(at(120), 8, "agent-8", cpu(1_000));
     open_at_gateway(&mut gateway, &mut agent, 300, process, left, 101);
     gateway.tick(at(301));
+    assert_eq!(gateway.closed, [latest, left]);
     assert!(gateway.lost.is_empty(), "{:?}", gateway.lost);
     assert!(gateway.starts.is_empty(), "started beside the first run");
     break_session(&mut gateway, &mut agent, 302, latest);
