Estimated start times decide only between agents of older versions

What callers would see: during an update a task runs twice.

Change: if one of two processes names its control and the other does not, nothing is concluded. The runs wait for the expiry of the ended process, also as an agent is updated. Between two processes of older versions nothing changes.

--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -143,11 +143,13 @@
     }
 
     /// Whether a process of the same agent with this start time and control has succeeded this one.
-    /// Start times are estimates, which a delayed handshake makes too late.
+    /// Start times are estimates, which a delayed handshake makes too late; they decide alone only
+    /// between agents of older versions.
     pub fn is_succeeded_by(&self, started_at: i64, control: Option<&Control>) -> bool {
         let is_superseded = match (&self.control, control) {
             (Some(own), Some(other)) => other.supersedes(own),
-            _ => true,
+            (None, None) => true,
+            _ => false,
         };
         self.process_started_at < started_at && is_superseded
     }
