--- a/laurelstile-lab/src/cut.rs
+++ b/laurelstile-lab/src/cut.rs
@@ -37,9 +37,9 @@
 
 /// What follows the held bytes, unless the dialer has closed the connection: then it is that end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sequel {
+pub enum AfterCut {
     /// The connection goes on.
-    GoesOn,
+    Continue,
     /// Both ends are reset, the listener with the held bytes unread.
     Reset,
     /// The listener reads the end of the dialer, which is not notified.
@@ -56,7 +56,7 @@
     /// Whether bytes to the dialer are held as well.
     pub holds_back: bool,
     /// What follows.
-    pub sequel: Sequel,
+    pub after: AfterCut,
 }
 
 /// Connections that were cut.
@@ -206,18 +206,18 @@
         mut chunks: mpsc::UnboundedReceiver<Vec<u8>>,
         mut to: OwnedWriteHalf,
     ) {
-        let mut has_sequel = self.cut.is_some_and(|cut| cut.sequel != Sequel::GoesOn);
+        let mut is_pending = self.cut.is_some_and(|cut| cut.after != AfterCut::Continue);
         loop {
             let chunk = tokio::select! {
-                // Held bytes come before the sequel.
+                // Held bytes come first.
                 biased;
                 chunk = chunks.recv() => chunk,
-                () = self.over(), if has_sequel => match self.cut.map(|cut| cut.sequel) {
-                    Some(Sequel::Reset) => return self.reset_listener(to),
+                () = self.over(), if is_pending => match self.cut.map(|cut| cut.after) {
+                    Some(AfterCut::Reset) => return self.reset_listener(to),
                     // Dropping it sends the end.
-                    Some(Sequel::HalfClosed) => return,
-                    None | Some(Sequel::GoesOn) => {
-                        has_sequel = false;
+                    Some(AfterCut::HalfClosed) => return,
+                    None | Some(AfterCut::Continue) => {
+                        is_pending = false;
                         continue;
                     }
                 }
--- a/laurelstile-lab/tests/cut.rs
+++ b/laurelstile-lab/tests/cut.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use laurelstile_lab::cut::{Cut, CutCounts, CutEnd, CutStart, Cuts, Sequel};
+use laurelstile_lab::cut::{AfterCut, Cut, CutCounts, CutEnd, CutStart, Cuts};
 use laurelstile_lab::relay::Relay;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -19,7 +19,7 @@
 }
 
 impl Cell {
-    async fn start(sequel: Sequel) -> Self {
+    async fn start(after: AfterCut) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("bound");
         let target = listener.local_addr().expect("an address");
@@ -29,7 +29,7 @@
             start: CutStart::After(Duration::ZERO),
             end: CutEnd::Released,
             holds_back: false,
-            sequel,
+            after,
         });
         cuts.set_plan(move || cut.take());
         let relay = Relay::start_with_cuts(address, target, Some(cuts.clone()));
@@ -83,7 +83,7 @@
 
 #[tokio::test]
 async fn held_bytes_and_the_end_arrive_after_their_dialer_has_left_while_later_connections_pass() {
-    let cell = Cell::start(Sequel::GoesOn).await;
+    let cell = Cell::start(AfterCut::Continue).await;
     let (mut dialer, mut listener) = cell.connect().await;
     cell.write_held(&mut dialer).await;
     drop(dialer);
@@ -107,8 +107,8 @@
 }
 
 #[tokio::test]
-async fn a_cut_connection_that_its_dialer_keeps_goes_on() {
-    let cell = Cell::start(Sequel::GoesOn).await;
+async fn a_cut_connection_that_its_dialer_keeps_continues() {
+    let cell = Cell::start(AfterCut::Continue).await;
     let (mut dialer, mut listener) = cell.connect().await;
     cell.write_held(&mut dialer).await;
     listener.write_all(b"back").await.expect("written");
@@ -121,7 +121,7 @@
 
 #[tokio::test]
 async fn the_sequel_follows_the_held_bytes() {
-    let cell = Cell::start(Sequel::HalfClosed).await;
+    let cell = Cell::start(AfterCut::HalfClosed).await;
     let (mut dialer, mut listener) = cell.connect().await;
     cell.write_held(&mut dialer).await;
     cell.cuts.release();
@@ -130,7 +130,7 @@
     listener.write_all(b"back").await.expect("written");
     assert_eq!(read_text(&mut dialer).await.expect("read"), "back");
 
-    let cell = Cell::start(Sequel::Reset).await;
+    let cell = Cell::start(AfterCut::Reset).await;
     let (mut dialer, _listener) = cell.connect().await;
     cell.write_held(&mut dialer).await;
     cell.cuts.release();
