--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -293,7 +293,7 @@
 
     /// Marks as lost the tasks of earlier processes of an agent that has its worker under control.
     /// The tasks of a process with an open session wait until that closes or the process has been
-    /// silent for long: agents of older versions send no token, and their start times are estimates.
+    /// silent for long: agents of older versions name no control, and their start times are estimates.
     fn end_predecessors(
         &mut self,
         now: Timestamp,
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -246,9 +246,8 @@
     pub control: Option<Control>,
 }
 
-/// By how much the token of a start may exceed that of the agent's latest snapshot. A token is raised
-/// each time that it is rejected, and an agent accepts a start only if its gateway had received all
-/// that the agent had sent until 300 ms before.
+/// Margin for tokens that were raised since the agent's latest snapshot. A token is raised when the
+/// worker rejects it, which takes another process that commands the same worker incarnation.
 const MAX_UNREPORTED_TOKENS: u64 = 64;
 
 /// Control of a worker incarnation by an agent process that has received its run lists.
@@ -261,9 +260,9 @@
 }
 
 impl Control {
-    /// Whether the worker rejects every command of the process that had the control `earlier`. Not
-    /// known, and so `false`, if that was of another worker incarnation: tokens are accepted by each
-    /// incarnation anew, and a clock that is set back lowers those of later processes.
+    /// Whether the worker rejects the commands of the process that had the control `earlier`. Not
+    /// known, and so `false`, for another worker incarnation: each accepts any token at first, and a
+    /// clock that is set back lowers the tokens of later processes.
     pub fn supersedes(&self, earlier: &Self) -> bool {
         let max_token = earlier.token.0.saturating_add(MAX_UNREPORTED_TOKENS);
         self.incarnation == earlier.incarnation && max_token < self.token.0
