Tests for crashes that are counted after the run was placed again, or not at all

An agent reports the runs of a silent worker lost when the lease has expired, and their crash only when the next incarnation answers. A gateway that starts the task in between knows of fewer crashes than there were, and an agent that ends in between takes the crash with it.

Both scenes connect real agents and a gateway.

No logic is changed.

--- a/laurelstile-core/tests/leased_crashes.rs
+++ b/laurelstile-core/tests/leased_crashes.rs
@@ -9,7 +9,10 @@
 use laurelstile_core::leased::messages::{EndKind, FromAgentBody, StartBatch, ToAgentBody, ToPeer};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::time::Timestamp;
-use leased_support::{AgentRig, GATEWAY, GatewayRig, SESSION, at, cpu, job, lists, run, task};
+use leased_support::{
+    AgentRig, CRASH_AFTER, CrashingWorkers, FailWatch, GATEWAY, GatewayRig, SESSION, SeenStart, at,
+    cpu, job, lists, patient_job, run, task,
+};
 use rstest::rstest;
 
 const EARLY: bool = true;
@@ -559,3 +562,68 @@
     log.record(at(200_000), &crash("life-4", LATE, 9, &[]));
     assert!(log.is_empty());
 }
+
+/// Guards against starting a task again before the crash that ended its latest run is counted.
+#[rstest]
+#[case::reported_before_the_loss(AgentRig::refuse_watch)]
+#[case::reported_after_the_loss(AgentRig::time_out_watch)]
+fn a_task_is_not_started_three_times_after_three_workers_crashed_under_it(
+    #[case] fail_watch: FailWatch,
+) {
+    let mut scene = CrashingWorkers::new(8, fail_watch);
+    scene.gateway.submit(at(10), 1, patient_job(100, 10));
+    scene.run_until(|scene| scene.gateway.last_answer().is_some());
+    let crashes_before = |millis: u64| {
+        let crashed = |start: &&SeenStart| start.millis + CRASH_AFTER < millis;
+        scene.starts.iter().filter(crashed).count()
+    };
+    let after_three = |start: &&SeenStart| crashes_before(start.millis) >= 3;
+    let starts_after_three = scene.starts.iter().filter(after_three).count();
+    assert!(starts_after_three < 3, "{}", scene.events());
+    assert_eq!(scene.gateway.last_answer(), Some(Answer::Failed));
+}
+
+/// What becomes of the agent of a crashed worker once it has reported the run as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AgentEnd {
+    None,
+    Stopped,
+    Killed,
+}
+
+/// Guards against losing a crash with an agent that ends after it has reported the run lost.
+#[rstest]
+#[case::agent_stays(AgentEnd::None, AgentRig::time_out_watch)]
+#[case::killed_after_reporting_the_crash(AgentEnd::Killed, AgentRig::refuse_watch)]
+#[case::stopped(AgentEnd::Stopped, AgentRig::time_out_watch)]
+#[case::killed(AgentEnd::Killed, AgentRig::time_out_watch)]
+fn a_crash_counts_whatever_becomes_of_its_agent_after_the_loss(
+    #[case] agent_end: AgentEnd,
+    #[case] fail_watch: FailWatch,
+) {
+    let mut scene = CrashingWorkers::new(8, fail_watch);
+    scene.gateway.submit(at(10), 1, patient_job(100, 10));
+    scene.run_until(|scene| !scene.starts.is_empty());
+    let first = scene.starts[0];
+    // The second crash is counted before the task is started for the third time.
+    scene.fail_watch = AgentRig::refuse_watch;
+    scene.run_until(|scene| scene.millis >= first.millis + 500);
+    if agent_end == AgentEnd::Stopped {
+        scene.stop_agent(first.worker);
+    }
+    scene.run_until(|scene| !scene.losses.is_empty());
+    let lost_at = scene.losses[0];
+    scene.run_until(|scene| scene.millis >= lost_at + 100);
+    if agent_end != AgentEnd::None {
+        let is_planned = agent_end == AgentEnd::Stopped;
+        assert_eq!(scene.has_stopped(first.worker), is_planned);
+        scene.replace_agent(first.worker);
+    }
+    scene.run_until(|scene| scene.starts.len() == 3);
+    assert!(scene.has_seen_restart(first.worker));
+    assert!(
+        scene.starts[2].is_exclusive,
+        "two workers have crashed under the task: {}",
+        scene.events()
+    );
+}
--- a/laurelstile-core/tests/leased_support/mod.rs
+++ b/laurelstile-core/tests/leased_support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 
 mod agent_rig;
+mod crashing_workers;
 mod gateway_rig;
 mod gateways_rig;
 mod restarting_worker;
@@ -18,6 +19,8 @@
 
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use agent_rig::*;
+#[allow(unused_imports, reason = "each test uses a part")]
+pub use crashing_workers::*;
 pub use gateway_rig::*;
 #[allow(unused_imports, reason = "each test uses a part")]
 pub use gateways_rig::*;
