Test: a claim soon after a release of the same gateway is taken for older than that

A holder releases a job, gets it again, and claims it about 0.9 s after that; a claim that arrives within 1 s of the release counts as older (`is_outdated`), so the gateway that gets the job next asks for no release. The order of the evidence is that of its arrival, as in the incident.

The test fails on the present code: started beside the third run (1 start, expected none).

--- a/laurelstile-core/tests/leased_releases.rs
+++ b/laurelstile-core/tests/leased_releases.rs
@@ -117,6 +117,33 @@
     assert_eq!(gateways.starts_at(1), 1);
 }
 
+/// Guards against a start beside a run at another gateway: its claim arrived soon after its release of
+/// an earlier submission, and was taken for older than that.
+#[test]
+fn a_claim_of_a_new_submission_soon_after_a_release_is_recorded() {
+    let mut gateways = Gateways::new(2);
+    gateways.rigs[0].submit(at(10), 1, patient_job(3_000, 10));
+    let first_run = gateways.rigs[0].next_start();
+    gateways.pass_time(20, RESUBMITTED_MILLIS);
+    gateways.rigs[1].submit(at(RESUBMITTED_MILLIS), 1, patient_job(3_000, 10));
+    gateways.deliver(1_401);
+    gateways.pass_time(1_450, 2_650);
+    assert_eq!(gateways.starts_at(1), 0, "waits for the release");
+    gateways.rigs[0].end(at(2_660), &first_run, EndKind::Stopped, cpu(1_000));
+    gateways.deliver(2_661);
+    let second_run = gateways.rigs[1].next_start();
+    gateways.rigs[0].submit(at(2_710), 2, patient_job(3_000, 10));
+    gateways.deliver(2_711);
+    gateways.rigs[1].end(at(2_720), &second_run, EndKind::Stopped, cpu(1_000));
+    gateways.deliver(2_721);
+    gateways.rigs[0].next_start();
+    gateways.pass_time(2_750, 4_020);
+    gateways.rigs[1].submit(at(4_020), 2, patient_job(3_000, 10));
+    gateways.deliver(4_021);
+    gateways.pass_time(4_050, 4_100);
+    assert_eq!(gateways.starts_at(1), 0, "started beside the third run");
+}
+
 /// Copies of the first release arrive over other gateways after the caller has come back.
 #[test]
 fn late_copies_of_a_release_have_no_effect() {
