--- a/laurelstile-core/tests/leased_session_order.rs
+++ b/laurelstile-core/tests/leased_session_order.rs
@@ -13,6 +13,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
 use leased_support::{AgentRig, GATEWAY, GatewayRig, SESSION, TOKEN_FLOOR, at, cpu, job};
+use rstest::rstest;
 
 /// Name of the agent.
 const NAME: &str = "agent-7";
@@ -120,24 +121,43 @@
     assert!(gateway.starts.is_empty(), "started beside the first run");
 }
 
+/// Which of two agent processes is of a version whose snapshots name neither session nor control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OlderVersion {
+    Ended,
+    Present,
+}
+
+/// Turns the snapshots of an agent into those of the older version.
+fn downgrade_snapshots(agent: &mut AgentRig) {
+    for (_, message) in &mut agent.sent {
+        if let FromAgentBody::Snapshot(snapshot) = &mut message.body {
+            snapshot.session = None;
+            snapshot.control = None;
+        }
+    }
+}
+
 /// Guards against a second run of a task beside one of the present agent process: the process before
-/// it was of a version whose snapshots name neither session nor control, and was ended by the update.
-#[test]
-fn a_late_session_of_an_ended_process_of_an_older_version_ends_no_runs() {
+/// it was of another version, and was ended by an update or a rollback.
+#[rstest]
+#[case::update(OlderVersion::Ended)]
+#[case::rollback(OlderVersion::Present)]
+fn a_late_session_of_an_ended_process_of_another_version_ends_no_runs(
+    #[case] older_version: OlderVersion,
+) {
     let (previous, present) = (Incarnation(6), Incarnation(7));
     let (late, session) = (SessionId(60), SessionId(71));
     let mut gateway = GatewayRig::new();
     let mut ended = AgentRig::with_worker(cpu(1_000));
     ended.open(at(20), late, GATEWAY);
-    for (_, message) in &mut ended.sent {
-        if let FromAgentBody::Snapshot(snapshot) = &mut message.body {
-            snapshot.session = None;
-            snapshot.control = None;
-        }
-    }
     let token_floor = FenceToken(TOKEN_FLOOR.0 + 300);
     let mut agent = AgentRig::with_worker_and_token_floor(cpu(1_000), token_floor);
     agent.open(at(300), session, GATEWAY);
+    match older_version {
+        OlderVersion::Ended => downgrade_snapshots(&mut ended),
+        OlderVersion::Present => downgrade_snapshots(&mut agent),
+    }
     open_at_gateway(&mut gateway, &mut agent, 301, present, session, 1);
     gateway.submit(at(310), 1, job(1, 1, 2_000));
     assert_eq!(start_tasks(&mut gateway, &mut agent, 311).len(), 1);
