Names and comments of the order of sessions and of control

Wording only, by the review: the margin of tokens, what a session number that is not accepted means, and that control which only one of two processes names decides nothing.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -247,9 +247,9 @@
         let name = worker.name.clone();
         if snapshot
             .session
-            .is_some_and(|number| !worker.record_session_number(number))
+            .is_some_and(|number| !worker.accept_session_number(number))
         {
-            self.close_left_session(now, agent, effects);
+            self.close_superseded_session(now, agent, effects);
             return;
         }
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
@@ -272,7 +272,7 @@
 
     /// Closes a session that the agent has left for one on which a snapshot was received. The runs
     /// that its snapshot lacks may have been started since.
-    fn close_left_session(
+    fn close_superseded_session(
         &mut self,
         now: Timestamp,
         agent: Incarnation,
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -118,9 +118,9 @@
         uptime < self.latest_uptime
     }
 
-    /// Records the number of a session on which a snapshot was received. Returns whether it is the
-    /// agent's latest, as far as is known.
-    pub fn record_session_number(&mut self, number: u64) -> bool {
+    /// Records the number of a session on which a snapshot was received. Returns `false` if a
+    /// snapshot of a later session has been received before.
+    pub fn accept_session_number(&mut self, number: u64) -> bool {
         let is_latest = number >= self.latest_number;
         self.latest_number = self.latest_number.max(number);
         is_latest
@@ -144,7 +144,8 @@
 
     /// Whether a process of the same agent with this start time and control has succeeded this one.
     /// Start times are estimates, which a delayed handshake makes too late; they decide alone only
-    /// between agents of older versions.
+    /// between agents of older versions. Not known, and so `false`, if only one of the two names its
+    /// control.
     pub fn is_succeeded_by(&self, started_at: i64, control: Option<&Control>) -> bool {
         let is_superseded = match (&self.control, control) {
             (Some(own), Some(other)) => other.supersedes(own),
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -246,9 +246,9 @@
     pub control: Option<Control>,
 }
 
-/// Margin for tokens that were raised since the agent's latest snapshot. A token is raised when the
-/// worker rejects it, which takes another process that commands the same worker incarnation.
-const MAX_UNREPORTED_TOKENS: u64 = 64;
+/// Amount by which an agent's token may exceed the one in its latest snapshot. An agent raises its
+/// token when another process commands the same worker incarnation.
+const TOKEN_MARGIN: u64 = 64;
 
 /// Control of a worker incarnation by an agent process that has received its run lists.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -264,7 +264,7 @@
     /// known, and so `false`, for another worker incarnation: each accepts any token at first, and a
     /// clock that is set back lowers the tokens of later processes.
     pub fn supersedes(&self, earlier: &Self) -> bool {
-        let max_token = earlier.token.0.saturating_add(MAX_UNREPORTED_TOKENS);
+        let max_token = earlier.token.0.saturating_add(TOKEN_MARGIN);
         self.incarnation == earlier.incarnation && max_token < self.token.0
     }
 }
