Test: a job fails where its workers shut down unannounced, soon after its starts

Task 1 of it runs on worker 116, which shuts down (its runs end at 7.77 s) and on worker 118 from 11.511 s, which shuts down later (13.336 s); the job is answered as failed at 11.585 s, while its run goes on. By reading: an agent whose watch breaks and whose worker refuses connections reports a crash at once; two such reports that are early, the last of them of an exclusive run, make the task the cause.

--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -192,6 +192,14 @@
     assert_keeps_every_rule(seed, &outcome);
 }
 
+/// Guards against failing a job as the cause of crashes where its workers were shutting down: they
+/// refused connections soon after its starts while its runs went on.
+#[test]
+fn a_job_does_not_fail_because_its_workers_refuse_connections_as_they_shut_down() {
+    let outcome = run_disruption_seed(400_539, Disruption::ClosingWorkers, None, None);
+    assert_keeps_every_rule(400_539, &outcome);
+}
+
 /// Seeds of workers that come back that broke something once, each for another cause.
 #[rstest]
 #[case::in_control_before_the_next_life_has_seen_its_token(1007)]
