Claims and releases are ordered by number, not by arrival time

Callers saw: a task that must run once ran at two gateways, when its job came back to a gateway soon after that had released an earlier submission (known from a test; none reported).

Cause: a claim that arrives within 1 s of the same gateway's claim or release counted as a copy, or as older. The first claim of a new submission is sent 0.9 s after it.

Change: a gateway process numbers its claims and releases in one sequence; receivers compare numbers of the same process only. Copies are recognized however late they arrive; a release does not remove the claim of a later submission that has overtaken it. Release requests begin at a random number in each process: an answer to an earlier process confirmed a release of the present one. Each of the three has a test that fails with its part of the change taken out.

leased_releases.rs: claim_of_first() states that its claim has no number, as of an older version; no check changed. Peers of older versions send and forward claims without numbers; these are judged by arrival time, as before.

--- a/laurelstile-core/src/leased/gateway/claim_log.rs
+++ b/laurelstile-core/src/leased/gateway/claim_log.rs
@@ -2,8 +2,10 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use crate::leased::messages::ClaimNumber;
 use crate::leased::task::JobId;
 
 /// How long a claim is kept. Longer than the interval between claims of a job and the delay after which
@@ -12,52 +14,98 @@
 /// Maximum number of claims in a log, repeated ones included; beyond this the oldest are dropped.
 const MAX_CLAIMS: usize = 16_384;
 
-/// The latest claim of each job by each gateway.
+/// A job and the gateway process that claims it; the process is `None` for claims without a number.
+type Key = (JobId, String, Option<Incarnation>);
+
+/// A claim, or the release that ended it.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// When it arrived.
+    pub at: Timestamp,
+    /// Its number within the process; 0 for one without a number.
+    pub number: u64,
+}
+
+/// The latest claim of each job by each gateway process.
 #[derive(Debug, Default)]
 pub struct ClaimLog {
-    claims: BTreeMap<(JobId, String), Timestamp>,
-    order: VecDeque<(Timestamp, JobId, String)>,
+    claims: BTreeMap<Key, Claim>,
+    order: VecDeque<(Timestamp, Key)>,
 }
 
 impl ClaimLog {
-    pub fn record(&mut self, now: Timestamp, job: JobId, holder: &str) {
-        self.claims.insert((job, holder.to_owned()), now);
-        self.order.push_back((now, job, holder.to_owned()));
-        while let Some((at, _, _)) = self.order.front()
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        job: JobId,
+        holder: &str,
+        number: Option<ClaimNumber>,
+    ) {
+        let key = key(job, holder, number);
+        let number = number.map_or(0, |number| number.number);
+        let claim = self
+            .claims
+            .entry(key.clone())
+            .or_insert(Claim { at: now, number });
+        claim.at = now;
+        claim.number = claim.number.max(number);
+        self.order.push_back((now, key));
+        while let Some((at, _)) = self.order.front()
             && (now.since(*at) > RETENTION || self.order.len() > MAX_CLAIMS)
         {
-            let Some((at, job, holder)) = self.order.pop_front() else {
+            let Some((at, key)) = self.order.pop_front() else {
                 return;
             };
-            let key = (job, holder);
-            if self.claims.get(&key) == Some(&at) {
+            if self.claims.get(&key).is_some_and(|claim| claim.at == at) {
                 self.claims.remove(&key);
             }
         }
     }
 
-    pub fn remove(&mut self, job: JobId, holder: &str) {
-        self.claims.remove(&(job, holder.to_owned()));
+    /// Removes the claims of a process that are older than its release `number`.
+    pub fn remove_older(&mut self, job: JobId, holder: &str, number: Option<ClaimNumber>) {
+        let key = key(job, holder, number);
+        let release = number.map_or(u64::MAX, |number| number.number);
+        if self
+            .claims
+            .get(&key)
+            .is_some_and(|claim| claim.number < release)
+        {
+            self.claims.remove(&key);
+        }
     }
 
-    /// When the holder last claimed the job.
-    pub fn claimed_at(&self, now: Timestamp, job: JobId, holder: &str) -> Option<Timestamp> {
-        let claim = self.claims.get(&(job, holder.to_owned())).copied();
-        claim.filter(|at| now.since(*at) <= RETENTION)
+    /// The latest claim of the job by the process that sent `number`.
+    pub fn latest(
+        &self,
+        now: Timestamp,
+        job: JobId,
+        holder: &str,
+        number: Option<ClaimNumber>,
+    ) -> Option<Claim> {
+        let claim = self.claims.get(&key(job, holder, number)).copied();
+        claim.filter(|claim| now.since(claim.at) <= RETENTION)
     }
 
     /// Names of the gateways that have claimed the job.
     pub fn holders(&self, now: Timestamp, job: JobId) -> Vec<String> {
-        let claims = self.claims.range((job, String::new())..);
-        let claims = claims.take_while(|((claimed, _), _)| *claimed == job);
-        let claims = claims.filter(|(_, at)| now.since(**at) <= RETENTION);
-        claims.map(|((_, holder), _)| holder.clone()).collect()
+        let claims = self.claims.range((job, String::new(), None)..);
+        let claims = claims.take_while(|((claimed, ..), _)| *claimed == job);
+        let claims = claims.filter(|(_, claim)| now.since(claim.at) <= RETENTION);
+        let mut holders: Vec<String> = claims.map(|((_, holder, _), _)| holder.clone()).collect();
+        holders.dedup();
+        holders
     }
 
-    /// The claimed jobs.
-    pub fn jobs(&self, now: Timestamp) -> impl Iterator<Item = JobId> {
+    /// The claimed jobs, with the numbers of their latest claims.
+    pub fn jobs(&self, now: Timestamp) -> impl Iterator<Item = (JobId, u64)> {
         let claims = self.claims.iter();
-        let retained = claims.filter(move |(_, at)| now.since(**at) <= RETENTION);
-        retained.map(|((job, _), _)| *job)
+        let retained = claims.filter(move |(_, claim)| now.since(claim.at) <= RETENTION);
+        retained.map(|((job, ..), claim)| (*job, claim.number))
     }
 }
+
+fn key(job: JobId, holder: &str, number: Option<ClaimNumber>) -> Key {
+    let incarnation = number.map(|number| number.incarnation);
+    (job, holder.to_owned(), incarnation)
+}
--- a/laurelstile-core/src/leased/gateway/claims.rs
+++ b/laurelstile-core/src/leased/gateway/claims.rs
@@ -8,11 +8,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::claim_log::ClaimLog;
 use super::{GatewayEffect, LeasedGateway};
-use crate::leased::messages::{ClaimMessage, HeldJobs, ToPeer};
+use crate::leased::messages::{ClaimMessage, ClaimNumber, HeldJobs, ToPeer};
 use crate::leased::task::JobId;
 use crate::leased::timing::CALLER_RETRY_DELAY;
 use crate::session::SessionId;
@@ -22,7 +23,7 @@
 const CLAIM_LEAD: Span = Span::from_millis(400);
 /// Interval between claims of the same job.
 const CLAIM_INTERVAL: Span = Span::from_secs(2);
-/// A claim of a job by the same gateway is taken for a copy of the previous one, or for older than a
+/// A claim without a number is taken for a copy of the gateway's previous one, or for older than its
 /// release, if it arrives within this time.
 const MAX_COPY_DELAY: Span = Span::from_secs(1);
 /// Minimum interval between two messages with claims to a peer.
@@ -41,8 +42,10 @@
 }
 
 /// Claims of this gateway and of others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Claims {
+    /// Number of the latest claim or release that this gateway has sent.
+    last_number: ClaimNumber,
     /// When own jobs are next to be claimed, in both orders.
     due: BTreeSet<(Timestamp, JobId)>,
     due_at: BTreeMap<JobId, Timestamp>,
@@ -56,6 +59,29 @@
 }
 
 impl Claims {
+    /// Without any claim; `incarnation` is that of this gateway's process.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            last_number: ClaimNumber {
+                incarnation,
+                number: 0,
+            },
+            due: BTreeSet::new(),
+            due_at: BTreeMap::new(),
+            own: ClaimLog::default(),
+            others: ClaimLog::default(),
+            released: ClaimLog::default(),
+            unsent: Vec::new(),
+            sent_at: Timestamp::default(),
+        }
+    }
+
+    /// The number of a new claim or release of this gateway.
+    pub fn next_number(&mut self) -> ClaimNumber {
+        self.last_number.number += 1;
+        self.last_number
+    }
+
     /// Has a job claimed at `at`, and at no other time, if it is still held then.
     pub fn schedule(&mut self, job: JobId, at: Timestamp) {
         self.cancel(job);
@@ -82,10 +108,16 @@
         self.others.holders(now, job)
     }
 
-    /// Records that a gateway does not hold the job any more.
-    pub fn record_released(&mut self, now: Timestamp, job: JobId, holder: &str) {
-        self.others.remove(job, holder);
-        self.released.record(now, job, holder);
+    /// Records that a gateway did not hold the job when it sent its release `number`.
+    pub fn record_released(
+        &mut self,
+        now: Timestamp,
+        job: JobId,
+        holder: &str,
+        number: Option<ClaimNumber>,
+    ) {
+        self.others.remove_older(job, holder, number);
+        self.released.record(now, job, holder, number);
     }
 
     fn take_due(&mut self, now: Timestamp) -> Vec<JobId> {
@@ -100,11 +132,20 @@
     }
 
     /// Whether a claim is a copy of one that has arrived, or older than the job's release.
-    fn is_outdated(&self, now: Timestamp, job: JobId, holder: &str) -> bool {
+    fn is_outdated(
+        &self,
+        now: Timestamp,
+        job: JobId,
+        holder: &str,
+        number: Option<ClaimNumber>,
+    ) -> bool {
         let logs = [&self.others, &self.released];
-        let recent = logs.map(|log| log.claimed_at(now, job, holder));
-        let mut recent = recent.into_iter().flatten();
-        recent.any(|at| now.since(at) <= MAX_COPY_DELAY)
+        let known = logs.map(|log| log.latest(now, job, holder, number));
+        let mut known = known.into_iter().flatten();
+        known.any(|known| match number {
+            Some(number) => number.number <= known.number,
+            None => now.since(known.at) <= MAX_COPY_DELAY,
+        })
     }
 }
 
@@ -120,7 +161,8 @@
 
     /// Whether this gateway has claimed the job recently.
     pub(super) fn has_claimed(&self, now: Timestamp, job: JobId) -> bool {
-        let claim = self.claims.own.claimed_at(now, job, self.name());
+        let number = Some(self.claims.last_number);
+        let claim = self.claims.own.latest(now, job, self.name(), number);
         claim.is_some()
     }
 
@@ -135,17 +177,24 @@
         let is_held = |job: &JobId| self.jobs.contains_key(job) || self.has_runs_of(*job);
         let jobs: Vec<JobId> = due.into_iter().filter(is_held).collect();
         let holder = self.name().to_owned();
+        if jobs.is_empty() {
+            self.send_unsent_claims(now, effects);
+            return;
+        }
+        let number = Some(self.claims.next_number());
         for id in &jobs {
-            self.claims.own.record(now, *id, &holder);
+            self.claims.own.record(now, *id, &holder, number);
             self.claims.schedule(*id, now.after(CLAIM_INTERVAL));
             if let Some(job) = self.jobs.get_mut(id) {
                 job.is_claimed = true;
             }
         }
-        if !jobs.is_empty() {
-            let held = HeldJobs { holder, jobs };
-            self.claims.unsent.push(UnsentClaims { source: None, held });
-        }
+        let held = HeldJobs {
+            holder,
+            jobs,
+            number,
+        };
+        self.claims.unsent.push(UnsentClaims { source: None, held });
         self.send_unsent_claims(now, effects);
     }
 
@@ -173,15 +222,26 @@
         session: SessionId,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let claimed = self.claims.own.jobs(now);
-        let is_held = |job: &JobId| self.jobs.contains_key(job) || self.has_runs_of(*job);
-        let jobs: Vec<JobId> = claimed.filter(is_held).collect();
-        if !jobs.is_empty() && self.claim_peers().contains(&session) {
-            let holder = self.name().to_owned();
-            let held = HeldJobs { holder, jobs };
-            let message = ToPeer::Claim(ClaimMessage::Claimed(vec![held]));
-            effects.push(GatewayEffect::ToPeer { session, message });
+        let mut claimed: BTreeMap<u64, Vec<JobId>> = BTreeMap::new();
+        for (job, number) in self.claims.own.jobs(now) {
+            if self.jobs.contains_key(&job) || self.has_runs_of(job) {
+                claimed.entry(number).or_default().push(job);
+            }
+        }
+        if claimed.is_empty() || !self.claim_peers().contains(&session) {
+            return;
         }
+        let incarnation = self.identity.incarnation;
+        let held = claimed.into_iter().map(|(number, jobs)| HeldJobs {
+            holder: self.name().to_owned(),
+            jobs,
+            number: Some(ClaimNumber {
+                incarnation,
+                number,
+            }),
+        });
+        let message = ToPeer::Claim(ClaimMessage::Claimed(held.collect()));
+        effects.push(GatewayEffect::ToPeer { session, message });
     }
 
     /// Records claims of another gateway and forwards those that are new here. If a job is held here
@@ -194,18 +254,22 @@
         held: &HeldJobs,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let HeldJobs { holder, jobs } = held;
+        let HeldJobs {
+            holder,
+            jobs,
+            number,
+        } = held;
         if *holder == self.name() {
             return;
         }
         self.releases.record_alive(holder);
-        let is_new = |job: &&JobId| !self.claims.is_outdated(now, **job, holder);
+        let is_new = |job: &&JobId| !self.claims.is_outdated(now, **job, holder, *number);
         let new_jobs: Vec<JobId> = jobs.iter().filter(is_new).copied().collect();
         if new_jobs.is_empty() {
             return;
         }
         for id in &new_jobs {
-            self.claims.others.record(now, *id, holder);
+            self.claims.others.record(now, *id, holder, *number);
             let has_precedence = self.name() > holder.as_str();
             let job = self.jobs.get(id);
             if job.is_some_and(|job| !job.is_claimed || has_precedence) {
@@ -216,6 +280,7 @@
             let held = HeldJobs {
                 holder: holder.clone(),
                 jobs: new_jobs,
+                number: *number,
             };
             let source = Some(source);
             self.claims.unsent.push(UnsentClaims { source, held });
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -65,6 +65,8 @@
 pub struct Identity {
     /// Name, zone, and the address on which it accepts sessions.
     pub member: Member,
+    /// Distinguishes the process from others of the same name.
+    pub incarnation: Incarnation,
     /// Time limits of a graceful shutdown of this process.
     pub stop: StopTimes,
 }
@@ -124,6 +126,8 @@
     pub fn new(identity: Identity) -> Self {
         Self {
             membership: Membership::new(identity.member.clone()),
+            claims: Claims::new(identity.incarnation),
+            releases: Releases::new(identity.incarnation),
             identity,
             configuration: None,
             evacuations: Evacuations::default(),
@@ -142,8 +146,6 @@
             start_window: StartWindow::default(),
             cancels: CancelLog::default(),
             earlier_runs: EarlierRuns::default(),
-            claims: Claims::default(),
-            releases: Releases::default(),
             crashes: CrashLog::default(),
             containment: Containment::default(),
             without_worker_since: None,
@@ -238,7 +240,7 @@
         self.place_waiting(now, effects);
         self.run_timers(now, effects);
         self.claim_long_jobs(now, effects);
-        self.confirm_releases(effects);
+        self.confirm_releases(now, effects);
         self.send_release_requests(now, effects);
         self.announce_waiting(now, effects);
         self.request_configuration(now, effects);
--- a/laurelstile-core/src/leased/gateway/releases.rs
+++ b/laurelstile-core/src/leased/gateway/releases.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
@@ -49,6 +50,16 @@
 }
 
 impl Releases {
+    /// Without any release; `incarnation` is that of this gateway's process. Its requests are numbered
+    /// from a number of its own, as answers to those of an earlier process may arrive late.
+    pub fn new(incarnation: Incarnation) -> Self {
+        let last_number = incarnation.0 / 2;
+        Self {
+            last_number,
+            ..Self::default()
+        }
+    }
+
     /// Removes the requests for a job that has ended here.
     pub fn remove_requests(&mut self, job: JobId) {
         self.requested.retain(|(requested, _), _| *requested != job);
@@ -83,7 +94,8 @@
     fn answered(&mut self, request: &ReleaseRequest) -> Option<&mut RequestedRelease> {
         let key = (request.job, request.holder.clone());
         let release = self.requested.get_mut(&key);
-        release.filter(|release| request.number >= release.first)
+        let last = self.last_number;
+        release.filter(|release| (release.first..=last).contains(&request.number))
     }
 
     /// Remembers a message; returns whether it is new.
@@ -182,9 +194,12 @@
         if !self.releases.is_new(&message) {
             return;
         }
-        if let ClaimMessage::Released { request, .. } = &message {
-            self.claims
-                .record_released(now, request.job, &request.holder);
+        if let ClaimMessage::Released {
+            request, number, ..
+        } = &message
+        {
+            let ReleaseRequest { job, holder, .. } = request;
+            self.claims.record_released(now, *job, holder, *number);
         }
         let name = self.name();
         match &message {
@@ -194,7 +209,9 @@
             ClaimMessage::ReleasePending(request) if request.requester == name => {
                 self.on_release_pending(now, request);
             }
-            ClaimMessage::Released { request, last_run } if request.requester == name => {
+            ClaimMessage::Released {
+                request, last_run, ..
+            } if request.requester == name => {
                 self.on_released(now, request, *last_run);
             }
             _ => self.send_to_peers_except(Some(source), &ToPeer::Claim(message), effects),
@@ -231,15 +248,23 @@
     }
 
     /// Confirms the releases of jobs whose runs have all ended.
-    pub(super) fn confirm_releases(&mut self, effects: &mut Vec<GatewayEffect>) {
+    pub(super) fn confirm_releases(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
         let releasing = self.releases.releasing.iter();
         let ended = releasing.filter(|request| !self.has_runs_of(request.job));
         let ended: Vec<ReleaseRequest> = ended.cloned().collect();
         for request in ended {
             self.releases.releasing.remove(&request);
-            let last_run = self.earlier_runs.last_of(request.job);
-            let released = ClaimMessage::Released { request, last_run };
+            let id = request.job;
+            let released = ClaimMessage::Released {
+                request,
+                last_run: self.earlier_runs.last_of(id),
+                number: Some(self.claims.next_number()),
+            };
             self.flood(None, released, effects);
+            if self.jobs.get(&id).is_some_and(|job| job.is_claimed) {
+                // A later submission, whose claim has a lower number than the release.
+                self.claims.schedule(id, now);
+            }
         }
     }
 
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 use serde::{Deserialize, Serialize};
 
@@ -567,9 +568,23 @@
         request: ReleaseRequest,
         /// The highest number of the job's runs at the holder.
         last_run: RunNumber,
+        /// Claims of the job with lower numbers are older; `None` from an older version.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        number: Option<ClaimNumber>,
     },
 }
 
+/// Position of a claim or a release among those that a gateway process has sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimNumber {
+    /// The gateway process. Numbers of different processes can't be compared.
+    #[serde(rename = "p")]
+    pub incarnation: Incarnation,
+    /// Number, rising with each claim and release of the process.
+    #[serde(rename = "n")]
+    pub number: u64,
+}
+
 /// Jobs that a gateway holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldJobs {
@@ -577,6 +592,9 @@
     pub holder: String,
     /// Ids of the jobs.
     pub jobs: Vec<JobId>,
+    /// Number of the claim; `None` from an older version, or if one has forwarded it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<ClaimNumber>,
 }
 
 /// A request to release a job to another gateway.
--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -53,6 +53,7 @@
         let gateways = (0..count).map(|number| {
             LeasedGateway::new(Identity {
                 member: member(number),
+                incarnation: Incarnation(number as u64),
                 stop: STOP,
             })
         });
--- a/laurelstile-core/tests/leased_releases.rs
+++ b/laurelstile-core/tests/leased_releases.rs
@@ -12,9 +12,10 @@
     ClaimMessage, EndKind, FromAgentBody, HeldJobs, Introduction, Member, ReleaseRequest,
     StartBatch, ToPeer,
 };
-use laurelstile_core::leased::task::JobId;
+use laurelstile_core::leased::task::{JobId, RunNumber};
 use laurelstile_core::leased::timing::AGENT_EXPIRY;
 use laurelstile_core::session::SessionId;
+use laurelstile_types::id::Incarnation;
 use leased_support::{
     FIRST_AGENT, GatewayRig, Gateways, RESUBMITTED_MILLIS, agent_of, at, cpu, job, patient_job,
     session_to, task,
@@ -185,6 +186,7 @@
     let held = HeldJobs {
         holder: "gateway-0".into(),
         jobs: vec![JobId(1)],
+        number: None,
     };
     ToPeer::Claim(ClaimMessage::Claimed(vec![held]))
 }
@@ -345,3 +347,104 @@
     let is_claim = |message: &ToPeer| matches!(message, ToPeer::Claim(_));
     assert!(!messages_of(&rig).iter().any(is_claim));
 }
+
+/// The claims and releases that one gateway has sent to the others.
+fn claims_of(rig: &GatewayRig) -> Vec<ToPeer> {
+    let is_claim = |message: &ToPeer| matches!(message, ToPeer::Claim(_));
+    messages_of(rig).into_iter().filter(is_claim).collect()
+}
+
+/// Guards against work that is held back: a copy of a claim that was forwarded for longer than a second
+/// was taken for a claim of a new submission, and its holder was asked for a release.
+#[test]
+fn a_copy_of_a_claim_that_is_older_than_the_release_is_ignored_however_late() {
+    let mut gateways = Gateways::new(2);
+    gateways.rigs[0].submit(at(10), 1, patient_job(3_000, 10));
+    let first_run = gateways.rigs[0].next_start();
+    gateways.hear_agents(950);
+    let claim = claims_of(&gateways.rigs[0]);
+    assert!(!claim.is_empty());
+    gateways.deliver(951);
+    gateways.pass_time(960, RESUBMITTED_MILLIS);
+    gateways.rigs[1].submit(at(RESUBMITTED_MILLIS), 1, patient_job(3_000, 10));
+    gateways.deliver(1_401);
+    gateways.rigs[0].end(at(1_405), &first_run, EndKind::Stopped, cpu(1_000));
+    gateways.deliver(1_406);
+    let second_run = gateways.rigs[1].next_start();
+    gateways.pass_time(1_450, 2_500);
+    for message in claim {
+        gateways.rigs[1].peer_message(at(2_500), session_to(0), message);
+    }
+    gateways.rigs[1].end(at(2_550), &second_run, EndKind::Stopped, cpu(1_000));
+    assert_eq!(gateways.starts_at(1), 1, "waits for a holder that has gone");
+}
+
+/// Guards against a start beside a run at another gateway: the claim of the new submission came over a
+/// faster path than the release of the earlier one, which then removed it.
+#[test]
+fn a_claim_that_overtakes_the_release_before_it_is_kept() {
+    let mut gateways = Gateways::new(2);
+    gateways.submit_to_first();
+    gateways.pass_time(20, 1_000);
+    let request = ReleaseRequest {
+        job: JobId(1),
+        holder: "gateway-0".into(),
+        requester: "gateway-2".into(),
+        number: 1,
+    };
+    let request = ToPeer::Claim(ClaimMessage::ReleaseRequested(request));
+    gateways.rigs[0].peer_message(at(1_010), session_to(1), request);
+    gateways.rigs[0].to_peers.clear();
+    let agent = agent_of(0);
+    gateways.rigs[0].lose_session(at(1_020), agent);
+    gateways.rigs[0].tick(at(3_000));
+    let release = claims_of(&gateways.rigs[0]);
+    let is_release =
+        |message: &&ToPeer| matches!(message, ToPeer::Claim(ClaimMessage::Released { .. }));
+    assert_eq!(release.iter().filter(is_release).count(), 1);
+    gateways.rigs[0].to_peers.clear();
+    gateways.rigs[0].submit(at(3_010), 2, patient_job(3_000, 10));
+    gateways.rigs[0].tick(at(4_000));
+    let claim = claims_of(&gateways.rigs[0]);
+    for (millis, message) in (4_010..).zip(claim.into_iter().chain(release)) {
+        gateways.rigs[1].peer_message(at(millis), session_to(0), message);
+    }
+    gateways.rigs[1].to_peers.clear();
+    gateways.rigs[1].submit(at(4_400), 3, patient_job(3_000, 10));
+    let requests = claims_of(&gateways.rigs[1]);
+    let is_request =
+        |message: &&ToPeer| matches!(message, ToPeer::Claim(ClaimMessage::ReleaseRequested(_)));
+    assert_eq!(requests.iter().filter(is_request).count(), 1);
+    assert_eq!(gateways.starts_at(1), 0, "started beside the second run");
+}
+
+/// Guards against a start beside a run at another gateway: the answer to a request of the earlier
+/// process arrived late, and was taken for the answer to one of the present process.
+#[test]
+fn an_answer_to_an_earlier_process_confirms_no_release() {
+    let mut gateways = Gateways::new(2);
+    gateways.submit_to_first();
+    gateways.pass_time(20, RESUBMITTED_MILLIS);
+    gateways.rigs[1] = GatewayRig::of_process("gateway-1", Incarnation(u64::MAX));
+    gateways.rigs[1].open_peer(at(1_400), session_to(0));
+    gateways.rigs[1].join(at(1_401), agent_of(1), "agent-1", cpu(1_000));
+    gateways.rigs[1].peer_message(at(1_402), session_to(0), claim_of_first());
+    gateways.rigs[1].submit(at(1_410), 1, patient_job(3_000, 10));
+    for number in 1..=2 {
+        let request = ReleaseRequest {
+            job: JobId(1),
+            holder: "gateway-0".into(),
+            requester: "gateway-1".into(),
+            number,
+        };
+        let released = ClaimMessage::Released {
+            request,
+            last_run: RunNumber::default(),
+            number: None,
+        };
+        let released = ToPeer::Claim(released);
+        gateways.rigs[1].peer_message(at(1_420), session_to(0), released);
+    }
+    gateways.pass_time_at(1, 1_450, 2_000);
+    assert_eq!(gateways.starts_at(1), 0, "started beside the first run");
+}
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -66,12 +66,18 @@
 
     /// A gateway of this name with configuration version 1.
     pub fn named(name: &str) -> Self {
+        Self::of_process(name, Incarnation(0))
+    }
+
+    /// A process of the gateway of this name with configuration version 1.
+    pub fn of_process(name: &str, incarnation: Incarnation) -> Self {
         let identity = Identity {
             member: Member {
                 name: name.into(),
                 address: ([127, 0, 0, 1], 1).into(),
                 zone: "here".into(),
             },
+            incarnation,
             stop: STOP,
         };
         let mut rig = Self {
--- a/laurelstile-sim/src/fleet/machines.rs
+++ b/laurelstile-sim/src/fleet/machines.rs
@@ -119,7 +119,7 @@
     } else {
         (THIN_LINK, THIN_SHARE)
     };
-    machine(index % ZONES, link, share, gateway_role(index))
+    machine(index % ZONES, link, share, gateway_role(index, 0))
 }
 
 /// An agent's machine, without a running process.
@@ -153,9 +153,10 @@
 }
 
 /// A gateway's process that has just begun.
-pub fn gateway_role(index: usize) -> Role {
+pub fn gateway_role(index: usize, life: u64) -> Role {
     Role::Gateway(Box::new(LeasedGateway::new(Identity {
         member: member(index),
+        incarnation: Machine::incarnation(index, life),
         stop: StopTimes {
             overlap: Span::from_millis(2_800),
             limit: Span::from_millis(5_500),
--- a/laurelstile-sim/src/fleet/world.rs
+++ b/laurelstile-sim/src/fleet/world.rs
@@ -256,7 +256,7 @@
         process.wakes_at = u64::MAX;
         process.dials = super::dials::Dials::new(seeds.clone());
         process.role = if is_gateway {
-            machines::gateway_role(machine)
+            machines::gateway_role(machine, process.life)
         } else {
             machines::agent_role(machine, now)
         };
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -134,7 +134,7 @@
 }
 
 /// A gateway's machine.
-pub fn gateway(index: usize) -> LeasedGateway {
+pub fn gateway(index: usize, incarnation: u64) -> LeasedGateway {
     let port = u16::try_from(index + 1).unwrap_or(u16::MAX);
     LeasedGateway::new(Identity {
         member: Member {
@@ -142,6 +142,7 @@
             address: ([127, 0, 0, 1], port).into(),
             zone: ZONE.into(),
         },
+        incarnation: Incarnation(incarnation),
         stop: StopTimes {
             overlap: Span::from_millis(2_800),
             limit: Span::from_millis(5_500),
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -326,7 +326,8 @@
             version: 1,
         };
         for index in 0..gateways {
-            let process = Process::begin(nodes::gateway(index), world.fresh(), 0);
+            let incarnation = world.fresh();
+            let process = Process::begin(nodes::gateway(index, incarnation), incarnation, 0);
             world.gateways.push(process);
             world.schedule(10_000, Happening::ReadConfiguration(index, 1));
         }
--- a/laurelstile-sim/src/search/world/mod.rs
+++ b/laurelstile-sim/src/search/world/mod.rs
@@ -270,7 +270,7 @@
     fn begin(&mut self) {
         for index in 0..NODES {
             let incarnation = self.fresh();
-            let gateway = Process::begin(nodes::gateway(index), incarnation, 0);
+            let gateway = Process::begin(nodes::gateway(index, incarnation), incarnation, 0);
             self.schedule(1_000, Event::Configuration(index, gateway.incarnation));
             self.gateways.push(gateway);
         }
--- a/laurelstile-sim/src/search/world/processes.rs
+++ b/laurelstile-sim/src/search/world/processes.rs
@@ -142,7 +142,8 @@
             return;
         }
         let incarnation = self.fresh();
-        self.gateways[index] = Process::begin(nodes::gateway(index), incarnation, self.now);
+        self.gateways[index] =
+            Process::begin(nodes::gateway(index, incarnation), incarnation, self.now);
         self.refusing_gateways[index] = false;
         self.note(|| format!("gateway-{index} starts"));
         let read_at = self.now + CONFIGURATION_DELAY;
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -94,6 +94,7 @@
 
     let identity = Identity {
         member: member.clone(),
+        incarnation: local.incarnation,
         stop: role.stop_times(),
     };
     let (status, status_receiver) = watch::channel(GatewayStatus::default());
