--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -53,7 +53,7 @@
         let gateways = (0..count).map(|number| {
             LeasedGateway::new(Identity {
                 member: member(number),
-                incarnation: Incarnation(number as u64),
+                incarnation: laurelstile_types::id::Incarnation(number as u64),
                 stop: STOP,
             })
         });
