Crashes that may not be any are told with the loss of their runs, and hold or isolate a task until confirmed

Cause, one for all: a gateway knew a crash as counted or not at all. A silent worker's runs were reported as lost at the end of the lease, and their crash only at the worker's next answer; a refused connection, as of a worker that closes its listener, counted as proof.

Change: agents tell what they know of a crash as it changes: presumed (with the loss of a silent worker's runs, or as connections are refused), confirmed (another incarnation has taken its place), withdrawn (the same one answers, drains or deregisters). Only confirmed crashes fail a job. A presumed one counts towards five crashes, after which the task is held; three of them, or one beside a reported one, have it run exclusively; a single one changes nothing, as a partition interrupts many sound tasks. Two reported crashes hold a task until one is confirmed. A worker that has refused connections for 4 s counts as crashed.

Other test files: messages are built with an empty list of evidence; no check changed.

--- a/laurelstile-core/src/leased/agent/deregistration.rs
+++ b/laurelstile-core/src/leased/agent/deregistration.rs
@@ -73,6 +73,7 @@
         else {
             effects.push(AgentEffect::AnswerDeregistration(Arc::clone(id)));
             self.past_incarnations.record_deregistered_id(now, id);
+            self.crash_history.withdraw_id(id);
             return;
         };
         let is_confirmed = worker.draining || !worker.incarnation.may_restart();
--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -129,9 +129,19 @@
         let runs = runs.collect();
         let mut tasks = crashed_tasks(&lost, ended_at);
         tasks.append(&mut worker.expired_tasks);
+        let was_announced = worker.draining || end == IncarnationEnd::Deregistered;
+        if end == IncarnationEnd::Crashed && !was_announced {
+            self.crash_history
+                .presume(&worker.incarnation, tasks.clone());
+        }
         if !worker.has_reported_crash {
             self.record_crash(&worker.incarnation, worker.draining, end, tasks);
         }
+        if was_announced {
+            self.crash_history.withdraw(&worker.incarnation);
+        } else if end != IncarnationEnd::Crashed {
+            self.crash_history.confirm(&worker.incarnation);
+        }
         effects.push(AgentEffect::Decided(AgentDecision::IncarnationEnded {
             incarnation: worker.incarnation.clone(),
             end,
@@ -160,6 +170,7 @@
         let mut expired_tasks = std::mem::take(&mut worker.expired_tasks);
         let mut tasks = crashed_tasks(&self.started_runs(&BTreeSet::new()), ended_at);
         tasks.append(&mut expired_tasks);
+        self.crash_history.presume(&incarnation, tasks.clone());
         self.record_crash(&incarnation, false, IncarnationEnd::Crashed, tasks);
     }
 
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -94,6 +94,7 @@
             report: is_new.then_some(report),
             offers,
             candidates: None,
+            crash_evidence: Vec::new(),
             body,
         };
         effects.push(AgentEffect::Send { session, message });
@@ -119,18 +120,25 @@
         let Some(owner) = self.owners.get_mut(&gateway) else {
             return;
         };
-        let crashes = self.crash_history.after(owner.last_crash_sent);
-        if crashes.is_empty() {
+        let reported = owner.reported_crashes;
+        if reported == self.crash_history.latest() {
             return;
         }
-        owner.last_crash_sent = self.crash_history.last();
+        owner.reported_crashes = self.crash_history.latest();
         owner.last_sent = now;
+        let crashes = self.crash_history.crashes_after(reported);
+        let body = if crashes.is_empty() {
+            FromAgentBody::Heartbeat
+        } else {
+            FromAgentBody::Crashes(crashes)
+        };
         let message = FromAgent {
             clock: now,
             report: None,
             offers: Vec::new(),
             candidates: None,
-            body: FromAgentBody::Crashes(crashes),
+            crash_evidence: self.crash_history.evidence_after(reported),
+            body,
         };
         effects.push(AgentEffect::Send { session, message });
     }
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -9,6 +9,7 @@
 use super::super::resources::Resources;
 use super::super::task::{JobId, RunId};
 use super::super::timing::OWNER_TIMEOUT;
+use super::crash_history::ReportedCrashes;
 use crate::session::SessionId;
 
 /// Ends kept for a gateway that does not acknowledge them; beyond this the oldest are dropped.
@@ -78,8 +79,8 @@
     pub is_released: bool,
     /// Whether the current snapshot of the worker was sent on this session.
     pub has_snapshot: bool,
-    /// Number of the last crash reported on this session.
-    pub last_crash_sent: u64,
+    /// The crashes reported on this session.
+    pub reported_crashes: ReportedCrashes,
     ends: VecDeque<TaskEnd>,
     /// How many of the newest `ends` have not been sent on this session.
     unsent: usize,
@@ -107,7 +108,7 @@
             last_start_request: None,
             is_released: false,
             has_snapshot: false,
-            last_crash_sent: 0,
+            reported_crashes: ReportedCrashes::default(),
             ends: VecDeque::new(),
             unsent: 0,
             last_number,
@@ -129,7 +130,7 @@
         self.grown_since = None;
         self.is_released = false;
         self.has_snapshot = false;
-        self.last_crash_sent = 0;
+        self.reported_crashes = ReportedCrashes::default();
         self.unsent = self.ends.len();
         self.clear_waiting();
     }
--- a/laurelstile-core/src/leased/agent/watching.rs
+++ b/laurelstile-core/src/leased/agent/watching.rs
@@ -165,6 +165,7 @@
         worker.unanswered_since = None;
         worker.has_reported_crash = false;
         worker.expired_tasks.clear();
+        self.crash_history.withdraw(&worker.incarnation);
         self.dismiss_successor(queried_at, effects);
         self.update_clock(now, answer.clock);
         match answer.lists {
@@ -350,6 +351,11 @@
             Some(CrashedTask { task, is_early })
         });
         worker.expired_tasks.extend(expired_tasks);
+        if !worker.is_leaving() {
+            // Precedes the ends, after which gateways may start the tasks again.
+            let tasks = worker.expired_tasks.clone();
+            self.crash_history.presume(&worker.incarnation, tasks);
+        }
         for task in tasks {
             self.end_run(now, task, EndKind::Lost, EndProof::LeaseExpired, effects);
         }
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -158,6 +158,7 @@
         effects: &mut Vec<AgentEffect>,
     ) {
         self.past_incarnations.forget(&registration.incarnation);
+        self.crash_history.on_running(&registration.incarnation);
         self.incarnation_number.0 += 1;
         self.token = FenceToken(self.token.0 + 1);
         if source == IncarnationSource::Lists {
--- a/laurelstile-core/src/leased/crashes.rs
+++ b/laurelstile-core/src/leased/crashes.rs
@@ -17,6 +17,9 @@
 /// Crashes from which on a task runs exclusively: two may be a coincidence, where a worker crashes
 /// on its own or because of another task.
 const SUSPECT_CRASHES: usize = 2;
+/// Silent workers from which on a task runs exclusively if none of them is known to have crashed: a
+/// partition may interrupt a healthy task more than once.
+const SUSPECT_PRESUMED_CRASHES: usize = 3;
 /// Early crashes after which a task fails, if it was the worker's only run at the latest crash.
 const MAX_EARLY_CRASHES_EXCLUSIVE: usize = 2;
 /// Early crashes after which a task fails in any case.
@@ -27,6 +30,9 @@
 const MAX_CRASHES: usize = 5;
 /// How long a crash is remembered: longer than callers keep resubmitting a job.
 const RETENTION: Span = Span::from_secs(60);
+/// How long a worker may refuse connections before it counts as crashed even if no other incarnation
+/// has taken its place: longer than workers take to shut down, and than most are away after a crash.
+const MAX_UNRESOLVED: Span = Span::from_secs(4);
 /// Maximum number of remembered (crash, task) pairs, at about 100 bytes each: enough for three
 /// crashes at once of a seventh of 800 workers that run 24 tasks each.
 const MAX_ENTRIES: usize = 8 * 1024;
@@ -70,6 +76,22 @@
     pub is_early: bool,
 }
 
+/// What an agent knows of a crash that it cannot tell from a partition or a shutdown yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashEvidence {
+    /// The worker may have crashed: it has been silent until its lease expired, or it refuses
+    /// connections.
+    #[serde(rename = "p")]
+    Presumed(WorkerCrash),
+    /// The worker incarnation has crashed: another one has taken its place.
+    #[serde(rename = "c")]
+    Confirmed(String),
+    /// The worker incarnation has not crashed: it has answered, or announced its shutdown. Reports of
+    /// its crash are void as well.
+    #[serde(rename = "w")]
+    Withdrawn(String),
+}
+
 /// Suspicion that a task crashes its workers, in rising order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Suspicion {
@@ -84,25 +106,43 @@
     OneEarlyCrash,
     /// Several workers crashed: the task runs exclusively on its next worker.
     Suspect,
+    /// Several workers may have crashed, and it is not known of enough of them: the task is not started
+    /// until it is.
+    Withheld,
     /// The task crashes its workers; it is not started again.
     Poison,
 }
 
+/// How certain it is that a worker has crashed, in rising order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Certainty {
+    /// It was silent until its lease expired.
+    Presumed,
+    /// It refuses connections, as it also would while it shuts down.
+    Reported,
+    /// Another incarnation has taken its place.
+    Confirmed,
+}
+
 /// A crash during a run of a task.
 #[derive(Clone, Debug)]
 struct Crash {
+    recorded_at: Timestamp,
     incarnation: Arc<str>,
     is_early: bool,
-    /// Whether the task was the worker's only run.
-    is_exclusive: bool,
+    /// Number of runs that the worker had.
+    runs: u32,
+    certainty: Certainty,
 }
 
 /// The remembered crashes, by task.
 #[derive(Debug, Default)]
 pub struct CrashLog {
     crashes: BTreeMap<TaskId, Vec<Crash>>,
-    /// The task of each crash, in the order of recording.
-    recorded: VecDeque<(Timestamp, TaskId)>,
+    /// The task and the incarnation of each crash, in the order of recording.
+    recorded: VecDeque<(Timestamp, TaskId, Arc<str>)>,
+    /// Incarnations that may have crashed.
+    presumed: BTreeMap<Arc<str>, Timestamp>,
     /// When an entry was last evicted because the log was full.
     evicted_at: Option<Timestamp>,
 }
@@ -114,47 +154,158 @@
         self.evicted_at.is_some_and(|at| now.since(at) <= RETENTION)
     }
 
-    /// Records a crash, and returns the tasks for which it is new.
+    /// Records a crash that an agent has reported, and returns the tasks for which it is new. It is
+    /// confirmed unless the incarnation is presumed to have crashed.
     pub fn record(&mut self, now: Timestamp, crash: &WorkerCrash) -> Vec<TaskId> {
+        let certainty = if self.is_presumed(crash) {
+            Certainty::Reported
+        } else {
+            Certainty::Confirmed
+        };
+        self.add(now, crash, certainty)
+    }
+
+    /// Records a confirmed crash, and returns the tasks for which it is new.
+    pub fn record_confirmed(&mut self, now: Timestamp, crash: &WorkerCrash) -> Vec<TaskId> {
+        self.presumed.remove(crash.incarnation.as_str());
+        self.add(now, crash, Certainty::Confirmed)
+    }
+
+    /// Whether the incarnation may have crashed, but is not known to have.
+    pub fn is_presumed(&self, crash: &WorkerCrash) -> bool {
+        self.presumed.contains_key(crash.incarnation.as_str())
+    }
+
+    /// Records that a worker may have crashed.
+    pub fn presume(&mut self, now: Timestamp, crash: &WorkerCrash) {
+        self.presumed.insert(crash.incarnation.as_str().into(), now);
+        self.add(now, crash, Certainty::Presumed);
+    }
+
+    /// Records that an incarnation which was presumed to have crashed has. Returns the crash with all
+    /// known tasks; `None` if it was not presumed.
+    pub fn confirm(&mut self, incarnation: &str) -> Option<WorkerCrash> {
+        self.presumed.remove(incarnation)?;
+        let mut confirmed = WorkerCrash {
+            incarnation: incarnation.to_owned(),
+            runs: 0,
+            tasks: Vec::new(),
+        };
+        for (task, crashes) in &mut self.crashes {
+            for crash in crashes {
+                if *crash.incarnation == *incarnation {
+                    crash.certainty = Certainty::Confirmed;
+                    confirmed.runs = crash.runs;
+                    confirmed.tasks.push(CrashedTask {
+                        task: *task,
+                        is_early: crash.is_early,
+                    });
+                }
+            }
+        }
+        Some(confirmed)
+    }
+
+    /// Incarnations that have refused connections for longer than workers take to shut down or to
+    /// restart.
+    pub fn unresolved(&self, now: Timestamp) -> Vec<String> {
+        let is_old = |at: &Timestamp| now.since(*at) > MAX_UNRESOLVED;
+        let old = self.presumed.iter().filter(|(_, at)| is_old(at));
+        let is_reported = |incarnation: &Arc<str>| {
+            let mut crashes = self.crashes.values().flatten();
+            crashes.any(|crash| crash.incarnation == *incarnation && crash.is_reported())
+        };
+        let reported = old.filter(|(incarnation, _)| is_reported(incarnation));
+        reported
+            .map(|(incarnation, _)| incarnation.to_string())
+            .collect()
+    }
+
+    /// Removes an incarnation that has not crashed.
+    pub fn withdraw(&mut self, incarnation: &str) {
+        if self.presumed.remove(incarnation).is_none() {
+            return;
+        }
+        self.crashes.retain(|_, crashes| {
+            crashes.retain(|crash| *crash.incarnation != *incarnation);
+            !crashes.is_empty()
+        });
+    }
+
+    /// Adds a crash, or raises the certainty of a known one. Returns the tasks for which it has become
+    /// more certain than a presumption.
+    fn add(&mut self, now: Timestamp, crash: &WorkerCrash, certainty: Certainty) -> Vec<TaskId> {
         self.evict_expired(now);
         let incarnation: Arc<str> = crash.incarnation.as_str().into();
         let mut new = Vec::new();
         for CrashedTask { task, is_early } in &crash.tasks {
             let crashes = self.crashes.entry(*task).or_default();
-            if crashes.iter().any(|known| known.incarnation == incarnation) {
+            let mut known = crashes.iter_mut();
+            if let Some(known) = known.find(|known| known.incarnation == incarnation) {
+                if known.certainty < certainty {
+                    new.extend((known.certainty == Certainty::Presumed).then_some(*task));
+                    known.certainty = certainty;
+                    known.is_early = *is_early;
+                    known.runs = crash.runs;
+                }
                 continue;
             }
             crashes.push(Crash {
+                recorded_at: now,
                 incarnation: Arc::clone(&incarnation),
                 is_early: *is_early,
-                is_exclusive: crash.runs == 1,
+                runs: crash.runs,
+                certainty,
             });
-            self.recorded.push_back((now, *task));
-            new.push(*task);
+            let recorded = (now, *task, Arc::clone(&incarnation));
+            self.recorded.push_back(recorded);
+            new.extend((certainty > Certainty::Presumed).then_some(*task));
         }
         new
     }
 
-    /// The suspicion against a task, by its remembered crashes.
+    /// The suspicion against a task, by its remembered crashes. Only confirmed ones make it
+    /// [`Suspicion::Poison`].
     pub fn suspicion(&self, task: TaskId) -> Suspicion {
         let Some(crashes) = self.crashes.get(&task) else {
             return Suspicion::Clear;
         };
-        let early = crashes.iter().filter(|crash| crash.is_early).count();
-        let was_exclusive = crashes.last().is_some_and(|crash| crash.is_exclusive);
-        let is_proven =
-            (was_exclusive && early >= MAX_EARLY_CRASHES_EXCLUSIVE) || early >= MAX_EARLY_CRASHES;
-        if is_proven || crashes.len() >= MAX_CRASHES {
-            Suspicion::Poison
-        } else if crashes.len() >= SUSPECT_CRASHES {
+        if is_poison(crashes, Certainty::Confirmed) {
+            return Suspicion::Poison;
+        }
+        if is_poison(crashes, Certainty::Reported) || crashes.len() >= MAX_CRASHES {
+            return Suspicion::Withheld;
+        }
+        let reported = || crashes.iter().filter(|crash| crash.is_reported());
+        let has_confirmed = crashes
+            .iter()
+            .any(|crash| crash.certainty == Certainty::Confirmed);
+        if reported().count() >= SUSPECT_CRASHES && !has_confirmed {
+            return Suspicion::Withheld;
+        }
+        let max_unsuspicious = match reported().count() {
+            0 => SUSPECT_PRESUMED_CRASHES,
+            _ => SUSPECT_CRASHES,
+        };
+        if crashes.len() >= max_unsuspicious {
             Suspicion::Suspect
-        } else if early > 0 {
+        } else if reported().any(|crash| crash.is_early) {
             Suspicion::OneEarlyCrash
-        } else {
+        } else if reported().next().is_some() {
             Suspicion::OneCrash
+        } else {
+            Suspicion::Clear
         }
     }
 
+    /// Whether enough crashes of a task's workers have been reported to suspect it, without those that
+    /// are only presumed.
+    pub fn is_reported_suspect(&self, task: TaskId) -> bool {
+        let crashes = self.crashes.get(&task).into_iter().flatten();
+        let reported = crashes.filter(|crash| crash.is_reported());
+        reported.count() >= SUSPECT_CRASHES
+    }
+
     /// The worker incarnations that crashed while running a task.
     pub fn incarnations_of(&self, task: TaskId) -> Vec<Arc<str>> {
         let crashes = self.crashes.get(&task).into_iter().flatten();
@@ -181,25 +332,45 @@
     }
 
     fn evict_expired(&mut self, now: Timestamp) {
-        while let Some((at, task)) = self.recorded.front().copied() {
-            if now.since(at) <= RETENTION {
+        self.presumed.retain(|_, at| now.since(*at) <= RETENTION);
+        while let Some((at, ..)) = self.recorded.front() {
+            if now.since(*at) <= RETENTION {
                 if self.recorded.len() <= MAX_ENTRIES {
                     return;
                 }
                 self.evicted_at = Some(now);
             }
-            self.recorded.pop_front();
-            self.remove_oldest_of(task);
+            if let Some((at, task, incarnation)) = self.recorded.pop_front() {
+                self.remove(at, task, &incarnation);
+            }
         }
     }
 
-    fn remove_oldest_of(&mut self, task: TaskId) {
+    /// Removes a crash, unless it has been withdrawn and recorded anew.
+    fn remove(&mut self, recorded_at: Timestamp, task: TaskId, incarnation: &Arc<str>) {
         let Some(crashes) = self.crashes.get_mut(&task) else {
             return;
         };
-        crashes.remove(0);
+        crashes
+            .retain(|crash| crash.incarnation != *incarnation || crash.recorded_at != recorded_at);
         if crashes.is_empty() {
             self.crashes.remove(&task);
         }
     }
 }
+
+impl Crash {
+    fn is_reported(&self) -> bool {
+        self.certainty >= Certainty::Reported
+    }
+}
+
+/// Whether those crashes of a task that are certain enough prove that it causes them.
+fn is_poison(crashes: &[Crash], certainty: Certainty) -> bool {
+    let counted = || crashes.iter().filter(|crash| crash.certainty >= certainty);
+    let early = counted().filter(|crash| crash.is_early).count();
+    let was_exclusive = counted().next_back().is_some_and(|crash| crash.runs == 1);
+    let is_proven =
+        (was_exclusive && early >= MAX_EARLY_CRASHES_EXCLUSIVE) || early >= MAX_EARLY_CRASHES;
+    is_proven || counted().count() >= MAX_CRASHES
+}
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -235,6 +235,7 @@
         self.detect_suspension(now);
         self.expire_silent_agents(now, effects);
         self.start_window.expire(now);
+        self.confirm_unresolved_crashes(now, effects);
         self.review_containment(now, effects);
         self.answer_offers(now, effects);
         self.place_waiting(now, effects);
@@ -376,6 +377,8 @@
             self.membership
                 .on_candidates(session, &worker.name, candidates);
         }
+        let name = worker.name.clone();
+        self.on_crash_evidence(now, &message.crash_evidence, effects);
         match message.body {
             FromAgentBody::Heartbeat => {}
             FromAgentBody::Ends(ends) => {
@@ -385,12 +388,13 @@
             }
             FromAgentBody::Snapshot(snapshot) => {
                 let zone = &snapshot.zone;
-                self.membership
-                    .on_zone_reported(session, &worker.name, zone);
+                self.membership.on_zone_reported(session, &name, zone);
                 self.on_snapshot(now, agent, snapshot, effects);
             }
             FromAgentBody::Crashes(crashes) => {
-                worker.has_crashed = true;
+                if let Some(worker) = self.workers.get_mut(&agent) {
+                    worker.has_crashed = true;
+                }
                 self.on_agent_crashes(now, &crashes, effects);
             }
         }
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -206,6 +206,9 @@
         }
         let mut agents = Vec::new();
         for step in job.placeable_steps() {
+            if self.is_withheld(job, step) {
+                continue;
+            }
             let index = u32::try_from(step).unwrap_or(u32::MAX);
             let announcement = announcement_of(now, job, step, rank);
             for agent in self.announcement_targets(now, job, step) {
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -12,7 +12,7 @@
 use super::candidate::Candidate;
 use super::job::{Job, task_id};
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
-use crate::leased::crashes::{Suspicion, WorkerCrash};
+use crate::leased::crashes::{CrashEvidence, Suspicion, WorkerCrash};
 use crate::leased::messages::ToPeer;
 use crate::leased::task::{JobId, TaskId};
 use crate::session::SessionId;
@@ -31,57 +31,110 @@
 pub(super) const EXCLUSIVE_MAX_WAIT: Span = Span::from_millis(1_000);
 
 impl LeasedGateway {
-    /// Records worker crashes and returns the parts that were not known yet.
-    fn on_crashes(
+    /// Records crashes received from a peer and forwards those that are new here.
+    pub(super) fn on_peer_crashes(
         &mut self,
         now: Timestamp,
+        source: SessionId,
         crashes: &[WorkerCrash],
         effects: &mut Vec<GatewayEffect>,
-    ) -> Vec<WorkerCrash> {
+    ) {
         let mut new_crashes = Vec::new();
         for crash in crashes {
-            let tasks = self.crashes.record(now, crash);
+            let tasks = self.crashes.record_confirmed(now, crash);
             for task in &tasks {
                 self.on_task_crash(now, *task, effects);
             }
             new_crashes.extend(crash.restricted_to(|task| tasks.contains(&task)));
         }
-        new_crashes
+        if !new_crashes.is_empty() && !self.crashes.may_have_evicted(now) {
+            self.forward_to_peers(source, &ToPeer::Crashes(new_crashes), effects);
+        }
     }
 
-    /// Records crashes received from a peer and forwards those that are new here.
-    pub(super) fn on_peer_crashes(
+    /// Records crashes reported by an agent.
+    pub(super) fn on_agent_crashes(
         &mut self,
         now: Timestamp,
-        source: SessionId,
         crashes: &[WorkerCrash],
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let new_crashes = self.on_crashes(now, crashes, effects);
-        if !new_crashes.is_empty() && !self.crashes.may_have_evicted(now) {
-            self.forward_to_peers(source, &ToPeer::Crashes(new_crashes), effects);
+        let confirmed = crashes
+            .iter()
+            .filter(|crash| !self.crashes.is_presumed(crash));
+        let own = self.own_crashes(confirmed);
+        for crash in crashes {
+            for task in self.crashes.record(now, crash) {
+                self.on_task_crash(now, task, effects);
+            }
         }
+        self.send_crashes_to_peers(own, effects);
     }
 
-    /// Records crashes reported by an agent. Those that affect local jobs are sent to peers,
-    /// so that the crashes count if the caller resubmits elsewhere. Other gateways are sent
-    /// the crashes that affect their jobs by the agent itself.
-    pub(super) fn on_agent_crashes(
+    /// Records what an agent knows of crashes that it had not confirmed.
+    pub(super) fn on_crash_evidence(
+        &mut self,
+        now: Timestamp,
+        evidence: &[CrashEvidence],
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for evidence in evidence {
+            match evidence {
+                CrashEvidence::Presumed(crash) => {
+                    self.crashes.presume(now, crash);
+                    self.separate_suspects(crash);
+                }
+                CrashEvidence::Confirmed(incarnation) => {
+                    let Some(crash) = self.crashes.confirm(incarnation) else {
+                        continue;
+                    };
+                    let own = self.own_crashes(std::iter::once(&crash));
+                    for crashed in &crash.tasks {
+                        self.on_task_crash(now, crashed.task, effects);
+                    }
+                    self.send_crashes_to_peers(own, effects);
+                }
+                CrashEvidence::Withdrawn(incarnation) => self.crashes.withdraw(incarnation),
+            }
+        }
+    }
+
+    /// Confirms the crashes of workers that have refused connections for long.
+    pub(super) fn confirm_unresolved_crashes(
         &mut self,
         now: Timestamp,
-        crashes: &[WorkerCrash],
         effects: &mut Vec<GatewayEffect>,
     ) {
+        let unresolved = self.crashes.unresolved(now).into_iter();
+        let confirmed: Vec<CrashEvidence> = unresolved.map(CrashEvidence::Confirmed).collect();
+        self.on_crash_evidence(now, &confirmed, effects);
+    }
+
+    /// The parts of crashes that affect jobs of this gateway.
+    fn own_crashes<'a>(&self, crashes: impl Iterator<Item = &'a WorkerCrash>) -> Vec<WorkerCrash> {
         let is_own = |task: TaskId| self.jobs.contains_key(&task.job);
-        let own = crashes
-            .iter()
-            .filter_map(|crash| crash.restricted_to(is_own));
-        let own: Vec<WorkerCrash> = own.collect();
-        self.on_crashes(now, crashes, effects);
-        if own.is_empty() {
-            return;
+        let own = crashes.filter_map(|crash| crash.restricted_to(is_own));
+        own.collect()
+    }
+
+    /// Sends confirmed crashes that affect local jobs to peers, so that they count if the caller
+    /// resubmits elsewhere. Other gateways are sent the crashes that affect their jobs by the agent
+    /// itself.
+    fn send_crashes_to_peers(&mut self, own: Vec<WorkerCrash>, effects: &mut Vec<GatewayEffect>) {
+        if !own.is_empty() {
+            self.broadcast_to_peers(&ToPeer::Crashes(own), effects);
+        }
+    }
+
+    /// Separates those tasks of a presumed crash that are to run exclusively or not at all.
+    fn separate_suspects(&mut self, crash: &WorkerCrash) {
+        for crashed in &crash.tasks {
+            let task = crashed.task;
+            let is_suspect = self.crashes.suspicion(task) >= Suspicion::Suspect;
+            if let Some(job) = self.jobs.get_mut(&task.job).filter(|_| is_suspect) {
+                job.separate(task);
+            }
         }
-        self.broadcast_to_peers(&ToPeer::Crashes(own), effects);
     }
 
     /// Handles another crash of a worker that ran a task.
@@ -101,7 +154,10 @@
         }
         match suspicion {
             Suspicion::Poison => self.finish(now, task.job, Answer::Failed, effects),
-            Suspicion::Suspect if self.suspects_waiting() >= MAX_SUSPECTS_WAITING => {
+            Suspicion::Suspect
+                if self.crashes.is_reported_suspect(task)
+                    && self.suspects_waiting() >= MAX_SUSPECTS_WAITING =>
+            {
                 self.finish(now, task.job, Answer::GivenUp, effects);
             }
             _ => {}
@@ -117,7 +173,9 @@
     /// Separates those tasks of a new job during which workers have already crashed.
     pub(super) fn separate_crashed_tasks(&self, job: &mut Job) {
         for task in self.crashes.tasks_of(job.id) {
-            job.separate(task);
+            if self.crashes.suspicion(task) != Suspicion::Clear {
+                job.separate(task);
+            }
         }
     }
 
@@ -165,6 +223,9 @@
         index: u32,
     ) -> Option<Candidate> {
         let suspicion = self.crashes.suspicion(task_id(id, step, index));
+        if suspicion > Suspicion::Suspect {
+            return None;
+        }
         if suspicion == Suspicion::Suspect {
             return self.exclusive_worker(now, id, step, index, 0);
         }
@@ -189,13 +250,24 @@
         tasks.any(|task| self.crashes.suspicion(*task) != Suspicion::Clear)
     }
 
+    /// Whether a step waits only for the results of checks on workers that may have crashed.
+    pub(super) fn is_withheld(&self, job: &Job, step: usize) -> bool {
+        let step_state = &job.steps[step];
+        let mut separated = step_state.separated.iter();
+        let is_withheld = |index: &u32| {
+            let task = task_id(job.id, step, *index);
+            self.crashes.suspicion(task) == Suspicion::Withheld
+        };
+        step_state.waiting.is_empty() && separated.all(is_withheld)
+    }
+
     /// The first waiting separated task of a step that may share a worker with unsuspected
     /// tasks.
     pub(super) fn first_separated_task(&self, job: &Job, step: usize) -> Option<u32> {
         let mut waiting = job.steps[step].separated.iter();
         let may_share = |index: &&u32| {
             let task = task_id(job.id, step, **index);
-            self.crashes.suspicion(task) != Suspicion::Suspect
+            self.crashes.suspicion(task) < Suspicion::Suspect
         };
         waiting.find(may_share).copied()
     }
--- a/laurelstile-core/src/leased/membership/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -86,6 +86,7 @@
                 digest: candidates.digest(),
                 count: candidates.iter().count(),
             }),
+            crash_evidence: Vec::new(),
             body: FromAgentBody::Heartbeat,
         }
     }
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::agent::worker::FenceToken;
-use super::crashes::WorkerCrash;
+use super::crashes::{CrashEvidence, WorkerCrash};
 use super::evacuation::Evacuations;
 use super::gateway::queues::QueueConfiguration;
 use super::input::JobInput;
@@ -191,6 +191,9 @@
     /// The gateways that the agent would dial; only in the first message of a session.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
     pub candidates: Option<CandidateSummary>,
+    /// What is known of crashes that have not been confirmed, in order. Precedes the body.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub crash_evidence: Vec<CrashEvidence>,
     /// Content beside clock, report and offers; absent on the wire if it is a heartbeat.
     #[serde(
         rename = "b",
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -52,6 +52,7 @@
         report,
         offers: Vec::new(),
         candidates: None,
+        crash_evidence: Vec::new(),
         body,
     }
 }
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use laurelstile_core::leased::crashes::CrashEvidence;
 use laurelstile_core::leased::evacuation::Evacuations;
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
 use laurelstile_core::leased::gateway::stages::StageTimes;
@@ -297,6 +298,25 @@
         self.report(now, session, 0, capacity, FromAgentBody::Snapshot(snapshot));
     }
 
+    /// An agent tells what it knows of a crash that it has not confirmed.
+    pub fn crash_evidence(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        evidence: CrashEvidence,
+        body: FromAgentBody,
+    ) {
+        let message = FromAgent {
+            clock: now,
+            report: None,
+            offers: Vec::new(),
+            candidates: None,
+            crash_evidence: vec![evidence],
+            body,
+        };
+        self.event(now, GatewayEvent::AgentMessage { session, message });
+    }
+
     /// An agent sends a message with a report of `free` resources.
     pub fn report(
         &mut self,
@@ -316,6 +336,7 @@
             }),
             offers: Vec::new(),
             candidates: None,
+            crash_evidence: Vec::new(),
             body,
         };
         self.event(
@@ -346,6 +367,7 @@
             }),
             offers: Vec::new(),
             candidates: None,
+            crash_evidence: Vec::new(),
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(session);
@@ -359,6 +381,7 @@
             report: None,
             offers: vec![offer],
             candidates: None,
+            crash_evidence: Vec::new(),
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(session);
--- a/laurelstile-sim/src/crashes_command.rs
+++ b/laurelstile-sim/src/crashes_command.rs
@@ -37,6 +37,7 @@
     let deaths = times.map(|time| (time * 1_000_000 / DEATHS_A_SECOND, DEATHS));
     let plan = CrashPlan {
         deaths: deaths.collect(),
+        dead_workers_refuse: flags.dead_workers_refuse,
         ..CrashPlan::of(poison_tasks)
     };
     let (mut bad, mut poison_seen, mut crashes, mut innocents) = (0, 0, 0, 0);
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -24,6 +24,8 @@
             optional --permille permille: u32
             /// Two workers die by themselves every half second, for six seconds.
             optional --deaths
+            /// Workers that have ended refuse connections until they start again.
+            optional --dead-workers-refuse
         }
         /// Play a fleet of each size and report what it costs by itself.
         cmd scale {
