Agents remember cancels, and tell gateways that connect later

Callers saw: tasks of a job started after they had been told that it was cancelled: all gateways lost power 0.7 s after the acknowledgement, and the job was submitted again to one that had started since.

Cause: cancels lived in the memory of gateways only.

Change: a gateway sends each cancel of a caller to its agents with the next message. An agent starts no task of a cancelled job, and tells gateways that have runs of it, or ask for one: the gateway that acknowledged the cancel may have been lost before its peers heard of it. Facts that agents remember for gateways travel as notices: cancelled jobs, and the evidence of crashes. The summary of candidates, sent once a session, is boxed, as messages would be too large an enum variant with them.

Other test files: literals of messages have the new fields; no check changed.

--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -2,6 +2,7 @@
 //! decides what starts there. It renews the worker's lease and stops runs whose gateway is
 //! gone.
 
+mod cancels;
 mod capacity_freshness;
 mod crash_history;
 mod deregistration;
@@ -32,6 +33,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::cancel_log::CancelLog;
 use super::evacuation::Evacuations;
 use super::messages::{EndKind, NotStartedReason};
 use super::resources::Resources;
@@ -88,6 +90,7 @@
     duplicates: Vec<DuplicateRequest>,
     health: Health,
     crash_history: CrashHistory,
+    cancels: CancelLog,
     /// How long the reported capacity of the current incarnation is valid.
     capacity_freshness: CapacityFreshness,
     /// Whether any stop takes longer than it may.
@@ -121,6 +124,7 @@
             duplicates: Vec::new(),
             health: Health::default(),
             crash_history: CrashHistory::default(),
+            cancels: CancelLog::default(),
             capacity_freshness: CapacityFreshness::default(),
             has_overdue_stop: false,
             evacuations: Evacuations::default(),
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -3,7 +3,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::super::messages::{FromAgent, FromAgentBody, Report, Snapshot};
+use super::super::messages::{FromAgent, FromAgentBody, Notice, Report, Snapshot};
 use super::super::task::TaskId;
 use super::super::timing::{BUSY_HEARTBEAT_INTERVAL, BUSY_LINGER, IDLE_HEARTBEAT_INTERVAL};
 use super::owner::Owner;
@@ -55,7 +55,7 @@
             return;
         };
         let is_new = owner.last_report != Some(report);
-        self.send_crashes(now, gateway, session, effects);
+        self.send_cancels_and_crashes(now, gateway, session, effects);
         let Some(owner) = self.owners.get(&gateway) else {
             return;
         };
@@ -94,7 +94,7 @@
             report: is_new.then_some(report),
             offers,
             candidates: None,
-            crash_evidence: Vec::new(),
+            notices: Vec::new(),
             body,
         };
         effects.push(AgentEffect::Send { session, message });
@@ -108,9 +108,10 @@
         }
     }
 
-    /// Reports crashes of the worker to a gateway. They precede the ends of the affected runs,
-    /// which the gateway may place again at once.
-    fn send_crashes(
+    /// Tells a gateway of cancelled jobs and reports crashes of the worker. They precede the ends of the
+    /// affected runs, which the gateway may place again at once, and the snapshot, without which it places
+    /// nothing here.
+    fn send_cancels_and_crashes(
         &mut self,
         now: Timestamp,
         gateway: Incarnation,
@@ -121,9 +122,14 @@
             return;
         };
         let reported = owner.reported_crashes;
-        if reported == self.crash_history.latest() {
+        if reported == self.crash_history.latest() && !owner.has_unsent_cancels() {
             return;
         }
+        let cancelled = owner.take_unsent_cancels();
+        let cancelled = (!cancelled.is_empty()).then_some(Notice::Cancelled(cancelled));
+        let evidence = self.crash_history.evidence_after(reported);
+        let evidence = evidence.into_iter().map(Notice::Crash);
+        let notices = cancelled.into_iter().chain(evidence).collect();
         owner.reported_crashes = self.crash_history.latest();
         owner.last_sent = now;
         let crashes = self.crash_history.crashes_after(reported);
@@ -137,7 +143,7 @@
             report: None,
             offers: Vec::new(),
             candidates: None,
-            crash_evidence: self.crash_history.evidence_after(reported),
+            notices,
             body,
         };
         effects.push(AgentEffect::Send { session, message });
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -81,6 +81,8 @@
     pub has_snapshot: bool,
     /// The crashes reported on this session.
     pub reported_crashes: ReportedCrashes,
+    /// Recently cancelled jobs that the gateway may not know, and has not been sent on this session.
+    unsent_cancels: Vec<JobId>,
     ends: VecDeque<TaskEnd>,
     /// How many of the newest `ends` have not been sent on this session.
     unsent: usize,
@@ -109,6 +111,7 @@
             is_released: false,
             has_snapshot: false,
             reported_crashes: ReportedCrashes::default(),
+            unsent_cancels: Vec::new(),
             ends: VecDeque::new(),
             unsent: 0,
             last_number,
@@ -118,10 +121,12 @@
         }
     }
 
-    /// Starts a new session. Everything unacknowledged is sent again. The echo is left
+    /// Starts a new session, on which the `cancelled` jobs are sent. Everything unacknowledged is sent
+    /// again. The echo is left
     /// unchanged: an open connection is no evidence that the gateway has heard this agent
     /// recently.
-    pub fn open(&mut self, now: Timestamp, session: SessionId, number: u64) {
+    pub fn open(&mut self, now: Timestamp, session: SessionId, number: u64, cancelled: Vec<JobId>) {
+        self.unsent_cancels = cancelled;
         self.session = Some(session);
         self.session_number = number;
         self.opened = now;
@@ -269,6 +274,20 @@
         self.ends.range(sent..).cloned().collect()
     }
 
+    pub fn add_unsent_cancel(&mut self, job: JobId) {
+        if !self.unsent_cancels.contains(&job) {
+            self.unsent_cancels.push(job);
+        }
+    }
+
+    pub fn has_unsent_cancels(&self) -> bool {
+        !self.unsent_cancels.is_empty()
+    }
+
+    pub fn take_unsent_cancels(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.unsent_cancels)
+    }
+
     pub fn has_unsent(&self) -> bool {
         self.unsent > 0
     }
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -50,7 +50,8 @@
         }
         let silence = owner.echo_age(now);
         self.last_session += 1;
-        owner.open(now, session, self.last_session);
+        let cancelled = self.cancels.recent(now);
+        owner.open(now, session, self.last_session, cancelled);
         self.sessions.insert(session, gateway);
         self.log_resumed_session(gateway, silence, effects);
     }
@@ -118,6 +119,7 @@
         };
         owner.echo = owner.echo.max(message.echo);
         owner.acknowledge(message.acknowledged);
+        self.on_cancelled(now, gateway, &message.cancelled);
         match message.body {
             ToAgentBody::Heartbeat => {}
             ToAgentBody::Start(batch) => self.on_start(now, gateway, message.echo, &batch, effects),
@@ -133,8 +135,10 @@
             ToAgentBody::Evacuations(update) => self.on_evacuations(update, effects),
             ToAgentBody::Predecessor { silence } => self.on_predecessor(now, silence),
             ToAgentBody::Decline(offers) => {
-                for number in offers {
-                    owner.end_offer(number);
+                if let Some(owner) = self.owners.get_mut(&gateway) {
+                    for number in offers {
+                        owner.end_offer(number);
+                    }
                 }
             }
         }
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -36,6 +36,7 @@
                 owner.end_offer(offer);
             }
         }
+        let is_cancelled = self.is_cancelled(now, gateway, batch.job);
         for (index, number) in &batch.tasks {
             let task = TaskId {
                 job: batch.job,
@@ -68,7 +69,8 @@
                 self.add_duplicate(now, gateway, id, effects);
                 continue;
             }
-            if let Some(reason) = self.refusal_reason(now, echo, id, &run) {
+            let cancelled = is_cancelled.then_some(NotStartedReason::Withdrawn);
+            if let Some(reason) = cancelled.or_else(|| self.refusal_reason(now, echo, id, &run)) {
                 self.end_unstarted(gateway, id, EndKind::NotStarted(reason), effects);
                 continue;
             }
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -1,64 +1,15 @@
-//! Recently cancelled jobs. A caller may cancel a job at any gateway, so gateways forward
-//! cancellations to each other.
+//! Cancellations. A caller may cancel a job at any gateway, so gateways forward cancellations to each
+//! other. Their agents remember them as well, so that a job stays cancelled if all gateways are lost.
 
-use std::collections::VecDeque;
-
-use laurelstile_types::time::{Span, Timestamp};
+use laurelstile_types::id::Incarnation;
+use laurelstile_types::time::Timestamp;
 
 use super::job::CallNumber;
 use super::{Answer, GatewayEffect, LeasedGateway};
-use crate::leased::messages::ToPeer;
+use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::leased::task::JobId;
 use crate::session::SessionId;
 
-/// How long a cancellation is kept: the submission may still be in flight, or be repeated
-/// after a broken connection.
-const RETENTION: Span = Span::from_secs(10);
-/// Maximum number of entries, 16 bytes each.
-const MAX_ENTRIES: usize = 4_096;
-
-/// The jobs cancelled within [`RETENTION`].
-#[derive(Debug, Default)]
-pub struct CancelLog {
-    jobs: VecDeque<(Timestamp, JobId)>,
-    /// When an entry was last evicted before its retention ended.
-    last_evicted_at: Option<Timestamp>,
-}
-
-impl CancelLog {
-    fn record(&mut self, now: Timestamp, job: JobId) {
-        let is_old = |(at, _): &(Timestamp, JobId)| now.since(*at) > RETENTION;
-        while self.jobs.front().is_some_and(is_old) {
-            self.jobs.pop_front();
-        }
-        if self.jobs.len() >= MAX_ENTRIES {
-            self.jobs.pop_front();
-            self.last_evicted_at = Some(now);
-        }
-        self.jobs.push_back((now, job));
-    }
-
-    /// Whether a cancellation that seems new may be one that was evicted. Such cancellations
-    /// are not forwarded, since they could circulate between gateways forever.
-    fn may_have_evicted(&self, now: Timestamp) -> bool {
-        self.last_evicted_at
-            .is_some_and(|at| now.since(at) <= RETENTION)
-    }
-
-    /// Jobs whose cancellation is still retained.
-    fn recent(&self, now: Timestamp) -> Vec<JobId> {
-        let jobs = self.jobs.iter();
-        let recent = jobs.filter(|(at, _)| now.since(*at) <= RETENTION);
-        recent.map(|(_, job)| *job).collect()
-    }
-
-    /// Whether the job's cancellation is still retained.
-    pub fn contains(&self, now: Timestamp, job: JobId) -> bool {
-        let mut jobs = self.jobs.iter();
-        jobs.any(|(at, known)| *known == job && now.since(*at) <= RETENTION)
-    }
-}
-
 impl LeasedGateway {
     /// Handles a caller's cancellation. If this gateway does not hold the job, the cancellation
     /// is sent to all peers and the caller is answered `Unknown`.
@@ -71,6 +22,9 @@
     ) {
         let is_here = self.jobs.contains_key(&job);
         self.cancel_job(now, job, effects);
+        for worker in self.workers.values_mut() {
+            worker.add_unsent_cancel(job);
+        }
         let answer = if is_here {
             Answer::Cancelled
         } else {
@@ -80,6 +34,43 @@
         effects.push(GatewayEffect::Answer { call, answer });
     }
 
+    /// Sends agents the cancellations that they have not been sent with another message.
+    pub(super) fn send_cancels_to_agents(
+        &mut self,
+        now: Timestamp,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let has_unsent = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.has_unsent_cancels());
+        let agents: Vec<Incarnation> = has_unsent.map(|(agent, _)| *agent).collect();
+        for agent in agents {
+            self.send(now, agent, ToAgentBody::Heartbeat, effects);
+        }
+    }
+
+    /// Applies cancellations that an agent remembers, and tells peers of those that are new here: they
+    /// may have started as lately as this gateway.
+    pub(super) fn on_agent_cancels(
+        &mut self,
+        now: Timestamp,
+        jobs: &[JobId],
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let is_new = |job: &&JobId| !self.cancels.contains(now, **job);
+        let new_jobs: Vec<JobId> = jobs.iter().filter(is_new).copied().collect();
+        if new_jobs.is_empty() {
+            return;
+        }
+        for job in &new_jobs {
+            self.cancel_job(now, *job, effects);
+        }
+        if !self.cancels.may_have_evicted(now) {
+            self.broadcast_to_peers(&ToPeer::Cancelled(new_jobs), effects);
+        }
+    }
+
     /// Sends the retained cancellations to a new peer.
     pub(super) fn send_recent_cancels(
         &self,
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -37,13 +37,13 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::cancel_log::CancelLog;
 use super::crashes::CrashLog;
 use super::evacuation::Evacuations;
 use super::membership::Membership;
-use super::messages::{FromAgent, FromAgentBody, Member, ToAgent, ToAgentBody};
+use super::messages::{FromAgent, FromAgentBody, Member, Notice, ToAgent, ToAgentBody};
 use super::task::{JobId, TaskId};
 use crate::session::{Remote, SessionId};
-use cancels::CancelLog;
 use claims::Claims;
 use containment::Containment;
 use earlier_runs::EarlierRuns;
@@ -246,6 +246,7 @@
         self.announce_waiting(now, effects);
         self.request_configuration(now, effects);
         self.flush_membership(now, effects);
+        self.send_cancels_to_agents(now, effects);
         self.send_heartbeats(now, effects);
         self.finish_stop(now, effects);
     }
@@ -307,7 +308,8 @@
             self.membership.on_agent_closed(old);
             effects.push(GatewayEffect::Close(old));
         }
-        worker.open_session(now, session, remote.uptime);
+        let cancelled = self.cancels.recent(now);
+        worker.open_session(now, session, remote.uptime, cancelled);
         self.start_window.remove_agent(remote.incarnation);
         self.agent_sessions.insert(session, remote.incarnation);
         self.repeat_stops(now, remote.incarnation, effects);
@@ -378,7 +380,12 @@
                 .on_candidates(session, &worker.name, candidates);
         }
         let name = worker.name.clone();
-        self.on_crash_evidence(now, &message.crash_evidence, effects);
+        for notice in &message.notices {
+            match notice {
+                Notice::Cancelled(jobs) => self.on_agent_cancels(now, jobs, effects),
+                Notice::Crash(evidence) => self.on_crash_evidence(now, evidence, effects),
+            }
+        }
         match message.body {
             FromAgentBody::Heartbeat => {}
             FromAgentBody::Ends(ends) => {
@@ -417,6 +424,7 @@
         let message = ToAgent {
             echo: worker.clock,
             acknowledged: worker.last_received_end,
+            cancelled: worker.take_unsent_cancels(),
             body,
         };
         effects.push(GatewayEffect::ToAgent { session, message });
--- a/laurelstile-core/src/leased/gateway/suspects.rs
+++ b/laurelstile-core/src/leased/gateway/suspects.rs
@@ -71,43 +71,50 @@
         self.send_crashes_to_peers(own, effects);
     }
 
-    /// Records what an agent knows of crashes that it had not confirmed.
+    /// Records what an agent knows of a crash that it had not confirmed.
     pub(super) fn on_crash_evidence(
         &mut self,
         now: Timestamp,
-        evidence: &[CrashEvidence],
+        evidence: &CrashEvidence,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        for evidence in evidence {
-            match evidence {
-                CrashEvidence::Presumed(crash) => {
-                    self.crashes.presume(now, crash);
-                    self.separate_suspects(crash);
-                }
-                CrashEvidence::Confirmed(incarnation) => {
-                    let Some(crash) = self.crashes.confirm(incarnation) else {
-                        continue;
-                    };
-                    let own = self.own_crashes(std::iter::once(&crash));
-                    for crashed in &crash.tasks {
-                        self.on_task_crash(now, crashed.task, effects);
-                    }
-                    self.send_crashes_to_peers(own, effects);
-                }
-                CrashEvidence::Withdrawn(incarnation) => self.crashes.withdraw(incarnation),
+        match evidence {
+            CrashEvidence::Presumed(crash) => {
+                self.crashes.presume(now, crash);
+                self.separate_suspects(crash);
             }
+            CrashEvidence::Confirmed(incarnation) => {
+                self.confirm_crash(now, incarnation, effects);
+            }
+            CrashEvidence::Withdrawn(incarnation) => self.crashes.withdraw(incarnation),
         }
     }
 
+    fn confirm_crash(
+        &mut self,
+        now: Timestamp,
+        incarnation: &str,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        let Some(crash) = self.crashes.confirm(incarnation) else {
+            return;
+        };
+        let own = self.own_crashes(std::iter::once(&crash));
+        for crashed in &crash.tasks {
+            self.on_task_crash(now, crashed.task, effects);
+        }
+        self.send_crashes_to_peers(own, effects);
+    }
+
     /// Confirms the crashes of workers that have refused connections for long.
     pub(super) fn confirm_unresolved_crashes(
         &mut self,
         now: Timestamp,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let unresolved = self.crashes.unresolved(now).into_iter();
-        let confirmed: Vec<CrashEvidence> = unresolved.map(CrashEvidence::Confirmed).collect();
-        self.on_crash_evidence(now, &confirmed, effects);
+        for incarnation in self.crashes.unresolved(now) {
+            self.confirm_crash(now, &incarnation, effects);
+        }
     }
 
     /// The parts of crashes that affect jobs of this gateway.
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -72,6 +72,8 @@
     /// Resources that the agent reserves for this gateway, not answered yet.
     pub offers: Vec<Offer>,
     pub is_evacuated: bool,
+    /// Cancelled jobs that the agent has not been sent on this session.
+    unsent_cancels: Vec<JobId>,
     /// Number of the latest batch on this session; 0 before the first.
     last_batch: u64,
     unreported: VecDeque<UnreportedBatch>,
@@ -108,11 +110,27 @@
             exclusive_task: None,
             offers: Vec::new(),
             is_evacuated: false,
+            unsent_cancels: Vec::new(),
             last_batch: 0,
             unreported: VecDeque::new(),
         }
     }
 
+    /// Has a cancelled job sent to the agent with the next message, if a session is open.
+    pub fn add_unsent_cancel(&mut self, job: JobId) {
+        if self.session.is_some() {
+            self.unsent_cancels.push(job);
+        }
+    }
+
+    pub fn has_unsent_cancels(&self) -> bool {
+        !self.unsent_cancels.is_empty()
+    }
+
+    pub fn take_unsent_cancels(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.unsent_cancels)
+    }
+
     /// Whether the agent has opened a later session than one whose handshake has this uptime.
     pub fn has_later_session(&self, uptime: Span) -> bool {
         uptime < self.latest_uptime
@@ -126,8 +144,15 @@
         is_latest
     }
 
-    /// Resets the session state for a new session.
-    pub fn open_session(&mut self, now: Timestamp, session: SessionId, uptime: Span) {
+    /// Resets the session state for a new session, on which the `cancelled` jobs are sent.
+    pub fn open_session(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        uptime: Span,
+        cancelled: Vec<JobId>,
+    ) {
+        self.unsent_cancels = cancelled;
         let started_at = process_start(now, uptime);
         self.process_started_at = self.process_started_at.min(started_at);
         self.session = Some(session);
--- a/laurelstile-core/src/leased/membership/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -81,12 +81,12 @@
             clock: now,
             report: None,
             offers: Vec::new(),
-            candidates: Some(CandidateSummary {
+            candidates: Some(Box::new(CandidateSummary {
                 zone: self.zone.clone(),
                 digest: candidates.digest(),
                 count: candidates.iter().count(),
-            }),
-            crash_evidence: Vec::new(),
+            })),
+            notices: Vec::new(),
             body: FromAgentBody::Heartbeat,
         }
     }
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -27,6 +27,11 @@
     /// Acknowledges all ends up to this number; see [`TaskEnd::number`].
     #[serde(rename = "s")]
     pub acknowledged: u64,
+    /// Jobs that callers have cancelled at the sender. The agent remembers them for gateways that
+    /// connect later. If it is lost with the sender and its peers, the job may be started when it is
+    /// submitted again.
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    pub cancelled: Vec<JobId>,
     /// Content beside the echo; absent on the wire if it is a heartbeat.
     #[serde(
         rename = "b",
@@ -190,10 +195,10 @@
     pub offers: Vec<Offer>,
     /// The gateways that the agent would dial; only in the first message of a session.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
-    pub candidates: Option<CandidateSummary>,
-    /// What is known of crashes that have not been confirmed, in order. Precedes the body.
+    pub candidates: Option<Box<CandidateSummary>>,
+    /// Facts that outlive a gateway, in order. Precede the body.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
-    pub crash_evidence: Vec<CrashEvidence>,
+    pub notices: Vec<Notice>,
     /// Content beside clock, report and offers; absent on the wire if it is a heartbeat.
     #[serde(
         rename = "b",
@@ -203,6 +208,17 @@
     pub body: FromAgentBody,
 }
 
+/// A fact that an agent remembers, so that it also reaches gateways that connect later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Notice {
+    /// Jobs that callers have cancelled recently, at any gateway.
+    #[serde(rename = "j")]
+    Cancelled(Vec<JobId>),
+    /// What is known of a crash that has not been confirmed.
+    #[serde(rename = "c")]
+    Crash(CrashEvidence),
+}
+
 /// The content of a message from an agent to a gateway.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub enum FromAgentBody {
--- a/laurelstile-core/src/leased/mod.rs
+++ b/laurelstile-core/src/leased/mod.rs
@@ -10,6 +10,7 @@
 //! `next_wakeup` gives the time of the next action that depends on time alone.
 
 pub mod agent;
+pub mod cancel_log;
 pub mod crashes;
 pub mod evacuation;
 pub mod gateway;
--- a/laurelstile-core/tests/leased_capacity.rs
+++ b/laurelstile-core/tests/leased_capacity.rs
@@ -103,6 +103,7 @@
         let message = ToAgent {
             echo: at(20),
             acknowledged: 0,
+            cancelled: Vec::new(),
             body,
         };
         handle_event(&mut agent, 20, AgentEvent::Message { session, message });
--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -424,7 +424,7 @@
         laurelstile_core::leased::membership::subset::Subset::new("agent-1".into(), "here".into());
     subset.add_members(sent);
     let first = subset.first_message(at(20));
-    let Some(CandidateSummary { zone, .. }) = &first.candidates else {
+    let Some(CandidateSummary { zone, .. }) = first.candidates.as_deref() else {
         panic!("the first message has no summary");
     };
     assert_eq!(zone, "here");
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -52,7 +52,7 @@
         report,
         offers: Vec::new(),
         candidates: None,
-        crash_evidence: Vec::new(),
+        notices: Vec::new(),
         body,
     }
 }
@@ -88,6 +88,7 @@
     ToAgent {
         echo: CLOCK,
         acknowledged: 300,
+        cancelled: Vec::new(),
         body: ToAgentBody::Start(StartBatch {
             number: 300,
             job: JobId(u64::MAX),
@@ -109,6 +110,7 @@
     let to_agent = ToAgent {
         echo: CLOCK,
         acknowledged: 300,
+        cancelled: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
     assert!(encode(&to_agent).len() <= 13);
--- a/laurelstile-core/tests/leased_presumed_crashes.rs
+++ b/laurelstile-core/tests/leased_presumed_crashes.rs
@@ -9,7 +9,7 @@
 use laurelstile_core::leased::agent::worker::RunLists;
 use laurelstile_core::leased::crashes::{CrashEvidence, CrashedTask, WorkerCrash};
 use laurelstile_core::leased::gateway::Answer;
-use laurelstile_core::leased::messages::{EndKind, FromAgentBody, StartBatch, ToPeer};
+use laurelstile_core::leased::messages::{EndKind, FromAgentBody, Notice, StartBatch, ToPeer};
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Span;
@@ -233,7 +233,11 @@
 /// What an agent has told a gateway, in order, and the incarnation that it is about.
 fn told(rig: &AgentRig, session: SessionId) -> Vec<&'static str> {
     let sent = rig.sent.iter().filter(|(to, _)| *to == session);
-    let evidence = sent.flat_map(|(_, message)| &message.crash_evidence);
+    let notices = sent.flat_map(|(_, message)| &message.notices);
+    let evidence = notices.filter_map(|notice| match notice {
+        Notice::Crash(evidence) => Some(evidence),
+        Notice::Cancelled(_) => None,
+    });
     let told = evidence.map(|evidence| match evidence {
         CrashEvidence::Presumed(crash) if crash.incarnation == "life-1" => "presumed",
         CrashEvidence::Confirmed(life) if life == "life-1" => "confirmed",
@@ -249,9 +253,7 @@
     let rig = agent_of_silent_worker();
     let sent = rig.sent.iter().filter(|(to, _)| *to == SESSION);
     let sent: Vec<_> = sent.map(|(_, message)| message).collect();
-    let presumed = sent
-        .iter()
-        .position(|message| !message.crash_evidence.is_empty());
+    let presumed = sent.iter().position(|message| !message.notices.is_empty());
     let is_end = |body: &FromAgentBody| matches!(body, FromAgentBody::Ends(_));
     let lost = sent.iter().position(|message| is_end(&message.body));
     assert!(
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -164,6 +164,7 @@
         let message = ToAgent {
             echo: now,
             acknowledged: 0,
+            cancelled: Vec::new(),
             body,
         };
         self.event(now, AgentEvent::Message { session, message });
@@ -265,6 +266,7 @@
         let message = ToAgent {
             echo,
             acknowledged: 0,
+            cancelled: Vec::new(),
             body,
         };
         self.event(
@@ -281,6 +283,7 @@
         let message = ToAgent {
             echo: now,
             acknowledged: u64::MAX,
+            cancelled: Vec::new(),
             body: ToAgentBody::Heartbeat,
         };
         self.event(
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -10,11 +10,11 @@
     Answer, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
 };
 use laurelstile_core::leased::messages::{
-    Announcement, EndKind, FromAgent, FromAgentBody, Member, NO_TASK_LIMIT, Offer, Report,
+    Announcement, EndKind, FromAgent, FromAgentBody, Member, NO_TASK_LIMIT, Notice, Offer, Report,
     Snapshot, StartBatch, TaskEnd, ToAgentBody, ToPeer,
 };
 use laurelstile_core::leased::resources::Resources;
-use laurelstile_core::leased::task::{RunId, RunNumber, TaskId};
+use laurelstile_core::leased::task::{JobId, RunId, RunNumber, TaskId};
 use laurelstile_core::session::{Remote, SessionId};
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
@@ -55,6 +55,8 @@
     pub stopped: bool,
     /// Versions of the configurations put in force, in order.
     pub in_force: Vec<u64>,
+    /// Cancelled jobs sent to agents, with their sessions, in order.
+    pub cancelled: Vec<(SessionId, JobId)>,
     /// Number of ends sent by [`Self::end`].
     ends: u64,
 }
@@ -98,6 +100,7 @@
             closed: Vec::new(),
             stopped: false,
             in_force: Vec::new(),
+            cancelled: Vec::new(),
             ends: 0,
         };
         rig.event(at(0), GatewayEvent::Configuration(configuration(1)));
@@ -114,6 +117,8 @@
                 GatewayEffect::Answer { call, answer } => self.answers.push((call, answer)),
                 GatewayEffect::ToAgent { session, message } => {
                     self.echoes.push(message.echo);
+                    let cancelled = message.cancelled.iter();
+                    self.cancelled.extend(cancelled.map(|job| (session, *job)));
                     match message.body {
                         ToAgentBody::Start(batch) => self.starts.push_back((session, batch)),
                         ToAgentBody::Stop(tasks) => self.stops.extend(tasks),
@@ -311,7 +316,7 @@
             report: None,
             offers: Vec::new(),
             candidates: None,
-            crash_evidence: vec![evidence],
+            notices: vec![Notice::Crash(evidence)],
             body,
         };
         self.event(now, GatewayEvent::AgentMessage { session, message });
@@ -336,7 +341,7 @@
             }),
             offers: Vec::new(),
             candidates: None,
-            crash_evidence: Vec::new(),
+            notices: Vec::new(),
             body,
         };
         self.event(
@@ -367,7 +372,7 @@
             }),
             offers: Vec::new(),
             candidates: None,
-            crash_evidence: Vec::new(),
+            notices: Vec::new(),
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(session);
@@ -381,7 +386,7 @@
             report: None,
             offers: vec![offer],
             candidates: None,
-            crash_evidence: Vec::new(),
+            notices: Vec::new(),
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(session);
--- a/laurelstile-core/tests/leased_way_in.rs
+++ b/laurelstile-core/tests/leased_way_in.rs
@@ -89,7 +89,7 @@
             report: None,
             offers: Vec::new(),
             candidates: None,
-            crash_evidence: Vec::new(),
+            notices: Vec::new(),
             body: FromAgentBody::Heartbeat,
         };
         let session = SessionId(1);
