Two unanswered keepalive probes, not one, end a connection

Cause: the system ends an idle connection at the first keepalive timer after the user time-out if any probe is unanswered, whatever number of them is set: with 2 s, 1 s and 2 s one probe whose answer is a second late. Evidence: a peer that drops what arrives from 1.9 to 2.1 s has its connection ended after 3.04 s.

Change: probes after 1 s, user time-out 2.25 s: two probes are sent before it. Such a peer keeps its connection; one that is dead is noticed after 3.07 s, 3.03 s before.

--- a/laurelstile-wire/src/liveness.rs
+++ b/laurelstile-wire/src/liveness.rs
@@ -8,10 +8,12 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
-/// How long sent bytes may stay unacknowledged before the connection is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long sent bytes may stay unacknowledged before the connection is closed. The system also closes an
+/// idle connection at the first keepalive timer after this time if any probe is unanswered, whatever
+/// [`KEEPALIVE_PROBES`] is: two are sent before that.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_250);
 /// Idle time after which keepalive probes are sent.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which the connection is closed.
