Cancels and unresolved crashes are looked up by key

Cause: with agents that remember cancels, each session that opens brings up to 4,096 of them to a gateway, which looked each up in a list; and each flush looked through all crashes for every worker that was presumed to have crashed. By reading; no measurement showed it.

Change: the log of cancels has an index by job; a presumed crash says whether it was reported.

--- a/laurelstile-core/src/leased/cancel_log.rs
+++ b/laurelstile-core/src/leased/cancel_log.rs
@@ -1,6 +1,6 @@
 //! Recently cancelled jobs, as gateways and agents remember them.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use laurelstile_types::time::{Span, Timestamp};
 
@@ -9,13 +9,16 @@
 /// How long a cancellation is kept: the submission may still be in flight, or be repeated
 /// after a broken connection.
 const RETENTION: Span = Span::from_secs(10);
-/// Maximum number of entries, 16 bytes each.
+/// Maximum number of entries.
 const MAX_ENTRIES: usize = 4_096;
 
 /// The jobs cancelled within [`RETENTION`].
 #[derive(Debug, Default)]
 pub struct CancelLog {
-    jobs: VecDeque<(Timestamp, JobId)>,
+    /// When each job was last cancelled.
+    jobs: BTreeMap<JobId, Timestamp>,
+    /// The entries in the order of recording, repeated ones included.
+    order: VecDeque<(Timestamp, JobId)>,
     /// When an entry was last evicted before its retention ended.
     last_evicted_at: Option<Timestamp>,
 }
@@ -23,15 +26,27 @@
 impl CancelLog {
     /// Records a cancellation.
     pub fn record(&mut self, now: Timestamp, job: JobId) {
-        let is_old = |(at, _): &(Timestamp, JobId)| now.since(*at) > RETENTION;
-        while self.jobs.front().is_some_and(is_old) {
-            self.jobs.pop_front();
+        while let Some((at, _)) = self.order.front() {
+            let is_old = now.since(*at) > RETENTION;
+            if !is_old && self.order.len() < MAX_ENTRIES {
+                break;
+            }
+            if !is_old {
+                self.last_evicted_at = Some(now);
+            }
+            self.remove_oldest();
         }
-        if self.jobs.len() >= MAX_ENTRIES {
-            self.jobs.pop_front();
-            self.last_evicted_at = Some(now);
+        self.jobs.insert(job, now);
+        self.order.push_back((now, job));
+    }
+
+    fn remove_oldest(&mut self) {
+        let Some((at, job)) = self.order.pop_front() else {
+            return;
+        };
+        if self.jobs.get(&job) == Some(&at) {
+            self.jobs.remove(&job);
         }
-        self.jobs.push_back((now, job));
     }
 
     /// Whether a cancellation that seems new may be one that was evicted. Such cancellations
@@ -43,14 +58,16 @@
 
     /// Jobs whose cancellation is still retained.
     pub fn recent(&self, now: Timestamp) -> Vec<JobId> {
-        let jobs = self.jobs.iter();
-        let recent = jobs.filter(|(at, _)| now.since(*at) <= RETENTION);
-        recent.map(|(_, job)| *job).collect()
+        let recent = self.jobs.iter().filter(|(_, at)| is_recent(now, **at));
+        recent.map(|(job, _)| *job).collect()
     }
 
     /// Whether the job's cancellation is still retained.
     pub fn contains(&self, now: Timestamp, job: JobId) -> bool {
-        let mut jobs = self.jobs.iter();
-        jobs.any(|(at, known)| *known == job && now.since(*at) <= RETENTION)
+        self.jobs.get(&job).is_some_and(|at| is_recent(now, *at))
     }
 }
+
+fn is_recent(now: Timestamp, at: Timestamp) -> bool {
+    now.since(at) <= RETENTION
+}
--- a/laurelstile-core/src/leased/crashes.rs
+++ b/laurelstile-core/src/leased/crashes.rs
@@ -135,6 +135,14 @@
     certainty: Certainty,
 }
 
+/// A crash that has not been confirmed.
+#[derive(Clone, Copy, Debug)]
+struct PresumedCrash {
+    since: Timestamp,
+    /// Whether the worker refuses connections.
+    is_reported: bool,
+}
+
 /// The remembered crashes, by task.
 #[derive(Debug, Default)]
 pub struct CrashLog {
@@ -142,7 +150,7 @@
     /// The task and the incarnation of each crash, in the order of recording.
     recorded: VecDeque<(Timestamp, TaskId, Arc<str>)>,
     /// Incarnations that may have crashed.
-    presumed: BTreeMap<Arc<str>, Timestamp>,
+    presumed: BTreeMap<Arc<str>, PresumedCrash>,
     /// When an entry was last evicted because the log was full.
     evicted_at: Option<Timestamp>,
 }
@@ -157,7 +165,9 @@
     /// Records a crash that an agent has reported, and returns the tasks for which it is new. It is
     /// confirmed unless the incarnation is presumed to have crashed.
     pub fn record(&mut self, now: Timestamp, crash: &WorkerCrash) -> Vec<TaskId> {
-        let certainty = if self.is_presumed(crash) {
+        let presumed = self.presumed.get_mut(crash.incarnation.as_str());
+        let certainty = if let Some(presumed) = presumed {
+            presumed.is_reported = true;
             Certainty::Reported
         } else {
             Certainty::Confirmed
@@ -178,7 +188,12 @@
 
     /// Records that a worker may have crashed.
     pub fn presume(&mut self, now: Timestamp, crash: &WorkerCrash) {
-        self.presumed.insert(crash.incarnation.as_str().into(), now);
+        let presumed = PresumedCrash {
+            since: now,
+            is_reported: false,
+        };
+        let incarnation = crash.incarnation.as_str().into();
+        self.presumed.entry(incarnation).or_insert(presumed);
         self.add(now, crash, Certainty::Presumed);
     }
 
@@ -209,14 +224,12 @@
     /// Incarnations that have refused connections for longer than workers take to shut down or to
     /// restart.
     pub fn unresolved(&self, now: Timestamp) -> Vec<String> {
-        let is_old = |at: &Timestamp| now.since(*at) > MAX_UNRESOLVED;
-        let old = self.presumed.iter().filter(|(_, at)| is_old(at));
-        let is_reported = |incarnation: &Arc<str>| {
-            let mut crashes = self.crashes.values().flatten();
-            crashes.any(|crash| crash.incarnation == *incarnation && crash.is_reported())
+        let is_unresolved = |presumed: &PresumedCrash| {
+            presumed.is_reported && now.since(presumed.since) > MAX_UNRESOLVED
         };
-        let reported = old.filter(|(incarnation, _)| is_reported(incarnation));
-        reported
+        let presumed = self.presumed.iter();
+        let unresolved = presumed.filter(|(_, presumed)| is_unresolved(presumed));
+        unresolved
             .map(|(incarnation, _)| incarnation.to_string())
             .collect()
     }
@@ -332,7 +345,8 @@
     }
 
     fn evict_expired(&mut self, now: Timestamp) {
-        self.presumed.retain(|_, at| now.since(*at) <= RETENTION);
+        self.presumed
+            .retain(|_, presumed| now.since(presumed.since) <= RETENTION);
         while let Some((at, ..)) = self.recorded.front() {
             if now.since(*at) <= RETENTION {
                 if self.recorded.len() <= MAX_ENTRIES {
