--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -122,9 +122,8 @@
     }
 
     /// Starts a new session, on which the `cancelled` jobs are sent. Everything unacknowledged is sent
-    /// again. The echo is left
-    /// unchanged: an open connection is no evidence that the gateway has heard this agent
-    /// recently.
+    /// again. The echo is left unchanged: an open connection is no evidence that the gateway has heard
+    /// this agent recently.
     pub fn open(&mut self, now: Timestamp, session: SessionId, number: u64, cancelled: Vec<JobId>) {
         self.unsent_cancels = cancelled;
         self.session = Some(session);
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -299,6 +299,13 @@
     assert_keeps_every_rule(396, &run_herd_seed(396, None, None));
 }
 
+/// Cancellations are remembered by gateways and agents, and all of them end between the acknowledgement and
+/// the next submission.
+#[test]
+fn a_cancelled_job_does_not_start_where_all_gateways_and_agents_are_lost() {
+    assert_keeps_every_rule(513, &run_herd_seed(513, None, None));
+}
+
 #[test]
 fn a_seed_repeats_exactly() {
     assert_eq!(
