Emulator: the switch that takes away cancel news takes it from agents as well

The gateway's notice to agents is part of the mechanism that it proves.

Change: NoCancelNews also empties what gateways tell agents.

--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -182,7 +182,7 @@
     NoCapacityNews,
     /// The clocks of processes stand still while their machines are suspended.
     SteadyClocks,
-    /// Gateways do not tell each other of cancelled jobs.
+    /// Gateways tell neither each other nor agents of cancelled jobs.
     NoCancelNews,
     /// Gateways do not tell each other which jobs they hold.
     NoClaims,
--- a/laurelstile-sim/src/leased/world/processes.rs
+++ b/laurelstile-sim/src/leased/world/processes.rs
@@ -7,6 +7,7 @@
 use laurelstile_history::leased::{Seen, StartOrder};
 use rand::Rng;
 
+use super::super::faults::Sabotage;
 use super::{Happening, RESTART, World};
 
 /// Chance that an input of a slow process is the last of its batch, after which it is flushed.
@@ -86,10 +87,16 @@
     pub(super) fn carry_out(&mut self, index: usize, effect: GatewayEffect) {
         self.trace_line(|| format!("gateway-{index}"), &effect);
         match effect {
-            GatewayEffect::ToAgent { session, message } => {
+            GatewayEffect::ToAgent {
+                session,
+                mut message,
+            } => {
                 let Some(agent) = self.gateways[index].sessions.get(&session).copied() else {
                     return;
                 };
+                if self.sabotage == Some(Sabotage::NoCancelNews) {
+                    message.cancelled.clear();
+                }
                 let to = self.agents[agent].incarnation;
                 self.note_starts(index, agent, &message.body);
                 if matches!(message.body, ToAgentBody::Start(_)) {
