Cancels: a gateway whose driver has ended acknowledges none

Cause: the front end serves for 200 ms after the driver has ended, and `GatewayHandle::cancel` took the missing answer for `Answer::Unknown`, which the front end gives as 410. `has_job` took it for "no such job".

The emulator counts a cancellation as acknowledged only if it is.

`a_cancellation_after_the_end_of_the_driver_is_not_acknowledged` fails with the old default ("Unknown"). Ruled out: messages lost as the process ends; nothing else was changed. The other defaults for missing answers in laurelstiled/src/leased and platform/src were read: all stand for errors.

--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -154,6 +154,12 @@
     Cancelled,
     /// This gateway does not hold the job.
     Unknown,
+    /// The cancellation of a job is not acknowledged. It may take effect, and may be requested again, at
+    /// any gateway.
+    CancelUnacknowledged {
+        /// Time after which the caller may request it again at this gateway.
+        retry_after: Span,
+    },
 }
 
 /// Why a job was refused.
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -106,8 +106,10 @@
     pub(super) fn answer(&mut self, call: CallNumber, answer: Answer) {
         let index = number_of(call);
         if is_cancel(call) {
-            let job = index as u64;
-            self.see(Seen::Cancelled { job });
+            if matches!(answer, Answer::Cancelled | Answer::Unknown) {
+                let job = index as u64;
+                self.see(Seen::Cancelled { job });
+            }
             return;
         }
         let caller = &self.callers[index];
@@ -119,7 +121,10 @@
             Answer::Completed => Told::Completed,
             Answer::Failed => Told::Failed,
             Answer::Refused { .. } => Told::Refused,
-            Answer::GivenUp | Answer::Cancelled | Answer::Unknown => Told::GivenUp,
+            Answer::GivenUp
+            | Answer::Cancelled
+            | Answer::Unknown
+            | Answer::CancelUnacknowledged { .. } => Told::GivenUp,
         };
         let is_repeated = told == Told::GivenUp && self.call_limit.is_some();
         if is_repeated {
--- a/laurelstiled/src/leased/gate.rs
+++ b/laurelstiled/src/leased/gate.rs
@@ -10,6 +10,7 @@
 use laurelstile_core::leased::task::JobId;
 use laurelstile_types::time::Span;
 use metrics::counter;
+use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
@@ -33,6 +34,11 @@
     pub is_stopping: bool,
 }
 
+/// The gateway's driver has ended and handles no more calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the gateway has ended")]
+pub struct GatewayEnded;
+
 /// Result of looking up the queue of a host and a path.
 #[derive(Clone, Debug)]
 pub enum Lookup {
@@ -135,19 +141,26 @@
         })
     }
 
-    /// Cancels a job; [`Answer::Unknown`] if the gateway does not have it.
+    /// Cancels a job, at whichever gateway holds it: [`Answer::Cancelled`] if this one does,
+    /// [`Answer::Unknown`] if not. [`Answer::CancelUnacknowledged`] if the process has stopped handling
+    /// calls: then no other process has heard of the cancellation.
     pub async fn cancel(&self, job: JobId) -> Answer {
         let call = self.allocate_call();
         let (reply, answer) = oneshot::channel();
         let _ = self.input.send(GatewayInput::Cancel { call, job, reply });
-        answer.await.unwrap_or(Answer::Unknown)
+        answer.await.unwrap_or(Answer::CancelUnacknowledged {
+            retry_after: DEFAULT_RETRY_AFTER,
+        })
     }
 
     /// Whether the gateway has the job and it has not ended.
-    pub async fn has_job(&self, job: JobId) -> bool {
+    ///
+    /// # Errors
+    /// [`GatewayEnded`] if the process has stopped handling calls.
+    pub async fn has_job(&self, job: JobId) -> Result<bool, GatewayEnded> {
         let (reply, answer) = oneshot::channel();
         let _ = self.input.send(GatewayInput::HasJob { job, reply });
-        answer.await.unwrap_or(false)
+        answer.await.map_err(|_| GatewayEnded)
     }
 
     fn allocate_call(&self) -> CallNumber {
--- a/laurelstiled/tests/gate.rs
+++ b/laurelstiled/tests/gate.rs
@@ -1,10 +1,13 @@
-//! Calls that arrive before the gateway has read its first configuration.
+//! Calls that arrive before the gateway has read its first configuration, and after its driver has
+//! ended.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use laurelstile_core::leased::gateway::Answer;
 use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
-use laurelstiled::leased::gate::{GatewayHandle, GatewayStatus, Lookup};
+use laurelstile_core::leased::task::JobId;
+use laurelstiled::leased::gate::{GatewayEnded, GatewayHandle, GatewayStatus, Lookup};
 use tokio::sync::{mpsc, watch};
 
 fn configuration() -> Arc<QueueConfiguration> {
@@ -57,3 +60,20 @@
         "a later call does not wait"
     );
 }
+
+/// Guards against the acknowledgement of a cancellation that no other process was sent: the front end
+/// serves for a short time after the driver has ended.
+#[tokio::test]
+async fn a_cancellation_after_the_end_of_the_driver_is_not_acknowledged() {
+    let (gateway, _status) = gateway_handle();
+    let answer = gateway.cancel(JobId(1)).await;
+    let is_unacknowledged = matches!(answer, Answer::CancelUnacknowledged { .. });
+    assert!(is_unacknowledged, "{answer:?}");
+}
+
+/// Guards against a job that another gateway holds being reported as gone.
+#[tokio::test]
+async fn a_query_after_the_end_of_the_driver_does_not_deny_the_job() {
+    let (gateway, _status) = gateway_handle();
+    assert_eq!(gateway.has_job(JobId(1)).await, Err(GatewayEnded));
+}
