Cancels: remembered for longer than any job can be held

Cause: agents, which refuse starts of cancelled jobs, forgot cancellations after 10 s, or after 4,096 others.

Change: a job is held for 120 s at most, a cancellation is remembered for 150 s, and a full log (65,536) refuses new ones instead of forgetting old ones: gateways then do not acknowledge, and log and count it.

Ruled out: agents that were not told (they know for 10 s, and starts are refused until then).

--- a/laurelstile-core/src/leased/agent/cancels.rs
+++ b/laurelstile-core/src/leased/agent/cancels.rs
@@ -7,15 +7,23 @@
 use laurelstile_types::time::Timestamp;
 
 use super::super::task::JobId;
-use super::LeasedAgent;
+use super::{AgentDecision, AgentEffect, LeasedAgent};
 
 impl LeasedAgent {
     /// Records jobs that were cancelled at a gateway. Other gateways that have runs of them are told: the
     /// news may have been lost with that gateway.
-    pub(super) fn on_cancelled(&mut self, now: Timestamp, gateway: Incarnation, jobs: &[JobId]) {
+    pub(super) fn on_cancelled(
+        &mut self,
+        now: Timestamp,
+        gateway: Incarnation,
+        jobs: &[JobId],
+        effects: &mut Vec<AgentEffect>,
+    ) {
         for job in jobs {
-            if !self.cancels.contains(now, *job) {
-                self.cancels.record(now, *job);
+            if !self.cancels.contains(now, *job) && self.cancels.record(now, *job).is_err() {
+                effects.push(AgentEffect::Decided(AgentDecision::CancelNotRecorded {
+                    job: *job,
+                }));
             }
             let runs = self.runs.iter().filter(|(task, _)| task.job == *job);
             let owners = runs.map(|(_, run)| run.owner);
@@ -27,7 +35,7 @@
         }
     }
 
-    /// Whether the job was cancelled recently; its gateway, which asks for a start, is told.
+    /// Whether the job's cancellation is retained; its gateway, which asks for a start, is told.
     pub(super) fn is_cancelled(
         &mut self,
         now: Timestamp,
--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -265,6 +265,11 @@
 pub enum AgentDecision {
     /// A gateway did not answer an offer in time.
     OfferExpired,
+    /// A cancellation was not recorded, since too many are retained.
+    CancelNotRecorded {
+        /// Id of the job.
+        job: JobId,
+    },
     /// The agent has taken control of an incarnation of the worker: every run there is its own.
     ControlTaken {
         /// The controlled incarnation.
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -111,7 +111,7 @@
     pub is_owed_served: bool,
     /// The usage reports sent on this session.
     pub sent_usage: SentUsage,
-    /// Recently cancelled jobs that the gateway may not know, and has not been sent on this session.
+    /// Cancelled jobs that the gateway may not know, and has not been sent on this session.
     unsent_cancels: Vec<JobId>,
     ends: VecDeque<TaskEnd>,
     /// How many of the newest `ends` have not been sent on this session.
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -50,7 +50,7 @@
         }
         let silence = owner.echo_age(now);
         self.last_session += 1;
-        let cancelled = self.cancels.recent(now);
+        let cancelled = self.cancels.retained(now);
         owner.open(now, session, self.last_session, cancelled);
         owner.is_owed_served |= self.served.is_owed_to(gateway);
         self.sessions.insert(session, gateway);
@@ -120,7 +120,7 @@
         };
         owner.echo = owner.echo.max(message.echo);
         owner.acknowledge(message.acknowledged);
-        self.on_cancelled(now, gateway, &message.cancelled);
+        self.on_cancelled(now, gateway, &message.cancelled, effects);
         self.served.record(now, &message.served);
         match message.body {
             ToAgentBody::Heartbeat => {}
--- a/laurelstile-core/src/leased/cancel_log.rs
+++ b/laurelstile-core/src/leased/cancel_log.rs
@@ -1,73 +1,77 @@
-//! Recently cancelled jobs, as gateways and agents remember them.
+//! Cancelled jobs, as gateways and agents remember them.
 
 use std::collections::{BTreeMap, VecDeque};
 
-use laurelstile_types::time::{Span, Timestamp};
+use laurelstile_types::time::Timestamp;
+use thiserror::Error;
 
 use super::task::JobId;
+use super::timing::CANCEL_RETENTION;
 
-/// How long a cancellation is kept: the submission may still be in flight, or be repeated
-/// after a broken connection.
-const RETENTION: Span = Span::from_secs(10);
-/// Maximum number of entries.
-const MAX_ENTRIES: usize = 4_096;
+/// Maximum number of retained cancellations: some 430 a second over [`CANCEL_RETENTION`].
+pub const MAX_CANCELS: usize = 65_536;
 
-/// The jobs cancelled within [`RETENTION`].
+/// A cancellation cannot be recorded. It must not be acknowledged, and nothing older is forgotten for
+/// it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{MAX_CANCELS} cancellations are retained, which is the maximum")]
+pub struct CancelLogFull;
+
+/// The jobs cancelled within [`CANCEL_RETENTION`].
 #[derive(Debug, Default)]
 pub struct CancelLog {
     /// When each job was last cancelled.
     jobs: BTreeMap<JobId, Timestamp>,
-    /// The entries in the order of recording, repeated ones included.
+    /// Each job once, in the order in which their expiry is examined.
     order: VecDeque<(Timestamp, JobId)>,
-    /// When an entry was last evicted before its retention ended.
-    last_evicted_at: Option<Timestamp>,
 }
 
 impl CancelLog {
-    /// Records a cancellation.
-    pub fn record(&mut self, now: Timestamp, job: JobId) {
-        while let Some((at, _)) = self.order.front() {
-            let is_old = now.since(*at) > RETENTION;
-            if !is_old && self.order.len() < MAX_ENTRIES {
-                break;
-            }
-            if !is_old {
-                self.last_evicted_at = Some(now);
-            }
-            self.remove_oldest();
+    /// Records a cancellation, or renews that of the same job.
+    ///
+    /// # Errors
+    /// [`CancelLogFull`] if the job is not retained yet and no entry has expired.
+    pub fn record(&mut self, now: Timestamp, job: JobId) -> Result<(), CancelLogFull> {
+        self.remove_expired(now);
+        if let Some(at) = self.jobs.get_mut(&job) {
+            *at = now;
+            return Ok(());
+        }
+        if self.jobs.len() >= MAX_CANCELS {
+            return Err(CancelLogFull);
         }
         self.jobs.insert(job, now);
         self.order.push_back((now, job));
+        Ok(())
     }
 
-    fn remove_oldest(&mut self) {
-        let Some((at, job)) = self.order.pop_front() else {
-            return;
-        };
-        if self.jobs.get(&job) == Some(&at) {
-            self.jobs.remove(&job);
+    fn remove_expired(&mut self, now: Timestamp) {
+        while let Some((at, job)) = self.order.front().copied()
+            && !is_retained(now, at)
+        {
+            self.order.pop_front();
+            let renewed_at = self.jobs.get(&job).copied();
+            match renewed_at.filter(|renewed_at| is_retained(now, *renewed_at)) {
+                Some(renewed_at) => self.order.push_back((renewed_at, job)),
+                None => {
+                    self.jobs.remove(&job);
+                }
+            }
         }
     }
 
-    /// Whether a cancellation that seems new may be one that was evicted. Such cancellations
-    /// are not forwarded, since they could circulate between gateways forever.
-    pub fn may_have_evicted(&self, now: Timestamp) -> bool {
-        self.last_evicted_at
-            .is_some_and(|at| now.since(at) <= RETENTION)
-    }
-
-    /// Jobs whose cancellation is still retained.
-    pub fn recent(&self, now: Timestamp) -> Vec<JobId> {
-        let recent = self.jobs.iter().filter(|(_, at)| is_recent(now, **at));
-        recent.map(|(job, _)| *job).collect()
+    /// Jobs whose cancellation is retained.
+    pub fn retained(&self, now: Timestamp) -> Vec<JobId> {
+        let retained = self.jobs.iter().filter(|(_, at)| is_retained(now, **at));
+        retained.map(|(job, _)| *job).collect()
     }
 
-    /// Whether the job's cancellation is still retained.
+    /// Whether the job's cancellation is retained.
     pub fn contains(&self, now: Timestamp, job: JobId) -> bool {
-        self.jobs.get(&job).is_some_and(|at| is_recent(now, *at))
+        self.jobs.get(&job).is_some_and(|at| is_retained(now, *at))
     }
 }
 
-fn is_recent(now: Timestamp, at: Timestamp) -> bool {
-    now.since(at) <= RETENTION
+fn is_retained(now: Timestamp, at: Timestamp) -> bool {
+    now.since(at) <= CANCEL_RETENTION
 }
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -4,15 +4,18 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Timestamp;
 
+use super::intake::RETRY_DELAY;
 use super::job::CallNumber;
-use super::{Answer, GatewayEffect, LeasedGateway};
+use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
+use crate::leased::cancel_log::CancelLogFull;
 use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::leased::task::JobId;
 use crate::session::SessionId;
 
 impl LeasedGateway {
     /// Handles a caller's cancellation. If this gateway does not hold the job, the cancellation
-    /// is sent to all peers and the caller is answered `Unknown`.
+    /// is sent to all peers and the caller is answered `Unknown`. A cancellation that is not recorded is
+    /// not acknowledged: the job could be started when it is forgotten.
     pub(super) fn on_cancel(
         &mut self,
         now: Timestamp,
@@ -21,15 +24,24 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let is_here = self.jobs.contains_key(&job);
-        self.cancel_job(now, job, effects);
+        let recorded = self.cancel_job(now, job, effects);
         for worker in self.workers.values_mut() {
             worker.add_unsent_cancel(job);
         }
-        let answer = if is_here {
-            Answer::Cancelled
-        } else {
+        if !is_here {
             self.broadcast_to_peers(&ToPeer::Cancelled(vec![job]), effects);
-            Answer::Unknown
+        }
+        let answer = match recorded {
+            Ok(()) if is_here => Answer::Cancelled,
+            Ok(()) => Answer::Unknown,
+            Err(CancelLogFull) => {
+                effects.push(GatewayEffect::Decided(GatewayDecision::CancelNotRecorded {
+                    job,
+                }));
+                Answer::CancelUnacknowledged {
+                    retry_after: RETRY_DELAY,
+                }
+            }
         };
         effects.push(GatewayEffect::Answer { call, answer });
     }
@@ -63,24 +75,22 @@
         if new_jobs.is_empty() {
             return;
         }
-        for job in &new_jobs {
-            self.cancel_job(now, *job, effects);
-        }
-        if !self.cancels.may_have_evicted(now) {
-            self.broadcast_to_peers(&ToPeer::Cancelled(new_jobs), effects);
+        let recorded = self.cancel_jobs(now, new_jobs, effects);
+        if !recorded.is_empty() {
+            self.broadcast_to_peers(&ToPeer::Cancelled(recorded), effects);
         }
     }
 
-    /// Sends the retained cancellations to a new peer.
-    pub(super) fn send_recent_cancels(
+    /// Sends the retained cancellations to a new peer, which may hold some of the jobs.
+    pub(super) fn send_retained_cancels(
         &self,
         now: Timestamp,
         session: SessionId,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let recent = self.cancels.recent(now);
-        if !recent.is_empty() {
-            let message = ToPeer::Cancelled(recent);
+        let retained = self.cancels.retained(now);
+        if !retained.is_empty() {
+            let message = ToPeer::Cancelled(retained);
             effects.push(GatewayEffect::ToPeer { session, message });
         }
     }
@@ -98,16 +108,31 @@
         if new_jobs.is_empty() {
             return;
         }
-        for job in &new_jobs {
-            self.cancel_job(now, *job, effects);
-        }
-        if !self.cancels.may_have_evicted(now) {
-            self.forward_to_peers(source, &ToPeer::Cancelled(new_jobs), effects);
+        let recorded = self.cancel_jobs(now, new_jobs, effects);
+        if !recorded.is_empty() {
+            self.forward_to_peers(source, &ToPeer::Cancelled(recorded), effects);
         }
     }
 
-    fn cancel_job(&mut self, now: Timestamp, job: JobId, effects: &mut Vec<GatewayEffect>) {
-        self.cancels.record(now, job);
+    /// Ends jobs, and returns those whose cancellation was recorded. The others must not be forwarded:
+    /// they would seem new each time they arrive, and circulate between gateways forever.
+    fn cancel_jobs(
+        &mut self,
+        now: Timestamp,
+        mut jobs: Vec<JobId>,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> Vec<JobId> {
+        jobs.retain(|job| self.cancel_job(now, *job, effects).is_ok());
+        jobs
+    }
+
+    fn cancel_job(
+        &mut self,
+        now: Timestamp,
+        job: JobId,
+        effects: &mut Vec<GatewayEffect>,
+    ) -> Result<(), CancelLogFull> {
         self.finish(now, job, Answer::Cancelled, effects);
+        self.cancels.record(now, job)
     }
 }
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -409,6 +409,11 @@
         /// The first wrong value.
         error: ConfigurationError,
     },
+    /// A cancellation was not acknowledged, since too many are retained.
+    CancelNotRecorded {
+        /// Id of the job.
+        job: JobId,
+    },
     /// All callers of a job have disconnected.
     Abandoned {
         /// Id of the job.
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -9,6 +9,7 @@
 use super::stages::StageTimes;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway, Refusal, RefusalCause};
 use crate::leased::task::JobId;
+use crate::leased::timing::MAX_JOB_TIME;
 
 /// Minimum retry delay after refusals other than for lack of capacity.
 pub(super) const RETRY_DELAY: Span = Span::from_millis(1_000);
@@ -44,7 +45,8 @@
         let id = request.id;
         let queue = request.queue.clone();
         let ingress_delay = self.ingress_delay.delay(now);
-        request.time_left = Span(request.time_left.0.saturating_sub(ingress_delay.0));
+        let time_left = Span(request.time_left.0.saturating_sub(ingress_delay.0));
+        request.time_left = time_left.min(MAX_JOB_TIME);
         self.update_worker_absence(now);
         if let Some(reason) = self.refusal_of(now, &request) {
             let until = self
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -382,7 +382,7 @@
             self.membership.on_agent_closed(old);
             effects.push(GatewayEffect::Close(old));
         }
-        let cancelled = self.cancels.recent(now);
+        let cancelled = self.cancels.retained(now);
         worker.open_session(now, session, remote.uptime, cancelled);
         self.start_window.remove_agent(remote.incarnation);
         self.agent_sessions.insert(session, remote.incarnation);
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -93,7 +93,7 @@
         let message = ToPeer::Introduction(introduction);
         effects.push(GatewayEffect::ToPeer { session, message });
         self.send_evacuations_to_peer(session, effects);
-        self.send_recent_cancels(now, session, effects);
+        self.send_retained_cancels(now, session, effects);
         if let Some(configuration) = &self.configuration {
             let message = ToPeer::InForce(configuration.version);
             effects.push(GatewayEffect::ToPeer { session, message });
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -259,7 +259,7 @@
 /// A fact that an agent remembers, so that it also reaches gateways that connect later.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Notice {
-    /// Jobs that callers have cancelled recently, at any gateway.
+    /// Jobs that callers have cancelled, at any gateway.
     #[serde(rename = "j")]
     Cancelled(Vec<JobId>),
     /// What is known of a crash that has not been confirmed.
@@ -602,7 +602,7 @@
     /// Crashes of workers with the tasks that ran there. Should arrive before the caller resubmits
     /// its job, about a second later. If it is lost, the task is tried on more workers.
     Crashes(Vec<WorkerCrash>),
-    /// Jobs that callers have cancelled recently, possibly at another gateway than the job's own.
+    /// Jobs that callers have cancelled, possibly at another gateway than the job's own.
     /// May arrive as late as cancellations may take effect. If it is lost, the job completes or
     /// fails at its deadline.
     Cancelled(Vec<JobId>),
--- a/laurelstile-core/src/leased/timing.rs
+++ b/laurelstile-core/src/leased/timing.rs
@@ -30,6 +30,11 @@
 /// Maximum time from the latest reading of an agent's clock that a gateway has received until the
 /// leases of all the gateway's runs there have expired.
 pub const RUNS_OVER_AFTER: Span = Span(OWNER_TIMEOUT.0 + MAX_LEASE_DURATION.0);
+/// Maximum time for which a gateway holds a job, however long its caller waits.
+pub const MAX_JOB_TIME: Span = Span::from_secs(120);
+/// How long gateways and agents remember that a job was cancelled. Longer than [`MAX_JOB_TIME`], since
+/// a gateway that is suspended or unreachable may hold the job, or not have read its submission yet.
+pub const CANCEL_RETENTION: Span = Span::from_secs(150);
 /// How long after a broken connection callers resubmit their job, at any gateway.
 pub const CALLER_RETRY_DELAY: Span = Span::from_millis(1_300);
 /// Silence of an agent after which a gateway may retry the tasks that it had there: the agent has
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -16,10 +16,10 @@
 
 use super::ports::HeartbeatError;
 use crate::telemetry::{
-    BACKLOG_CORE_SECONDS, CAPACITY_STALE, CONFIGURATIONS_REFUSED, CONTAINED_QUEUES,
-    DATA_TASKS_PLACED, DEPARTING_CORES, DEPARTURE_NOTICE_SECONDS, DRAIN_RATE_CORES,
-    EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED,
-    JOBS_REFUSED_FOR_CAPACITY, KNOWN_GATEWAYS, MISSING_SESSIONS, NEAR_WAITS, OFFERS,
+    BACKLOG_CORE_SECONDS, CANCELS_NOT_RECORDED, CAPACITY_STALE, CONFIGURATIONS_REFUSED,
+    CONTAINED_QUEUES, DATA_TASKS_PLACED, DEPARTING_CORES, DEPARTURE_NOTICE_SECONDS,
+    DRAIN_RATE_CORES, EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS, JOB_STAGE_SECONDS,
+    JOBS_ANSWERED, JOBS_REFUSED_FOR_CAPACITY, KNOWN_GATEWAYS, MISSING_SESSIONS, NEAR_WAITS, OFFERS,
     OFFERS_EXPIRED, PREEMPTED_CORE_MILLIS, QUEUE_CONTENDING, QUEUE_DEMAND, QUEUE_FAIR_SHARE,
     RETRY_AFTER_SECONDS, RUN_TIME_RATIO, RUNS_ENDED, RUNS_LOST, RUNS_MOVED, RUNS_STOPPED,
     STARTS_HELD, STOPS_UNANSWERED, TASKS_PREEMPTED, TASKS_RETURNED, TASKS_SUSPECTED,
@@ -55,6 +55,7 @@
             decision,
             GatewayDecision::Answered { .. }
                 | GatewayDecision::Abandoned { .. }
+                | GatewayDecision::CancelNotRecorded { .. }
                 | GatewayDecision::Suspected { .. }
                 | GatewayDecision::Contained { .. }
                 | GatewayDecision::QueueShare { .. }
@@ -206,6 +207,9 @@
             GatewayDecision::Neighbors(view) => {
                 log::info!(event = "neighbors", known = view.known, wanted = view.wanted, answering = view.answering, directory:% = view.directory; "");
             }
+            GatewayDecision::CancelNotRecorded { job } => {
+                log::warn!(event = "cancel_not_recorded", job:% = job; "cancellation not acknowledged: too many are retained");
+            }
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
             }
@@ -264,6 +268,9 @@
         }
         match decision {
             AgentDecision::OfferExpired => {}
+            AgentDecision::CancelNotRecorded { job } => {
+                log::warn!(event = "cancel_not_recorded", job:% = job; "cancellation not recorded: too many are retained");
+            }
             AgentDecision::Departing {
                 incarnation,
                 remaining,
@@ -434,6 +441,9 @@
 #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52")]
 fn count_gateway_decision(decision: &GatewayDecision) {
     match decision {
+        GatewayDecision::CancelNotRecorded { .. } => {
+            counter!(CANCELS_NOT_RECORDED).increment(1);
+        }
         GatewayDecision::Answered {
             queue,
             answer,
@@ -594,6 +604,9 @@
 
 fn count_agent_decision(decision: &AgentDecision) {
     match decision {
+        AgentDecision::CancelNotRecorded { .. } => {
+            counter!(CANCELS_NOT_RECORDED).increment(1);
+        }
         AgentDecision::Ended { how, proof, .. } => {
             counter!(RUNS_ENDED, "how" => how.name(), "proof" => proof.name()).increment(1);
         }
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -42,6 +42,8 @@
 /// Answered jobs of leased workers; labels `queue`, `size`, `outcome` (`in_time`, `late`,
 /// `refused`, `other`).
 pub const JOBS_ANSWERED: &str = "laurelstile_jobs_answered_total";
+/// Cancellations that were not recorded, since too many are retained. Gateways do not acknowledge them.
+pub const CANCELS_NOT_RECORDED: &str = "laurelstile_cancels_not_recorded_total";
 /// Jobs refused for lack of capacity while the policy for admission is on; labels `queue`, `cause`
 /// (`forecast`, `accepted_share`: rejected at once; `wait`: nothing of it was placed within its time).
 pub const JOBS_REFUSED_FOR_CAPACITY: &str = "laurelstile_jobs_refused_for_capacity_total";
