Cancels: acknowledged once nobody can start the job any more

Cause: a cancellation was acknowledged as soon as it had been sent to peers and agents, whether anybody had received it or not.

Change (decision 0017): the gateway asks its peers in a round of confirmations and acknowledges if the holder, or all gateways, or all agents have confirmed; otherwise it answers 503. Agents confirm at once what they have recorded. Peers and agents that have been silent for 300 ms are told and not waited for. Gateways and agents say whether they confirm; those of older versions are told as before. New metric `laurelstile_cancels_answered_total` by outcome.

The emulator draws the latencies of confirmations from a stream of their own. The rig of gateway tests reads an empty list of gateways first, as a gateway does that is alone; one that has heard of none acknowledges nothing.

Ruled out: news that is late by milliseconds; it arrived when the cut ended.

--- a/laurelstile-core/benches/placement.rs
+++ b/laurelstile-core/benches/placement.rs
@@ -102,6 +102,8 @@
         offers: Vec::new(),
         candidates: None,
         notices: Vec::new(),
+        cancels_received: None,
+        is_ending: false,
         usage: usage.map(Box::new),
         served: None,
         body,
--- a/laurelstile-core/src/leased/agent/cancels.rs
+++ b/laurelstile-core/src/leased/agent/cancels.rs
@@ -10,17 +10,20 @@
 use super::{AgentDecision, AgentEffect, LeasedAgent};
 
 impl LeasedAgent {
-    /// Records jobs that were cancelled at a gateway. Other gateways that have runs of them are told: the
-    /// news may have been lost with that gateway.
+    /// Records jobs that were cancelled, as a gateway tells, and confirms to it that it has told all up to
+    /// `position`. Other gateways that have runs of them are told: the news may have been lost with that
+    /// gateway.
     pub(super) fn on_cancelled(
         &mut self,
         now: Timestamp,
         gateway: Incarnation,
-        jobs: &[JobId],
+        (jobs, position): (&[JobId], Option<u64>),
         effects: &mut Vec<AgentEffect>,
     ) {
+        let mut are_recorded = true;
         for job in jobs {
             if !self.cancels.contains(now, *job) && self.cancels.record(now, *job).is_err() {
+                are_recorded = false;
                 effects.push(AgentEffect::Decided(AgentDecision::CancelNotRecorded {
                     job: *job,
                 }));
@@ -33,6 +36,12 @@
                 }
             }
         }
+        if are_recorded
+            && let Some(position) = position
+            && let Some(owner) = self.owners.get_mut(&gateway)
+        {
+            owner.record_cancels_received(position);
+        }
     }
 
     /// Whether the job's cancellation is retained; its gateway, which asks for a start, is told.
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -70,7 +70,8 @@
                 >= owner
                     .last_sent
                     .after(self.heartbeat_interval(now, gateway, owner));
-            if !is_report_due && !is_heartbeat_due && !owner.has_unsent_offer() {
+            let is_owed = owner.has_unsent_offer() || owner.is_owed_cancels_received();
+            if !is_report_due && !is_heartbeat_due && !is_owed {
                 return;
             }
             Some(FromAgentBody::Heartbeat)
@@ -90,6 +91,7 @@
             owner.record_report(now, report);
         }
         let is_owed_served = std::mem::take(&mut owner.is_owed_served);
+        let cancels_received = owner.take_cancels_received();
         let has_snapshot = owner.has_snapshot;
         let usage = has_snapshot.then(|| self.take_due_usage(now, gateway));
         let message = FromAgent {
@@ -98,6 +100,8 @@
             offers,
             candidates: None,
             notices: Vec::new(),
+            cancels_received,
+            is_ending: false,
             usage: usage.flatten(),
             served: is_owed_served.then(|| self.served.counts(now)).flatten(),
             body,
@@ -131,6 +135,7 @@
             return;
         }
         let cancelled = owner.take_unsent_cancels();
+        let cancels_received = owner.take_cancels_received();
         let cancelled = (!cancelled.is_empty()).then_some(Notice::Cancelled(cancelled));
         let evidence = self.crash_history.evidence_after(reported);
         let evidence = evidence.into_iter().map(Notice::Crash);
@@ -149,6 +154,8 @@
             offers: Vec::new(),
             candidates: None,
             notices,
+            cancels_received,
+            is_ending: false,
             usage: None,
             served: None,
             body,
@@ -233,10 +240,31 @@
         let is_done = self.runs.is_empty() && is_acknowledged;
         if (is_done || has_timed_out) && !self.has_reported_stop {
             self.has_reported_stop = true;
+            self.announce_end(now, effects);
             effects.push(AgentEffect::Stopped);
         }
     }
 
+    /// Tells all gateways that the process ends, so that they do not wait for its confirmations.
+    fn announce_end(&self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
+        let sessions = self.sessions.keys();
+        effects.extend(sessions.map(|session| AgentEffect::Send {
+            session: *session,
+            message: FromAgent {
+                clock: now,
+                report: None,
+                offers: Vec::new(),
+                candidates: None,
+                notices: Vec::new(),
+                cancels_received: None,
+                is_ending: true,
+                usage: None,
+                served: None,
+                body: FromAgentBody::Heartbeat,
+            },
+        }));
+    }
+
     /// When the agent next has to act without further events; `None` if never.
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let mut wakeups = Vec::new();
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -113,6 +113,10 @@
     pub sent_usage: SentUsage,
     /// Cancelled jobs that the gateway may not know, and has not been sent on this session.
     unsent_cancels: Vec<JobId>,
+    /// Position up to which all cancellations of the gateway are recorded.
+    cancels_received: u64,
+    /// Whether the gateway has not been sent `cancels_received`.
+    is_owed_cancels_received: bool,
     ends: VecDeque<TaskEnd>,
     /// How many of the newest `ends` have not been sent on this session.
     unsent: usize,
@@ -146,6 +150,8 @@
             is_owed_served: false,
             sent_usage: SentUsage::default(),
             unsent_cancels: Vec::new(),
+            cancels_received: 0,
+            is_owed_cancels_received: false,
             ends: VecDeque::new(),
             unsent: 0,
             last_number,
@@ -161,6 +167,7 @@
     /// this agent recently.
     pub fn open(&mut self, now: Timestamp, session: SessionId, number: u64, cancelled: Vec<JobId>) {
         self.unsent_cancels = cancelled;
+        self.is_owed_cancels_received = true;
         self.session = Some(session);
         self.session_number = number;
         self.opened = now;
@@ -369,6 +376,22 @@
         }
     }
 
+    /// Records that all cancellations of the gateway up to `position` are recorded.
+    pub fn record_cancels_received(&mut self, position: u64) {
+        self.cancels_received = self.cancels_received.max(position);
+        self.is_owed_cancels_received = true;
+    }
+
+    pub fn is_owed_cancels_received(&self) -> bool {
+        self.is_owed_cancels_received
+    }
+
+    /// The position for the next message to the gateway, if it has to be sent.
+    pub fn take_cancels_received(&mut self) -> Option<u64> {
+        let is_owed = std::mem::take(&mut self.is_owed_cancels_received);
+        is_owed.then_some(self.cancels_received)
+    }
+
     pub fn has_unsent_cancels(&self) -> bool {
         !self.unsent_cancels.is_empty()
     }
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -120,7 +120,8 @@
         };
         owner.echo = owner.echo.max(message.echo);
         owner.acknowledge(message.acknowledged);
-        self.on_cancelled(now, gateway, &message.cancelled, effects);
+        let cancelled = (message.cancelled.as_slice(), message.cancel_position);
+        self.on_cancelled(now, gateway, cancelled, effects);
         self.served.record(now, &message.served);
         match message.body {
             ToAgentBody::Heartbeat => {}
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -2,20 +2,20 @@
 //! other. Their agents remember them as well, so that a job stays cancelled if all gateways are lost.
 
 use laurelstile_types::id::Incarnation;
-use laurelstile_types::time::Timestamp;
+use laurelstile_types::time::{Span, Timestamp};
 
-use super::intake::RETRY_DELAY;
 use super::job::CallNumber;
-use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
+use super::{Answer, CancelOutcome, GatewayEffect, LeasedGateway};
 use crate::leased::cancel_log::CancelLogFull;
 use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::leased::task::JobId;
 use crate::session::SessionId;
 
 impl LeasedGateway {
-    /// Handles a caller's cancellation. If this gateway does not hold the job, the cancellation
-    /// is sent to all peers and the caller is answered `Unknown`. A cancellation that is not recorded is
-    /// not acknowledged: the job could be started when it is forgotten.
+    /// Handles a caller's cancellation. It is acknowledged at once if this gateway holds the job and no
+    /// other has claimed it, and otherwise once a round of confirmations shows that nobody can start the
+    /// job any more. A cancellation that is not recorded is not acknowledged: the job could be started
+    /// when it is forgotten.
     pub(super) fn on_cancel(
         &mut self,
         now: Timestamp,
@@ -24,26 +24,27 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let is_here = self.jobs.contains_key(&job);
+        let is_elsewhere = !self.claims.holders(now, job).is_empty();
         let recorded = self.cancel_job(now, job, effects);
+        self.tell_agents(job);
+        if is_here && !is_elsewhere && recorded.is_ok() {
+            let outcome = CancelOutcome::HeldHere;
+            self.answer_cancel((call, Span::default()), job, outcome, effects);
+        } else if recorded.is_ok() {
+            self.start_cancel_round(now, (call, now), job, effects);
+        } else {
+            self.broadcast_to_peers(&ToPeer::Cancelled(vec![job]), effects);
+            let outcome = CancelOutcome::NotRecorded;
+            self.answer_cancel((call, Span::default()), job, outcome, effects);
+        }
+    }
+
+    /// Has agents told of a cancellation with the next message to each.
+    pub(super) fn tell_agents(&mut self, job: JobId) {
+        self.cancel_position += 1;
         for worker in self.workers.values_mut() {
             worker.add_unsent_cancel(job);
         }
-        if !is_here {
-            self.broadcast_to_peers(&ToPeer::Cancelled(vec![job]), effects);
-        }
-        let answer = match recorded {
-            Ok(()) if is_here => Answer::Cancelled,
-            Ok(()) => Answer::Unknown,
-            Err(CancelLogFull) => {
-                effects.push(GatewayEffect::Decided(GatewayDecision::CancelNotRecorded {
-                    job,
-                }));
-                Answer::CancelUnacknowledged {
-                    retry_after: RETRY_DELAY,
-                }
-            }
-        };
-        effects.push(GatewayEffect::Answer { call, answer });
     }
 
     /// Sends agents the cancellations that they have not been sent with another message.
@@ -126,7 +127,7 @@
         jobs
     }
 
-    fn cancel_job(
+    pub(super) fn cancel_job(
         &mut self,
         now: Timestamp,
         job: JobId,
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -21,6 +21,10 @@
 
 /// Input to the gateway's state machine.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "the largest variant, an agent's message, is by far the most frequent"
+)]
 pub enum GatewayEvent {
     /// A caller submits a job.
     Submit {
@@ -198,6 +202,42 @@
     Wait,
 }
 
+/// Why a cancellation is acknowledged, or is not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// Acknowledged: this gateway held the job and has ended it.
+    HeldHere,
+    /// Acknowledged: another gateway held the job and has ended it.
+    HeldByPeer,
+    /// Acknowledged: all other gateways have recorded the cancellation.
+    AllGateways,
+    /// Acknowledged: all agents have recorded the cancellation and start nothing of the job.
+    AllAgents,
+    /// Not acknowledged: a gateway and an agent have not confirmed, and may start the job together.
+    Unconfirmed,
+    /// Not acknowledged: too many cancellations are retained.
+    NotRecorded,
+}
+
+impl CancelOutcome {
+    /// Name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::HeldHere => "held_here",
+            Self::HeldByPeer => "held_by_peer",
+            Self::AllGateways => "all_gateways",
+            Self::AllAgents => "all_agents",
+            Self::Unconfirmed => "unconfirmed",
+            Self::NotRecorded => "not_recorded",
+        }
+    }
+
+    /// Whether the caller is told that the job is cancelled.
+    pub fn is_acknowledged(self) -> bool {
+        !matches!(self, Self::Unconfirmed | Self::NotRecorded)
+    }
+}
+
 /// Evidence by which a gateway knows that a run has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndSource {
@@ -409,10 +449,14 @@
         /// The first wrong value.
         error: ConfigurationError,
     },
-    /// A cancellation was not acknowledged, since too many are retained.
-    CancelNotRecorded {
+    /// A caller's cancellation was answered.
+    CancelAnswered {
         /// Id of the job.
         job: JobId,
+        /// Why it was acknowledged, or was not.
+        outcome: CancelOutcome,
+        /// Time since the caller's request.
+        waited: Span,
     },
     /// All callers of a job have disconnected.
     Abandoned {
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -7,6 +7,8 @@
 
 pub mod accepted_share;
 mod admission;
+mod agent_confirmations;
+mod cancel_rounds;
 mod cancels;
 mod candidate;
 pub mod capacity;
@@ -59,12 +61,15 @@
 use super::task::{JobId, TaskId};
 use crate::session::{Remote, SessionId};
 use admission::Admission;
+use agent_confirmations::LostAgents;
+use cancel_rounds::CancelRounds;
 use capacity::CapacityReview;
 use claims::Claims;
 use containment::Containment;
 use earlier_runs::EarlierRuns;
 pub use events::{
-    Answer, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Refusal, RefusalCause,
+    Answer, CancelOutcome, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Refusal,
+    RefusalCause,
 };
 use ingress_delay::IngressDelay;
 use job::{CallNumber, Job};
@@ -142,6 +147,12 @@
     /// Bounds the bytes of start batches in flight to agents.
     start_window: StartWindow,
     cancels: CancelLog,
+    /// Number of cancellations that agents were told.
+    cancel_position: u64,
+    cancel_rounds: CancelRounds,
+    lost_agents: LostAgents,
+    /// When the first event was handled.
+    started_at: Option<Timestamp>,
     earlier_runs: EarlierRuns,
     claims: Claims,
     releases: Releases,
@@ -167,6 +178,7 @@
 
     /// Creates a gateway without a configuration. It refuses jobs until it receives one.
     pub fn with_policies(identity: Identity, policies: Policies) -> Self {
+        let cancel_rounds = CancelRounds::new(identity.incarnation);
         Self {
             policies,
             membership: Membership::new(identity.member.clone()),
@@ -194,6 +206,10 @@
             ingress_delay: IngressDelay::default(),
             start_window: StartWindow::default(),
             cancels: CancelLog::default(),
+            cancel_position: 0,
+            cancel_rounds,
+            lost_agents: LostAgents::default(),
+            started_at: None,
             earlier_runs: EarlierRuns::default(),
             crashes: CrashLog::default(),
             containment: Containment::default(),
@@ -257,6 +273,7 @@
         event: GatewayEvent,
         effects: &mut Vec<GatewayEffect>,
     ) {
+        self.started_at.get_or_insert(now);
         match event {
             GatewayEvent::Submit { call, request } => self.on_submit(now, call, request, effects),
             GatewayEvent::CallerDisconnected { call } => self.on_disconnect(now, call, effects),
@@ -308,6 +325,7 @@
         self.announce_waiting(now, &mut locality, effects);
         self.request_configuration(now, effects);
         self.flush_membership(now, effects);
+        self.review_cancel_rounds(now, effects);
         self.send_cancels_to_agents(now, effects);
         self.send_heartbeats(now, effects);
         self.review_capacity(now, effects);
@@ -335,6 +353,7 @@
         let claim = self.claims.next_due();
         let release = self.releases.next_due();
         let review = self.admission.next_review();
+        let round = self.cancel_rounds.next_due();
         let others = [
             timer,
             stop,
@@ -344,6 +363,7 @@
             claim,
             release,
             review,
+            round,
             self.next_late_at,
             self.next_near_wait_end,
         ];
@@ -382,6 +402,7 @@
             self.membership.on_agent_closed(old);
             effects.push(GatewayEffect::Close(old));
         }
+        self.lost_agents.record_found(&remote.name);
         let cancelled = self.cancels.retained(now);
         worker.open_session(now, session, remote.uptime, cancelled);
         self.start_window.remove_agent(remote.incarnation);
@@ -425,6 +446,7 @@
             worker.session = None;
             worker.offers.clear();
         }
+        self.record_agent_lost(now, agent);
         self.end_if_succeeded(now, agent, effects);
     }
 
@@ -444,6 +466,13 @@
         self.ingress_delay.record(now, agent, message.clock);
         worker.last_heard = now;
         worker.may_be_succeeded = false;
+        worker.is_ending |= message.is_ending;
+        worker
+            .confirmations
+            .on_message(now, message.cancels_received);
+        if message.cancels_received.is_some() {
+            self.cancel_rounds.request_review();
+        }
         worker.clock = worker.clock.max(message.clock);
         if let Some(report) = message.report {
             worker.on_report(report);
@@ -503,10 +532,16 @@
             return;
         };
         worker.record_sent(now);
+        let cancelled = worker.take_unsent_cancels();
+        let cancel_position = (!cancelled.is_empty()).then_some(self.cancel_position);
+        if let Some(position) = cancel_position {
+            worker.confirmations.record_sent(now, position);
+        }
         let message = ToAgent {
             echo: worker.clock,
             acknowledged: worker.last_received_end,
-            cancelled: worker.take_unsent_cancels(),
+            cancelled,
+            cancel_position,
             served: self.served_tally.take_for(now, agent),
             body,
         };
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -4,6 +4,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::cancel_rounds::PEER_SILENT_AFTER;
 use super::queues::QueueConfiguration;
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::membership::MembershipEffect;
@@ -19,9 +20,22 @@
     /// Version of the configuration in force at the peer, or `None` before it announced one.
     version: Option<u64>,
     /// Name of the peer, or `None` before it has introduced itself.
-    name: Option<String>,
+    pub name: Option<String>,
     /// Whether the peer understands [`ToPeer::Claim`].
     understands_claims: bool,
+    /// Whether the peer understands [`ToPeer::CancelRequested`].
+    pub confirms_cancels: bool,
+    /// When the oldest request was sent that the peer has answered neither itself nor by answering a
+    /// later one; `None` if there is none.
+    pub unanswered_since: Option<Timestamp>,
+}
+
+impl Peer {
+    /// Whether the peer has not answered requests for a while.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        let unanswered_since = self.unanswered_since;
+        unanswered_since.is_some_and(|since| now.since(since) > PEER_SILENT_AFTER)
+    }
 }
 
 impl LeasedGateway {
@@ -79,6 +93,7 @@
             self.releases.record_closed(now, name);
         }
         self.membership.on_peer_closed(now, session);
+        self.cancel_rounds.on_peer_closed(session);
     }
 
     pub(super) fn on_peer_opened(
@@ -126,6 +141,12 @@
                 self.on_peer_suspect(now, session, queue, task, effects);
             }
             ToPeer::Cancelled(jobs) => self.on_peer_cancels(now, session, &jobs, effects),
+            ToPeer::CancelRequested(request) => {
+                self.on_cancel_requested(now, session, request, effects);
+            }
+            ToPeer::CancelConfirmed(confirmation) => {
+                self.on_cancel_confirmed(session, confirmation);
+            }
             ToPeer::Claim(message) => self.on_claim_message(now, session, message, effects),
             ToPeer::Digest(digest) => self.membership.on_digest(session, digest),
             ToPeer::MembersWanted(parts) => {
@@ -137,6 +158,7 @@
                 if let Some(peer) = self.peers.get_mut(&session) {
                     peer.name = Some(introduction.name.clone());
                     peer.understands_claims = introduction.understands_claims;
+                    peer.confirms_cancels = introduction.confirms_cancels;
                 }
                 self.releases.record_alive(&introduction.name);
                 self.send_claims(now, session, effects);
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -11,6 +11,7 @@
 use super::super::timing::{
     AGENT_EXPIRY, BUSY_HEARTBEAT_INTERVAL, BUSY_SUSPECT_AFTER, IDLE_SUSPECT_AFTER,
 };
+use super::agent_confirmations::AgentConfirmations;
 use super::job::StepRequest;
 use super::worker_usage::WorkerUsage;
 use crate::session::{Remote, SessionId};
@@ -79,6 +80,10 @@
     pub has_told_served: bool,
     /// Cancelled jobs that the agent has not been sent on this session.
     unsent_cancels: Vec<JobId>,
+    /// Which cancellations the agent has confirmed.
+    pub confirmations: AgentConfirmations,
+    /// Whether the agent's process has announced its end.
+    pub is_ending: bool,
     /// Number of the latest batch on this session; 0 before the first.
     last_batch: u64,
     unreported: VecDeque<UnreportedBatch>,
@@ -118,6 +123,8 @@
             is_evacuated: false,
             has_told_served: false,
             unsent_cancels: Vec::new(),
+            confirmations: AgentConfirmations::default(),
+            is_ending: false,
             last_batch: 0,
             unreported: VecDeque::new(),
         }
@@ -160,6 +167,7 @@
         cancelled: Vec<JobId>,
     ) {
         self.unsent_cancels = cancelled;
+        self.confirmations.open(now);
         let started_at = process_start(now, uptime);
         self.process_started_at = self.process_started_at.min(started_at);
         self.session = Some(session);
--- a/laurelstile-core/src/leased/membership/mod.rs
+++ b/laurelstile-core/src/leased/membership/mod.rs
@@ -71,6 +71,8 @@
     close_due_at: Option<Timestamp>,
     /// The view that was last reported.
     view: Option<View>,
+    /// Whether a page of the list in the store, or the introduction of a peer, has been received.
+    is_informed: bool,
 }
 
 /// Summary of a gateway's membership, for the log. Gateways with the same directory hash know the
@@ -121,9 +123,28 @@
             selected_at: None,
             close_due_at: None,
             view: None,
+            is_informed: false,
         }
     }
 
+    /// Hash of the other known gateways; `None` before the list in the store or a peer has named any.
+    pub fn digest_of_others(&self) -> Option<Digest> {
+        let digest = self.directory.digest();
+        self.is_informed.then(|| digest.without(self.own_digest()))
+    }
+
+    /// Hash of the known gateway of this name; zero if there is none.
+    pub fn digest_of(&self, name: &str) -> Digest {
+        let mut members = self.members();
+        let member = members.find(|member| member.name == name);
+        Digest(member.map_or(0, rank::hash_of))
+    }
+
+    /// Hash of this gateway.
+    pub fn own_digest(&self) -> Digest {
+        Digest(rank::hash_of(&self.own))
+    }
+
     /// All known gateways, including this one.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.directory.members()
@@ -154,6 +175,7 @@
         introduction: Introduction,
     ) -> Option<MembershipEffect> {
         let peer = self.peers.get_mut(&session)?;
+        self.is_informed = true;
         let directory = introduction.directory;
         let member = introduction.into_member();
         let own = self.directory.digest();
@@ -201,6 +223,7 @@
 
     /// A page of the list in the store was read.
     pub fn on_list_page(&mut self, now: Timestamp, page: Page) {
+        self.is_informed = true;
         self.directory.read_page(now, page);
     }
 
--- a/laurelstile-core/src/leased/membership/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -87,6 +87,8 @@
                 count: candidates.iter().count(),
             })),
             notices: Vec::new(),
+            cancels_received: Some(0),
+            is_ending: false,
             usage: None,
             served: None,
             body: FromAgentBody::Heartbeat,
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -41,6 +41,8 @@
             Self::Evacuations(_) => "evacuations_to_peer",
             Self::Crashes(_) => "crashes_to_peer",
             Self::Cancelled(_) => "cancelled_to_peer",
+            Self::CancelRequested(_) => "cancel_requested",
+            Self::CancelConfirmed(_) => "cancel_confirmed",
             Self::Suspect { .. } => "suspect_to_peer",
             Self::Claim(_) => "claim_to_peer",
             Self::InForce(_) => "in_force",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -35,6 +35,11 @@
     /// submitted again.
     #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
     pub cancelled: Vec<JobId>,
+    /// Confirms that the agent has been sent all cancellations up to this position of the sender's;
+    /// present if `cancelled` is not empty, and absent from older versions. The agent answers with
+    /// [`FromAgent::cancels_received`].
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub cancel_position: Option<u64>,
     /// How the sender's queues were served since it last sent such counts to any agent.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub served: Vec<ServedCount>,
@@ -240,6 +245,14 @@
     /// Facts that outlive a gateway, in order. Precede the body.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub notices: Vec<Notice>,
+    /// The highest [`ToAgent::cancel_position`] up to which the agent has recorded all cancellations of
+    /// the receiver; in the first message of a session and after each change. Never sent by older
+    /// versions.
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+    pub cancels_received: Option<u64>,
+    /// Whether the agent's process ends: it starts no more tasks.
+    #[serde(rename = "q", default, skip_serializing_if = "is_false")]
+    pub is_ending: bool,
     /// Use of the worker by queue, while tasks that name their queue wait for it.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     pub usage: Option<Box<UsageReport>>,
@@ -553,6 +566,10 @@
     /// not.
     #[serde(default)]
     pub understands_claims: bool,
+    /// Whether the gateway understands [`ToPeer::CancelRequested`] and [`ToPeer::CancelConfirmed`];
+    /// absent from an older version, which does not.
+    #[serde(default)]
+    pub confirms_cancels: bool,
 }
 
 impl Introduction {
@@ -564,6 +581,7 @@
             zone: member.zone.clone(),
             directory: Some(directory),
             understands_claims: true,
+            confirms_cancels: true,
         }
     }
 
@@ -606,6 +624,11 @@
     /// May arrive as late as cancellations may take effect. If it is lost, the job completes or
     /// fails at its deadline.
     Cancelled(Vec<JobId>),
+    /// A caller has cancelled a job at some gateway, which waits for the confirmations. If it is lost,
+    /// the caller is told that its cancellation is not acknowledged.
+    CancelRequested(CancelRequest),
+    /// Answers a [`ToPeer::CancelRequested`]. If it is lost, the request counts as not answered.
+    CancelConfirmed(CancelConfirmation),
     /// Several workers have crashed while running this task. Should arrive as early as
     /// [`ToPeer::Crashes`]. If it is lost, the receiver may not restrict the task's queue to a part
     /// of the workers.
@@ -628,6 +651,49 @@
     Configuration(QueueConfiguration),
 }
 
+/// Identifies the requests and confirmations of one cancellation at all gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CancelRoundId {
+    /// The gateway process at which the caller cancelled the job.
+    #[serde(rename = "p")]
+    pub origin: Incarnation,
+    /// Number, rising with each round of the process.
+    #[serde(rename = "n")]
+    pub number: u64,
+}
+
+/// A request to confirm that a job is cancelled, forwarded from gateway to gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelRequest {
+    /// Round that the request belongs to.
+    #[serde(rename = "r")]
+    pub round: CancelRoundId,
+    /// Id of the job.
+    #[serde(rename = "j")]
+    pub job: JobId,
+    /// Whether the agents of each gateway have to confirm as well.
+    #[serde(rename = "a", default, skip_serializing_if = "is_false")]
+    pub includes_agents: bool,
+}
+
+/// The confirmation of a gateway, and of those to which it has forwarded the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelConfirmation {
+    /// Round that is answered.
+    #[serde(rename = "r")]
+    pub round: CancelRoundId,
+    /// Hash of the gateways that have recorded the cancellation and are not in another confirmation of
+    /// the round.
+    #[serde(rename = "d")]
+    pub reached: Digest,
+    /// Whether one of them held the job, and has ended it.
+    #[serde(rename = "h", default, skip_serializing_if = "is_false")]
+    pub was_held: bool,
+    /// Whether an agent of one of them may not know of the cancellation.
+    #[serde(rename = "u", default, skip_serializing_if = "is_false")]
+    pub has_unconfirmed_agents: bool,
+}
+
 /// A message about the gateway that holds a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimMessage {
--- a/laurelstile-core/src/leased/redial.rs
+++ b/laurelstile-core/src/leased/redial.rs
@@ -2,9 +2,10 @@
 
 use laurelstile_types::time::Span;
 
-/// Delay between dials of an address: initial and maximum.
+/// Initial delay between dials of an address.
 const MIN_REDIAL_DELAY: Span = Span::from_millis(25);
-const MAX_REDIAL_DELAY: Span = Span::from_millis(400);
+/// Maximum delay between dials of an address.
+pub const MAX_REDIAL_DELAY: Span = Span::from_millis(400);
 /// Time-out for opening a connection: initial and maximum. A machine without power answers no
 /// packet, and the operating system retransmits the first one only after a second; a distant
 /// machine answers within the maximum.
--- a/laurelstile-core/tests/leased_capacity.rs
+++ b/laurelstile-core/tests/leased_capacity.rs
@@ -106,6 +106,7 @@
             echo: at(20),
             acknowledged: 0,
             cancelled: Vec::new(),
+            cancel_position: None,
             served: Vec::new(),
             body,
         };
--- a/laurelstile-core/tests/leased_claims.rs
+++ b/laurelstile-core/tests/leased_claims.rs
@@ -297,6 +297,7 @@
     };
     let introduction = Introduction {
         understands_claims,
+        confirms_cancels: understands_claims,
         ..Introduction::new(&member, Digest::default())
     };
     rig.peer_message(
--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -6,7 +6,10 @@
 
 use laurelstile_core::leased::cancel_log::MAX_CANCELS;
 use laurelstile_core::leased::crashes::CrashedTask;
-use laurelstile_core::leased::gateway::{GatewayEffect, GatewayEvent, Identity, LeasedGateway};
+use laurelstile_core::leased::gateway::job::CallNumber;
+use laurelstile_core::leased::gateway::{
+    Answer, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
+};
 use laurelstile_core::leased::membership::digest::Digest;
 use laurelstile_core::leased::membership::directory::Directory;
 use laurelstile_core::leased::membership::page::{Page, record_key};
@@ -46,6 +49,8 @@
     undelivered: VecDeque<(usize, SessionId, ToPeer)>,
     /// Delivered messages, with sender and receiver.
     delivered: Vec<(usize, usize, ToPeer)>,
+    /// Answers to callers.
+    answers: Vec<(CallNumber, Answer)>,
 }
 
 impl Fleet {
@@ -65,6 +70,7 @@
             wanted: vec![Vec::new(); count],
             undelivered: VecDeque::new(),
             delivered: Vec::new(),
+            answers: Vec::new(),
         };
         for number in 1..count {
             fleet.open(at(1), number, number - 1);
@@ -125,6 +131,7 @@
                 }
                 GatewayEffect::Dial { members, .. } => self.wanted[gateway] = members,
                 GatewayEffect::Close(session) => self.close(now, session),
+                GatewayEffect::Answer { call, answer } => self.answers.push((call, answer)),
                 _ => {}
             }
         }
@@ -171,9 +178,12 @@
 
     /// Number of gateways, except `first`, that received the cancellation of a job.
     fn count_cancelled(&self, first: usize, job: JobId) -> usize {
-        let sent = self.delivered.iter().filter(
-            |(_, _, message)| matches!(message, ToPeer::Cancelled(jobs) if jobs.contains(&job)),
-        );
+        let is_told = |(_, _, message): &&(usize, usize, ToPeer)| match message {
+            ToPeer::Cancelled(jobs) => jobs.contains(&job),
+            ToPeer::CancelRequested(request) => request.job == job,
+            _ => false,
+        };
+        let sent = self.delivered.iter().filter(is_told);
         let receivers = sent.map(|(_, to, _)| *to).filter(|to| *to != first);
         let mut receivers: Vec<usize> = receivers.collect();
         receivers.sort_unstable();
@@ -182,7 +192,7 @@
     }
 
     fn cancel(&mut self, now: Timestamp, gateway: usize, job: JobId) {
-        let call = laurelstile_core::leased::gateway::job::CallNumber(job.0);
+        let call = CallNumber(job.0);
         self.event(now, gateway, GatewayEvent::Cancel { call, job });
     }
 }
@@ -217,11 +227,37 @@
     fleet.cancel(at(CONVERGENCE_MILLIS), 3, JobId(7));
     assert_eq!(fleet.count_cancelled(3, JobId(7)), 39);
     let sessions = fleet.sessions.iter().flatten().count();
-    assert!(
-        fleet.delivered.len() <= 2 * sessions,
-        "{} messages",
-        fleet.delivered.len()
-    );
+    let is_confirmation =
+        |(_, _, message): &&(usize, usize, ToPeer)| matches!(message, ToPeer::CancelConfirmed(_));
+    let confirmations = fleet.delivered.iter().filter(is_confirmation).count();
+    let requests = fleet.delivered.len() - confirmations;
+    assert!(requests <= 2 * sessions, "{requests} requests");
+    assert_eq!(confirmations, requests, "each request is answered once");
+}
+
+/// Guards against cancellations that are never acknowledged in large deployments, where the gateways
+/// behind a peer are known by its answer only.
+#[test]
+fn a_cancellation_is_acknowledged_once_all_of_a_large_deployment_have_confirmed() {
+    let mut fleet = Fleet::new(40);
+    fleet.run(10, CONVERGENCE_MILLIS);
+    fleet.cancel(at(CONVERGENCE_MILLIS), 3, JobId(7));
+    assert_eq!(fleet.answers, [(CallNumber(7), Answer::Unknown)]);
+}
+
+/// Guards against the acknowledgement of a cancellation that a part of the gateways has not heard of.
+#[test]
+fn a_cancellation_is_not_acknowledged_while_a_third_is_partitioned() {
+    let mut fleet = Fleet::new(30);
+    fleet.run(10, CONVERGENCE_MILLIS);
+    fleet.partition(at(CONVERGENCE_MILLIS), (0..10).collect());
+    fleet.run(CONVERGENCE_MILLIS, CONVERGENCE_MILLIS + 3_000);
+    fleet.cancel(at(CONVERGENCE_MILLIS + 3_000), 20, JobId(7));
+    fleet.run(CONVERGENCE_MILLIS + 3_000, CONVERGENCE_MILLIS + 4_000);
+    let is_unacknowledged =
+        |(_, answer): &(CallNumber, Answer)| matches!(answer, Answer::CancelUnacknowledged { .. });
+    assert_eq!(fleet.answers.len(), 1);
+    assert!(fleet.answers.iter().all(is_unacknowledged));
 }
 
 #[test]
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -53,6 +53,8 @@
         offers: Vec::new(),
         candidates: None,
         notices: Vec::new(),
+        cancels_received: None,
+        is_ending: false,
         usage: None,
         served: None,
         body,
@@ -92,6 +94,7 @@
         echo: CLOCK,
         acknowledged: 300,
         cancelled: Vec::new(),
+        cancel_position: None,
         served: Vec::new(),
         body: ToAgentBody::Start(StartBatch {
             number: 300,
@@ -119,6 +122,7 @@
         echo: CLOCK,
         acknowledged: 300,
         cancelled: Vec::new(),
+        cancel_position: None,
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
--- a/laurelstile-core/tests/leased_remembered_cancels.rs
+++ b/laurelstile-core/tests/leased_remembered_cancels.rs
@@ -39,6 +39,7 @@
         echo: now,
         acknowledged: 0,
         cancelled: jobs.iter().copied().map(JobId).collect(),
+        cancel_position: None,
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
@@ -55,6 +56,8 @@
         offers: Vec::new(),
         candidates: None,
         notices: vec![Notice::Cancelled(jobs)],
+        cancels_received: None,
+        is_ending: false,
         usage: None,
         served: None,
         body: FromAgentBody::Heartbeat,
@@ -172,6 +175,7 @@
         echo: at(20),
         acknowledged: 0,
         cancelled: vec![JobId(1)],
+        cancel_position: None,
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
--- a/laurelstile-core/tests/leased_served_counts.rs
+++ b/laurelstile-core/tests/leased_served_counts.rs
@@ -76,6 +76,7 @@
         echo: now,
         acknowledged: 0,
         cancelled: Vec::new(),
+        cancel_position: None,
         served,
         body: ToAgentBody::Heartbeat,
     };
@@ -99,6 +100,8 @@
         offers: Vec::new(),
         candidates: None,
         notices: Vec::new(),
+        cancels_received: None,
+        is_ending: false,
         usage: None,
         served: Some(Box::new(ServedCounts(served))),
         body: FromAgentBody::Heartbeat,
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -200,6 +200,7 @@
             echo: now,
             acknowledged: 0,
             cancelled: Vec::new(),
+            cancel_position: None,
             served: Vec::new(),
             body,
         };
@@ -315,6 +316,7 @@
             echo,
             acknowledged: 0,
             cancelled: Vec::new(),
+            cancel_position: None,
             served: Vec::new(),
             body,
         };
@@ -333,6 +335,7 @@
             echo: now,
             acknowledged: u64::MAX,
             cancelled: Vec::new(),
+            cancel_position: None,
             served: Vec::new(),
             body: ToAgentBody::Heartbeat,
         };
--- a/laurelstile-core/tests/leased_support/gateway_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateway_rig.rs
@@ -14,6 +14,7 @@
     Answer, EndSource, GatewayDecision, GatewayEffect, GatewayEvent, Identity, LeasedGateway,
     RefusalCause,
 };
+use laurelstile_core::leased::membership::page::Page;
 use laurelstile_core::leased::messages::{
     Announcement, EndKind, FromAgent, FromAgentBody, Member, NO_TASK_LIMIT, Notice, Offer, Report,
     Snapshot, StartBatch, TaskEnd, ToAgent, ToAgentBody, ToPeer,
@@ -88,8 +89,18 @@
     ends: u64,
 }
 
+/// The list of gateways in the store, as a gateway reads it that is alone.
+fn empty_list() -> Page {
+    Page {
+        from: String::new(),
+        until: None,
+        members: Vec::new(),
+    }
+}
+
 impl GatewayRig {
-    /// A gateway with configuration version 1.
+    /// A gateway with configuration version 1 that has read the list of gateways in the store, which names
+    /// no other.
     pub fn new() -> Self {
         Self::named("gateway")
     }
@@ -119,6 +130,7 @@
     ) -> Self {
         let mut rig = Self::unconfigured(name, incarnation, policies);
         rig.event(at(0), GatewayEvent::Configuration(configuration));
+        rig.event(at(0), GatewayEvent::ListPage(empty_list()));
         rig
     }
 
@@ -448,6 +460,8 @@
             offers: Vec::new(),
             candidates: None,
             notices: vec![Notice::Crash(evidence)],
+            cancels_received: None,
+            is_ending: false,
             usage: None,
             served: None,
             body,
@@ -501,6 +515,8 @@
             offers: Vec::new(),
             candidates: None,
             notices: Vec::new(),
+            cancels_received: None,
+            is_ending: false,
             usage: None,
             served: None,
             body,
@@ -522,6 +538,8 @@
             offers: Vec::new(),
             candidates: None,
             notices: Vec::new(),
+            cancels_received: None,
+            is_ending: false,
             usage: None,
             served: None,
             body: FromAgentBody::Heartbeat,
@@ -557,6 +575,8 @@
             offers: Vec::new(),
             candidates: None,
             notices: Vec::new(),
+            cancels_received: None,
+            is_ending: false,
             usage: Some(Box::new(usage)),
             served: None,
             body: FromAgentBody::Heartbeat,
@@ -573,6 +593,8 @@
             offers: vec![offer],
             candidates: None,
             notices: Vec::new(),
+            cancels_received: None,
+            is_ending: false,
             usage: None,
             served: None,
             body: FromAgentBody::Heartbeat,
--- a/laurelstile-core/tests/leased_usable_capacity.rs
+++ b/laurelstile-core/tests/leased_usable_capacity.rs
@@ -34,6 +34,8 @@
         offers: Vec::new(),
         candidates: None,
         notices: Vec::new(),
+        cancels_received: None,
+        is_ending: false,
         usage: None,
         served: None,
         body: FromAgentBody::Heartbeat,
--- a/laurelstile-core/tests/leased_way_in.rs
+++ b/laurelstile-core/tests/leased_way_in.rs
@@ -90,6 +90,8 @@
             offers: Vec::new(),
             candidates: None,
             notices: Vec::new(),
+            cancels_received: None,
+            is_ending: false,
             usage: None,
             served: None,
             body: FromAgentBody::Heartbeat,
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -47,6 +47,7 @@
 const HEARTBEAT: u64 = 1_500_000;
 /// Stream of the latencies of claims.
 const CLAIM_STREAM: u64 = 0xc1a1;
+const CONFIRMATION_STREAM: u64 = 0xc0f1;
 /// Pause before a caller hands in again after a broken connection.
 pub const RESEND: u64 = 1_300_000;
 /// How long a killed process stays away.
@@ -202,6 +203,8 @@
     /// Draws the latencies of claims, which are sent for some jobs only: other draws of a seed do not
     /// depend on them.
     claim_random: Pcg64,
+    /// Draws the latencies of confirmations of cancellations, likewise.
+    confirmation_random: Pcg64,
     /// A mechanism that is switched off.
     pub sabotage: Option<Sabotage>,
     /// Agents; each stands beside the worker of the same index.
@@ -287,6 +290,7 @@
         let mut world = Self {
             now: 0,
             claim_random: Pcg64::seed_from_u64(CLAIM_STREAM),
+            confirmation_random: Pcg64::seed_from_u64(CONFIRMATION_STREAM),
             random,
             sabotage,
             agents: Vec::new(),
--- a/laurelstile-sim/src/leased/world/peering.rs
+++ b/laurelstile-sim/src/leased/world/peering.rs
@@ -63,7 +63,9 @@
             return;
         };
         let is_lost = match message {
-            ToPeer::Cancelled(_) => self.sabotage == Some(Sabotage::NoCancelNews),
+            ToPeer::Cancelled(_) | ToPeer::CancelRequested(_) => {
+                self.sabotage == Some(Sabotage::NoCancelNews)
+            }
             ToPeer::Claim(_) => self.sabotage == Some(Sabotage::NoClaims),
             _ => false,
         };
@@ -73,6 +75,7 @@
         let to = if ends[0] == from { ends[1] } else { ends[0] };
         let random = match message {
             ToPeer::Claim(_) => &mut self.claim_random,
+            ToPeer::CancelConfirmed(_) => &mut self.confirmation_random,
             _ => &mut self.random,
         };
         let latency = random.random_range(SHORTEST_WAY..LONGEST_WAY);
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -16,13 +16,13 @@
 
 use super::ports::HeartbeatError;
 use crate::telemetry::{
-    BACKLOG_CORE_SECONDS, CANCELS_NOT_RECORDED, CAPACITY_STALE, CONFIGURATIONS_REFUSED,
-    CONTAINED_QUEUES, DATA_TASKS_PLACED, DEPARTING_CORES, DEPARTURE_NOTICE_SECONDS,
-    DRAIN_RATE_CORES, EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS, JOB_STAGE_SECONDS,
-    JOBS_ANSWERED, JOBS_REFUSED_FOR_CAPACITY, KNOWN_GATEWAYS, MISSING_SESSIONS, NEAR_WAITS, OFFERS,
-    OFFERS_EXPIRED, PREEMPTED_CORE_MILLIS, QUEUE_CONTENDING, QUEUE_DEMAND, QUEUE_FAIR_SHARE,
-    RETRY_AFTER_SECONDS, RUN_TIME_RATIO, RUNS_ENDED, RUNS_LOST, RUNS_MOVED, RUNS_STOPPED,
-    STARTS_HELD, STOPS_UNANSWERED, TASKS_PREEMPTED, TASKS_RETURNED, TASKS_SUSPECTED,
+    BACKLOG_CORE_SECONDS, CANCELS_ANSWERED, CANCELS_NOT_RECORDED, CAPACITY_STALE,
+    CONFIGURATIONS_REFUSED, CONTAINED_QUEUES, DATA_TASKS_PLACED, DEPARTING_CORES,
+    DEPARTURE_NOTICE_SECONDS, DRAIN_RATE_CORES, EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS,
+    JOB_STAGE_SECONDS, JOBS_ANSWERED, JOBS_REFUSED_FOR_CAPACITY, KNOWN_GATEWAYS, MISSING_SESSIONS,
+    NEAR_WAITS, OFFERS, OFFERS_EXPIRED, PREEMPTED_CORE_MILLIS, QUEUE_CONTENDING, QUEUE_DEMAND,
+    QUEUE_FAIR_SHARE, RETRY_AFTER_SECONDS, RUN_TIME_RATIO, RUNS_ENDED, RUNS_LOST, RUNS_MOVED,
+    RUNS_STOPPED, STARTS_HELD, STOPS_UNANSWERED, TASKS_PREEMPTED, TASKS_RETURNED, TASKS_SUSPECTED,
     WORKER_CRASHES, WORKER_UNRESPONSIVE,
 };
 
@@ -55,7 +55,7 @@
             decision,
             GatewayDecision::Answered { .. }
                 | GatewayDecision::Abandoned { .. }
-                | GatewayDecision::CancelNotRecorded { .. }
+                | GatewayDecision::CancelAnswered { .. }
                 | GatewayDecision::Suspected { .. }
                 | GatewayDecision::Contained { .. }
                 | GatewayDecision::QueueShare { .. }
@@ -207,8 +207,12 @@
             GatewayDecision::Neighbors(view) => {
                 log::info!(event = "neighbors", known = view.known, wanted = view.wanted, answering = view.answering, directory:% = view.directory; "");
             }
-            GatewayDecision::CancelNotRecorded { job } => {
-                log::warn!(event = "cancel_not_recorded", job:% = job; "cancellation not acknowledged: too many are retained");
+            GatewayDecision::CancelAnswered {
+                job,
+                outcome,
+                waited,
+            } => {
+                log::info!(event = "cancel_answered", job:% = job, outcome = outcome.name(), is_acknowledged = outcome.is_acknowledged(), waited_ms = waited.as_millis(); "");
             }
             GatewayDecision::Abandoned { job, age } => {
                 log::info!(event = "abandoned", job:% = job, age_ms = age.as_millis(); "");
@@ -441,8 +445,8 @@
 #[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52")]
 fn count_gateway_decision(decision: &GatewayDecision) {
     match decision {
-        GatewayDecision::CancelNotRecorded { .. } => {
-            counter!(CANCELS_NOT_RECORDED).increment(1);
+        GatewayDecision::CancelAnswered { outcome, .. } => {
+            counter!(CANCELS_ANSWERED, "outcome" => outcome.name()).increment(1);
         }
         GatewayDecision::Answered {
             queue,
--- a/laurelstiled/src/leased/input.rs
+++ b/laurelstiled/src/leased/input.rs
@@ -32,6 +32,10 @@
 
 /// Input of the gateway's driver.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "the largest variant, an event, is by far the most frequent"
+)]
 pub enum GatewayInput {
     /// An event for the state machine.
     Event(GatewayEvent),
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -42,7 +42,10 @@
 /// Answered jobs of leased workers; labels `queue`, `size`, `outcome` (`in_time`, `late`,
 /// `refused`, `other`).
 pub const JOBS_ANSWERED: &str = "laurelstile_jobs_answered_total";
-/// Cancellations that were not recorded, since too many are retained. Gateways do not acknowledge them.
+/// Cancellations that a gateway has answered; label `outcome`. Those `unconfirmed` and `not_recorded` were
+/// not acknowledged.
+pub const CANCELS_ANSWERED: &str = "laurelstile_cancels_answered_total";
+/// Cancellations that an agent did not record, since too many are retained.
 pub const CANCELS_NOT_RECORDED: &str = "laurelstile_cancels_not_recorded_total";
 /// Jobs refused for lack of capacity while the policy for admission is on; labels `queue`, `cause`
 /// (`forecast`, `accepted_share`: rejected at once; `wait`: nothing of it was placed within its time).
