Cancels: told with their age when sessions open

Cause: processes tell each other of the cancellations that they retain as a session opens, and the receiver counted the retention anew.

Change: lists have ages, in seconds rounded up (`CancelList`), also from an agent and to a new gateway. The latest cancellation of a job counts. Peers are sent the list after their introduction, when it is known what they understand.

Two gaps of the confirmations, found by reading, go with it: an agent whose log was full confirmed a later position although an earlier cancellation was not recorded, and a peer that has opened a session but not introduced itself was taken for none.

Tests: `a_cancellation_that_is_told_again_is_not_retained_for_longer`, `the_latest_cancellation_of_a_job_counts`, `a_peer_that_has_not_introduced_itself_may_hold_the_job`, `a_gateway_that_returns_is_told_what_was_cancelled_and_how_long_ago`; `an_agent_confirms_at_once_what_it_has_recorded` goes beyond a full log. In `leased_gateway.rs` peers introduce themselves, as all do, since they are told afterwards.

--- a/laurelstile-core/benches/placement.rs
+++ b/laurelstile-core/benches/placement.rs
@@ -103,6 +103,7 @@
         candidates: None,
         notices: Vec::new(),
         cancels_received: None,
+        cancel_ages: Vec::new(),
         is_ending: false,
         usage: usage.map(Box::new),
         served: None,
--- a/laurelstile-core/src/leased/agent/cancels.rs
+++ b/laurelstile-core/src/leased/agent/cancels.rs
@@ -6,6 +6,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::Timestamp;
 
+use super::super::cancel_log::{CancelList, Cancelled};
 use super::super::task::JobId;
 use super::{AgentDecision, AgentEffect, LeasedAgent};
 
@@ -17,30 +18,30 @@
         &mut self,
         now: Timestamp,
         gateway: Incarnation,
-        (jobs, position): (&[JobId], Option<u64>),
+        (list, position): (&CancelList, Option<u64>),
         effects: &mut Vec<AgentEffect>,
     ) {
         let mut are_recorded = true;
-        for job in jobs {
-            if !self.cancels.contains(now, *job) && self.cancels.record(now, *job).is_err() {
+        for cancelled in list.received(now) {
+            let job = cancelled.job;
+            if self.cancels.record(now, cancelled).is_err() {
                 are_recorded = false;
-                effects.push(AgentEffect::Decided(AgentDecision::CancelNotRecorded {
-                    job: *job,
-                }));
+                let decision = AgentDecision::CancelNotRecorded { job };
+                effects.push(AgentEffect::Decided(decision));
             }
-            let runs = self.runs.iter().filter(|(task, _)| task.job == *job);
+            let runs = self.runs.iter().filter(|(task, _)| task.job == job);
             let owners = runs.map(|(_, run)| run.owner);
             for owner in owners.filter(|owner| *owner != gateway) {
                 if let Some(owner) = self.owners.get_mut(&owner) {
-                    owner.add_unsent_cancel(*job);
+                    owner.add_unsent_cancel(cancelled);
                 }
             }
         }
-        if are_recorded
-            && let Some(position) = position
-            && let Some(owner) = self.owners.get_mut(&gateway)
-        {
-            owner.record_cancels_received(position);
+        if let Some(owner) = self.owners.get_mut(&gateway) {
+            owner.lacks_cancels |= !are_recorded;
+            if let Some(position) = position.filter(|_| !owner.lacks_cancels) {
+                owner.record_cancels_received(position);
+            }
         }
     }
 
@@ -51,10 +52,12 @@
         gateway: Incarnation,
         job: JobId,
     ) -> bool {
-        let is_cancelled = self.cancels.contains(now, job);
-        if is_cancelled && let Some(owner) = self.owners.get_mut(&gateway) {
-            owner.add_unsent_cancel(job);
+        let cancelled_at = self.cancels.cancelled_at(now, job);
+        if let Some(at) = cancelled_at
+            && let Some(owner) = self.owners.get_mut(&gateway)
+        {
+            owner.add_unsent_cancel(Cancelled { job, at });
         }
-        is_cancelled
+        cancelled_at.is_some()
     }
 }
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -3,6 +3,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::super::cancel_log::CancelList;
 use super::super::messages::{FromAgent, FromAgentBody, Notice, Report, Snapshot};
 use super::super::task::TaskId;
 use super::super::timing::{BUSY_HEARTBEAT_INTERVAL, BUSY_LINGER, IDLE_HEARTBEAT_INTERVAL};
@@ -101,6 +102,7 @@
             candidates: None,
             notices: Vec::new(),
             cancels_received,
+            cancel_ages: Vec::new(),
             is_ending: false,
             usage: usage.flatten(),
             served: is_owed_served.then(|| self.served.counts(now)).flatten(),
@@ -134,8 +136,10 @@
         if reported == self.crash_history.latest() && !owner.has_unsent_cancels() {
             return;
         }
-        let cancelled = owner.take_unsent_cancels();
+        let cancelled = CancelList::new(now, &owner.take_unsent_cancels());
         let cancels_received = owner.take_cancels_received();
+        let cancel_ages = cancelled.ages_seconds;
+        let cancelled = cancelled.jobs;
         let cancelled = (!cancelled.is_empty()).then_some(Notice::Cancelled(cancelled));
         let evidence = self.crash_history.evidence_after(reported);
         let evidence = evidence.into_iter().map(Notice::Crash);
@@ -155,6 +159,7 @@
             candidates: None,
             notices,
             cancels_received,
+            cancel_ages,
             is_ending: false,
             usage: None,
             served: None,
@@ -257,6 +262,7 @@
                 candidates: None,
                 notices: Vec::new(),
                 cancels_received: None,
+                cancel_ages: Vec::new(),
                 is_ending: true,
                 usage: None,
                 served: None,
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -5,6 +5,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::super::cancel_log::Cancelled;
 use super::super::checkpoint::Checkpoint;
 use super::super::messages::{Announcement, EndKind, Offer, Report, TaskEnd};
 use super::super::queue_key::QueueKey;
@@ -112,7 +113,10 @@
     /// The usage reports sent on this session.
     pub sent_usage: SentUsage,
     /// Cancelled jobs that the gateway may not know, and has not been sent on this session.
-    unsent_cancels: Vec<JobId>,
+    unsent_cancels: Vec<Cancelled>,
+    /// Whether a cancellation that the gateway has told on this session is not recorded. Nothing is
+    /// confirmed then until a new session, on which the gateway tells all of them again.
+    pub lacks_cancels: bool,
     /// Position up to which all cancellations of the gateway are recorded.
     cancels_received: u64,
     /// Whether the gateway has not been sent `cancels_received`.
@@ -150,6 +154,7 @@
             is_owed_served: false,
             sent_usage: SentUsage::default(),
             unsent_cancels: Vec::new(),
+            lacks_cancels: false,
             cancels_received: 0,
             is_owed_cancels_received: false,
             ends: VecDeque::new(),
@@ -165,8 +170,15 @@
     /// Starts a new session, on which the `cancelled` jobs are sent. Everything unacknowledged is sent
     /// again. The echo is left unchanged: an open connection is no evidence that the gateway has heard
     /// this agent recently.
-    pub fn open(&mut self, now: Timestamp, session: SessionId, number: u64, cancelled: Vec<JobId>) {
+    pub fn open(
+        &mut self,
+        now: Timestamp,
+        session: SessionId,
+        number: u64,
+        cancelled: Vec<Cancelled>,
+    ) {
         self.unsent_cancels = cancelled;
+        self.lacks_cancels = false;
         self.is_owed_cancels_received = true;
         self.session = Some(session);
         self.session_number = number;
@@ -370,9 +382,10 @@
         self.ends.range(sent..).cloned().collect()
     }
 
-    pub fn add_unsent_cancel(&mut self, job: JobId) {
-        if !self.unsent_cancels.contains(&job) {
-            self.unsent_cancels.push(job);
+    pub fn add_unsent_cancel(&mut self, cancelled: Cancelled) {
+        let mut unsent = self.unsent_cancels.iter();
+        if !unsent.any(|one| one.job == cancelled.job) {
+            self.unsent_cancels.push(cancelled);
         }
     }
 
@@ -396,7 +409,7 @@
         !self.unsent_cancels.is_empty()
     }
 
-    pub fn take_unsent_cancels(&mut self) -> Vec<JobId> {
+    pub fn take_unsent_cancels(&mut self) -> Vec<Cancelled> {
         std::mem::take(&mut self.unsent_cancels)
     }
 
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -3,6 +3,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::super::cancel_log::CancelList;
 use super::super::messages::{ToAgent, ToAgentBody};
 use super::owner::Owner;
 use super::{AgentDecision, AgentEffect, LeasedAgent};
@@ -120,8 +121,12 @@
         };
         owner.echo = owner.echo.max(message.echo);
         owner.acknowledge(message.acknowledged);
-        let cancelled = (message.cancelled.as_slice(), message.cancel_position);
-        self.on_cancelled(now, gateway, cancelled, effects);
+        let cancelled = CancelList {
+            jobs: message.cancelled,
+            ages_seconds: message.cancel_ages,
+        };
+        let position = message.cancel_position;
+        self.on_cancelled(now, gateway, (&cancelled, position), effects);
         self.served.record(now, &message.served);
         match message.body {
             ToAgentBody::Heartbeat => {}
--- a/laurelstile-core/src/leased/gateway/cancel_rounds.rs
+++ b/laurelstile-core/src/leased/gateway/cancel_rounds.rs
@@ -17,6 +17,7 @@
 use super::intake::RETRY_DELAY;
 use super::job::CallNumber;
 use super::{Answer, CancelOutcome, GatewayDecision, GatewayEffect, LeasedGateway};
+use crate::leased::cancel_log::Cancelled;
 use crate::leased::membership::digest::Digest;
 use crate::leased::messages::{CancelConfirmation, CancelRequest, CancelRoundId, ToPeer};
 use crate::leased::task::JobId;
@@ -181,9 +182,10 @@
             return;
         }
         let was_held = self.jobs.contains_key(&job);
-        let is_recorded = self.cancel_job(now, job, effects).is_ok();
+        let cancelled = Cancelled { job, at: now };
+        let is_recorded = self.cancel_job(now, cancelled, effects).is_ok();
         if request.includes_agents || was_held {
-            self.tell_agents(job);
+            self.tell_agents(cancelled);
         }
         if was_held || !is_recorded {
             let answer = CancelConfirmation {
@@ -350,8 +352,11 @@
     }
 
     /// Hash of the other gateways that can confirm a cancellation: all but those with a session here whose
-    /// version cannot. `None` if none is known yet.
+    /// version cannot. `None` if not all are known: none yet, or not who is at the other end of a session.
     fn digest_of_confirming(&self) -> Option<Digest> {
+        if self.peers.values().any(|peer| peer.name.is_none()) {
+            return None;
+        }
         let unable = self.peers.values().filter(|peer| !peer.confirms_cancels);
         let unable: BTreeSet<&String> = unable.filter_map(|peer| peer.name.as_ref()).collect();
         let mut digest = self.membership.digest_of_others()?;
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -6,7 +6,7 @@
 
 use super::job::CallNumber;
 use super::{Answer, CancelOutcome, GatewayEffect, LeasedGateway};
-use crate::leased::cancel_log::CancelLogFull;
+use crate::leased::cancel_log::{CancelList, CancelLogFull, Cancelled};
 use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::leased::task::JobId;
 use crate::session::SessionId;
@@ -25,8 +25,9 @@
     ) {
         let is_here = self.jobs.contains_key(&job);
         let is_elsewhere = !self.claims.holders(now, job).is_empty();
-        let recorded = self.cancel_job(now, job, effects);
-        self.tell_agents(job);
+        let cancelled = Cancelled { job, at: now };
+        let recorded = self.cancel_job(now, cancelled, effects);
+        self.tell_agents(cancelled);
         if is_here && !is_elsewhere && recorded.is_ok() {
             let outcome = CancelOutcome::HeldHere;
             self.answer_cancel((call, Span::default()), job, outcome, effects);
@@ -40,10 +41,10 @@
     }
 
     /// Has agents told of a cancellation with the next message to each.
-    pub(super) fn tell_agents(&mut self, job: JobId) {
+    pub(super) fn tell_agents(&mut self, cancelled: Cancelled) {
         self.cancel_position += 1;
         for worker in self.workers.values_mut() {
-            worker.add_unsent_cancel(job);
+            worker.add_unsent_cancel(cancelled);
         }
     }
 
@@ -63,77 +64,67 @@
         }
     }
 
-    /// Applies cancellations that an agent remembers, and tells peers of those that are new here: they
-    /// may have started as lately as this gateway.
-    pub(super) fn on_agent_cancels(
+    /// Applies earlier cancellations that a peer or an agent has told, and tells peers of those that are
+    /// new here: they may have started as lately as this gateway.
+    pub(super) fn on_cancel_list(
         &mut self,
         now: Timestamp,
-        jobs: &[JobId],
+        source: Option<SessionId>,
+        list: &CancelList,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let is_new = |job: &&JobId| !self.cancels.contains(now, **job);
-        let new_jobs: Vec<JobId> = jobs.iter().filter(is_new).copied().collect();
-        if new_jobs.is_empty() {
-            return;
+        let mut recorded = Vec::new();
+        for cancelled in list.received(now) {
+            let is_new = !self.cancels.contains(now, cancelled.job);
+            // One that is not recorded must not be forwarded: it would seem new each time it arrives, and
+            // circulate between gateways forever.
+            if is_new && self.cancel_job(now, cancelled, effects).is_ok() {
+                recorded.push(cancelled);
+            }
         }
-        let recorded = self.cancel_jobs(now, new_jobs, effects);
-        if !recorded.is_empty() {
-            self.broadcast_to_peers(&ToPeer::Cancelled(recorded), effects);
+        let peers: Vec<SessionId> = self.peers.keys().copied().collect();
+        for session in peers.into_iter().filter(|one| Some(*one) != source) {
+            self.send_cancel_list(now, session, &recorded, effects);
         }
     }
 
-    /// Sends the retained cancellations to a new peer, which may hold some of the jobs.
+    /// Sends the retained cancellations to a peer that has introduced itself, and may hold some of the
+    /// jobs.
     pub(super) fn send_retained_cancels(
         &self,
         now: Timestamp,
         session: SessionId,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let retained = self.cancels.retained(now);
-        if !retained.is_empty() {
-            let message = ToPeer::Cancelled(retained);
-            effects.push(GatewayEffect::ToPeer { session, message });
-        }
+        self.send_cancel_list(now, session, &self.cancels.retained(now), effects);
     }
 
-    /// Applies cancellations received from a peer and forwards those that are new here.
-    pub(super) fn on_peer_cancels(
-        &mut self,
+    fn send_cancel_list(
+        &self,
         now: Timestamp,
-        source: SessionId,
-        jobs: &[JobId],
+        session: SessionId,
+        cancelled: &[Cancelled],
         effects: &mut Vec<GatewayEffect>,
     ) {
-        let is_new = |job: &&JobId| !self.cancels.contains(now, **job);
-        let new_jobs: Vec<JobId> = jobs.iter().filter(is_new).copied().collect();
-        if new_jobs.is_empty() {
+        let Some(peer) = self.peers.get(&session).filter(|_| !cancelled.is_empty()) else {
             return;
-        }
-        let recorded = self.cancel_jobs(now, new_jobs, effects);
-        if !recorded.is_empty() {
-            self.forward_to_peers(source, &ToPeer::Cancelled(recorded), effects);
-        }
-    }
-
-    /// Ends jobs, and returns those whose cancellation was recorded. The others must not be forwarded:
-    /// they would seem new each time they arrive, and circulate between gateways forever.
-    fn cancel_jobs(
-        &mut self,
-        now: Timestamp,
-        mut jobs: Vec<JobId>,
-        effects: &mut Vec<GatewayEffect>,
-    ) -> Vec<JobId> {
-        jobs.retain(|job| self.cancel_job(now, *job, effects).is_ok());
-        jobs
+        };
+        let list = CancelList::new(now, cancelled);
+        let message = match peer.confirms_cancels {
+            true => ToPeer::CancelledEarlier(list),
+            false => ToPeer::Cancelled(list.jobs),
+        };
+        effects.push(GatewayEffect::ToPeer { session, message });
     }
 
+    /// Ends a job, and records its cancellation.
     pub(super) fn cancel_job(
         &mut self,
         now: Timestamp,
-        job: JobId,
+        cancelled: Cancelled,
         effects: &mut Vec<GatewayEffect>,
     ) -> Result<(), CancelLogFull> {
-        self.finish(now, job, Answer::Cancelled, effects);
-        self.cancels.record(now, job)
+        self.finish(now, cancelled.job, Answer::Cancelled, effects);
+        self.cancels.record(now, cancelled)
     }
 }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -53,7 +53,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
-use super::cancel_log::CancelLog;
+use super::cancel_log::{CancelList, CancelLog};
 use super::crashes::CrashLog;
 use super::evacuation::Evacuations;
 use super::membership::Membership;
@@ -493,7 +493,13 @@
         }
         for notice in &message.notices {
             match notice {
-                Notice::Cancelled(jobs) => self.on_agent_cancels(now, jobs, effects),
+                Notice::Cancelled(jobs) => {
+                    let list = CancelList {
+                        jobs: jobs.clone(),
+                        ages_seconds: message.cancel_ages.clone(),
+                    };
+                    self.on_cancel_list(now, None, &list, effects);
+                }
                 Notice::Crash(evidence) => self.on_crash_evidence(now, evidence, effects),
             }
         }
@@ -532,16 +538,17 @@
             return;
         };
         worker.record_sent(now);
-        let cancelled = worker.take_unsent_cancels();
-        let cancel_position = (!cancelled.is_empty()).then_some(self.cancel_position);
+        let cancelled = CancelList::new(now, &worker.take_unsent_cancels());
+        let cancel_position = (!cancelled.jobs.is_empty()).then_some(self.cancel_position);
         if let Some(position) = cancel_position {
             worker.confirmations.record_sent(now, position);
         }
         let message = ToAgent {
             echo: worker.clock,
             acknowledged: worker.last_received_end,
-            cancelled,
+            cancelled: cancelled.jobs,
             cancel_position,
+            cancel_ages: cancelled.ages_seconds,
             served: self.served_tally.take_for(now, agent),
             body,
         };
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -7,6 +7,7 @@
 use super::cancel_rounds::PEER_SILENT_AFTER;
 use super::queues::QueueConfiguration;
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
+use crate::leased::cancel_log::CancelList;
 use crate::leased::membership::MembershipEffect;
 use crate::leased::messages::{ToAgentBody, ToPeer};
 use crate::session::SessionId;
@@ -108,7 +109,6 @@
         let message = ToPeer::Introduction(introduction);
         effects.push(GatewayEffect::ToPeer { session, message });
         self.send_evacuations_to_peer(session, effects);
-        self.send_retained_cancels(now, session, effects);
         if let Some(configuration) = &self.configuration {
             let message = ToPeer::InForce(configuration.version);
             effects.push(GatewayEffect::ToPeer { session, message });
@@ -140,7 +140,16 @@
             ToPeer::Suspect { queue, task } => {
                 self.on_peer_suspect(now, session, queue, task, effects);
             }
-            ToPeer::Cancelled(jobs) => self.on_peer_cancels(now, session, &jobs, effects),
+            ToPeer::Cancelled(jobs) => {
+                let list = CancelList {
+                    jobs,
+                    ages_seconds: Vec::new(),
+                };
+                self.on_cancel_list(now, Some(session), &list, effects);
+            }
+            ToPeer::CancelledEarlier(list) => {
+                self.on_cancel_list(now, Some(session), &list, effects);
+            }
             ToPeer::CancelRequested(request) => {
                 self.on_cancel_requested(now, session, request, effects);
             }
@@ -161,6 +170,7 @@
                     peer.confirms_cancels = introduction.confirms_cancels;
                 }
                 self.releases.record_alive(&introduction.name);
+                self.send_retained_cancels(now, session, effects);
                 self.send_claims(now, session, effects);
                 let answer = self.membership.on_introduction(session, introduction);
                 if let Some(answer) = answer {
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -4,6 +4,7 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::super::cancel_log::Cancelled;
 use super::super::evacuation::Evacuations;
 use super::super::messages::{Control, Offer, Report, Snapshot};
 use super::super::resources::Resources;
@@ -79,7 +80,7 @@
     /// Whether the agent has told how queues were served.
     pub has_told_served: bool,
     /// Cancelled jobs that the agent has not been sent on this session.
-    unsent_cancels: Vec<JobId>,
+    unsent_cancels: Vec<Cancelled>,
     /// Which cancellations the agent has confirmed.
     pub confirmations: AgentConfirmations,
     /// Whether the agent's process has announced its end.
@@ -131,9 +132,9 @@
     }
 
     /// Has a cancelled job sent to the agent with the next message, if a session is open.
-    pub fn add_unsent_cancel(&mut self, job: JobId) {
+    pub fn add_unsent_cancel(&mut self, cancelled: Cancelled) {
         if self.session.is_some() {
-            self.unsent_cancels.push(job);
+            self.unsent_cancels.push(cancelled);
         }
     }
 
@@ -141,7 +142,7 @@
         !self.unsent_cancels.is_empty()
     }
 
-    pub fn take_unsent_cancels(&mut self) -> Vec<JobId> {
+    pub fn take_unsent_cancels(&mut self) -> Vec<Cancelled> {
         std::mem::take(&mut self.unsent_cancels)
     }
 
@@ -164,7 +165,7 @@
         now: Timestamp,
         session: SessionId,
         uptime: Span,
-        cancelled: Vec<JobId>,
+        cancelled: Vec<Cancelled>,
     ) {
         self.unsent_cancels = cancelled;
         self.confirmations.open(now);
--- a/laurelstile-core/src/leased/membership/subset.rs
+++ b/laurelstile-core/src/leased/membership/subset.rs
@@ -88,6 +88,7 @@
             })),
             notices: Vec::new(),
             cancels_received: Some(0),
+            cancel_ages: Vec::new(),
             is_ending: false,
             usage: None,
             served: None,
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -40,7 +40,7 @@
             Self::Members(_) => "members_to_peer",
             Self::Evacuations(_) => "evacuations_to_peer",
             Self::Crashes(_) => "crashes_to_peer",
-            Self::Cancelled(_) => "cancelled_to_peer",
+            Self::Cancelled(_) | Self::CancelledEarlier(_) => "cancelled_to_peer",
             Self::CancelRequested(_) => "cancel_requested",
             Self::CancelConfirmed(_) => "cancel_confirmed",
             Self::Suspect { .. } => "suspect_to_peer",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::agent::worker::FenceToken;
+use super::cancel_log::CancelList;
 use super::checkpoint::Checkpoint;
 use super::crashes::{CrashEvidence, WorkerCrash};
 use super::evacuation::Evacuations;
@@ -40,6 +41,9 @@
     /// [`FromAgent::cancels_received`].
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub cancel_position: Option<u64>,
+    /// Ages of `cancelled`, as in [`CancelList`]; absent from older versions.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub cancel_ages: Vec<u32>,
     /// How the sender's queues were served since it last sent such counts to any agent.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub served: Vec<ServedCount>,
@@ -250,6 +254,10 @@
     /// versions.
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub cancels_received: Option<u64>,
+    /// Ages of the [`Notice::Cancelled`] among the notices, as in [`CancelList`]; absent from older
+    /// versions.
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
+    pub cancel_ages: Vec<u32>,
     /// Whether the agent's process ends: it starts no more tasks.
     #[serde(rename = "q", default, skip_serializing_if = "is_false")]
     pub is_ending: bool,
@@ -624,6 +632,9 @@
     /// May arrive as late as cancellations may take effect. If it is lost, the job completes or
     /// fails at its deadline.
     Cancelled(Vec<JobId>),
+    /// [`ToPeer::Cancelled`] with the ages of the cancellations, for receivers that understand
+    /// [`ToPeer::CancelRequested`].
+    CancelledEarlier(CancelList),
     /// A caller has cancelled a job at some gateway, which waits for the confirmations. If it is lost,
     /// the caller is told that its cancellation is not acknowledged.
     CancelRequested(CancelRequest),
--- a/laurelstile-core/tests/leased_cancel_confirmations.rs
+++ b/laurelstile-core/tests/leased_cancel_confirmations.rs
@@ -7,7 +7,7 @@
 mod leased_support;
 
 use laurelstile_core::leased::agent::AgentEvent;
-use laurelstile_core::leased::cancel_log::MAX_CANCELS;
+use laurelstile_core::leased::cancel_log::{CancelList, MAX_CANCELS};
 use laurelstile_core::leased::gateway::job::CallNumber;
 use laurelstile_core::leased::gateway::policies::Policies;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
@@ -18,9 +18,10 @@
     HeldJobs, Introduction, Member, ToAgent, ToAgentBody, ToPeer,
 };
 use laurelstile_core::leased::task::JobId;
+use laurelstile_core::leased::timing::CANCEL_RETENTION;
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
-use laurelstile_types::time::Timestamp;
+use laurelstile_types::time::{Span, Timestamp};
 use leased_support::{
     AgentRig, FIRST_AGENT, GatewayRig, SESSION, at, configuration, cpu, patient_job,
 };
@@ -80,6 +81,7 @@
         candidates: None,
         notices: Vec::new(),
         cancels_received,
+        cancel_ages: Vec::new(),
         is_ending,
         usage: None,
         served: None,
@@ -304,6 +306,38 @@
     assert!(is_unacknowledged(&rig), "{:?}", answer(&rig));
 }
 
+/// Guards against an acknowledgement before it is known which gateway has just opened a session.
+#[test]
+fn a_peer_that_has_not_introduced_itself_may_hold_the_job() {
+    let mut rig = GatewayRig::new();
+    rig.open_peer(at(CANCELLED_MILLIS), PEERS[0]);
+    cancel(&mut rig, CANCELLED_MILLIS, 5);
+    let end = CANCELLED_MILLIS + ANSWERED_MILLIS;
+    pass_time(&mut rig, CANCELLED_MILLIS, end, &[]);
+    assert!(is_unacknowledged(&rig), "{:?}", answer(&rig));
+}
+
+/// Guards against jobs that a gateway starts which was out of reach when they were cancelled.
+#[test]
+fn a_gateway_that_returns_is_told_what_was_cancelled_and_how_long_ago() {
+    let mut rig = connected();
+    cancel(&mut rig, CANCELLED_MILLIS, 5);
+    rig.to_peers.clear();
+    let session = SessionId(902);
+    let now = at(CANCELLED_MILLIS + 11_500);
+    rig.open_peer(now, session);
+    let introduction = Introduction::new(&peer(0), Digest::default());
+    rig.peer_message(now, session, ToPeer::Introduction(introduction));
+    let list = CancelList {
+        jobs: vec![JobId(5)],
+        ages_seconds: vec![12],
+    };
+    let is_told = |(to, message): &(SessionId, ToPeer)| {
+        *to == session && matches!(message, ToPeer::CancelledEarlier(told) if *told == list)
+    };
+    assert!(rig.to_peers.iter().any(is_told));
+}
+
 /// Guards against reliance on the agents before all of them can have connected.
 #[test]
 fn a_gateway_that_has_just_started_does_not_rely_on_its_agents() {
@@ -437,6 +471,7 @@
         acknowledged: 0,
         cancelled: jobs,
         cancel_position: Some(position),
+        cancel_ages: Vec::new(),
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
@@ -462,6 +497,24 @@
     assert_eq!(confirmed_by(&rig), [4, 5]);
     tell_agent(&mut rig, at(30), vec![JobId(u64::MAX)], 6);
     assert_eq!(confirmed_by(&rig), [4, 5], "the log is full");
+    // One is forgotten and another recorded, but still not the one before.
+    let later = at(20).after(CANCEL_RETENTION).after(Span::from_millis(20));
+    tell_agent(&mut rig, later, vec![JobId(u64::MAX - 1)], 7);
+    assert!(!confirmed_by(&rig).contains(&7));
+    rig.sent.clear();
+    rig.open(later, SessionId(71), leased_support::GATEWAY);
+    let message = ToAgent {
+        echo: later,
+        acknowledged: 0,
+        cancelled: vec![JobId(u64::MAX), JobId(u64::MAX - 1)],
+        cancel_position: Some(7),
+        cancel_ages: Vec::new(),
+        served: Vec::new(),
+        body: ToAgentBody::Heartbeat,
+    };
+    let session = SessionId(71);
+    rig.event(later, AgentEvent::Message { session, message });
+    assert_eq!(confirmed_by(&rig), [5, 7], "told again on a new session");
 }
 
 /// Guards against gateways that take an agent for one of an older version, which cannot confirm.
--- a/laurelstile-core/tests/leased_capacity.rs
+++ b/laurelstile-core/tests/leased_capacity.rs
@@ -107,6 +107,7 @@
             acknowledged: 0,
             cancelled: Vec::new(),
             cancel_position: None,
+            cancel_ages: Vec::new(),
             served: Vec::new(),
             body,
         };
--- a/laurelstile-core/tests/leased_gateway.rs
+++ b/laurelstile-core/tests/leased_gateway.rs
@@ -8,11 +8,14 @@
 use laurelstile_core::leased::gateway::queues::QueueSettings;
 use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
-use laurelstile_core::leased::messages::{EndKind, FromAgentBody, NotStartedReason, ToPeer};
+use laurelstile_core::leased::membership::digest::Digest;
+use laurelstile_core::leased::messages::{
+    EndKind, FromAgentBody, Introduction, Member, NotStartedReason, ToPeer,
+};
 use laurelstile_core::leased::task::JobId;
 use laurelstile_core::leased::timing::AGENT_EXPIRY;
 use laurelstile_core::session::SessionId;
-use laurelstile_types::time::Span;
+use laurelstile_types::time::{Span, Timestamp};
 use leased_support::{GatewayRig, at, configuration, cpu, job, queue, task};
 use rstest::rstest;
 
@@ -522,18 +525,33 @@
 }
 
 /// The job may be resubmitted to a gateway that connects only later.
+/// A peer opens a session and introduces itself, as a version that does not confirm cancellations.
+fn introduce_older(rig: &mut GatewayRig, now: Timestamp, session: SessionId) {
+    let member = Member {
+        name: format!("peer-{}", session.0),
+        address: ([127, 0, 0, 2], 1).into(),
+        zone: "here".into(),
+    };
+    let introduction = Introduction {
+        confirms_cancels: false,
+        ..Introduction::new(&member, Digest::default())
+    };
+    rig.open_peer(now, session);
+    rig.peer_message(now, session, ToPeer::Introduction(introduction));
+}
+
 #[test]
 fn a_cancellation_of_an_unknown_job_reaches_present_and_later_peers() {
     let mut rig = GatewayRig::new();
     let peers = [50, 51].map(SessionId);
-    rig.open_peer(at(0), peers[0]);
+    introduce_older(&mut rig, at(0), peers[0]);
     let cancel = GatewayEvent::Cancel {
         call: CallNumber(1),
         job: JobId(1),
     };
     rig.event(at(10), cancel);
     assert_eq!(rig.last_answer(), Some(Answer::Unknown));
-    rig.open_peer(at(3_000), peers[1]);
+    introduce_older(&mut rig, at(3_000), peers[1]);
     for peer in peers {
         let is_sent = |(session, message): &(SessionId, ToPeer)| {
             *session == peer && matches!(message, ToPeer::Cancelled(jobs) if *jobs == [JobId(1)])
--- a/laurelstile-core/tests/leased_membership.rs
+++ b/laurelstile-core/tests/leased_membership.rs
@@ -180,6 +180,7 @@
     fn count_cancelled(&self, first: usize, job: JobId) -> usize {
         let is_told = |(_, _, message): &&(usize, usize, ToPeer)| match message {
             ToPeer::Cancelled(jobs) => jobs.contains(&job),
+            ToPeer::CancelledEarlier(list) => list.jobs.contains(&job),
             ToPeer::CancelRequested(request) => request.job == job,
             _ => false,
         };
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -54,6 +54,7 @@
         candidates: None,
         notices: Vec::new(),
         cancels_received: None,
+        cancel_ages: Vec::new(),
         is_ending: false,
         usage: None,
         served: None,
@@ -95,6 +96,7 @@
         acknowledged: 300,
         cancelled: Vec::new(),
         cancel_position: None,
+        cancel_ages: Vec::new(),
         served: Vec::new(),
         body: ToAgentBody::Start(StartBatch {
             number: 300,
@@ -123,6 +125,7 @@
         acknowledged: 300,
         cancelled: Vec::new(),
         cancel_position: None,
+        cancel_ages: Vec::new(),
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
--- a/laurelstile-core/tests/leased_remembered_cancels.rs
+++ b/laurelstile-core/tests/leased_remembered_cancels.rs
@@ -40,6 +40,7 @@
         acknowledged: 0,
         cancelled: jobs.iter().copied().map(JobId).collect(),
         cancel_position: None,
+        cancel_ages: Vec::new(),
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
@@ -57,6 +58,7 @@
         candidates: None,
         notices: vec![Notice::Cancelled(jobs)],
         cancels_received: None,
+        cancel_ages: Vec::new(),
         is_ending: false,
         usage: None,
         served: None,
@@ -176,6 +178,7 @@
         acknowledged: 0,
         cancelled: vec![JobId(1)],
         cancel_position: None,
+        cancel_ages: Vec::new(),
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
     };
@@ -293,3 +296,36 @@
     rig.open(last.after(Span(1)), SessionId(81), Incarnation(9));
     assert!(!is_told(&rig, SessionId(81)));
 }
+
+/// Guards against cancellations that are retained forever, since processes tell each other of them as
+/// sessions open, and count anew.
+#[test]
+fn a_cancellation_that_is_told_again_is_not_retained_for_longer() {
+    let mut gateway = GatewayRig::new();
+    cancel(&mut gateway, at(20), 1);
+    let late = at(20).after(CANCEL_RETENTION);
+    gateway.join(Timestamp(late.0 - 1), FIRST_AGENT, "agent-7", cpu(8_000));
+    let (_, told) = gateway.to_agents.first().expect("told").clone();
+    assert_eq!(told.cancelled, [JobId(1)]);
+    let mut agent = AgentRig::with_worker(cpu(4_000));
+    let session = SESSION;
+    let message = ToAgent { echo: late, ..told };
+    agent.event(late, AgentEvent::Message { session, message });
+    let later = late.after(Span::from_secs(2));
+    let batch = agent.batch(1, 1, 50);
+    agent.message(later, batch);
+    assert_eq!(agent.take_starts(), [run(1, 0)]);
+}
+
+/// Guards against a cancellation that is forgotten too early: the job was submitted again and cancelled
+/// again.
+#[test]
+fn the_latest_cancellation_of_a_job_counts() {
+    let mut rig = AgentRig::with_worker(cpu(4_000));
+    tell_agent(&mut rig, at(10), &[1]);
+    let again = at(100_000);
+    tell_agent(&mut rig, again, &[1]);
+    let batch = rig.batch(1, 1, 50);
+    rig.message(again.after(MAX_JOB_TIME), batch);
+    assert!(rig.take_starts().is_empty());
+}
--- a/laurelstile-core/tests/leased_served_counts.rs
+++ b/laurelstile-core/tests/leased_served_counts.rs
@@ -77,6 +77,7 @@
         acknowledged: 0,
         cancelled: Vec::new(),
         cancel_position: None,
+        cancel_ages: Vec::new(),
         served,
         body: ToAgentBody::Heartbeat,
     };
@@ -101,6 +102,7 @@
         candidates: None,
         notices: Vec::new(),
         cancels_received: None,
+        cancel_ages: Vec::new(),
         is_ending: false,
         usage: None,
         served: Some(Box::new(ServedCounts(served))),
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -201,6 +201,7 @@
             acknowledged: 0,
             cancelled: Vec::new(),
             cancel_position: None,
+            cancel_ages: Vec::new(),
             served: Vec::new(),
             body,
         };
@@ -317,6 +318,7 @@
             acknowledged: 0,
             cancelled: Vec::new(),
             cancel_position: None,
+            cancel_ages: Vec::new(),
             served: Vec::new(),
             body,
         };
@@ -336,6 +338,7 @@
             acknowledged: u64::MAX,
             cancelled: Vec::new(),
             cancel_position: None,
+            cancel_ages: Vec::new(),
             served: Vec::new(),
             body: ToAgentBody::Heartbeat,
         };
--- a/laurelstile-core/tests/leased_usable_capacity.rs
+++ b/laurelstile-core/tests/leased_usable_capacity.rs
@@ -35,6 +35,7 @@
         candidates: None,
         notices: Vec::new(),
         cancels_received: None,
+        cancel_ages: Vec::new(),
         is_ending: false,
         usage: None,
         served: None,
--- a/laurelstile-core/tests/leased_way_in.rs
+++ b/laurelstile-core/tests/leased_way_in.rs
@@ -91,6 +91,7 @@
             candidates: None,
             notices: Vec::new(),
             cancels_received: None,
+            cancel_ages: Vec::new(),
             is_ending: false,
             usage: None,
             served: None,
