Cancels: a gateway that has never met the others does not rely on its agents

Cause: agents that a new process has never met are not among those that it has lost.

Change: agents' confirmations stand for those of silent gateways only once this process has had sessions to all gateways that it knows, or a round has reached all of them, 2 s before.

--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -151,6 +151,10 @@
 
 /// An action that the driver of the state machine carries out.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "the largest variant, a message, is by far the most frequent"
+)]
 pub enum AgentEffect {
     /// Send a message.
     Send {
--- a/laurelstile-core/src/leased/gateway/agent_confirmations.rs
+++ b/laurelstile-core/src/leased/gateway/agent_confirmations.rs
@@ -1,6 +1,6 @@
 //! Which cancellations agents have confirmed, and which agents cannot be asked.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
@@ -15,8 +15,8 @@
 /// How long an agent without a session is taken to be running beyond a network partition. Jobs that
 /// were submitted before it was lost have ended by then.
 const LOST_AGENT_RETENTION: Span = MAX_JOB_TIME;
-/// Time after the start of a gateway during which agents may not have connected yet: twice the longest
-/// pause between the dials of an address, with the time-out of a dial.
+/// Time during which agents may not have connected yet to a gateway that can be reached: twice the
+/// longest pause between the dials of an address, with the time-out of a dial.
 const FIRST_SESSIONS_TIME: Span = Span(2 * (MAX_REDIAL_DELAY.0 + DIAL_TIMEOUT.0));
 
 /// Whether a cancellation is known to agents, so that they start nothing of the job.
@@ -138,10 +138,29 @@
         self.cancel_rounds.request_review();
     }
 
-    /// Whether this gateway has been running for long enough that its agents have connected, and any has.
+    /// Records when this gateway first has sessions to all other gateways that it knows.
+    pub(super) fn record_met_gateways(&mut self, now: Timestamp) {
+        let others = self.membership.members().count() - 1;
+        if self.met_gateways_at.is_some()
+            || self.peers.len() < others
+            || self.membership.digest_of_others().is_none()
+        {
+            return;
+        }
+        let names = self.peers.values().filter_map(|peer| peer.name.as_ref());
+        let names: BTreeSet<&String> = names.collect();
+        if names.len() >= others {
+            self.met_gateways_at = Some(now);
+        }
+    }
+
+    /// Whether all agents have had the time to connect to this gateway, and any has. A gateway that has
+    /// never met the others may have started beyond a network partition, and know only the agents there.
     pub(super) fn knows_agents(&self, now: Timestamp) -> bool {
-        let started_at = self.started_at.unwrap_or(now);
-        now.since(started_at) >= FIRST_SESSIONS_TIME && !self.agent_sessions.is_empty()
+        let has_met_gateways = self
+            .met_gateways_at
+            .is_some_and(|at| now.since(at) >= FIRST_SESSIONS_TIME);
+        has_met_gateways && !self.agent_sessions.is_empty()
     }
 
     /// Whether all agents that this gateway knows have confirmed the cancellations up to `position`.
--- a/laurelstile-core/src/leased/gateway/cancel_rounds.rs
+++ b/laurelstile-core/src/leased/gateway/cancel_rounds.rs
@@ -319,6 +319,7 @@
             Verdict::Conclude(outcome) => {
                 if outcome == CancelOutcome::AllGateways {
                     self.cancel_rounds.lacks_gateways = false;
+                    self.met_gateways_at.get_or_insert(now);
                 }
                 self.answer_cancel((call, now.since(called_at)), job, outcome, effects);
             }
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -151,8 +151,8 @@
     cancel_position: u64,
     cancel_rounds: CancelRounds,
     lost_agents: LostAgents,
-    /// When the first event was handled.
-    started_at: Option<Timestamp>,
+    /// When all other gateways that were known had been met for the first time.
+    met_gateways_at: Option<Timestamp>,
     earlier_runs: EarlierRuns,
     claims: Claims,
     releases: Releases,
@@ -209,7 +209,7 @@
             cancel_position: 0,
             cancel_rounds,
             lost_agents: LostAgents::default(),
-            started_at: None,
+            met_gateways_at: None,
             earlier_runs: EarlierRuns::default(),
             crashes: CrashLog::default(),
             containment: Containment::default(),
@@ -273,7 +273,6 @@
         event: GatewayEvent,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        self.started_at.get_or_insert(now);
         match event {
             GatewayEvent::Submit { call, request } => self.on_submit(now, call, request, effects),
             GatewayEvent::CallerDisconnected { call } => self.on_disconnect(now, call, effects),
@@ -325,6 +324,7 @@
         self.announce_waiting(now, &mut locality, effects);
         self.request_configuration(now, effects);
         self.flush_membership(now, effects);
+        self.record_met_gateways(now);
         self.review_cancel_rounds(now, effects);
         self.send_cancels_to_agents(now, effects);
         self.send_heartbeats(now, effects);
--- a/laurelstile-core/tests/leased_cancel_confirmations.rs
+++ b/laurelstile-core/tests/leased_cancel_confirmations.rs
@@ -12,6 +12,7 @@
 use laurelstile_core::leased::gateway::policies::Policies;
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
 use laurelstile_core::leased::membership::digest::Digest;
+use laurelstile_core::leased::membership::page::Page;
 use laurelstile_core::leased::membership::rank;
 use laurelstile_core::leased::messages::{
     CancelConfirmation, CancelRequest, CancelRoundId, ClaimMessage, FromAgent, FromAgentBody,
@@ -351,6 +352,28 @@
     assert!(is_unacknowledged(&rig), "{:?}", answer(&rig));
 }
 
+/// Guards against reliance on the agents on its side by a gateway that has started beyond a partition.
+/// Seen with emulated gateways (`--cancels`, seed 1506).
+#[test]
+fn a_gateway_that_has_never_met_the_others_does_not_rely_on_its_agents() {
+    let mut rig = GatewayRig::new();
+    let page = Page {
+        from: String::new(),
+        until: None,
+        members: vec![peer(0), peer(1)],
+    };
+    rig.event(at(1), GatewayEvent::ListPage(page));
+    rig.join(at(2), AGENTS[0], "agent-7", cpu(8_000));
+    agent_confirms(&mut rig, 3, AGENTS[0], 0);
+    cancel(&mut rig, CANCELLED_MILLIS, 5);
+    let end = CANCELLED_MILLIS + ANSWERED_MILLIS;
+    for millis in (CANCELLED_MILLIS..end).step_by(50) {
+        agent_confirms(&mut rig, millis, AGENTS[0], 100);
+        rig.tick(at(millis));
+    }
+    assert!(is_unacknowledged(&rig), "{:?}", answer(&rig));
+}
+
 /// Guards against a wait for a peer whose version cannot confirm.
 #[test]
 fn a_peer_of_an_older_version_is_told_and_not_waited_for() {
--- a/laurelstile-sim/src/leased/contention.rs
+++ b/laurelstile-sim/src/leased/contention.rs
@@ -8,7 +8,7 @@
 use super::nodes::{Deployment, QUEUES};
 use super::served::{SECOND, index_of, is_in_time};
 use super::worker::SimWorker;
-use super::world::{SimJob, TASK_ROOM, World};
+use super::world::{DEADLINE, SimJob, TASK_ROOM, World};
 
 const GATEWAYS: usize = 4;
 const WORKERS: usize = 12;
@@ -110,6 +110,8 @@
                 duration,
                 queue,
                 cancelled_after: None,
+                steps: 1,
+                patience: DEADLINE,
                 crashing: None,
             });
         }
--- a/laurelstile-sim/src/leased/crashing.rs
+++ b/laurelstile-sim/src/leased/crashing.rs
@@ -11,7 +11,7 @@
 use super::faults::{Fault, Sabotage, ScheduledFault};
 use super::served::{SECOND, index_of, served};
 use super::worker::SimWorker;
-use super::world::{SimJob, TASK_ROOM, World};
+use super::world::{DEADLINE, SimJob, TASK_ROOM, World};
 
 const GATEWAYS: usize = 3;
 const WORKERS: usize = 11;
@@ -185,6 +185,8 @@
                 duration,
                 queue: kind,
                 cancelled_after: None,
+                steps: 1,
+                patience: DEADLINE,
                 crashing: is_poison.then_some(0),
             });
         }
@@ -197,6 +199,8 @@
             duration,
             queue: MOST_FREQUENT,
             cancelled_after: None,
+            steps: 1,
+            patience: DEADLINE,
             crashing: Some(0),
         }));
     }
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -85,6 +85,8 @@
     /// An agent's process is killed, and starts with a wall clock that is set back by so many
     /// milliseconds.
     StepClockBack(usize, u64),
+    /// A gateway is cut off from all agents and other gateways, not from its callers.
+    IsolateGateway(usize),
     /// Each input takes a gateway so many times as long as usual.
     SlowGateway(usize, u64),
     /// Each input takes an agent so many times as long as usual.
@@ -131,6 +133,7 @@
             Self::ShutWorker(..) => "shut_worker",
             Self::SucceedWorker(_) => "succeed_worker",
             Self::StepClockBack(..) => "step_clock_back",
+            Self::IsolateGateway(_) => "isolate_gateway",
             Self::SlowGateway(..) => "slow_gateway",
             Self::SlowAgent(..) => "slow_agent",
         }
@@ -372,6 +375,38 @@
     faults
 }
 
+/// Draws gateways that are cut off for up to 12 s, stand still, are suspended or are stopped, and agents
+/// that stand still or end; often two at once.
+pub fn draw_of_outages(
+    length: u64,
+    gateways: usize,
+    workers: usize,
+    random: &mut Pcg64,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    for _ in 0..random.random_range(1..6) {
+        let at = random.random_range(500_000..length);
+        for _ in 0..random.random_range(1..3) {
+            let gateway = random.random_range(0..gateways);
+            let worker = random.random_range(0..workers);
+            faults.push(ScheduledFault {
+                at: at + random.random_range(0..1_000_000),
+                length: random.random_range(300_000..12_000_000),
+                fault: match random.random_range(0..10) {
+                    0..4 => Fault::IsolateGateway(gateway),
+                    4 => Fault::FreezeGateway(gateway),
+                    5 => Fault::SuspendGateway(gateway),
+                    6 => Fault::StopGateway(gateway),
+                    7 => Fault::DarkGateway(gateway),
+                    8 => Fault::FreezeAgent(worker),
+                    _ => Fault::KillAgent(worker),
+                },
+            });
+        }
+    }
+    faults
+}
+
 /// Draws rooms that shrink, workers that die, and machines that are suspended.
 pub fn draw_hazards(
     length: u64,
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -11,13 +11,13 @@
 use super::disruptions::Disruption;
 use super::faults::{
     Sabotage, ScheduledFault, draw, draw_hazards, draw_of_herds, draw_of_leaving,
-    draw_of_operators, draw_of_other_writers, draw_of_resending, draw_of_returning,
-    draw_of_silences,
+    draw_of_operators, draw_of_other_writers, draw_of_outages, draw_of_resending,
+    draw_of_returning, draw_of_silences,
 };
 use super::worker::SimWorker;
 use super::world::handshakes::{HandshakeDelays, Handshakes};
 use super::world::timed_faults::TimedFaults;
-use super::world::{SimJob, TASK_ROOM, World};
+use super::world::{DEADLINE, SimJob, TASK_ROOM, World};
 
 const GATEWAYS: usize = 3;
 const WORKERS: usize = 5;
@@ -38,6 +38,13 @@
 const RESENDING_STREAM: u64 = 0x2e5e4d;
 const SILENCES_STREAM: u64 = 0x511e;
 const FEW_WORKERS_STREAM: u64 = 0xfe3;
+const CANCELS_STREAM: u64 = 0xca2c;
+/// One in so many jobs is a chain, of less than so many steps.
+const CHAINS_ONE_IN: u32 = 12;
+const MAX_CHAIN: usize = 20;
+/// How long its caller waits, and the latest time of its cancellation, in microseconds.
+const LONG_PATIENCE: u64 = 25_000_000;
+const LATEST_CHAIN_CANCEL: u64 = 6_000_000;
 /// One in so many jobs has a task that takes its workers down.
 const POISON_ONE_IN: u32 = 150;
 /// One in so many is cancelled, at the latest so long after it came, in microseconds.
@@ -121,6 +128,32 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed with jobs in chains whose callers wait for long, half of which are cancelled, at any
+/// gateway, while gateways are cut off, stand still, are suspended or are stopped.
+pub fn run_cancel_seed(seed: u64, sabotage: Option<Sabotage>, traced: Option<u64>) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_scene(seed, sabotage, &mut random);
+    let mut cancels = Pcg64::seed_from_u64(seed ^ CANCELS_STREAM);
+    if cancels.random_bool(0.5) {
+        scene.faults.clear();
+    }
+    let faults = draw_of_outages(FAULTY, GATEWAYS, WORKERS, &mut cancels);
+    scene.faults.extend(faults);
+    for job in &mut scene.jobs {
+        if job.at < FAULTY && cancels.random_ratio(1, CHAINS_ONE_IN) {
+            job.tasks = 1;
+            job.steps = cancels.random_range(2..MAX_CHAIN);
+            job.duration = cancels.random_range(200_000..900_000);
+            job.patience = LONG_PATIENCE;
+            if cancels.random_bool(0.5) {
+                job.cancelled_after = Some(cancels.random_range(0..LATEST_CHAIN_CANCEL));
+            }
+        }
+    }
+    scene.traced = traced;
+    play(random, sabotage, scene, true)
+}
+
 /// Runs one seed with workers that start again under the ids that they had, and soon leave
 /// or shrink.
 pub fn run_returning_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
@@ -365,6 +398,8 @@
             duration,
             queue: 0,
             cancelled_after: None,
+            steps: 1,
+            patience: DEADLINE,
             crashing: None,
         });
     }
--- a/laurelstile-sim/src/leased/surge.rs
+++ b/laurelstile-sim/src/leased/surge.rs
@@ -6,7 +6,7 @@
 
 use super::served::{SECOND, served};
 use super::worker::SimWorker;
-use super::world::{SimJob, TASK_ROOM, World};
+use super::world::{DEADLINE, SimJob, TASK_ROOM, World};
 
 const GATEWAYS: usize = 3;
 const WORKERS: usize = 60;
@@ -58,6 +58,8 @@
             duration: random.random_range(60_000..200_000),
             queue: 0,
             cancelled_after: None,
+            steps: 1,
+            patience: DEADLINE,
             crashing: None,
         });
     }
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -12,14 +12,34 @@
 
 use super::super::nodes;
 use super::{
-    Caller, DEADLINE, FIRST_CANCEL, FORMER_CALL, Happening, RESEND, RESTART, TASK_ROOM, World,
+    Caller, FIRST_CANCEL, FORMER_CALL, Happening, RESEND, RESTART, SimJob, TASK_ROOM, World,
     is_cancel, number_of,
 };
 
+/// Pause before a caller cancels again whose cancellation was not acknowledged.
+const CANCEL_AGAIN: u64 = 300_000;
 /// When the probes of an idle connection find that the other side is out of reach.
 const SOONEST_PROBED: u64 = 1_000_000;
 const LATEST_PROBED: u64 = 3_000_000;
 
+/// The steps of a job, in a chain.
+fn steps_of(job: &SimJob) -> Vec<StepRequest> {
+    let step = |index: usize| StepRequest {
+        count: job.tasks,
+        resources: Resources {
+            cpu_millis: TASK_ROOM,
+            memory_mib: 0,
+            gpus: 0,
+        },
+        estimate: Span(job.duration),
+        after: index.checked_sub(1).into_iter().collect(),
+        label: None,
+        near: None,
+        saves_progress: false,
+    };
+    (0..job.steps).map(step).collect()
+}
+
 impl Caller {
     /// Number of its present call.
     pub(super) fn call(&self, index: usize) -> CallNumber {
@@ -30,7 +50,8 @@
 impl World {
     pub(super) fn submit(&mut self, index: usize) {
         let (first, is_over) = (self.callers[index].job.at, self.callers[index].is_over);
-        if is_over || self.now >= first + DEADLINE {
+        let leaves_at = first + self.callers[index].job.patience;
+        if is_over || self.now >= leaves_at {
             return;
         }
         let up: Vec<usize> = (0..self.gateways.len())
@@ -48,34 +69,22 @@
         let id = JobId(index as u64);
         self.see(Seen::Submitted {
             job: id.0,
-            tasks: vec![job.tasks],
+            tasks: vec![job.tasks; job.steps],
             room: TASK_ROOM,
             max_attempts: nodes::MAX_ATTEMPTS,
             gateway: Some(gateway),
         });
         self.callers[index].gateway = Some((gateway, self.gateways[gateway].incarnation));
-        self.schedule(first + DEADLINE, Happening::Leave(index));
+        self.schedule(leaves_at, Happening::Leave(index));
         let request = JobRequest {
             id,
             queue: Arc::new(nodes::queue(job.queue, &self.deployment)),
             input: self.input.clone(),
-            steps: vec![StepRequest {
-                count: job.tasks,
-                resources: Resources {
-                    cpu_millis: TASK_ROOM,
-                    memory_mib: 0,
-                    gpus: 0,
-                },
-                estimate: Span(job.duration),
-                after: Vec::new(),
-                label: None,
-                near: None,
-                saves_progress: false,
-            }],
+            steps: steps_of(&job),
             time_left: Span(
                 self.call_limit
-                    .unwrap_or(DEADLINE)
-                    .min(first + DEADLINE - self.now),
+                    .unwrap_or(u64::MAX)
+                    .min(leaves_at - self.now),
             ),
             unsupported: Vec::new(),
         };
@@ -109,6 +118,8 @@
             if matches!(answer, Answer::Cancelled | Answer::Unknown) {
                 let job = index as u64;
                 self.see(Seen::Cancelled { job });
+            } else if self.now < self.callers[index].job.at + self.callers[index].job.patience {
+                self.schedule(self.now + CANCEL_AGAIN, Happening::Cancel(index));
             }
             return;
         }
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -137,6 +137,7 @@
             Fault::Cut(agent, gateway) => {
                 self.cuts.insert((agent, gateway), end);
             }
+            Fault::IsolateGateway(gateway) => self.isolate_gateway(gateway, end),
             Fault::CrashWorker(worker) if self.workers[worker].life != 0 => {
                 self.crash_worker(worker, None);
                 self.schedule(end, Happening::WorkerBegins(worker));
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -5,6 +5,7 @@
 mod faulting;
 pub mod handshakes;
 mod heartbeats;
+mod isolation;
 mod leaving;
 mod links;
 mod peering;
@@ -54,8 +55,8 @@
 const RESTART: u64 = 300_000;
 /// How long a process has for a planned stop.
 const GRACE: u64 = 6_000_000;
-/// How long callers wait for an answer.
-const DEADLINE: u64 = 5_000_000;
+/// How long most callers wait for an answer.
+pub const DEADLINE: u64 = 5_000_000;
 
 /// A job that a caller will hand in.
 #[derive(Clone, Debug)]
@@ -70,6 +71,10 @@
     pub queue: usize,
     /// How long after its coming its caller cancels it, if ever, in microseconds.
     pub cancelled_after: Option<u64>,
+    /// Number of its steps, which follow each other.
+    pub steps: usize,
+    /// How long its caller waits for the answer, in microseconds.
+    pub patience: u64,
     /// Index of the task that takes each worker down that starts it, if one does.
     pub crashing: Option<u32>,
 }
@@ -108,6 +113,8 @@
     ToPeer(usize, SessionId, Box<ToPeer>),
     /// A gateway notices the end of a session to a peer.
     PeerSessionEnds(usize, SessionId),
+    /// A gateway that was cut off opens sessions to the others.
+    PeersReturn(usize),
     /// An agent notices the end of a session.
     AgentSessionEnds(usize, Incarnation, SessionId),
     /// A gateway notices the end of a session.
@@ -255,6 +262,8 @@
     callers: Vec<Caller>,
     faults: Vec<ScheduledFault>,
     cuts: BTreeMap<(usize, usize), u64>,
+    /// Gateways that are cut off from all agents and other gateways, and until when.
+    isolated: BTreeMap<usize, u64>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     happenings: BTreeMap<u64, Happening>,
     sequence: u64,
@@ -326,6 +335,7 @@
             callers: Vec::new(),
             faults,
             cuts: BTreeMap::new(),
+            isolated: BTreeMap::new(),
             queue: BinaryHeap::new(),
             happenings: BTreeMap::new(),
             sequence: 0,
@@ -501,6 +511,7 @@
             }
             Happening::ToPeer(to, session, message) => self.peer_message(to, session, *message),
             Happening::PeerSessionEnds(index, session) => self.peer_session_ends(index, session),
+            Happening::PeersReturn(gateway) => self.peers_return(gateway),
             Happening::AgentSessionEnds(index, incarnation, session) => {
                 if self.agents[index].incarnation == incarnation && self.agents[index].is_up {
                     if let Some(handshakes) = &mut self.handshakes {
--- a/laurelstile-sim/src/leased/world/peering.rs
+++ b/laurelstile-sim/src/leased/world/peering.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use super::super::faults::Sabotage;
-use super::{Happening, World};
+use super::{Happening, USER_TIMEOUT, World};
 
 /// How long a message takes between gateways, in microseconds.
 const SHORTEST_WAY: u64 = 200;
@@ -27,18 +27,35 @@
             return;
         }
         for other in first..self.gateways.len() {
-            if other == index || !self.gateways[other].is_up {
-                continue;
+            if other != index {
+                self.open_peer(index, other);
             }
-            let session = SessionId(self.fresh());
-            self.peers.insert(session, [index, other]);
-            for (gateway, is_dialed) in [(index, true), (other, false)] {
-                let opened = GatewayEvent::PeerOpened { session, is_dialed };
-                self.gateway_event(gateway, opened);
+        }
+    }
+
+    /// A gateway opens sessions to the others that are up and to which it has none.
+    pub(super) fn open_missing_peers(&mut self, index: usize) {
+        for other in 0..self.gateways.len() {
+            let mut sessions = self.peers.values();
+            let has_session = sessions.any(|ends| ends.contains(&index) && ends.contains(&other));
+            if other != index && !has_session {
+                self.open_peer(index, other);
             }
         }
     }
 
+    fn open_peer(&mut self, index: usize, other: usize) {
+        if !self.gateways[other].is_up || self.peers_cut_until(index, other) > self.now {
+            return;
+        }
+        let session = SessionId(self.fresh());
+        self.peers.insert(session, [index, other]);
+        for (gateway, is_dialed) in [(index, true), (other, false)] {
+            let opened = GatewayEvent::PeerOpened { session, is_dialed };
+            self.gateway_event(gateway, opened);
+        }
+    }
+
     /// The others notice that a gateway is gone, after what it has sent.
     pub(super) fn close_peers(&mut self, index: usize) {
         let ended = self.peers.iter().filter(|(_, ends)| ends.contains(&index));
@@ -52,8 +69,13 @@
     }
 
     pub(super) fn peer_session_ends(&mut self, index: usize, session: SessionId) {
-        if self.peers.remove(&session).is_some() {
+        if let Some(ends) = self.peers.remove(&session) {
             self.gateway_event(index, GatewayEvent::PeerClosed { session });
+            // The other side of a cut notices the end as well.
+            let other = if ends[0] == index { ends[1] } else { ends[0] };
+            if self.peers_cut_until(index, other) > self.now {
+                self.gateway_event(other, GatewayEvent::PeerClosed { session });
+            }
         }
     }
 
@@ -80,7 +102,10 @@
         };
         let latency = random.random_range(SHORTEST_WAY..LONGEST_WAY);
         let happening = Happening::ToPeer(to, session, Box::new(message));
-        self.schedule(self.now + latency, happening);
+        let sent = self.now.max(self.peers_cut_until(from, to));
+        if sent - self.now <= USER_TIMEOUT {
+            self.schedule(sent + latency, happening);
+        }
     }
 
     /// A message reaches a gateway from a peer.
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -5,9 +5,9 @@
 
 use laurelstile_history::leased::DoubleRun;
 use laurelstile_sim::leased::{
-    Disruption, Outcome, Sabotage, run_disruption_seed, run_hazard_seed, run_herd_seed,
-    run_leaving_seed, run_other_writers_seed, run_resending_seed, run_returning_seed, run_seed,
-    run_silences_seed,
+    Disruption, Outcome, Sabotage, run_cancel_seed, run_disruption_seed, run_hazard_seed,
+    run_herd_seed, run_leaving_seed, run_other_writers_seed, run_resending_seed,
+    run_returning_seed, run_seed, run_silences_seed,
 };
 
 use crate::flags::{Leased, seed_range};
@@ -70,6 +70,8 @@
             run_leaving_seed(seed, sabotage)
         } else if flags.herds {
             run_herd_seed(seed, sabotage, flags.trace)
+        } else if flags.cancels {
+            run_cancel_seed(seed, sabotage, flags.trace)
         } else if flags.other_writers {
             run_other_writers_seed(seed, sabotage)
         } else if flags.returning {
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -3,9 +3,9 @@
 
 use laurelstile_history::leased::Rule;
 use laurelstile_sim::leased::{
-    Disruption, Outcome, Sabotage, run_disruption_seed, run_hazard_seed, run_herd_seed,
-    run_leaving_seed, run_other_writers_seed, run_resending_seed, run_returning_seed, run_seed,
-    run_silences_seed,
+    Disruption, Outcome, Sabotage, run_cancel_seed, run_disruption_seed, run_hazard_seed,
+    run_herd_seed, run_leaving_seed, run_other_writers_seed, run_resending_seed,
+    run_returning_seed, run_seed, run_silences_seed,
 };
 use rstest::rstest;
 
@@ -54,6 +54,32 @@
     }
 }
 
+/// Guards against starts of cancelled jobs that outlive a partition, a suspension or a planned stop: chains
+/// whose callers wait for 25 s and cancel at any gateway.
+#[test]
+fn seeds_with_cancelled_chains_keep_every_rule() {
+    for seed in 0..12 {
+        assert_keeps_every_rule(seed, &run_cancel_seed(seed, None, None));
+    }
+}
+
+/// Guards against an acknowledgement by a gateway that has started beyond a partition and takes the agent on
+/// its side for all agents.
+#[test]
+fn a_gateway_that_starts_beyond_a_partition_does_not_acknowledge_for_all_agents() {
+    assert_keeps_every_rule(1506, &run_cancel_seed(1506, None, None));
+}
+
+#[test]
+fn cancelled_chains_start_if_gateways_tell_nobody() {
+    let is_broken = (0..6).any(|seed| {
+        let outcome = run_cancel_seed(seed, Some(Sabotage::NoCancelNews), None);
+        let mut broken = outcome.violations.iter();
+        broken.any(|violation| violation.rule == Rule::Cancelled)
+    });
+    assert!(is_broken);
+}
+
 /// Workers that start again under the ids that they had, and soon leave or shrink: tasks were
 /// started on them after the bound, and they were not used any more.
 #[test]
