Front end: jobs of a removed route can still be cancelled

Cause: the queue of a request is looked up in the configuration in force, which a job outlives.

A gateway that has started since the removal does not know the route.

`a_removed_queue_is_found_for_as_long_as_its_jobs_may_be_held`.

--- a/laurelstile-core/src/leased/gateway/queues.rs
+++ b/laurelstile-core/src/leased/gateway/queues.rs
@@ -107,6 +107,11 @@
 }
 
 impl QueueSettings {
+    /// Whether requests with this host and path belong to the queue, unless a longer prefix matches.
+    pub fn matches(&self, host: &str, path: &str) -> bool {
+        self.host.eq_ignore_ascii_case(without_port(host)) && path.starts_with(&self.path_prefix)
+    }
+
     fn check_range(
         &self,
         field: &'static str,
@@ -204,11 +209,9 @@
     /// The queue for a request: the one with the request's host and the longest matching path
     /// prefix, or `None`.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<QueueSettings>> {
-        let host = without_port(host);
-        self.queues
-            .iter()
-            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
-            .filter(|queue| path.starts_with(&queue.path_prefix))
+        let queues = self.queues.iter();
+        queues
+            .filter(|queue| queue.matches(host, path))
             .max_by_key(|queue| queue.path_prefix.len())
     }
 }
--- a/laurelstiled/src/leased/gate.rs
+++ b/laurelstiled/src/leased/gate.rs
@@ -8,6 +8,7 @@
 use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
 use laurelstile_core::leased::task::JobId;
+use laurelstile_core::leased::timing::MAX_JOB_TIME;
 use laurelstile_types::time::Span;
 use metrics::counter;
 use thiserror::Error;
@@ -28,12 +29,43 @@
 pub struct GatewayStatus {
     /// The configuration in force; `None` until one has been read.
     pub configuration: Option<Arc<QueueConfiguration>>,
+    /// Queues that the configuration in force no longer has, whose jobs may not have ended.
+    retired: Vec<RetiredQueue>,
     /// Whether the gateway should receive new connections.
     pub is_ready: bool,
     /// Whether the process is shutting down, so that callers should reconnect to another gateway.
     pub is_stopping: bool,
 }
 
+impl GatewayStatus {
+    /// Puts a configuration in force. The queues that it no longer has are retired for as long as their
+    /// jobs may be held.
+    pub fn put_in_force(&mut self, configuration: Arc<QueueConfiguration>) {
+        let now = Instant::now();
+        let before = self.configuration.replace(Arc::clone(&configuration));
+        let queues = before.iter().flat_map(|before| &before.queues);
+        self.retired.extend(queues.map(|queue| RetiredQueue {
+            queue: Arc::clone(queue),
+            until: now + Duration::from_micros(MAX_JOB_TIME.0),
+        }));
+        let is_configured = |retired: &Arc<QueueSettings>| {
+            let mut queues = configuration.queues.iter();
+            queues
+                .any(|queue| queue.host == retired.host && queue.path_prefix == retired.path_prefix)
+        };
+        self.retired
+            .retain(|retired| now < retired.until && !is_configured(&retired.queue));
+    }
+}
+
+/// A queue that the configuration in force no longer has.
+#[derive(Clone, Debug)]
+struct RetiredQueue {
+    queue: Arc<QueueSettings>,
+    /// Until when its jobs may be held.
+    until: Instant,
+}
+
 /// The gateway's driver has ended and handles no more calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the gateway has ended")]
@@ -100,6 +132,18 @@
         }
     }
 
+    /// Looks up the queue of a request about a job among those that have been removed from the
+    /// configuration lately. Such a job can still be queried and cancelled.
+    pub fn find_retired(&self, host: &str, path: &str) -> Option<Arc<QueueSettings>> {
+        let now = Instant::now();
+        let status = self.status();
+        let retired = status.retired.iter().filter(|retired| now < retired.until);
+        let queues = retired.map(|retired| &retired.queue);
+        let matching = queues.filter(|queue| queue.matches(host, path));
+        let longest = matching.max_by_key(|queue| queue.path_prefix.len());
+        longest.cloned()
+    }
+
     async fn wait_for_configuration(&self) {
         if self.status().configuration.is_some() {
             return;
--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -352,7 +352,7 @@
             GatewayEffect::InForce(configuration) => {
                 log::info!(event = "configuration_in_force", version = configuration.version, queues = configuration.queues.len(); "configuration in force");
                 self.status
-                    .send_modify(|status| status.configuration = Some(configuration));
+                    .send_modify(|status| status.put_in_force(configuration));
             }
             GatewayEffect::Dial {
                 members,
--- a/laurelstiled/tests/gate.rs
+++ b/laurelstiled/tests/gate.rs
@@ -1,5 +1,5 @@
-//! Calls that arrive before the gateway has read its first configuration, and after its driver has
-//! ended.
+//! Calls that arrive before the gateway has read its first configuration, after its driver has ended, and
+//! for jobs of a queue that was removed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,14 +7,26 @@
 use laurelstile_core::leased::gateway::Answer;
 use laurelstile_core::leased::gateway::queues::{QueueConfiguration, QueueSettings};
 use laurelstile_core::leased::task::JobId;
+use laurelstile_core::leased::timing::MAX_JOB_TIME;
 use laurelstiled::leased::gate::{GatewayEnded, GatewayHandle, GatewayStatus, Lookup};
 use tokio::sync::{mpsc, watch};
 
 fn configuration() -> Arc<QueueConfiguration> {
-    let queue = QueueSettings {
-        name: "checks".into(),
+    configuration_of(1, &["/checks/"])
+}
+
+/// A configuration of queues with these path prefixes.
+fn configuration_of(version: u64, path_prefixes: &[&str]) -> Arc<QueueConfiguration> {
+    let queues = path_prefixes.iter().map(|prefix| Arc::new(queue(prefix)));
+    let queues = queues.collect();
+    Arc::new(QueueConfiguration { version, queues })
+}
+
+fn queue(path_prefix: &str) -> QueueSettings {
+    QueueSettings {
+        name: path_prefix.into(),
         host: "example.test".into(),
-        path_prefix: "/checks/".into(),
+        path_prefix: path_prefix.into(),
         service: "parcels".into(),
         priority: 0,
         max_attempts: 2,
@@ -22,11 +34,7 @@
         slack_millis: 60,
         is_advised: false,
         floor_percent: None,
-    };
-    Arc::new(QueueConfiguration {
-        version: 1,
-        queues: vec![Arc::new(queue)],
-    })
+    }
 }
 
 fn gateway_handle() -> (GatewayHandle, watch::Sender<GatewayStatus>) {
@@ -77,3 +85,29 @@
     let (gateway, _status) = gateway_handle();
     assert_eq!(gateway.has_job(JobId(1)).await, Err(GatewayEnded));
 }
+
+/// Guards against jobs that cannot be cancelled any more, since their queue was removed while they ran.
+#[tokio::test(start_paused = true)]
+async fn a_removed_queue_is_found_for_as_long_as_its_jobs_may_be_held() {
+    let (gateway, status) = gateway_handle();
+    let path = "/checks/1";
+    let put_in_force = |version, prefixes: &[&str]| {
+        status.send_modify(|status| status.put_in_force(configuration_of(version, prefixes)));
+    };
+    let is_retired = || gateway.find_retired("EXAMPLE.test:80", path).is_some();
+    put_in_force(1, &["/checks/", "/redraw/"]);
+    assert!(!is_retired(), "it is in force");
+    put_in_force(2, &["/redraw/"]);
+    let found = gateway.find("example.test", path).await;
+    assert!(matches!(found, Lookup::Unknown), "{found:?}");
+    assert!(is_retired());
+    assert!(gateway.find_retired("example.test", "/never/1").is_none());
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    put_in_force(3, &["/redraw/", "/other/"]);
+    assert!(is_retired(), "a later configuration changes nothing");
+    put_in_force(4, &["/checks/"]);
+    assert!(!is_retired(), "it is in force again");
+    put_in_force(5, &["/redraw/"]);
+    tokio::time::sleep(Duration::from_micros(MAX_JOB_TIME.0)).await;
+    assert!(!is_retired(), "all its jobs have ended");
+}
