Messages: a test that cancellations are compatible with older versions

An older agent reads the jobs and ignores position and ages, and what it sends confirms nothing (`cancellations_are_compatible_with_older_versions`).

--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -118,9 +118,8 @@
     }
 }
 
-#[test]
-fn heartbeats_are_small() {
-    let to_agent = ToAgent {
+fn heartbeat() -> ToAgent {
+    ToAgent {
         echo: CLOCK,
         acknowledged: 300,
         cancelled: Vec::new(),
@@ -128,8 +127,12 @@
         cancel_ages: Vec::new(),
         served: Vec::new(),
         body: ToAgentBody::Heartbeat,
-    };
-    assert!(encode(&to_agent).len() <= 13);
+    }
+}
+
+#[test]
+fn heartbeats_are_small() {
+    assert!(encode(&heartbeat()).len() <= 13);
     let from_agent = from_agent(None, FromAgentBody::Heartbeat);
     assert!(encode(&from_agent).len() <= 8);
 }
@@ -228,6 +231,38 @@
     assert_eq!((decoded.session, decoded.control), (None, None));
 }
 
+/// Cancellations that an agent is told, as older versions define the message.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldCancels {
+    #[serde(rename = "e")]
+    echo: Timestamp,
+    #[serde(rename = "s")]
+    acknowledged: u64,
+    #[serde(rename = "j")]
+    cancelled: Vec<JobId>,
+}
+
+/// Guards against cancellations that a process of an older version cannot read, or that are read from one
+/// as if it confirmed them.
+#[test]
+fn cancellations_are_compatible_with_older_versions() {
+    let sent = ToAgent {
+        cancelled: vec![JobId(7), JobId(8)],
+        cancel_position: Some(3),
+        cancel_ages: vec![0, 12],
+        ..heartbeat()
+    };
+    let old: OldCancels = decode(&encode(&sent));
+    assert_eq!(old.cancelled, sent.cancelled);
+    let received: ToAgent = decode(&encode(&old));
+    assert_eq!(received.cancelled, sent.cancelled);
+    assert_eq!(received.cancel_position, None);
+    assert!(received.cancel_ages.is_empty());
+    let of_older_agent: FromAgent = decode(&encode(&from_agent(None, FromAgentBody::Heartbeat)));
+    assert_eq!(of_older_agent.cancels_received, None);
+    assert!(!of_older_agent.is_ending);
+}
+
 fn input_of(message: &ToAgent) -> JobInput {
     match &message.body {
         ToAgentBody::Start(batch) => batch.input.clone(),
