Cancels: a holder confirms only with most of its agents

Cause: a holder's confirmation was taken for the end of the job, whoever else may hold it.

Change: a holder confirms once more than half of its agents have confirmed the cancellation. A round sends to agents before it is reviewed: an agent that had been idle was taken for silent at once, and cancellations were refused that agents would have confirmed within a round trip.

Tests: `a_holder_that_reaches_few_agents_does_not_confirm_alone`, `a_holder_confirms_once_most_of_its_agents_have`, seeds 5138 and 5564. `a_gateway_that_has_never_met_the_others_does_not_rely_on_its_agents` began with an empty list of gateways and passed for that early refusal; it begins with the list of two now.

--- a/laurelstile-core/src/leased/gateway/agent_confirmations.rs
+++ b/laurelstile-core/src/leased/gateway/agent_confirmations.rs
@@ -111,15 +111,14 @@
         self.lost_at.remove(name);
     }
 
-    /// Whether cancellations reach all agents.
-    fn coverage(&self, now: Timestamp) -> Coverage {
-        let silences = self.lost_at.values().map(|at| now.since(*at));
+    /// Whether a cancellation may reach each of them soon.
+    fn coverages(&self, now: Timestamp) -> impl Iterator<Item = Coverage> {
+        let silences = self.lost_at.values().map(move |at| now.since(*at));
         let retained = silences.filter(|silence| *silence <= LOST_AGENT_RETENTION);
-        let coverage = retained.map(|silence| match silence <= SILENT_AFTER {
+        retained.map(|silence| match silence <= SILENT_AFTER {
             true => Coverage::Pending,
             false => Coverage::Incomplete,
-        });
-        coverage.max().unwrap_or(Coverage::Complete)
+        })
     }
 }
 
@@ -163,12 +162,26 @@
         has_met_gateways && !self.agent_sessions.is_empty()
     }
 
+    /// Whether more than half of the agents that this gateway knows have confirmed the cancellations up to
+    /// `position`. Not on the small side of a network partition: a job that is held there may have been
+    /// submitted again on the other side.
+    pub(super) fn majority_coverage(&self, now: Timestamp, position: u64) -> Coverage {
+        let workers = self.workers.values();
+        let connected = workers.filter(|worker| worker.session.is_some() && !worker.is_ending);
+        let coverage = connected.map(|worker| worker.confirmations.coverage(now, position));
+        let mut coverage: Vec<Coverage> = coverage.collect();
+        coverage.extend(self.lost_agents.coverages(now));
+        coverage.sort_unstable();
+        let middle = coverage.get(coverage.len() / 2).copied();
+        middle.unwrap_or(Coverage::Incomplete)
+    }
+
     /// Whether all agents that this gateway knows have confirmed the cancellations up to `position`.
     pub(super) fn agent_coverage(&self, now: Timestamp, position: u64) -> Coverage {
         let workers = self.workers.values();
         let connected = workers.filter(|worker| worker.session.is_some() && !worker.is_ending);
         let coverage = connected.map(|worker| worker.confirmations.coverage(now, position));
-        let lost = self.lost_agents.coverage(now);
-        coverage.max().unwrap_or(Coverage::Complete).max(lost)
+        let coverage = coverage.chain(self.lost_agents.coverages(now));
+        coverage.max().unwrap_or(Coverage::Complete)
     }
 }
--- a/laurelstile-core/src/leased/gateway/cancel_rounds.rs
+++ b/laurelstile-core/src/leased/gateway/cancel_rounds.rs
@@ -1,9 +1,9 @@
 //! Rounds of confirmations, by which a gateway learns that nobody can start a cancelled job any more.
 //!
 //! A job can be started by the gateway that holds it, at any agent that accepts the start. So a
-//! cancellation is in effect once the holder has confirmed that it has ended the job, or every other
-//! gateway that it has recorded the cancellation, or else every agent: agents refuse the starts of a
-//! gateway that does not answer. The gateway at which a caller cancels a job asks its peers. These
+//! cancellation is in effect once the holder has ended the job and most of its agents know, or every other
+//! gateway has recorded the cancellation, or else every agent: agents refuse the starts of a gateway that
+//! does not answer. The gateway at which a caller cancels a job asks its peers. These
 //! forward the request, and answer once those that they have asked have answered, so that one answer of
 //! each peer speaks for all gateways behind it. Peers that have not answered for a while are sent
 //! requests but not waited for.
@@ -50,6 +50,8 @@
     opened_at: Timestamp,
     /// Position of the cancellation among those that agents were told.
     position: u64,
+    /// Whether this gateway held the job, and has ended it. Peers are not asked then.
+    was_held_here: bool,
     /// Sessions to the peers that were asked and have not answered.
     unanswered: BTreeSet<SessionId>,
     /// Those of them that are waited for.
@@ -166,6 +168,18 @@
         self.open_round(now, request, Requester::Caller(call, called_at), effects);
     }
 
+    /// Starts a round for a caller that has cancelled a job which this gateway held: its agents have to
+    /// confirm.
+    pub(super) fn start_holders_round(&mut self, now: Timestamp, call: CallNumber, job: JobId) {
+        self.cancel_rounds.last.number += 1;
+        let request = CancelRequest {
+            round: self.cancel_rounds.last,
+            job,
+            includes_agents: false,
+        };
+        self.open_holders_round(now, request, Requester::Caller(call, now));
+    }
+
     /// Handles a peer's request. A request that has come over another session already is answered at
     /// once: the answer there speaks for this gateway.
     pub(super) fn on_cancel_requested(
@@ -187,16 +201,14 @@
         if request.includes_agents || was_held {
             self.tell_agents(cancelled);
         }
-        if was_held || !is_recorded {
-            let answer = CancelConfirmation {
-                was_held,
-                ..unconfirmed(round)
-            };
-            send_confirmation(session, answer, effects);
+        if !is_recorded {
+            send_confirmation(session, unconfirmed(round), effects);
             self.cancel_rounds.record_concluded(now, round);
-            return;
+        } else if was_held {
+            self.open_holders_round(now, request, Requester::Peer(session));
+        } else {
+            self.open_round(now, request, Requester::Peer(session), effects);
         }
-        self.open_round(now, request, Requester::Peer(session), effects);
     }
 
     /// Handles a peer's answer.
@@ -254,17 +266,37 @@
             effects.push(GatewayEffect::ToPeer { session, message });
         }
         let round = Round {
+            unanswered,
+            awaited,
+            ..self.new_round(now, request, requester)
+        };
+        self.cancel_rounds.open.insert(request.round, round);
+        self.cancel_rounds.request_review();
+    }
+
+    /// Opens a round for a job that this gateway held, and asks no peers.
+    fn open_holders_round(&mut self, now: Timestamp, request: CancelRequest, requester: Requester) {
+        let round = Round {
+            was_held_here: true,
+            ..self.new_round(now, request, requester)
+        };
+        self.cancel_rounds.open.insert(request.round, round);
+        self.cancel_rounds.request_review();
+    }
+
+    /// A round in which no peer is asked.
+    fn new_round(&self, now: Timestamp, request: CancelRequest, requester: Requester) -> Round {
+        Round {
             request,
             requester,
             opened_at: now,
             position: self.cancel_position,
-            unanswered,
-            awaited,
+            was_held_here: false,
+            unanswered: BTreeSet::new(),
+            awaited: BTreeSet::new(),
             confirmed: unconfirmed(request.round),
             review_at: now.after(PEER_WAIT),
-        };
-        self.cancel_rounds.open.insert(request.round, round);
-        self.cancel_rounds.request_review();
+        }
     }
 
     /// Concludes the open rounds whose confirmations suffice, or have not come in time.
@@ -332,6 +364,13 @@
         if confirmed.was_held {
             return Verdict::Conclude(CancelOutcome::HeldByPeer);
         }
+        if round.was_held_here {
+            return match self.majority_coverage(now, round.position) {
+                Coverage::Complete => Verdict::Conclude(CancelOutcome::HeldHere),
+                Coverage::Pending if now < round.opened_at.after(PEER_WAIT) => Verdict::Wait,
+                _ => Verdict::AskAgents,
+            };
+        }
         if round.awaits_peers(now) {
             return Verdict::Wait;
         }
@@ -380,14 +419,20 @@
             true => self.agent_coverage(now, round.position),
             false => Coverage::Complete,
         };
-        let awaits_agents = coverage == Coverage::Pending && now < round.opened_at.after(PEER_WAIT);
-        let is_complete = !round.awaits_peers(now) && !awaits_agents;
-        if !is_complete && !round.confirmed.was_held {
+        let holders_coverage = match round.was_held_here {
+            true => self.majority_coverage(now, round.position),
+            false => Coverage::Incomplete,
+        };
+        let confirmed = &round.confirmed;
+        let was_held = confirmed.was_held || holders_coverage == Coverage::Complete;
+        let awaits_agents = [coverage, holders_coverage].contains(&Coverage::Pending)
+            && now < round.opened_at.after(PEER_WAIT);
+        if !was_held && (round.awaits_peers(now) || awaits_agents) {
             return false;
         }
-        let confirmed = &round.confirmed;
         let confirmation = CancelConfirmation {
             reached: confirmed.reached.with(self.membership.own_digest()),
+            was_held,
             has_unconfirmed_agents: confirmed.has_unconfirmed_agents
                 || coverage != Coverage::Complete,
             ..*confirmed
--- a/laurelstile-core/src/leased/gateway/cancels.rs
+++ b/laurelstile-core/src/leased/gateway/cancels.rs
@@ -12,9 +12,8 @@
 use crate::session::SessionId;
 
 impl LeasedGateway {
-    /// Handles a caller's cancellation. It is acknowledged at once if this gateway holds the job and no
-    /// other has claimed it, and otherwise once a round of confirmations shows that nobody can start the
-    /// job any more. A cancellation that is not recorded is not acknowledged: the job could be started
+    /// Handles a caller's cancellation. It is acknowledged once confirmations show that nobody can start
+    /// the job any more; those of agents suffice if this gateway holds the job and no other has claimed it. A cancellation that is not recorded is not acknowledged: the job could be started
     /// when it is forgotten.
     pub(super) fn on_cancel(
         &mut self,
@@ -29,8 +28,7 @@
         let recorded = self.cancel_job(now, cancelled, effects);
         self.tell_agents(cancelled);
         if is_here && !is_elsewhere && recorded.is_ok() {
-            let outcome = CancelOutcome::HeldHere;
-            self.answer_cancel((call, Span::default()), job, outcome, effects);
+            self.start_holders_round(now, call, job);
         } else if recorded.is_ok() {
             self.start_cancel_round(now, (call, now), job, effects);
         } else {
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -324,9 +324,9 @@
         self.announce_waiting(now, &mut locality, effects);
         self.request_configuration(now, effects);
         self.flush_membership(now, effects);
+        self.send_cancels_to_agents(now, effects);
         self.record_met_gateways(now);
         self.review_cancel_rounds(now, effects);
-        self.send_cancels_to_agents(now, effects);
         self.send_heartbeats(now, effects);
         self.review_capacity(now, effects);
         self.finish_stop(now, effects);
--- a/laurelstile-core/tests/leased_cancel_confirmations.rs
+++ b/laurelstile-core/tests/leased_cancel_confirmations.rs
@@ -192,6 +192,56 @@
     assert_eq!(answer(&rig), Some(Answer::Unknown));
 }
 
+/// Guards against the acknowledgement of a job that was submitted again, by its earlier holder, which is cut
+/// off and goes on holding it. Seen with emulated gateways whose callers' connections break.
+#[rstest]
+#[case::by_the_holder(None)]
+#[case::by_a_peer(Some(PEERS[0]))]
+fn a_holder_that_reaches_few_agents_does_not_confirm_alone(#[case] requester: Option<SessionId>) {
+    let mut rig = connected();
+    rig.submit(at(CANCELLED_MILLIS - 20), 1, patient_job(10_000, 25));
+    assert!(rig.machine.has_job(JobId(1)));
+    rig.to_peers.clear();
+    match requester {
+        None => cancel(&mut rig, CANCELLED_MILLIS, 1),
+        Some(session) => {
+            let request = CancelRequest {
+                job: JobId(1),
+                ..request(1, false)
+            };
+            let requested = ToPeer::CancelRequested(request);
+            rig.peer_message(at(CANCELLED_MILLIS), session, requested);
+        }
+    }
+    pass_time(
+        &mut rig,
+        CANCELLED_MILLIS,
+        CANCELLED_MILLIS + ANSWERED_MILLIS,
+        &[],
+    );
+    if let Some(session) = requester {
+        let sent = confirmations(&rig, session);
+        assert!(!sent[0].was_held);
+    } else {
+        assert!(is_unacknowledged(&rig), "{:?}", answer(&rig));
+    }
+}
+
+/// Guards against cancellations of held jobs that are refused since some processes are down.
+#[test]
+fn a_holder_confirms_once_most_of_its_agents_have() {
+    let mut rig = connected();
+    rig.join(at(2), FIRST_AGENT + 2, "agent-9", cpu(8_000));
+    agent_confirms(&mut rig, 3, FIRST_AGENT + 2, 0);
+    rig.lose_session(at(5_000), FIRST_AGENT + 2);
+    rig.submit(at(CANCELLED_MILLIS - 20), 1, patient_job(10_000, 25));
+    assert!(rig.machine.has_job(JobId(1)));
+    cancel(&mut rig, CANCELLED_MILLIS, 1);
+    assert_eq!(answer(&rig), None);
+    agents_confirm(&mut rig, CANCELLED_MILLIS + 1);
+    assert_eq!(answer(&rig), Some(Answer::Cancelled));
+}
+
 /// Guards against acknowledgements by a gateway that is cut off from all others, and against calls that
 /// wait although it is known by then.
 #[test]
@@ -356,7 +406,8 @@
 /// Seen with emulated gateways (`--cancels`, seed 1506).
 #[test]
 fn a_gateway_that_has_never_met_the_others_does_not_rely_on_its_agents() {
-    let mut rig = GatewayRig::new();
+    let mut rig = GatewayRig::unconfigured("gateway", Incarnation(0), Policies::default());
+    rig.event(at(0), GatewayEvent::Configuration(configuration(1)));
     let page = Page {
         from: String::new(),
         until: None,
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -83,6 +83,8 @@
             /// Instead of these: chains whose callers wait for long and cancel at any gateway, while
             /// gateways are cut off, stand still, are suspended or are stopped.
             optional --cancels
+            /// The same, and callers whose connections break submit their jobs again.
+            optional --lost-callers
             /// Instead of these: workers that start again under their ids, and soon leave or
             /// shrink.
             optional --returning
@@ -100,7 +102,7 @@
             optional --disruption disruption: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
-            /// With these three, --herds, --cancels or none: print what happens to the job of this number.
+            /// With these three, --herds, --cancels, --lost-callers or none: print what happens to the job of this number.
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -376,11 +376,13 @@
 }
 
 /// Draws gateways that are cut off for up to 12 s, stand still, are suspended or are stopped, and agents
-/// that stand still or end; often two at once.
+/// that stand still or end; often two at once. With `loses_callers`, the connections of a gateway's callers
+/// break in half of these, and it notices later.
 pub fn draw_of_outages(
     length: u64,
     gateways: usize,
     workers: usize,
+    loses_callers: bool,
     random: &mut Pcg64,
 ) -> Vec<ScheduledFault> {
     let mut faults = Vec::new();
@@ -389,6 +391,18 @@
         for _ in 0..random.random_range(1..3) {
             let gateway = random.random_range(0..gateways);
             let worker = random.random_range(0..workers);
+            if loses_callers && random.random_bool(0.5) {
+                let broken_at = at + random.random_range(0..2_000_000);
+                let is_cut = random.random_bool(0.5);
+                faults.push(ScheduledFault {
+                    at: broken_at,
+                    length: random.random_range(2_000..1_300_000),
+                    fault: match is_cut {
+                        true => Fault::CutCallers(gateway),
+                        false => Fault::BreakCallers(gateway),
+                    },
+                });
+            }
             faults.push(ScheduledFault {
                 at: at + random.random_range(0..1_000_000),
                 length: random.random_range(300_000..12_000_000),
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -129,15 +129,21 @@
 }
 
 /// Runs one seed with jobs in chains whose callers wait for long, half of which are cancelled, at any
-/// gateway, while gateways are cut off, stand still, are suspended or are stopped.
-pub fn run_cancel_seed(seed: u64, sabotage: Option<Sabotage>, traced: Option<u64>) -> Outcome {
+/// gateway, while gateways are cut off, stand still, are suspended or are stopped. With `loses_callers`,
+/// callers whose connections break submit their jobs again besides.
+pub fn run_cancel_seed(
+    seed: u64,
+    loses_callers: bool,
+    sabotage: Option<Sabotage>,
+    traced: Option<u64>,
+) -> Outcome {
     let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
     let mut scene = draw_scene(seed, sabotage, &mut random);
     let mut cancels = Pcg64::seed_from_u64(seed ^ CANCELS_STREAM);
     if cancels.random_bool(0.5) {
         scene.faults.clear();
     }
-    let faults = draw_of_outages(FAULTY, GATEWAYS, WORKERS, &mut cancels);
+    let faults = draw_of_outages(FAULTY, GATEWAYS, WORKERS, loses_callers, &mut cancels);
     scene.faults.extend(faults);
     for job in &mut scene.jobs {
         if job.at < FAULTY && cancels.random_ratio(1, CHAINS_ONE_IN) {
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -70,8 +70,8 @@
             run_leaving_seed(seed, sabotage)
         } else if flags.herds {
             run_herd_seed(seed, sabotage, flags.trace)
-        } else if flags.cancels {
-            run_cancel_seed(seed, sabotage, flags.trace)
+        } else if flags.cancels || flags.lost_callers {
+            run_cancel_seed(seed, flags.lost_callers, sabotage, flags.trace)
         } else if flags.other_writers {
             run_other_writers_seed(seed, sabotage)
         } else if flags.returning {
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -59,7 +59,7 @@
 #[test]
 fn seeds_with_cancelled_chains_keep_every_rule() {
     for seed in 0..12 {
-        assert_keeps_every_rule(seed, &run_cancel_seed(seed, None, None));
+        assert_keeps_every_rule(seed, &run_cancel_seed(seed, false, None, None));
     }
 }
 
@@ -67,13 +67,28 @@
 /// its side for all agents.
 #[test]
 fn a_gateway_that_starts_beyond_a_partition_does_not_acknowledge_for_all_agents() {
-    assert_keeps_every_rule(1506, &run_cancel_seed(1506, None, None));
+    assert_keeps_every_rule(1506, &run_cancel_seed(1506, false, None, None));
+}
+
+/// Guards against the acknowledgement by an earlier holder that is cut off: the job was submitted again and
+/// goes on at another gateway.
+#[rstest]
+#[case::of_a_holder_that_is_cut_off(5138)]
+#[case::of_a_job_that_is_submitted_after_it(5564)]
+fn a_cancelled_job_that_was_submitted_again_does_not_start(#[case] seed: u64) {
+    assert_keeps_every_rule(seed, &run_cancel_seed(seed, true, None, None));
+}
+
+/// Guards against two runs of a job that was submitted again while its holder was cut off, when the cut ends.
+#[test]
+fn a_job_of_a_gateway_that_was_cut_off_runs_once() {
+    assert_keeps_every_rule(5338, &run_cancel_seed(5338, true, None, None));
 }
 
 #[test]
 fn cancelled_chains_start_if_gateways_tell_nobody() {
     let is_broken = (0..6).any(|seed| {
-        let outcome = run_cancel_seed(seed, Some(Sabotage::NoCancelNews), None);
+        let outcome = run_cancel_seed(seed, false, Some(Sabotage::NoCancelNews), None);
         let mut broken = outcome.violations.iter();
         broken.any(|violation| violation.rule == Rule::Cancelled)
     });
