--- a/laurelstile-core/src/leased/gateway/agent_confirmations.rs
+++ b/laurelstile-core/src/leased/gateway/agent_confirmations.rs
@@ -19,14 +19,15 @@
 /// longest pause between the dials of an address, with the time-out of a dial.
 const FIRST_SESSIONS_TIME: Span = Span(2 * (MAX_REDIAL_DELAY.0 + DIAL_TIMEOUT.0));
 
-/// Whether a cancellation is known to agents, so that they start nothing of the job.
+/// Whether a cancellation is known to an agent, or to several together, so that they start nothing of the
+/// job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Coverage {
-    /// All know it.
+    /// It is confirmed.
     Complete,
-    /// The others are likely to confirm it soon.
+    /// What is missing is likely to be confirmed soon.
     Pending,
-    /// Some cannot be reached, or do not answer.
+    /// An agent cannot be reached, or does not answer.
     Incomplete,
 }
 
--- a/laurelstile-core/src/leased/gateway/cancel_rounds.rs
+++ b/laurelstile-core/src/leased/gateway/cancel_rounds.rs
@@ -3,10 +3,12 @@
 //! A job can be started by the gateway that holds it, at any agent that accepts the start. So a
 //! cancellation is in effect once the holder has ended the job and most of its agents know, or every other
 //! gateway has recorded the cancellation, or else every agent: agents refuse the starts of a gateway that
-//! does not answer. The gateway at which a caller cancels a job asks its peers. These
-//! forward the request, and answer once those that they have asked have answered, so that one answer of
-//! each peer speaks for all gateways behind it. Peers that have not answered for a while are sent
-//! requests but not waited for.
+//! does not answer.
+//!
+//! The gateway at which a caller cancels a job asks its peers. These forward the request, and answer once
+//! those that they have asked have answered, so that one answer of each peer speaks for all gateways behind
+//! it. If the answers do not speak for all gateways, the round is repeated, and each gateway asks its agents
+//! too. Peers that have not answered for a while are sent requests but not waited for.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -71,7 +73,9 @@
 
 /// What follows from the confirmations of a caller's round.
 enum Verdict {
+    /// Further ones may come in time.
     Wait,
+    /// The caller is answered.
     Conclude(CancelOutcome),
     /// Not all gateways can confirm, so that agents have to.
     AskAgents,
@@ -333,7 +337,8 @@
         }
     }
 
-    /// Answers the caller, if the result is clear. Returns whether the round is concluded.
+    /// Answers the caller, or starts the round that asks agents, if the result is clear. Returns whether the
+    /// round is concluded.
     fn review_callers_round(
         &mut self,
         now: Timestamp,
@@ -391,7 +396,7 @@
         }
     }
 
-    /// Hash of the other gateways that can confirm a cancellation: all but those with a session here whose
+    /// Hash of the other gateways that have to confirm a cancellation: all but those with a session here whose
     /// version cannot. `None` if not all are known: none yet, or not who is at the other end of a session.
     fn digest_of_confirming(&self) -> Option<Digest> {
         if self.peers.values().any(|peer| peer.name.is_none()) {
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -36,8 +36,8 @@
     /// submitted again.
     #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
     pub cancelled: Vec<JobId>,
-    /// Confirms that the agent has been sent all cancellations up to this position of the sender's;
-    /// present if `cancelled` is not empty, and absent from older versions. The agent answers with
+    /// Position of the last of `cancelled` among the cancellations that the sender tells its agents, which
+    /// rises with each; absent if there are none, and from older versions. The agent answers with
     /// [`FromAgent::cancels_received`].
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub cancel_position: Option<u64>,
