Claims: a gateway holds a long job only while others confirm its claim

What callers saw: a task that must run once ran on two workers at once, at two gateways.

Cause: a claim bound nobody. A gateway held a job for as long as it liked, whether its claim had reached anybody or not; the gateway to which the caller submitted the job again knew no claim and started it, or waited for a fixed time after which it took the holder to be gone. As the cut ended, the holder placed its lost runs again, before it had a session to any gateway. Class: the end of a wait is taken for a proof, while the one that is waited for is not bound by the same wait.

Change: claims are confirmed, and are leases. Gateways answer them; where not all do, more than half of the agents have to, which then reject other gateways' starts of the job. From the time at which its caller may submit it again, a job is held for a second after a confirmed claim. Then its runs are stopped and it is answered, 503 if nothing has run; a job without runs may regain its claim for 500 ms, by all gateways only. Claims are honored until the holder has ended the job and its runs are over, and a requester waits for as long. A gateway that was cut off from all agents places nothing for up to 500 ms, until the others have confirmed a claim of it. Claims are sent 0.6 s after a job, so that they are known or the agents have stopped the runs when its caller may return.

Why it works: whoever starts a job beside its holder either has confirmed the claim, and waits for longer than it lasts, or has not, and the holder has ended the job. What remains: agents outside the majority that honors a claim.

Tests that were wrong: a_job_whose_holder_does_not_answer_is_placed_when_its_runs_are_over took the silence of the holder for the end of its runs; it now demands the end of its claim, to the step.

--- a/laurelstile-core/benches/placement.rs
+++ b/laurelstile-core/benches/placement.rs
@@ -225,6 +225,7 @@
         held: Vec::new(),
         session: None,
         control: None,
+        honors_claims: false,
     };
     let message = message(
         at(1),
--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -267,6 +267,13 @@
 /// A decision of the agent, reported to the log and the metrics.
 #[derive(Clone, Debug)]
 pub enum AgentDecision {
+    /// Starts of a job were rejected that another gateway has claimed.
+    StartOfClaimedJob {
+        /// Id of the job.
+        job: JobId,
+        /// Incarnation of the gateway that requested them.
+        gateway: Incarnation,
+    },
     /// A gateway did not answer an offer in time.
     OfferExpired,
     /// A cancellation was not recorded, since too many are retained.
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -5,6 +5,7 @@
 mod cancels;
 mod capacity_freshness;
 mod checkpoints;
+mod claims;
 mod crash_history;
 mod departure;
 mod deregistration;
@@ -47,6 +48,7 @@
 use crate::session::SessionId;
 use capacity_freshness::CapacityFreshness;
 pub use capacity_freshness::HeartbeatTiming;
+use claims::HonoredClaims;
 use crash_history::CrashHistory;
 use duplicates::DuplicateRequest;
 pub use events::{
@@ -108,6 +110,7 @@
     health: Health,
     crash_history: CrashHistory,
     cancels: CancelLog,
+    claims: HonoredClaims,
     /// How long the reported capacity of the current incarnation is valid.
     capacity_freshness: CapacityFreshness,
     /// Whether any stop takes longer than it may.
@@ -144,6 +147,7 @@
             health: Health::default(),
             crash_history: CrashHistory::default(),
             cancels: CancelLog::default(),
+            claims: HonoredClaims::default(),
             capacity_freshness: CapacityFreshness::default(),
             has_overdue_stop: false,
             evacuations: Evacuations::default(),
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -225,6 +225,7 @@
             held,
             session: owner.map(|owner| owner.session_number),
             control: worker.and_then(WorkerState::control),
+            honors_claims: true,
         }
     }
 
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -7,6 +7,8 @@
 
 use super::super::cancel_log::Cancelled;
 use super::super::checkpoint::Checkpoint;
+#[cfg(doc)]
+use super::super::messages::NotStartedReason;
 use super::super::messages::{Announcement, EndKind, Offer, Report, TaskEnd};
 use super::super::queue_key::QueueKey;
 use super::super::resources::Resources;
@@ -117,6 +119,8 @@
     /// Whether a cancellation that the gateway has told on this session is not recorded. Nothing is
     /// confirmed then until a new session, on which the gateway tells all of them again.
     pub lacks_cancels: bool,
+    /// Whether the gateway has sent claims, and so understands [`NotStartedReason::Claimed`].
+    pub understands_claims: bool,
     /// Position up to which all cancellations of the gateway are recorded.
     cancels_received: u64,
     /// Whether the gateway has not been sent `cancels_received`.
@@ -155,6 +159,7 @@
             sent_usage: SentUsage::default(),
             unsent_cancels: Vec::new(),
             lacks_cancels: false,
+            understands_claims: false,
             cancels_received: 0,
             is_owed_cancels_received: false,
             ends: VecDeque::new(),
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -142,6 +142,9 @@
             }
             ToAgentBody::Evacuations(update) => self.on_evacuations(update, effects),
             ToAgentBody::Predecessor { silence } => self.on_predecessor(now, silence),
+            ToAgentBody::Claims(claims) => {
+                self.on_claims(now, (session, gateway), &claims, effects);
+            }
             ToAgentBody::Decline(offers) => {
                 if let Some(owner) = self.owners.get_mut(&gateway) {
                     for number in offers {
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -38,6 +38,7 @@
             }
         }
         let is_cancelled = self.is_cancelled(now, gateway, batch.job);
+        let claimed = self.claimed_reason(now, gateway, batch.job, effects);
         for (index, number) in &batch.tasks {
             let task = TaskId {
                 job: batch.job,
@@ -71,6 +72,10 @@
                 progressed: WorkerClock::default(),
             };
             let id = RunId { task, run: *number };
+            if let Some(reason) = claimed {
+                self.end_unstarted(gateway, id, EndKind::NotStarted(reason), effects);
+                continue;
+            }
             if self.runs.get(task).is_some() {
                 self.add_duplicate(now, gateway, id, effects);
                 continue;
--- a/laurelstile-core/src/leased/gateway/agent_confirmations.rs
+++ b/laurelstile-core/src/leased/gateway/agent_confirmations.rs
@@ -17,7 +17,7 @@
 const LOST_AGENT_RETENTION: Span = MAX_JOB_TIME;
 /// Time during which agents may not have connected yet to a gateway that can be reached: twice the
 /// longest pause between the dials of an address, with the time-out of a dial.
-const FIRST_SESSIONS_TIME: Span = Span(2 * (MAX_REDIAL_DELAY.0 + DIAL_TIMEOUT.0));
+pub(super) const FIRST_SESSIONS_TIME: Span = Span(2 * (MAX_REDIAL_DELAY.0 + DIAL_TIMEOUT.0));
 
 /// Whether a cancellation is known to an agent, or to several together, so that they start nothing of the
 /// job.
@@ -112,6 +112,11 @@
         self.lost_at.remove(name);
     }
 
+    /// Number of agents that may be running without a session.
+    pub fn count(&self, now: Timestamp) -> usize {
+        self.coverages(now).count()
+    }
+
     /// Whether a cancellation may reach each of them soon.
     fn coverages(&self, now: Timestamp) -> impl Iterator<Item = Coverage> {
         let silences = self.lost_at.values().map(move |at| now.since(*at));
--- a/laurelstile-core/src/leased/gateway/claim_log.rs
+++ b/laurelstile-core/src/leased/gateway/claim_log.rs
@@ -87,6 +87,20 @@
         claim.filter(|claim| now.since(claim.at) <= RETENTION)
     }
 
+    /// When the latest claim with a number arrived of the job by any process of `holder`.
+    pub fn latest_numbered(&self, now: Timestamp, job: JobId, holder: &str) -> Option<Timestamp> {
+        let claims = self.claims.range((job, holder.to_owned(), None)..);
+        let claims = claims.take_while(|((claimed, name, _), _)| *claimed == job && name == holder);
+        let numbered = claims
+            .filter(|((.., process), claim)| process.is_some() && now.since(claim.at) <= RETENTION);
+        numbered.map(|(_, claim)| claim.at).max()
+    }
+
+    /// Whether further claims would displace retained ones.
+    pub fn is_full(&self) -> bool {
+        self.order.len() >= MAX_CLAIMS
+    }
+
     /// Names of the gateways that have claimed the job.
     pub fn holders(&self, now: Timestamp, job: JobId) -> Vec<String> {
         let claims = self.claims.range((job, String::new(), None)..);
--- a/laurelstile-core/src/leased/gateway/claims.rs
+++ b/laurelstile-core/src/leased/gateway/claims.rs
@@ -13,16 +13,21 @@
 
 use super::claim_log::ClaimLog;
 use super::{GatewayEffect, LeasedGateway};
-use crate::leased::messages::{ClaimMessage, ClaimNumber, HeldJobs, ToPeer};
+use crate::leased::messages::{ClaimConfirmation, ClaimMessage, ClaimNumber, HeldJobs, ToPeer};
 use crate::leased::task::JobId;
-use crate::leased::timing::CALLER_RETRY_DELAY;
+#[cfg(doc)]
+use crate::leased::timing::CLAIM_LEASE;
+use crate::leased::timing::{CALLER_RETRY_DELAY, CLAIM_HONOR_TIME, MAX_STOP_TIME, OWNER_TIMEOUT};
 use crate::session::SessionId;
 
-/// How long before a caller can resubmit its job a claim is sent. It has to reach all gateways in
-/// this time.
-const CLAIM_LEAD: Span = Span::from_millis(400);
-/// Interval between claims of the same job.
-const CLAIM_INTERVAL: Span = Span::from_secs(2);
+/// How long before a caller can resubmit its job a claim is sent: the time after which agents stop the
+/// runs of a gateway that is cut off, and then [`CLAIM_DELAY`] for the claim to reach all others. So
+/// the runs are over in time, or the claim is known.
+const CLAIM_LEAD: Span = Span(OWNER_TIMEOUT.0 + MAX_STOP_TIME.0 + CLAIM_DELAY.0);
+/// Maximum time for a claim to reach all gateways.
+const CLAIM_DELAY: Span = Span::from_millis(150);
+/// Interval between claims of the same job, several within [`CLAIM_LEASE`].
+const CLAIM_INTERVAL: Span = Span::from_millis(300);
 /// A claim without a number is taken for a copy of the gateway's previous one, or for older than its
 /// release, if it arrives within this time.
 const MAX_COPY_DELAY: Span = Span::from_secs(1);
@@ -31,7 +36,7 @@
 /// Maximum number of known gateways, including this one, with which claims of others are forwarded.
 /// The claims that reach each gateway rise with the jobs of all gateways. In larger deployments they
 /// reach the neighbors of the holder only.
-const MAX_FORWARDING_GATEWAYS: usize = 32;
+pub(super) const MAX_FORWARDING_GATEWAYS: usize = 32;
 
 /// Claims that have not been sent to peers.
 #[derive(Debug)]
@@ -98,8 +103,9 @@
 
     /// When the next own job is to be claimed, or claims are to be sent.
     pub fn next_due(&self) -> Option<Timestamp> {
-        let claim = self.due.first().map(|(at, _)| *at);
-        let sending = (!self.unsent.is_empty()).then(|| self.sent_at.after(SEND_INTERVAL));
+        let next_sending = self.sent_at.after(SEND_INTERVAL);
+        let claim = self.due.first().map(|(at, _)| (*at).max(next_sending));
+        let sending = (!self.unsent.is_empty()).then_some(next_sending);
         claim.into_iter().chain(sending).min()
     }
 
@@ -108,6 +114,14 @@
         self.others.holders(now, job)
     }
 
+    /// Until when this gateway honors the latest claim of the job by `holder`; `None` if there is none.
+    /// A claim without a number is of an older version, which ends no job because its claim is not
+    /// confirmed: only the silence of the holder ends its runs.
+    pub fn honored_until(&self, now: Timestamp, job: JobId, holder: &str) -> Option<Timestamp> {
+        let arrived_at = self.others.latest_numbered(now, job, holder)?;
+        Some(arrived_at.after(CLAIM_HONOR_TIME))
+    }
+
     /// Records that a gateway did not hold the job when it sent its release `number`.
     pub fn record_released(
         &mut self,
@@ -173,33 +187,42 @@
 
     /// Claims the own jobs that are due, and sends claims to peers.
     pub(super) fn claim_long_jobs(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
+        if now < self.claims.sent_at.after(SEND_INTERVAL) {
+            return;
+        }
+        self.probe_gateways(now);
         let due = self.claims.take_due(now);
         let is_held = |job: &JobId| self.jobs.contains_key(job) || self.has_runs_of(*job);
         let jobs: Vec<JobId> = due.into_iter().filter(is_held).collect();
-        let holder = self.name().to_owned();
-        if jobs.is_empty() {
-            self.send_unsent_claims(now, effects);
-            return;
+        if !jobs.is_empty() {
+            self.claim(now, jobs);
         }
-        let number = Some(self.claims.next_number());
+        self.send_unsent_claims(now, effects);
+    }
+
+    /// Claims jobs with the next messages to peers.
+    pub(super) fn claim(&mut self, now: Timestamp, jobs: Vec<JobId>) {
+        let holder = self.name().to_owned();
+        let number = self.claims.next_number();
         for id in &jobs {
-            self.claims.own.record(now, *id, &holder, number);
+            self.claims.own.record(now, *id, &holder, Some(number));
             self.claims.schedule(*id, now.after(CLAIM_INTERVAL));
             if let Some(job) = self.jobs.get_mut(id) {
                 job.is_claimed = true;
             }
         }
+        self.claim_leases.record_sent(now, number.number, &jobs);
         let held = HeldJobs {
             holder,
             jobs,
-            number,
+            number: Some(number),
+            reaches_all: self.reaches_all_gateways(),
         };
         self.claims.unsent.push(UnsentClaims { source: None, held });
-        self.send_unsent_claims(now, effects);
     }
 
     fn send_unsent_claims(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
-        if self.claims.unsent.is_empty() || now < self.claims.sent_at.after(SEND_INTERVAL) {
+        if self.claims.unsent.is_empty() {
             return;
         }
         let unsent = std::mem::take(&mut self.claims.unsent);
@@ -239,11 +262,32 @@
                 incarnation,
                 number,
             }),
+            reaches_all: false,
         });
         let message = ToPeer::Claim(ClaimMessage::Claimed(held.collect()));
         effects.push(GatewayEffect::ToPeer { session, message });
     }
 
+    /// Answers a claim that came from its holder, unless it cannot be recorded.
+    fn confirm_claim(&self, session: SessionId, held: &HeldJobs, effects: &mut Vec<GatewayEffect>) {
+        let Some(claim) = held.number else {
+            return;
+        };
+        let peer = self.peers.get(&session);
+        let is_from_holder = peer
+            .is_some_and(|peer| peer.confirms_claims && peer.name.as_ref() == Some(&held.holder));
+        if !is_from_holder || self.claims.others.is_full() {
+            return;
+        }
+        let is_held_here = |job: &&JobId| self.jobs.contains_key(job) || self.has_runs_of(**job);
+        let confirmation = ClaimConfirmation {
+            claim,
+            refused: held.jobs.iter().filter(is_held_here).copied().collect(),
+        };
+        let message = ToPeer::Claim(ClaimMessage::Confirmed(confirmation));
+        effects.push(GatewayEffect::ToPeer { session, message });
+    }
+
     /// Records claims of another gateway and forwards those that are new here. If a job is held here
     /// too, the later submission is to go on: this one, unless it has been claimed. If both are
     /// claimed, it is not known which one is later, and the names decide.
@@ -258,11 +302,13 @@
             holder,
             jobs,
             number,
+            reaches_all,
         } = held;
         if *holder == self.name() {
             return;
         }
         self.releases.record_alive(holder);
+        self.confirm_claim(source, held, effects);
         let is_new = |job: &&JobId| !self.claims.is_outdated(now, **job, holder, *number);
         let new_jobs: Vec<JobId> = jobs.iter().filter(is_new).copied().collect();
         if new_jobs.is_empty() {
@@ -270,17 +316,19 @@
         }
         for id in &new_jobs {
             self.claims.others.record(now, *id, holder, *number);
+            self.extend_release_wait(now, *id, holder);
             let has_precedence = self.name() > holder.as_str();
             let job = self.jobs.get(id);
             if job.is_some_and(|job| !job.is_claimed || has_precedence) {
                 self.request_release(now, *id, holder, effects);
             }
         }
-        if self.membership.members().count() <= MAX_FORWARDING_GATEWAYS {
+        if !reaches_all && self.membership.members().count() <= MAX_FORWARDING_GATEWAYS {
             let held = HeldJobs {
                 holder: holder.clone(),
                 jobs: new_jobs,
                 number: *number,
+                reaches_all: false,
             };
             let source = Some(source);
             self.claims.unsent.push(UnsentClaims { source, held });
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -171,6 +171,10 @@
             EndKind::NotStarted(NotStartedReason::OldRun) => task.run.0 += RUN_NUMBER_INCREMENT,
             EndKind::NotStarted(_) => {}
         }
+        if how == EndKind::NotStarted(NotStartedReason::Claimed) {
+            self.end_claimed_elsewhere(now, id.job, effects);
+            return;
+        }
         let has_stalled = task.stalls > 0;
         let was_preempted = task.was_preempted;
         let task = *task;
@@ -268,6 +272,7 @@
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
         let is_first = worker.snapshot.is_none();
         worker.control = snapshot.control.clone();
+        worker.claims.record_support(snapshot.honors_claims);
         worker.snapshot = Some(snapshot);
         worker.has_crashed = false;
         worker.update_evacuation(&self.evacuations);
@@ -275,6 +280,7 @@
         if is_first {
             let lost = worker.not_held(&held);
             let orphaned = worker.orphaned(&held);
+            self.introduce_claims(now, agent, effects);
             if !orphaned.is_empty() {
                 self.send(now, agent, ToAgentBody::Stop(orphaned), effects);
             }
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -189,6 +189,8 @@
     Malformed,
     /// The caller's deadline leaves too little time for the job.
     DeadlineOver,
+    /// The others have not confirmed that only this gateway may start the job.
+    ClaimUnconfirmed,
 }
 
 /// Why a job was refused for lack of capacity.
@@ -504,6 +506,29 @@
         /// Name of the other gateway.
         holder: String,
     },
+    /// The holder of a job has confirmed its release, or was silent until its claim was over.
+    ReleaseEnded {
+        /// Id of the job.
+        job: JobId,
+        /// Name of the other gateway.
+        holder: String,
+        /// Whether the holder has confirmed.
+        is_confirmed: bool,
+    },
+    /// A job is ended because the others have not confirmed that only this gateway may start it.
+    ClaimUnconfirmed {
+        /// Id of the job.
+        job: JobId,
+        /// Time since the caller sent the job.
+        age: Span,
+    },
+    /// Not all other gateways have confirmed a claim in time, so that agents are asked.
+    ClaimSentToAgents {
+        /// Number of the claimed jobs.
+        jobs: usize,
+        /// Number of agents.
+        agents: usize,
+    },
     /// A job was given up because its caller has resubmitted it to another gateway.
     ReleasedToPeer {
         /// Id of the job.
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -4,12 +4,13 @@
 
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::claim_leases::ClaimLeases;
 use super::claims::first_claim_at;
 use super::job::{CallNumber, Job, JobRequest};
 use super::stages::StageTimes;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway, Refusal, RefusalCause};
 use crate::leased::task::JobId;
-use crate::leased::timing::MAX_JOB_TIME;
+use crate::leased::timing::{CALLER_RETRY_DELAY, MAX_JOB_TIME};
 
 /// Minimum retry delay after refusals other than for lack of capacity.
 pub(super) const RETRY_DELAY: Span = Span::from_millis(1_000);
@@ -69,6 +70,9 @@
         job.ingress_delay = ingress_delay;
         let max_delay = ingress_delay.0.max(self.suspension.max_read_delay(now).0);
         let sent_at = Timestamp(now.0.saturating_sub(max_delay));
+        // A submission that may have waited for longer, while this process was suspended, needs a
+        // confirmed claim before anything is placed.
+        job.held_until = sent_at.after(CALLER_RETRY_DELAY).max(now);
         self.separate_crashed_tasks(&mut job);
         self.await_earlier_runs(&mut job, effects);
         let holders = self.claims.holders(now, id);
@@ -89,6 +93,7 @@
         }
         self.timers.insert((job.refuse_at, id));
         self.timers.insert((job.deadline, id));
+        self.timers.insert((job.held_until, id));
         self.claims.schedule(id, first_claim_at(sent_at));
         if self.policies.admission.is_some() {
             self.admission.submitted.insert(id);
@@ -268,6 +273,8 @@
         self.waiting.remove(&(job.latest_start, id));
         self.timers.remove(&(job.refuse_at, id));
         self.timers.remove(&(job.deadline, id));
+        self.timers.remove(&(job.held_until, id));
+        self.timers.remove(&ClaimLeases::regain_timer(&job));
         self.timers.remove(&(job.not_before, id));
         self.earlier_runs.record(now, id, job.last_run());
         self.releases.remove_requests(id);
@@ -336,6 +343,10 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
+        if now >= job.held_until {
+            self.end_unconfirmed(now, id, effects);
+            return;
+        }
         let is_past_deadline = now >= job.deadline;
         if !is_past_deadline && self.suspension.is_reading_backlog(now) {
             return;
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -9,6 +9,7 @@
 use super::super::input::JobInput;
 use super::super::resources::Resources;
 use super::super::task::{JobId, RunId, RunNumber, TaskId};
+use super::super::timing::CALLER_RETRY_DELAY;
 use super::locality::{NearWait, RemoteFactor};
 use super::on_time_rates::SizeGroup;
 use super::queues::QueueSettings;
@@ -274,6 +275,8 @@
     pub may_run_elsewhere: bool,
     /// No task is placed before this time: other gateways may have runs of the job.
     pub release_until: Timestamp,
+    /// Until when no other gateway starts the job; the job is ended then. Confirmed claims extend it.
+    pub held_until: Timestamp,
     /// Highest number of a run of an earlier submission. Later runs have higher ones.
     pub earlier_run: RunNumber,
     /// No task is placed before this time (backoff).
@@ -340,6 +343,7 @@
             is_claimed: false,
             may_run_elsewhere: false,
             release_until: now,
+            held_until: now.after(CALLER_RETRY_DELAY),
             earlier_run: RunNumber::default(),
             not_before: now,
             may_have_started: false,
@@ -471,7 +475,7 @@
 
     /// Whether delays of the job's placement are over.
     pub fn is_placeable_at(&self, now: Timestamp) -> bool {
-        now >= self.not_before && now >= self.release_until
+        now >= self.not_before && now >= self.release_until && now < self.held_until
     }
 
     /// The highest number of a run of any task.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod candidate;
 pub mod capacity;
 mod checkpoints;
+mod claim_leases;
 mod claim_log;
 mod claims;
 mod containment;
@@ -36,6 +37,7 @@
 mod process_suspension;
 mod queue_loads;
 pub mod queues;
+mod rejoining;
 mod releases;
 pub mod returns;
 pub mod run_times;
@@ -64,6 +66,7 @@
 use agent_confirmations::LostAgents;
 use cancel_rounds::CancelRounds;
 use capacity::CapacityReview;
+use claim_leases::ClaimLeases;
 use claims::Claims;
 use containment::Containment;
 use earlier_runs::EarlierRuns;
@@ -81,6 +84,7 @@
 use process_suspension::ProcessSuspension;
 use queue_loads::QueueLoads;
 use queues::QueueConfiguration;
+use rejoining::Rejoining;
 use releases::Releases;
 use run_times::RunTimes;
 use served_counts::ServedTally;
@@ -151,10 +155,14 @@
     cancel_position: u64,
     cancel_rounds: CancelRounds,
     lost_agents: LostAgents,
+    /// When the first agent opened a session.
+    first_agent_at: Option<Timestamp>,
     /// When all other gateways that were known had been met for the first time.
     met_gateways_at: Option<Timestamp>,
     earlier_runs: EarlierRuns,
     claims: Claims,
+    claim_leases: ClaimLeases,
+    rejoining: Rejoining,
     releases: Releases,
     crashes: CrashLog,
     containment: Containment,
@@ -183,6 +191,8 @@
             policies,
             membership: Membership::new(identity.member.clone()),
             claims: Claims::new(identity.incarnation),
+            claim_leases: ClaimLeases::default(),
+            rejoining: Rejoining::default(),
             releases: Releases::new(identity.incarnation),
             identity,
             configuration: None,
@@ -209,6 +219,7 @@
             cancel_position: 0,
             cancel_rounds,
             lost_agents: LostAgents::default(),
+            first_agent_at: None,
             met_gateways_at: None,
             earlier_runs: EarlierRuns::default(),
             crashes: CrashLog::default(),
@@ -312,12 +323,13 @@
         self.confirm_unresolved_crashes(now, effects);
         self.review_containment(now, effects);
         self.update_shares(now, effects);
+        self.claim_long_jobs(now, effects);
+        self.review_claim_leases(now, effects);
         let mut locality = LocalityRound::default();
         self.answer_offers(now, &mut locality, effects);
         self.place_waiting(now, &mut locality, effects);
         self.reject_by_forecast(now, effects);
         self.run_timers(now, effects);
-        self.claim_long_jobs(now, effects);
         self.confirm_releases(now, effects);
         self.send_release_requests(now, effects);
         locality.forget_contention();
@@ -351,6 +363,8 @@
         let members = self.membership.next_wakeup();
         let configuration = self.next_configuration_request_at();
         let claim = self.claims.next_due();
+        let claim_lease = self.claim_leases.next_due();
+        let rejoining = self.rejoining.next_due();
         let release = self.releases.next_due();
         let review = self.admission.next_review();
         let round = self.cancel_rounds.next_due();
@@ -361,6 +375,8 @@
             members,
             configuration,
             claim,
+            claim_lease,
+            rejoining,
             release,
             review,
             round,
@@ -403,6 +419,7 @@
             effects.push(GatewayEffect::Close(old));
         }
         self.lost_agents.record_found(&remote.name);
+        self.first_agent_at.get_or_insert(now);
         let cancelled = self.cancels.retained(now);
         worker.open_session(now, session, remote.uptime, cancelled);
         self.start_window.remove_agent(remote.incarnation);
@@ -460,10 +477,11 @@
         let Some(agent) = self.agent_sessions.get(&session).copied() else {
             return;
         };
+        self.ingress_delay.record(now, agent, message.clock);
+        self.detect_isolation(now);
         let Some(worker) = self.workers.get_mut(&agent) else {
             return;
         };
-        self.ingress_delay.record(now, agent, message.clock);
         worker.last_heard = now;
         worker.may_be_succeeded = false;
         worker.is_ending |= message.is_ending;
@@ -521,6 +539,9 @@
                 }
                 self.on_agent_crashes(now, &crashes, effects);
             }
+            FromAgentBody::ClaimsHonored { number, refused } => {
+                self.on_claims_honored(agent, number, &refused);
+            }
         }
     }
 
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -201,7 +201,7 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            if !job.is_placeable_at(now) {
+            if !job.is_placeable_at(now) || self.is_rejoining(now) {
                 continue;
             }
             for step in job.placeable_steps() {
@@ -407,7 +407,7 @@
                 locality.is_some_and(|locality| locality.allows_any_remote())
             });
         }
-        if is_recent || !job.is_placeable_at(now) {
+        if is_recent || !job.is_placeable_at(now) || self.is_rejoining(now) {
             return;
         }
         let queue_shares = self.policies.queue_shares;
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -24,6 +24,8 @@
     pub name: Option<String>,
     /// Whether the peer understands [`ToPeer::Claim`].
     understands_claims: bool,
+    /// Whether the peer answers claims.
+    pub confirms_claims: bool,
     /// Whether the peer understands [`ToPeer::CancelRequested`].
     pub confirms_cancels: bool,
     /// When the oldest request was sent that the peer has answered neither itself nor by answering a
@@ -95,6 +97,7 @@
         }
         self.membership.on_peer_closed(now, session);
         self.cancel_rounds.on_peer_closed(session);
+        self.claim_leases.request_review();
     }
 
     pub(super) fn on_peer_opened(
@@ -168,6 +171,7 @@
                     peer.name = Some(introduction.name.clone());
                     peer.understands_claims = introduction.understands_claims;
                     peer.confirms_cancels = introduction.confirms_cancels;
+                    peer.confirms_claims = introduction.confirms_claims;
                 }
                 self.releases.record_alive(&introduction.name);
                 self.send_retained_cancels(now, session, effects);
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -118,7 +118,7 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         self.next_near_wait_end = None;
-        if !self.start_window.is_open() {
+        if !self.start_window.is_open() || self.is_rejoining(now) {
             return;
         }
         let mut round = PlacementRound {
--- a/laurelstile-core/src/leased/gateway/releases.rs
+++ b/laurelstile-core/src/leased/gateway/releases.rs
@@ -9,6 +9,7 @@
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
 
+use super::claim_leases::GATEWAY_WAIT;
 use super::{Answer, GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::{ClaimMessage, ReleaseRequest, ToPeer};
 use crate::leased::task::{JobId, RunNumber};
@@ -33,6 +34,8 @@
     until: Timestamp,
     /// When the next request is sent.
     next_request_at: Timestamp,
+    /// Whether the end of the wait without an answer was reported.
+    has_timed_out: bool,
 }
 
 /// Releases requested by this gateway and by others.
@@ -130,8 +133,9 @@
         }));
         let release = RequestedRelease {
             first: self.releases.last_number + 1,
-            until: self.release_timeout_at(now, holder),
+            until: self.release_timeout_at(now, id, holder),
             next_request_at: now,
+            has_timed_out: false,
         };
         self.releases.requested.insert(key, release);
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -141,10 +145,19 @@
         self.send_release_requests(now, effects);
     }
 
-    /// Until when the answer of a holder is waited for: all its runs are over [`AGENT_EXPIRY`] after
-    /// its last sign of life. Without a session to it, a holder may be alive unless the last session
-    /// has closed and nothing has been heard of it since.
-    fn release_timeout_at(&self, now: Timestamp, holder: &str) -> Timestamp {
+    /// Until when the answer of a holder is waited for: as long as its claim is honored, since it may be
+    /// alive beyond a network partition and go on until then.
+    ///
+    /// The claim of an older version has no such bound. Its holder is taken to have ended or to be
+    /// suspended: all its runs are over [`AGENT_EXPIRY`] after its last sign of life. Without a session to
+    /// it, it may be alive unless the last session has closed and nothing has been heard of it since.
+    fn release_timeout_at(&self, now: Timestamp, id: JobId, holder: &str) -> Timestamp {
+        if let Some(until) = self.claims.honored_until(now, id, holder) {
+            // Agents may have been sent the claim later, and reject starts for as much longer.
+            return until
+                .after(GATEWAY_WAIT)
+                .max(now.after(MIN_RELEASE_TIMEOUT));
+        }
         let closed_at = self.releases.closed_at.get(holder).copied();
         let closed_at = closed_at.filter(|_| !self.has_peer(holder));
         let alive_at = closed_at.unwrap_or(now);
@@ -152,6 +165,18 @@
         timeout_at.max(alive_at.after(AGENT_EXPIRY))
     }
 
+    /// Has a requested release waited for as long as a further claim of the holder is honored.
+    pub(super) fn extend_release_wait(&mut self, now: Timestamp, id: JobId, holder: &str) {
+        let Some(until) = self.claims.honored_until(now, id, holder) else {
+            return;
+        };
+        let key = (id, holder.to_owned());
+        if let Some(release) = self.releases.requested.get_mut(&key) {
+            release.until = release.until.max(until.after(GATEWAY_WAIT));
+            self.update_release_wait(now, id);
+        }
+    }
+
     /// Sends the requests that are due. They are repeated until the release is confirmed or the job
     /// has ended, as they may be lost, or the holder may be suspended.
     pub(super) fn send_release_requests(
@@ -162,6 +187,14 @@
         let requester = self.name().to_owned();
         let mut requests = Vec::new();
         for ((job, holder), release) in &mut self.releases.requested {
+            if now >= release.until && !release.has_timed_out {
+                release.has_timed_out = true;
+                effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseEnded {
+                    job: *job,
+                    holder: holder.clone(),
+                    is_confirmed: false,
+                }));
+            }
             if now >= release.next_request_at {
                 release.next_request_at = now.after(REQUEST_INTERVAL);
                 self.releases.last_number += 1;
@@ -185,12 +218,19 @@
         message: ClaimMessage,
         effects: &mut Vec<GatewayEffect>,
     ) {
-        if let ClaimMessage::Claimed(held) = message {
-            for held in held {
-                self.on_claimed(now, source, &held, effects);
+        let message = match message {
+            ClaimMessage::Claimed(held) => {
+                for held in held {
+                    self.on_claimed(now, source, &held, effects);
+                }
+                return;
             }
-            return;
-        }
+            ClaimMessage::Confirmed(confirmation) => {
+                self.on_claim_confirmed(source, &confirmation);
+                return;
+            }
+            message => message,
+        };
         if !self.releases.is_new(&message) {
             return;
         }
@@ -212,7 +252,7 @@
             ClaimMessage::Released {
                 request, last_run, ..
             } if request.requester == name => {
-                self.on_released(now, request, *last_run);
+                self.on_released(now, request, *last_run, effects);
             }
             _ => self.send_to_peers_except(Some(source), &ToPeer::Claim(message), effects),
         }
@@ -277,13 +317,24 @@
         }
     }
 
-    fn on_released(&mut self, now: Timestamp, request: &ReleaseRequest, last_run: RunNumber) {
+    fn on_released(
+        &mut self,
+        now: Timestamp,
+        request: &ReleaseRequest,
+        last_run: RunNumber,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         self.releases.record_alive(&request.holder);
         if self.releases.answered(request).is_none() {
             return;
         }
         let key = (request.job, request.holder.clone());
         self.releases.requested.remove(&key);
+        effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseEnded {
+            job: request.job,
+            holder: request.holder.clone(),
+            is_confirmed: true,
+        }));
         if let Some(job) = self.jobs.get_mut(&request.job) {
             job.number_runs_after(last_run);
             job.may_have_started |= last_run > RunNumber::default();
--- a/laurelstile-core/src/leased/message_kinds.rs
+++ b/laurelstile-core/src/leased/message_kinds.rs
@@ -12,6 +12,7 @@
             ToAgentBody::Members(_) => "members_to_agent",
             ToAgentBody::Announce(_) => "announce",
             ToAgentBody::Decline(_) => "decline",
+            ToAgentBody::Claims(_) => "claims_to_agent",
             ToAgentBody::Predecessor { .. } => "predecessor",
             ToAgentBody::Evacuations(_) => "evacuations_to_agent",
         }
@@ -24,6 +25,7 @@
             FromAgentBody::Snapshot(_) => "snapshot",
             FromAgentBody::Ends(_) => "ends",
             FromAgentBody::Crashes(_) => "crashes_to_gateway",
+            FromAgentBody::ClaimsHonored { .. } => "claims_honored",
             FromAgentBody::Heartbeat if !self.offers.is_empty() => "offer",
             FromAgentBody::Heartbeat if self.report.is_some() => "report",
             FromAgentBody::Heartbeat => "agent_heartbeat",
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -19,6 +19,8 @@
 use super::resources::Resources;
 use super::serde_defaults::{is_false, is_zero};
 use super::task::{JobId, RunNumber, TaskId};
+#[cfg(doc)]
+use super::timing::CLAIM_HONOR_TIME;
 use super::usage::{ServedCount, ServedCounts, UsageReport};
 use super::worker_incarnation::WorkerIncarnation;
 
@@ -82,6 +84,9 @@
     /// The evacuated zones, as the gateway knows them.
     #[serde(rename = "v")]
     Evacuations(Evacuations),
+    /// Claims of the gateway. Sent only to agents that honor them.
+    #[serde(rename = "c")]
+    Claims(AgentClaims),
     /// The gateway had a session with an earlier agent process of the same name.
     #[serde(rename = "p")]
     Predecessor {
@@ -97,6 +102,21 @@
     }
 }
 
+/// Jobs that only the sender may start, and jobs for which that no longer holds. While an agent honors
+/// a claim, it rejects other gateways' starts of the job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentClaims {
+    /// Number of the claim, as in [`ClaimNumber::number`].
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Ids of the claimed jobs.
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    pub jobs: Vec<JobId>,
+    /// Ids of the jobs that the sender has ended.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub released: Vec<JobId>,
+}
+
 /// Tasks of a step that wait for free resources. Replaces the step's previous announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -305,6 +325,17 @@
     /// Crashes of the worker; sent before the ends of the runs that crashed with it.
     #[serde(rename = "c")]
     Crashes(Vec<WorkerCrash>),
+    /// Answers [`ToAgentBody::Claims`]: the claims are honored for [`CLAIM_HONOR_TIME`].
+    #[serde(rename = "l")]
+    ClaimsHonored {
+        /// Number of the answered claim.
+        #[serde(rename = "n")]
+        number: u64,
+        /// Claimed jobs of which the worker has another gateway's runs, or that another gateway has
+        /// claimed.
+        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+        refused: Vec<JobId>,
+    },
 }
 
 impl FromAgentBody {
@@ -333,6 +364,10 @@
     /// What the agent controls; `None` from an older version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub control: Option<Control>,
+    /// Whether the agent understands [`ToAgentBody::Claims`]; absent from an older version, which does
+    /// not.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub honors_claims: bool,
 }
 
 /// Amount by which an agent's token may exceed the one in its latest snapshot. An agent raises its
@@ -495,6 +530,7 @@
             Self::Unavailable => "not_started_unavailable",
             Self::Full => "not_started_full",
             Self::OldRun => "not_started_old_run",
+            Self::Claimed => "not_started_claimed",
             Self::Duplicate => "not_started_duplicate",
             Self::Refused => "not_started_refused",
             Self::Withdrawn => "not_started_withdrawn",
@@ -528,6 +564,10 @@
     /// The run was stopped while it waited at the agent for free resources.
     #[serde(rename = "x")]
     Withdrawn,
+    /// Another gateway has claimed the job. Sent only to gateways that have sent claims: older ones do
+    /// not understand it.
+    #[serde(rename = "c")]
+    Claimed,
 }
 
 /// Identity of a gateway in the membership.
@@ -578,6 +618,10 @@
     /// absent from an older version, which does not.
     #[serde(default)]
     pub confirms_cancels: bool,
+    /// Whether the gateway understands [`ClaimMessage::Confirmed`] and answers claims with it; absent
+    /// from an older version, which does not.
+    #[serde(default)]
+    pub confirms_claims: bool,
 }
 
 impl Introduction {
@@ -590,6 +634,7 @@
             directory: Some(directory),
             understands_claims: true,
             confirms_cancels: true,
+            confirms_claims: true,
         }
     }
 
@@ -710,6 +755,9 @@
 pub enum ClaimMessage {
     /// Runs of these jobs may outlast the time at which their callers can resubmit them.
     Claimed(Vec<HeldJobs>),
+    /// Answers a claim that came from its holder. Without the answer of all gateways the holder asks its
+    /// agents; without that of most agents it ends the job.
+    Confirmed(ClaimConfirmation),
     /// The caller has resubmitted the job: the holder must stop it.
     ReleaseRequested(ReleaseRequest),
     /// The holder is stopping the job's runs.
@@ -737,6 +785,17 @@
     pub number: u64,
 }
 
+/// The answer of a gateway that honors a claim for [`CLAIM_HONOR_TIME`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimConfirmation {
+    /// The answered claim.
+    #[serde(rename = "c")]
+    pub claim: ClaimNumber,
+    /// Claimed jobs that the sender holds itself.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub refused: Vec<JobId>,
+}
+
 /// Jobs that a gateway holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldJobs {
@@ -747,6 +806,9 @@
     /// Number of the claim; `None` from an older version, or if one has forwarded it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub number: Option<ClaimNumber>,
+    /// Whether the holder reaches all other gateways itself, so that the claim need not be forwarded.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub reaches_all: bool,
 }
 
 /// A request to release a job to another gateway.
--- a/laurelstile-core/src/leased/timing.rs
+++ b/laurelstile-core/src/leased/timing.rs
@@ -41,6 +41,12 @@
 /// stopped their runs, or their leases have expired.
 pub const AGENT_EXPIRY: Span =
     Span::from_millis((OWNER_TIMEOUT.0 + MAX_LEASE_DURATION.0 + MAX_STOP_TIME.0) / 1_000);
+/// How long a claim that the others have confirmed entitles a gateway to hold a job beyond
+/// [`CALLER_RETRY_DELAY`], from when it was sent. The gateway then ends the job.
+pub const CLAIM_LEASE: Span = Span::from_millis(1_000);
+/// How long a claim is honored, from its arrival: until its gateway has ended the job, the last start
+/// that it had sent is rejected as stale, and all its runs are over.
+pub const CLAIM_HONOR_TIME: Span = Span(CLAIM_LEASE.0 + MAX_START_ECHO_AGE.0 + AGENT_EXPIRY.0);
 /// Heartbeat interval of an agent to a gateway that has runs or unacknowledged ends there, or that
 /// requested a start within [`BUSY_LINGER`]. A gateway sends an agent heartbeats at most this
 /// often, except for the first of a session, which is sent at once.
--- a/laurelstile-core/tests/leased_cancel_confirmations.rs
+++ b/laurelstile-core/tests/leased_cancel_confirmations.rs
@@ -451,6 +451,7 @@
         holder: "peer-0".into(),
         jobs: vec![JobId(1)],
         number: None,
+        reaches_all: false,
     }]);
     rig.peer_message(at(CANCELLED_MILLIS), PEERS[0], ToPeer::Claim(claim));
     rig.submit(at(CANCELLED_MILLIS), 1, patient_job(1_000, 25));
--- a/laurelstile-core/tests/leased_messages.rs
+++ b/laurelstile-core/tests/leased_messages.rs
@@ -215,6 +215,7 @@
             incarnation: "worker-1".into(),
             token: FenceToken(u64::MAX),
         }),
+        honors_claims: false,
     };
     let decoded: OldSnapshot = decode(&encode(&sent));
     assert_eq!(decoded, old);
--- a/laurelstile-core/tests/leased_one_run.rs
+++ b/laurelstile-core/tests/leased_one_run.rs
@@ -418,6 +418,7 @@
         held: Vec::new(),
         session: None,
         control: None,
+        honors_claims: false,
     };
     let snapshot = FromAgentBody::Snapshot(snapshot);
     rig.report(at(2), 70, 0, cpu(1_000), snapshot.clone());
--- a/laurelstile-core/tests/leased_queue_shares.rs
+++ b/laurelstile-core/tests/leased_queue_shares.rs
@@ -388,6 +388,7 @@
         held: Vec::new(),
         session: None,
         control: None,
+        honors_claims: false,
     };
     rig.report(at(20), 3, 0, cpu(0), FromAgentBody::Snapshot(snapshot));
     assert_eq!(rig.announced_to, [SessionId(1), SessionId(3)]);
--- a/laurelstile-sim/src/leased/world/peering.rs
+++ b/laurelstile-sim/src/leased/world/peering.rs
@@ -80,7 +80,14 @@
     }
 
     /// Sends a message from a gateway to a peer.
-    pub(super) fn tell_peer(&mut self, from: usize, session: SessionId, message: ToPeer) {
+    pub(super) fn tell_peer(&mut self, from: usize, session: SessionId, mut message: ToPeer) {
+        if self.sabotage == Some(Sabotage::NoClaims)
+            && let ToPeer::Introduction(introduction) = &mut message
+        {
+            // Gateways without claims end no job because nobody confirms them.
+            introduction.understands_claims = false;
+            introduction.confirms_claims = false;
+        }
         let Some(ends) = self.peers.get(&session) else {
             return;
         };
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -242,6 +242,19 @@
             GatewayDecision::ReleaseRequested { job, holder } => {
                 log::info!(event = "release_requested", job:% = job, holder = holder.as_str(); "job submitted again while another gateway holds it");
             }
+            GatewayDecision::ReleaseEnded {
+                job,
+                holder,
+                is_confirmed,
+            } => {
+                log::info!(event = "release_ended", job:% = job, holder = holder.as_str(), is_confirmed = *is_confirmed; "release of a job confirmed, or its holder silent until its claim was over");
+            }
+            GatewayDecision::ClaimUnconfirmed { job, age } => {
+                log::warn!(event = "claim_unconfirmed", job:% = job, age_ms = age.as_millis(); "job ended: the others have not confirmed that only this gateway may start it");
+            }
+            GatewayDecision::ClaimSentToAgents { jobs, agents } => {
+                log::info!(event = "claim_sent_to_agents", jobs = *jobs, agents = *agents; "not all gateways have confirmed a claim");
+            }
             GatewayDecision::ReleasedToPeer { job, requester } => {
                 log::info!(event = "released_to_peer", job:% = job, requester = requester.as_str(); "job given up: its caller has submitted it again to another gateway");
             }
@@ -272,6 +285,9 @@
         }
         match decision {
             AgentDecision::OfferExpired => {}
+            AgentDecision::StartOfClaimedJob { job, gateway } => {
+                log::warn!(event = "start_of_claimed_job", job:% = job, gateway:% = gateway; "starts rejected: another gateway has claimed the job");
+            }
             AgentDecision::CancelNotRecorded { job } => {
                 log::warn!(event = "cancel_not_recorded", job:% = job; "cancellation not recorded: too many are retained");
             }
