Emulator: partitions that leave some links

Callers of the gateways that are hit lose their connections before, during and after, unnoticed for up to 6 s, and resubmit at other gateways after 1.3 to 6 s.

`--lost-callers` isolates a gateway from agents as well, so a holder that still reaches its agents was never played.

--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -100,9 +100,12 @@
             /// timed-faults, overlapping-sessions, late-handshakes, short-lived-processes
             /// or restarted-machines.
             optional --disruption disruption: String
+            /// Partitions that leave some links, and callers that resubmit at other gateways:
+            /// gateways, one-way, slow-gateways, mixed or zone.
+            optional --partition partition: String
             /// With --resending and --silences: gateways notice broken connections within so many ms.
             optional --notice-millis notice_millis: u64
-            /// With these three, --herds, --cancels, --lost-callers or none: print what happens to the job of this number.
+            /// With these four, --herds, --cancels, --lost-callers or none: print what happens to the job of this number.
             optional --trace trace: u64
             /// Switch a mechanism off: owner-silence, leases, takeover,
             /// drains, evacuations, crash-news, capacity-news, steady-clocks,
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -91,6 +91,14 @@
     SlowGateway(usize, u64),
     /// Each input takes an agent so many times as long as usual.
     SlowAgent(usize, u64),
+    /// Messages of the first gateway do not reach the second.
+    CutPeers(usize, usize),
+    /// Messages between an agent and a gateway do not arrive one way: to the gateway, or else to
+    /// the agent.
+    CutWay(usize, usize, bool),
+    /// The connections of a gateway's callers break; the gateway notices at the end of the fault, and
+    /// the callers resubmit at other gateways after so many microseconds.
+    MoveCallers(usize, u64),
 }
 
 impl Fault {
@@ -136,6 +144,9 @@
             Self::IsolateGateway(_) => "isolate_gateway",
             Self::SlowGateway(..) => "slow_gateway",
             Self::SlowAgent(..) => "slow_agent",
+            Self::CutPeers(..) => "cut_peers",
+            Self::CutWay(..) => "cut_way",
+            Self::MoveCallers(..) => "move_callers",
         }
     }
 }
--- a/laurelstile-sim/src/leased/nodes.rs
+++ b/laurelstile-sim/src/leased/nodes.rs
@@ -117,6 +117,12 @@
         self.slowness.is_some()
     }
 
+    /// How long an input takes now, if the process is slow.
+    pub fn slow_input_time(&self, now: u64) -> Option<u64> {
+        let slowness = self.slowness.filter(|(_, until)| now < *until);
+        slowness.map(|(factor, _)| factor * INPUT_TIME)
+    }
+
     /// Takes the time that a slow process needs for an input.
     pub fn work(&mut self, now: u64) {
         if let Some((factor, until)) = self.slowness {
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -14,8 +14,10 @@
     draw_of_operators, draw_of_other_writers, draw_of_outages, draw_of_resending,
     draw_of_returning, draw_of_silences,
 };
+use super::partitions::Partition;
 use super::worker::SimWorker;
 use super::world::handshakes::{HandshakeDelays, Handshakes};
+use super::world::partial_cuts::PartialCuts;
 use super::world::timed_faults::TimedFaults;
 use super::world::{DEADLINE, SimJob, TASK_ROOM, World};
 
@@ -39,6 +41,9 @@
 const SILENCES_STREAM: u64 = 0x511e;
 const FEW_WORKERS_STREAM: u64 = 0xfe3;
 const CANCELS_STREAM: u64 = 0xca2c;
+/// Largest numbers of gateways and workers beside partitions.
+const MANY_GATEWAYS: usize = 5;
+const MANY_WORKERS: usize = 8;
 /// One in so many jobs is a chain, of less than so many steps.
 const CHAINS_ONE_IN: u32 = 12;
 const MAX_CHAIN: usize = 20;
@@ -250,25 +255,72 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed with partitions that leave some links, and callers that resubmit at other gateways,
+/// beside the faults of a plain seed in half of the seeds.
+pub fn run_partition_seed(
+    seed: u64,
+    partition: Partition,
+    sabotage: Option<Sabotage>,
+    traced: Option<u64>,
+) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut partitions = Pcg64::seed_from_u64(seed ^ partition.stream());
+    let gateways = partitions.random_range(2..=MANY_GATEWAYS);
+    let workers = partitions.random_range(2..=MANY_WORKERS);
+    let mut scene = draw_scene_of(seed, sabotage, gateways, workers, &mut random);
+    draw_long_jobs(&mut scene.jobs, &mut partitions);
+    draw_patient_callers(&mut scene.jobs, &mut partitions);
+    for worker in &mut scene.workers {
+        worker.stop_time = partitions.random_range(5_000..=LONGEST_STOP);
+    }
+    if partitions.random_bool(0.5) {
+        scene.faults.clear();
+    }
+    let faults = partition.draw(FAULTY, gateways, workers, &mut partitions);
+    scene.faults.extend(faults);
+    scene.traced = traced;
+    scene.has_partial_cuts = true;
+    play(random, sabotage, scene, true)
+}
+
+/// Half of the callers wait for long, and half of their jobs are chains.
+fn draw_patient_callers(jobs: &mut [SimJob], random: &mut Pcg64) {
+    for job in jobs.iter_mut().filter(|job| job.at < FAULTY) {
+        if random.random_bool(0.5) {
+            job.patience = LONG_PATIENCE;
+            if random.random_bool(0.5) {
+                job.steps = random.random_range(2..MAX_CHAIN / 2);
+                job.duration = random.random_range(200_000..900_000);
+                job.tasks = 1;
+            }
+        }
+    }
+}
+
 /// Few gateways and workers, and tasks of some seconds.
 fn draw_small_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
     let mut small = Pcg64::seed_from_u64(seed ^ FEW_WORKERS_STREAM);
     let gateways = small.random_range(2..=GATEWAYS);
     let workers = small.random_range(2..=WORKERS);
     let mut scene = draw_scene_of(seed, sabotage, gateways, workers, random);
-    for job in &mut scene.jobs {
-        if small.random_bool(0.5) {
-            job.duration = small.random_range(1_000_000..4_000_000);
-            job.tasks = small.random_range(1..4);
+    draw_long_jobs(&mut scene.jobs, &mut small);
+    scene
+}
+
+/// Fewer jobs, half of them with tasks of some seconds.
+fn draw_long_jobs(jobs: &mut Vec<SimJob>, random: &mut Pcg64) {
+    for job in jobs.iter_mut() {
+        if random.random_bool(0.5) {
+            job.duration = random.random_range(1_000_000..4_000_000);
+            job.tasks = random.random_range(1..4);
         }
     }
-    let every = small.random_range(2..8);
+    let every = random.random_range(2..8);
     let mut number = 0_u64;
-    scene.jobs.retain(|_| {
+    jobs.retain(|_| {
         number += 1;
         number.is_multiple_of(every)
     });
-    scene
 }
 
 fn draw_returning_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
@@ -299,6 +351,8 @@
     timed_faults: Option<TimedFaults>,
     /// How sessions are opened, if their handshakes take time step by step.
     handshakes: Option<HandshakeDelays>,
+    /// Whether single links are cut.
+    has_partial_cuts: bool,
 }
 
 fn draw_scene(seed: u64, sabotage: Option<Sabotage>, random: &mut Pcg64) -> Scene {
@@ -330,6 +384,7 @@
         call_limit: None,
         timed_faults: None,
         handshakes: None,
+        has_partial_cuts: false,
     }
 }
 
@@ -344,6 +399,7 @@
         call_limit,
         timed_faults,
         handshakes,
+        has_partial_cuts,
     } = scene;
     let mut kinds = BTreeMap::new();
     for fault in &faults {
@@ -355,6 +411,7 @@
     world.call_limit = call_limit;
     world.timed_faults = timed_faults;
     world.handshakes = handshakes.map(Handshakes::new);
+    world.partial_cuts = has_partial_cuts.then(PartialCuts::default);
     if let Some(job) = traced {
         world.trace(job);
     }
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -54,12 +54,16 @@
         if is_over || self.now >= leaves_at {
             return;
         }
-        let up: Vec<usize> = (0..self.gateways.len())
+        let mut up: Vec<usize> = (0..self.gateways.len())
             .filter(|gateway| {
                 let process = &self.gateways[*gateway];
                 process.is_up && process.callers_cut_until <= self.now
             })
             .collect();
+        if up.len() > 1 {
+            let avoided = self.callers[index].avoids;
+            up.retain(|gateway| Some(*gateway) != avoided);
+        }
         if up.is_empty() {
             self.schedule(self.now + RESTART, Happening::Submit(index));
             return;
@@ -171,31 +175,50 @@
     /// The connections of a gateway's callers break: they submit again later, and the gateway
     /// notices after `notice`, or after the probes of the connections if `is_cut`.
     pub(super) fn break_callers(&mut self, gateway: usize, notice: u64, is_cut: bool) {
-        let process = &self.gateways[gateway];
-        if !process.is_up {
-            return;
-        }
-        let incarnation = process.incarnation;
-        for index in 0..self.callers.len() {
-            let caller = &mut self.callers[index];
-            if caller.gateway != Some((gateway, incarnation)) {
+        for index in self.callers_of(gateway) {
+            let Some(gone) = self.lose_connection(index, RESEND) else {
                 continue;
-            }
-            let call = caller.call(index);
-            caller.gateway = None;
-            caller.former_calls += 1;
-            self.see(Seen::Answered {
-                job: index as u64,
-                told: Told::Nothing,
-                in_planned_stop: false,
-            });
-            self.schedule(self.now + RESEND, Happening::Submit(index));
+            };
             let notice = match is_cut {
                 true => self.random.random_range(SOONEST_PROBED..LATEST_PROBED),
                 false => notice,
             };
-            let gone = Happening::CallerGone(gateway, incarnation, call);
             self.schedule(self.now + notice, gone);
         }
     }
+
+    /// The connections of a gateway's callers break: they submit again at other gateways after
+    /// `resubmitted_after`, and the gateway notices after `notice`.
+    pub(super) fn move_callers(&mut self, gateway: usize, notice: u64, resubmitted_after: u64) {
+        for index in self.callers_of(gateway) {
+            self.callers[index].avoids = Some(gateway);
+            if let Some(gone) = self.lose_connection(index, resubmitted_after) {
+                self.schedule(self.now + notice, gone);
+            }
+        }
+    }
+
+    /// The callers that have a call at a gateway's present process, if it is up.
+    fn callers_of(&self, gateway: usize) -> Vec<usize> {
+        let process = &self.gateways[gateway];
+        let called = process.is_up.then_some((gateway, process.incarnation));
+        let is_there = |index: &usize| self.callers[*index].gateway == called;
+        let callers = (0..self.callers.len()).filter(is_there);
+        callers.filter(|_| called.is_some()).collect()
+    }
+
+    /// A caller's connection breaks, and it submits again; returns its gateway's notice of that.
+    fn lose_connection(&mut self, index: usize, resubmitted_after: u64) -> Option<Happening> {
+        let caller = &mut self.callers[index];
+        let call = caller.call(index);
+        let (gateway, incarnation) = caller.gateway.take()?;
+        caller.former_calls += 1;
+        self.see(Seen::Answered {
+            job: index as u64,
+            told: Told::Nothing,
+            in_planned_stop: false,
+        });
+        self.schedule(self.now + resubmitted_after, Happening::Submit(index));
+        Some(Happening::CallerGone(gateway, incarnation, call))
+    }
 }
--- a/laurelstile-sim/src/leased/world/faulting.rs
+++ b/laurelstile-sim/src/leased/world/faulting.rs
@@ -32,7 +32,9 @@
         for (session, agent) in sessions {
             let to = self.agents[agent].incarnation;
             let ends = Happening::AgentSessionEnds(agent, to, session);
-            self.schedule(self.now + notice, ends);
+            let cut_until = self.way_cut_until(agent, index, false);
+            let passes = cut_until.min(self.now + USER_TIMEOUT);
+            self.schedule(passes.max(self.now + notice), ends);
         }
         for caller in 0..self.callers.len() {
             if self.callers[caller].gateway != Some((index, incarnation)) {
@@ -137,6 +139,10 @@
             Fault::Cut(agent, gateway) => {
                 self.cuts.insert((agent, gateway), end);
             }
+            Fault::CutPeers(from, to) if from != to => self.cut_peers(from, to, end),
+            Fault::CutWay(agent, gateway, is_to_gateway) => {
+                self.cut_way(agent, gateway, is_to_gateway, end);
+            }
             Fault::IsolateGateway(gateway) => self.isolate_gateway(gateway, end),
             Fault::CrashWorker(worker) if self.workers[worker].life != 0 => {
                 self.crash_worker(worker, None);
@@ -159,6 +165,9 @@
                 self.return_worker(worker, scheduled.length);
             }
             Fault::BreakCallers(gateway) => self.break_callers(gateway, scheduled.length, false),
+            Fault::MoveCallers(gateway, resubmitted_after) => {
+                self.move_callers(gateway, scheduled.length, resubmitted_after);
+            }
             Fault::CutCallers(gateway) => {
                 self.gateways[gateway].callers_cut_until = end;
                 self.break_callers(gateway, 0, true);
@@ -257,12 +266,12 @@
             let is_in_service = process.is_up && process.frozen_until <= self.now;
             is_in_service && process.machine.evacuations().revision == self.evacuations.revision
         };
-        let is_cut = |agent, gateway| {
-            let cut_until = self.cuts.get(&(agent, gateway));
-            cut_until.is_some_and(|until| *until > self.now)
-        };
         let informed: Vec<usize> = (0..self.gateways.len()).filter(is_informed).collect();
-        (0..self.agents.len()).all(|agent| informed.iter().any(|gateway| !is_cut(agent, *gateway)))
+        (0..self.agents.len()).all(|agent| {
+            informed
+                .iter()
+                .any(|gateway| !self.is_link_cut(agent, *gateway))
+        })
     }
 
     pub(super) fn set_mood(&mut self, scheduled: ScheduledFault, worker: usize, mood: Mood) {
--- a/laurelstile-sim/src/leased/world/handshakes.rs
+++ b/laurelstile-sim/src/leased/world/handshakes.rs
@@ -128,9 +128,7 @@
             .handshakes
             .as_ref()
             .is_none_or(|handshakes| handshakes.dials.contains_key(&address));
-        let cut_until = self.cuts.get(&(agent, gateway)).copied();
-        let is_cut = cut_until.is_some_and(|until| until > self.now);
-        if is_dialed || is_cut || self.is_dial_refused(agent, gateway) {
+        if is_dialed || self.is_link_cut(agent, gateway) || self.is_dial_refused(agent, gateway) {
             return;
         }
         let other = &self.gateways[gateway];
@@ -295,6 +293,7 @@
     ) -> u64 {
         let now = self.now;
         let cut_until = self.cuts.get(&(agent, gateway)).copied().unwrap_or(0);
+        let cut_until = cut_until.max(self.way_cut_until(agent, gateway, is_to_gateway));
         let Some(handshakes) = &mut self.handshakes else {
             return now.max(cut_until);
         };
--- a/laurelstile-sim/src/leased/world/isolation.rs
+++ b/laurelstile-sim/src/leased/world/isolation.rs
@@ -31,10 +31,11 @@
         self.schedule(back, Happening::PeersReturn(gateway));
     }
 
-    /// Until when messages between two gateways do not arrive.
-    pub(super) fn peers_cut_until(&self, one: usize, other: usize) -> u64 {
-        let until = [one, other].map(|index| self.isolated.get(&index).copied());
-        until.into_iter().flatten().max().unwrap_or(0)
+    /// Until when messages of a gateway to another do not arrive.
+    pub(super) fn peers_cut_until(&self, from: usize, to: usize) -> u64 {
+        let until = [from, to].map(|index| self.isolated.get(&index).copied());
+        let until = until.into_iter().flatten().max().unwrap_or(0);
+        until.max(self.peer_way_cut_until(from, to))
     }
 
     /// A gateway is no longer cut off, and opens sessions to the others.
--- a/laurelstile-sim/src/leased/world/links.rs
+++ b/laurelstile-sim/src/leased/world/links.rs
@@ -112,10 +112,7 @@
             return;
         }
         for gateway in 0..self.gateways.len() {
-            let is_cut = self
-                .cuts
-                .get(&(index, gateway))
-                .is_some_and(|until| *until > self.now);
+            let is_cut = self.is_link_cut(index, gateway);
             let has_session = self.agents[index]
                 .sessions
                 .values()
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -8,6 +8,7 @@
 mod isolation;
 mod leaving;
 mod links;
+pub mod partial_cuts;
 mod peering;
 mod processes;
 mod session_faults;
@@ -34,6 +35,7 @@
 use commands::CommandFaults;
 use handshakes::Handshakes;
 use links::ThinLinks;
+use partial_cuts::PartialCuts;
 use session_faults::Refusal;
 use timed_faults::TimedFaults;
 
@@ -185,6 +187,8 @@
     gateway: Option<(usize, Incarnation)>,
     /// Calls before whose connections have broken while their gateways ran on.
     former_calls: u64,
+    /// The gateway that it does not call again, if there is another.
+    avoids: Option<usize>,
     is_over: bool,
 }
 
@@ -264,6 +268,8 @@
     cuts: BTreeMap<(usize, usize), u64>,
     /// Gateways that are cut off from all agents and other gateways, and until when.
     isolated: BTreeMap<usize, u64>,
+    /// Cuts of single links, if there are any.
+    pub partial_cuts: Option<PartialCuts>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     happenings: BTreeMap<u64, Happening>,
     sequence: u64,
@@ -336,6 +342,7 @@
             faults,
             cuts: BTreeMap::new(),
             isolated: BTreeMap::new(),
+            partial_cuts: None,
             queue: BinaryHeap::new(),
             happenings: BTreeMap::new(),
             sequence: 0,
@@ -364,6 +371,7 @@
                 job,
                 gateway: None,
                 former_calls: 0,
+                avoids: None,
                 is_over: false,
             });
         }
--- a/laurelstile-sim/src/leased/world/peering.rs
+++ b/laurelstile-sim/src/leased/world/peering.rs
@@ -45,7 +45,7 @@
     }
 
     fn open_peer(&mut self, index: usize, other: usize) {
-        if !self.gateways[other].is_up || self.peers_cut_until(index, other) > self.now {
+        if !self.gateways[other].is_up || self.are_peers_cut(index, other) {
             return;
         }
         let session = SessionId(self.fresh());
@@ -63,7 +63,7 @@
             ended.map(|(session, ends)| (*session, *ends)).collect();
         for (session, ends) in ended {
             let other = if ends[0] == index { ends[1] } else { ends[0] };
-            let notice = self.now + LONGEST_WAY;
+            let notice = self.peer_end_passes(index, other) + LONGEST_WAY;
             self.schedule(notice, Happening::PeerSessionEnds(other, session));
         }
     }
@@ -73,7 +73,7 @@
             self.gateway_event(index, GatewayEvent::PeerClosed { session });
             // The other side of a cut notices the end as well.
             let other = if ends[0] == index { ends[1] } else { ends[0] };
-            if self.peers_cut_until(index, other) > self.now {
+            if self.are_peers_cut(index, other) || self.partial_cuts.is_some() {
                 self.gateway_event(other, GatewayEvent::PeerClosed { session });
             }
         }
@@ -104,7 +104,8 @@
         let happening = Happening::ToPeer(to, session, Box::new(message));
         let sent = self.now.max(self.peers_cut_until(from, to));
         if sent - self.now <= USER_TIMEOUT {
-            self.schedule(sent + latency, happening);
+            let at = self.peer_message_read_at(session, to, sent + latency);
+            self.schedule(at, happening);
         }
     }
 
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -5,9 +5,9 @@
 
 use laurelstile_history::leased::DoubleRun;
 use laurelstile_sim::leased::{
-    Disruption, Outcome, Sabotage, run_cancel_seed, run_disruption_seed, run_hazard_seed,
-    run_herd_seed, run_leaving_seed, run_other_writers_seed, run_resending_seed,
-    run_returning_seed, run_seed, run_silences_seed,
+    Disruption, Outcome, Partition, Sabotage, run_cancel_seed, run_disruption_seed,
+    run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed, run_partition_seed,
+    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 
 use crate::flags::{Leased, seed_range};
@@ -58,6 +58,16 @@
             Some(disruption)
         }
     };
+    let partition = match flags.partition.as_deref() {
+        None => None,
+        Some(name) => {
+            let Some(partition) = Partition::named(name) else {
+                eprintln!("--partition takes gateways, one-way, slow-gateways, mixed or zone");
+                return ExitCode::from(2);
+            };
+            Some(partition)
+        }
+    };
     let mut bad = 0_u64;
     let (mut prompt, mut late, mut excused) = (0_u64, 0_u64, 0_u64);
     let mut told = BTreeMap::<&str, u64>::new();
@@ -66,6 +76,8 @@
     for seed in from..to {
         let outcome = if let Some(disruption) = disruption {
             run_disruption_seed(seed, disruption, sabotage, flags.trace)
+        } else if let Some(partition) = partition {
+            run_partition_seed(seed, partition, sabotage, flags.trace)
         } else if flags.leaving {
             run_leaving_seed(seed, sabotage)
         } else if flags.herds {
