Logs: lines about runs that may overlap have a limit of their own

In the record of a task that ran twice, no line of its job was left: steps and outcomes had used up the limits (400 and 600 lines a second), and what gateways knew of a second holder was dropped with them.

Gateways also log the jobs that they claim, and how each wait for a release ended: confirmed, timed out, or confirmed after that. Counters tell the same: laurelstile_claims_total, laurelstile_releases_total, laurelstile_jobs_given_up_to_peers_total. No decision changes.

--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -57,7 +57,7 @@
 use owner::Owner;
 use past_incarnations::PastIncarnations;
 use preempting::Preemptions;
-use proof::EndProof;
+pub use proof::EndProof;
 use run_table::{RunState, RunTable};
 use served_counts::ServedHistory;
 use worker::FenceToken;
--- a/laurelstile-core/src/leased/gateway/claims.rs
+++ b/laurelstile-core/src/leased/gateway/claims.rs
@@ -12,7 +12,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::claim_log::ClaimLog;
-use super::{GatewayEffect, LeasedGateway};
+use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::{ClaimMessage, ClaimNumber, HeldJobs, ToPeer};
 use crate::leased::task::JobId;
 use crate::leased::timing::CALLER_RETRY_DELAY;
@@ -181,6 +181,8 @@
             self.send_unsent_claims(now, effects);
             return;
         }
+        let claimed = GatewayDecision::Claimed { jobs: jobs.clone() };
+        effects.push(GatewayEffect::Decided(claimed));
         let number = Some(self.claims.next_number());
         for id in &jobs {
             self.claims.own.record(now, *id, &holder, number);
@@ -268,6 +270,9 @@
         if new_jobs.is_empty() {
             return;
         }
+        let jobs = new_jobs.len();
+        let received = GatewayDecision::ClaimsReceived { jobs };
+        effects.push(GatewayEffect::Decided(received));
         for id in &new_jobs {
             self.claims.others.record(now, *id, holder, *number);
             let has_precedence = self.name() > holder.as_str();
--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -504,6 +504,36 @@
         /// Name of the other gateway.
         holder: String,
     },
+    /// A holder has confirmed that all its runs of a job have ended.
+    ReleaseConfirmed {
+        /// Id of the job.
+        job: JobId,
+        /// Name of the holder.
+        holder: String,
+        /// Time since the first request.
+        waited: Span,
+        /// Whether the wait for it had ended before.
+        is_late: bool,
+    },
+    /// A holder has not confirmed a release in time; the job may be placed without it.
+    ReleaseTimedOut {
+        /// Id of the job.
+        job: JobId,
+        /// Name of the holder.
+        holder: String,
+        /// Time since the first request.
+        waited: Span,
+    },
+    /// Jobs that are held here were claimed, as their callers may soon resubmit them.
+    Claimed {
+        /// Ids of the jobs.
+        jobs: Vec<JobId>,
+    },
+    /// Claims of another gateway arrived that were not known here.
+    ClaimsReceived {
+        /// Number of the jobs.
+        jobs: usize,
+    },
     /// A job was given up because its caller has resubmitted it to another gateway.
     ReleasedToPeer {
         /// Id of the job.
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -320,6 +320,7 @@
         self.claim_long_jobs(now, effects);
         self.confirm_releases(now, effects);
         self.send_release_requests(now, effects);
+        self.report_release_timeouts(now, effects);
         locality.forget_contention();
         self.announce_waiting(now, &mut locality, effects);
         self.request_configuration(now, effects);
--- a/laurelstile-core/src/leased/gateway/releases.rs
+++ b/laurelstile-core/src/leased/gateway/releases.rs
@@ -29,8 +29,12 @@
 struct RequestedRelease {
     /// Number of the first request for it.
     first: u64,
+    /// When it was first requested.
+    requested_at: Timestamp,
     /// Until when no task is placed.
     until: Timestamp,
+    /// Whether that time has passed.
+    is_timed_out: bool,
     /// When the next request is sent.
     next_request_at: Timestamp,
 }
@@ -130,7 +134,9 @@
         }));
         let release = RequestedRelease {
             first: self.releases.last_number + 1,
+            requested_at: now,
             until: self.release_timeout_at(now, holder),
+            is_timed_out: false,
             next_request_at: now,
         };
         self.releases.requested.insert(key, release);
@@ -178,6 +184,25 @@
         }
     }
 
+    /// Reports the holders that have not confirmed a release in time, once each.
+    pub(super) fn report_release_timeouts(
+        &mut self,
+        now: Timestamp,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for ((job, holder), release) in &mut self.releases.requested {
+            if now < release.until || release.is_timed_out {
+                continue;
+            }
+            release.is_timed_out = true;
+            effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseTimedOut {
+                job: *job,
+                holder: holder.clone(),
+                waited: now.since(release.requested_at),
+            }));
+        }
+    }
+
     pub(super) fn on_claim_message(
         &mut self,
         now: Timestamp,
@@ -212,7 +237,7 @@
             ClaimMessage::Released {
                 request, last_run, ..
             } if request.requester == name => {
-                self.on_released(now, request, *last_run);
+                self.on_released(now, request, *last_run, effects);
             }
             _ => self.send_to_peers_except(Some(source), &ToPeer::Claim(message), effects),
         }
@@ -277,11 +302,23 @@
         }
     }
 
-    fn on_released(&mut self, now: Timestamp, request: &ReleaseRequest, last_run: RunNumber) {
+    fn on_released(
+        &mut self,
+        now: Timestamp,
+        request: &ReleaseRequest,
+        last_run: RunNumber,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
         self.releases.record_alive(&request.holder);
-        if self.releases.answered(request).is_none() {
+        let Some(release) = self.releases.answered(request) else {
             return;
-        }
+        };
+        effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseConfirmed {
+            job: request.job,
+            holder: request.holder.clone(),
+            waited: now.since(release.requested_at),
+            is_late: release.is_timed_out,
+        }));
         let key = (request.job, request.holder.clone());
         self.releases.requested.remove(&key);
         if let Some(job) = self.jobs.get_mut(&request.job) {
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -1,47 +1,38 @@
 //! Writes the decisions of the state machines as rate-limited log lines, and counts them in the
 //! metrics.
 //!
-//! Lines beyond the limit are dropped; their number is logged in the next period. Outcomes have
-//! a limit of their own, so that intermediate steps cannot use it up.
+//! Lines beyond the limit of their class are dropped; their numbers are logged in the next period.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use laurelstile_core::leased::agent::{AgentDecision, IncarnationEnd, LostRun};
 use laurelstile_core::leased::gateway::on_time_rates::SizeGroup;
 use laurelstile_core::leased::gateway::shares::Standing;
 use laurelstile_core::leased::gateway::stages::StageTimes;
 use laurelstile_core::leased::gateway::{Answer, GatewayDecision, RefusalCause};
-use laurelstile_core::leased::task::RunId;
+use laurelstile_core::leased::task::{JobId, RunId};
 use metrics::{counter, gauge, histogram};
 
+use super::line_limit::{LineClass, LineLimit, class_of_agent_decision, class_of_gateway_decision};
 use super::ports::HeartbeatError;
 use crate::telemetry::{
-    BACKLOG_CORE_SECONDS, CANCELS_ANSWERED, CANCELS_NOT_RECORDED, CAPACITY_STALE,
+    BACKLOG_CORE_SECONDS, CANCELS_ANSWERED, CANCELS_NOT_RECORDED, CAPACITY_STALE, CLAIMS,
     CONFIGURATIONS_REFUSED, CONTAINED_QUEUES, DATA_TASKS_PLACED, DEPARTING_CORES,
     DEPARTURE_NOTICE_SECONDS, DRAIN_RATE_CORES, EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS,
-    JOB_STAGE_SECONDS, JOBS_ANSWERED, JOBS_REFUSED_FOR_CAPACITY, KNOWN_GATEWAYS, MISSING_SESSIONS,
-    NEAR_WAITS, OFFERS, OFFERS_EXPIRED, PREEMPTED_CORE_MILLIS, QUEUE_CONTENDING, QUEUE_DEMAND,
-    QUEUE_FAIR_SHARE, RETRY_AFTER_SECONDS, RUN_TIME_RATIO, RUNS_ENDED, RUNS_LOST, RUNS_MOVED,
-    RUNS_STOPPED, STARTS_HELD, STOPS_UNANSWERED, TASKS_PREEMPTED, TASKS_RETURNED, TASKS_SUSPECTED,
-    WORKER_CRASHES, WORKER_UNRESPONSIVE,
+    JOB_STAGE_SECONDS, JOBS_ANSWERED, JOBS_GIVEN_UP_TO_PEERS, JOBS_REFUSED_FOR_CAPACITY,
+    KNOWN_GATEWAYS, MISSING_SESSIONS, NEAR_WAITS, OFFERS, OFFERS_EXPIRED, PREEMPTED_CORE_MILLIS,
+    QUEUE_CONTENDING, QUEUE_DEMAND, QUEUE_FAIR_SHARE, RELEASES, RETRY_AFTER_SECONDS,
+    RUN_TIME_RATIO, RUNS_ENDED, RUNS_LOST, RUNS_MOVED, RUNS_STOPPED, STARTS_HELD, STOPS_UNANSWERED,
+    TASKS_PREEMPTED, TASKS_RETURNED, TASKS_SUSPECTED, WORKER_CRASHES, WORKER_UNRESPONSIVE,
 };
 
-/// Maximum number of lines about intermediate steps per period.
-const MAX_STEP_LINES: u32 = 400;
-/// Maximum number of lines about outcomes per period.
-const MAX_OUTCOME_LINES: u32 = 600;
-/// Maximum number of lost runs named in one line, which bounds its length.
+/// Maximum number of runs or jobs named in one line, which bounds its length.
 const MAX_NAMED_RUNS: usize = 40;
-/// Period after which the line counts of the rate limit start again from zero.
-const RATE_LIMIT_PERIOD: Duration = Duration::from_secs(1);
 
 /// Rate-limited log of decisions.
 #[derive(Debug, Default)]
 pub struct DecisionLog {
-    period_start: Option<Instant>,
-    step_lines: u32,
-    outcome_lines: u32,
-    dropped_lines: u64,
+    limit: LineLimit,
 }
 
 impl DecisionLog {
@@ -51,31 +42,14 @@
         if is_counted_only(decision) {
             return;
         }
-        let is_outcome = matches!(
-            decision,
-            GatewayDecision::Answered { .. }
-                | GatewayDecision::Abandoned { .. }
-                | GatewayDecision::CancelAnswered { .. }
-                | GatewayDecision::Suspected { .. }
-                | GatewayDecision::Contained { .. }
-                | GatewayDecision::QueueShare { .. }
-                | GatewayDecision::ConfigurationRefused { .. }
-                | GatewayDecision::ConfigurationClamped { .. }
-                | GatewayDecision::Evacuated(_)
-                | GatewayDecision::CapacityDeparting { .. }
-                | GatewayDecision::Neighbors(_)
-                | GatewayDecision::SessionAccepted { .. }
-                | GatewayDecision::RunsLost { .. }
-                | GatewayDecision::RefusedForCapacity { .. }
-                | GatewayDecision::QueueForecast { .. }
-        );
-        if !self.admit_line(is_outcome) {
+        if !self.limit.admit(class_of_gateway_decision(decision)) {
             return;
         }
         match decision {
             GatewayDecision::OfferAnswered { .. }
             | GatewayDecision::StepDone { .. }
-            | GatewayDecision::DataPlaced { .. } => {}
+            | GatewayDecision::DataPlaced { .. }
+            | GatewayDecision::ClaimsReceived { .. } => {}
             GatewayDecision::WaitedForNear {
                 job,
                 queue,
@@ -242,6 +216,25 @@
             GatewayDecision::ReleaseRequested { job, holder } => {
                 log::info!(event = "release_requested", job:% = job, holder = holder.as_str(); "job submitted again while another gateway holds it");
             }
+            GatewayDecision::ReleaseConfirmed {
+                job,
+                holder,
+                waited,
+                is_late,
+            } => {
+                log::info!(event = "release_confirmed", job:% = job, holder = holder.as_str(), waited_ms = waited.as_millis(), is_late = *is_late; "all runs of the other gateway have ended");
+            }
+            GatewayDecision::ReleaseTimedOut {
+                job,
+                holder,
+                waited,
+            } => {
+                log::warn!(event = "release_timed_out", job:% = job, holder = holder.as_str(), waited_ms = waited.as_millis(); "no confirmation from the other gateway; its runs count as over");
+            }
+            GatewayDecision::Claimed { jobs } => {
+                let names = format_jobs(jobs);
+                log::info!(event = "claimed", count = jobs.len(), jobs = names.as_str(); "other gateways are notified that these jobs are held here");
+            }
             GatewayDecision::ReleasedToPeer { job, requester } => {
                 log::info!(event = "released_to_peer", job:% = job, requester = requester.as_str(); "job given up: its caller has submitted it again to another gateway");
             }
@@ -261,13 +254,7 @@
         if matches!(decision, AgentDecision::OfferExpired) {
             return;
         }
-        let is_step = matches!(
-            decision,
-            AgentDecision::Stopping { .. }
-                | AgentDecision::Preempting { .. }
-                | AgentDecision::Ended { .. }
-        );
-        if !self.admit_line(!is_step) {
+        if !self.limit.admit(class_of_agent_decision(decision)) {
             return;
         }
         match decision {
@@ -394,42 +381,17 @@
     /// Counts and logs a heartbeat that was rejected; `id` is the worker id it was sent under.
     pub fn record_rejected_heartbeat(&mut self, id: &str, error: &HeartbeatError) {
         counter!(HEARTBEATS_IGNORED, "reason" => "unreadable").increment(1);
-        if self.admit_line(true) {
+        if self.limit.admit(LineClass::Outcome) {
             log::warn!(event = "heartbeat_set_aside", id = id, error:% = error; "heartbeat rejected");
         }
     }
 
     /// Logs a time remaining that is unreadable; `id` is the worker id it was sent under.
     pub fn log_ignored_remaining(&mut self, id: &str, error: &serde_json::Error) {
-        if self.admit_line(true) {
+        if self.limit.admit(LineClass::Outcome) {
             log::warn!(event = "time_remaining_set_aside", id = id, error:% = error; "unreadable time remaining of a draining worker counts as not known");
         }
     }
-
-    fn admit_line(&mut self, is_outcome: bool) -> bool {
-        let now = Instant::now();
-        let is_period_over = self
-            .period_start
-            .is_none_or(|start| now - start >= RATE_LIMIT_PERIOD);
-        if is_period_over {
-            self.period_start = Some(now);
-            self.step_lines = 0;
-            self.outcome_lines = 0;
-            if self.dropped_lines > 0 {
-                log::warn!(event = "lines_dropped", count = self.dropped_lines; "");
-                self.dropped_lines = 0;
-            }
-        }
-        let (line_count, limit) = if is_outcome {
-            (&mut self.outcome_lines, MAX_OUTCOME_LINES)
-        } else {
-            (&mut self.step_lines, MAX_STEP_LINES)
-        };
-        *line_count += 1;
-        let is_admitted = *line_count <= limit;
-        self.dropped_lines += u64::from(!is_admitted);
-        is_admitted
-    }
 }
 
 /// Whether a decision is too frequent to be logged; it still counts in the metrics.
@@ -439,6 +401,7 @@
         GatewayDecision::OfferAnswered { .. }
             | GatewayDecision::StepDone { .. }
             | GatewayDecision::DataPlaced { .. }
+            | GatewayDecision::ClaimsReceived { .. }
     )
 }
 
@@ -582,6 +545,19 @@
         GatewayDecision::TaskPreempted { queue, .. } => {
             counter!(TASKS_PREEMPTED, "queue" => queue.name.clone()).increment(1);
         }
+        GatewayDecision::Claimed { jobs } => {
+            counter!(CLAIMS, "direction" => "sent").increment(jobs.len() as u64);
+        }
+        GatewayDecision::ClaimsReceived { jobs } => {
+            counter!(CLAIMS, "direction" => "received").increment(*jobs as u64);
+        }
+        GatewayDecision::ReleaseRequested { .. } => count_release("requested"),
+        GatewayDecision::ReleaseConfirmed { is_late: false, .. } => count_release("confirmed"),
+        GatewayDecision::ReleaseConfirmed { is_late: true, .. } => count_release("confirmed_late"),
+        GatewayDecision::ReleaseTimedOut { .. } => count_release("timed_out"),
+        GatewayDecision::ReleasedToPeer { .. } => {
+            counter!(JOBS_GIVEN_UP_TO_PEERS).increment(1);
+        }
         GatewayDecision::TaskReturned { how, .. } => {
             counter!(TASKS_RETURNED, "how" => how.name()).increment(1);
         }
@@ -594,6 +570,10 @@
     cpu_millis as f64 / 1_000.0
 }
 
+fn count_release(step: &'static str) {
+    counter!(RELEASES, "step" => step).increment(1);
+}
+
 fn count_stages(queue: &str, stages: &StageTimes) {
     let spans = [
         ("way_in", stages.ingress_delay),
@@ -665,6 +645,12 @@
     formatted.collect::<Vec<_>>().join(" ")
 }
 
+/// Lists jobs.
+fn format_jobs(jobs: &[JobId]) -> String {
+    let formatted = jobs.iter().take(MAX_NAMED_RUNS).map(JobId::to_string);
+    formatted.collect::<Vec<_>>().join(" ")
+}
+
 /// Name of the place of a run relative to its step's data.
 fn place_name(is_remote: bool) -> &'static str {
     if is_remote { "remote" } else { "near" }
--- a/laurelstiled/src/leased/mod.rs
+++ b/laurelstiled/src/leased/mod.rs
@@ -8,6 +8,7 @@
 pub mod gate;
 pub mod gateway;
 pub mod input;
+pub mod line_limit;
 mod links;
 pub mod log_output;
 pub mod membership;
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -81,6 +81,15 @@
 pub const NEAR_WAITS: &str = "laurelstile_near_waits_total";
 /// Tasks that ended at an agent without being completed; label `how`.
 pub const TASKS_RETURNED: &str = "laurelstile_tasks_came_back_total";
+/// Releases of jobs that a gateway has requested from other holders; label `step` (`requested`;
+/// `confirmed`: the holder's runs have ended; `timed_out`: the holder has not confirmed in time;
+/// `confirmed_late`: it has afterwards).
+pub const RELEASES: &str = "laurelstile_releases_total";
+/// Jobs that a gateway has given up since their callers have resubmitted them to other gateways.
+pub const JOBS_GIVEN_UP_TO_PEERS: &str = "laurelstile_jobs_given_up_to_peers_total";
+/// Jobs that gateways have claimed, as their callers may soon resubmit them; label `direction` (`sent`:
+/// claims of this gateway; `received`: of others, each counted once).
+pub const CLAIMS: &str = "laurelstile_claims_total";
 /// Runs that a gateway considers ended although their agent has not reported their ends; label
 /// `evidence`.
 pub const RUNS_LOST: &str = "laurelstile_runs_lost_total";
