Logs: a gateway that is cut off from its agents keeps its lines about releases

In soaks of 11 gateways that are cut off, gateways dropped up to 453 lines a second about runs that may overlap. They place a waiting task at a silent agent again and again, and lose it a millisecond later: agent_lapsed and came_back each time. These lines now have a limit of their own.

Test: a_flood_of_expired_agents_drops_no_line_of_a_release, which failed before.

--- a/laurelstiled/src/leased/line_limit.rs
+++ b/laurelstiled/src/leased/line_limit.rs
@@ -11,7 +11,7 @@
 /// Period after which the counts of lines start again from zero.
 const PERIOD: Duration = Duration::from_secs(1);
 /// Number of classes.
-const CLASSES: usize = 4;
+const CLASSES: usize = 5;
 
 /// Class of a log line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +22,9 @@
     Outcome,
     /// A run that may overlap with another of its task, or evidence that it does not.
     Overlap,
+    /// An agent that has expired, or the end of a run that its agent has not reported. A gateway that is
+    /// cut off from its agents has many.
+    Expiry,
     /// A placement of a job whose caller may have resubmitted it.
     LatePlacement,
 }
@@ -32,7 +35,7 @@
         match self {
             Self::Step => 400,
             Self::Outcome => 600,
-            Self::Overlap => 300,
+            Self::Overlap | Self::Expiry => 300,
             // In overload most placements are late.
             Self::LatePlacement => 100,
         }
@@ -72,7 +75,7 @@
             return;
         }
         let of_class = |class: LineClass| dropped[class as usize];
-        log::warn!(event = "lines_dropped", count = count, steps = of_class(LineClass::Step), outcomes = of_class(LineClass::Outcome), overlaps = of_class(LineClass::Overlap), late_placements = of_class(LineClass::LatePlacement); "");
+        log::warn!(event = "lines_dropped", count = count, steps = of_class(LineClass::Step), outcomes = of_class(LineClass::Outcome), overlaps = of_class(LineClass::Overlap), expiries = of_class(LineClass::Expiry), late_placements = of_class(LineClass::LatePlacement); "");
     }
 }
 
@@ -86,13 +89,14 @@
         | GatewayDecision::ReleasedToPeer { .. }
         | GatewayDecision::EarlierRunsPending { .. }
         | GatewayDecision::RunsLost { .. }
-        | GatewayDecision::LateHandshake { .. }
-        | GatewayDecision::AgentExpired { .. } => LineClass::Overlap,
-        GatewayDecision::TaskReturned { how, source, .. }
-            if *source != EndSource::Agent || is_rejected_as_second_run(*how) =>
-        {
+        | GatewayDecision::LateHandshake { .. } => LineClass::Overlap,
+        GatewayDecision::TaskReturned { how, .. } if is_rejected_as_second_run(*how) => {
             LineClass::Overlap
         }
+        GatewayDecision::AgentExpired { .. } => LineClass::Expiry,
+        GatewayDecision::TaskReturned { source, .. } if *source != EndSource::Agent => {
+            LineClass::Expiry
+        }
         GatewayDecision::Placed { age, .. } if *age >= CALLER_RETRY_DELAY => {
             LineClass::LatePlacement
         }
--- a/laurelstiled/tests/decision_log.rs
+++ b/laurelstiled/tests/decision_log.rs
@@ -104,6 +104,14 @@
     }
 }
 
+fn expired() -> GatewayDecision {
+    GatewayDecision::AgentExpired {
+        agent: "agent".into(),
+        tasks: 1,
+        silence: Span::from_millis(1_267),
+    }
+}
+
 fn not_started(reason: NotStartedReason) -> EndKind {
     EndKind::NotStarted(reason)
 }
@@ -167,6 +175,27 @@
     assert_eq!(with_event(&lines, event).len(), 1, "{lines:?}");
 }
 
+/// Guards against a gateway that is cut off from its agents, loses each run that it places there a
+/// millisecond later, and drops what it knows of a second holder for that.
+#[test]
+fn a_flood_of_expired_agents_drops_no_line_of_a_release() {
+    let lines = lines_of(|log| {
+        for _ in 0..FLOOD {
+            log.record_gateway(&expired());
+            log.record_gateway(&returned(EndKind::Lost, EndSource::Silence));
+        }
+        log.record_gateway(&GatewayDecision::ReleaseRequested {
+            job: job(),
+            holder: "holder".into(),
+        });
+    });
+    assert_eq!(
+        with_event(&lines, "release_requested").len(),
+        1,
+        "{lines:?}"
+    );
+}
+
 /// Guards against an agent whose evidence of a second run is dropped: stops for a silent gateway, and
 /// ends of stopped runs.
 #[rstest]
@@ -216,6 +245,7 @@
         let claim = GatewayDecision::Claimed { jobs: vec![job()] };
         for _ in 0..FLOOD {
             log.record_gateway(&claim);
+            log.record_gateway(&expired());
             log.record_gateway(&placed(1_300));
         }
         flood(log);
@@ -231,11 +261,18 @@
     let logged = |event: &str| with_event(&lines, event).len() as u64;
     assert_eq!(dropped("overlaps") + logged("claimed"), FLOOD);
     assert_eq!(dropped("outcomes") + logged("abandoned"), FLOOD);
+    assert_eq!(dropped("expiries") + logged("agent_lapsed"), FLOOD);
     assert_eq!(
         dropped("steps") + dropped("late_placements") + logged("placed"),
         2 * FLOOD + 1
     );
-    let classes = ["steps", "outcomes", "overlaps", "late_placements"];
+    let classes = [
+        "steps",
+        "outcomes",
+        "overlaps",
+        "expiries",
+        "late_placements",
+    ];
     assert!(classes.iter().all(|class| dropped(class) > 0), "{lines:?}");
     assert_eq!(classes.map(dropped).iter().sum::<u64>(), dropped("count"));
 }
