Releases: a failing test of messages that are forwarded without end

Gateways know copies of messages about releases by the last 1,024 that they have sent, forwarded or handled. Once more are under way, as when the bytes of a cut are delivered, each copy is taken for new and forwarded again. Three gateways with 1,500 requests forward 4,500 messages in each round, for ever; with 1,000 they fall quiet.

--- a/laurelstile-core/tests/leased_releases.rs
+++ b/laurelstile-core/tests/leased_releases.rs
@@ -448,3 +448,26 @@
     gateways.pass_time_at(1, 1_450, 2_000);
     assert_eq!(gateways.starts_at(1), 0, "started beside the first run");
 }
+
+/// Guards against gateways that forward copies of the same messages to each other without end, also when
+/// nothing more is requested: more requests were under way, as after a cut, than a gateway remembers.
+#[rstest]
+#[case::as_many_as_are_remembered(1_000)]
+#[case::half_more(1_500)]
+#[case::many_more(5_000)]
+fn release_requests_of_a_cut_are_forwarded_once(#[case] requests: u64) {
+    let mut gateways = Gateways::new(3);
+    for number in 1..=requests {
+        let request = ReleaseRequest {
+            job: JobId(1_000 + number),
+            holder: "gateway-out-of-reach".into(),
+            requester: "gateway-0".into(),
+            number,
+        };
+        let message = ToPeer::Claim(ClaimMessage::ReleaseRequested(request));
+        gateways.rigs[1].peer_message(at(10), session_to(0), message);
+    }
+    // Each gateway is one hop from the others.
+    let rounds: Vec<usize> = (0..6).map(|_| gateways.deliver_once(10)).collect();
+    assert_eq!(rounds.last(), Some(&0), "messages by round: {rounds:?}");
+}
--- a/laurelstile-core/tests/leased_support/gateways_rig.rs
+++ b/laurelstile-core/tests/leased_support/gateways_rig.rs
@@ -54,19 +54,20 @@
 
     /// Delivers messages between gateways until there are none.
     pub fn deliver(&mut self, millis: u64) {
-        loop {
-            let mut is_quiet = true;
-            for from in 0..self.rigs.len() {
-                for (session, message) in std::mem::take(&mut self.rigs[from].to_peers) {
-                    let to = usize::try_from(session.0 - FIRST_PEER_SESSION).expect("a gateway");
-                    self.rigs[to].peer_message(at(millis), session_to(from), message);
-                    is_quiet = false;
-                }
-            }
-            if is_quiet {
-                return;
+        while self.deliver_once(millis) > 0 {}
+    }
+
+    /// Delivers the messages that wait at each gateway in turn; returns their number.
+    pub fn deliver_once(&mut self, millis: u64) -> usize {
+        let mut delivered = 0;
+        for from in 0..self.rigs.len() {
+            for (session, message) in std::mem::take(&mut self.rigs[from].to_peers) {
+                let to = usize::try_from(session.0 - FIRST_PEER_SESSION).expect("a gateway");
+                self.rigs[to].peer_message(at(millis), session_to(from), message);
+                delivered += 1;
             }
         }
+        delivered
     }
 
     /// Lets time pass; agents and gateways exchange their messages.
