--- a/laurelstile-core/src/leased/gateway/claims.rs
+++ b/laurelstile-core/src/leased/gateway/claims.rs
@@ -12,7 +12,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::claim_log::ClaimLog;
-use super::{GatewayEffect, LeasedGateway};
+use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::messages::{ClaimConfirmation, ClaimMessage, ClaimNumber, HeldJobs, ToPeer};
 use crate::leased::task::JobId;
 #[cfg(doc)]
@@ -195,6 +195,8 @@
         let is_held = |job: &JobId| self.jobs.contains_key(job) || self.has_runs_of(*job);
         let jobs: Vec<JobId> = due.into_iter().filter(is_held).collect();
         if !jobs.is_empty() {
+            let claimed = GatewayDecision::Claimed { jobs: jobs.clone() };
+            effects.push(GatewayEffect::Decided(claimed));
             self.claim(now, jobs);
         }
         self.send_unsent_claims(now, effects);
@@ -314,6 +316,9 @@
         if new_jobs.is_empty() {
             return;
         }
+        let jobs = new_jobs.len();
+        let received = GatewayDecision::ClaimsReceived { jobs };
+        effects.push(GatewayEffect::Decided(received));
         for id in &new_jobs {
             self.claims.others.record(now, *id, holder, *number);
             self.extend_release_wait(now, *id, holder);
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -332,6 +332,7 @@
         self.run_timers(now, effects);
         self.confirm_releases(now, effects);
         self.send_release_requests(now, effects);
+        self.report_release_timeouts(now, effects);
         locality.forget_contention();
         self.announce_waiting(now, &mut locality, effects);
         self.request_configuration(now, effects);
--- a/laurelstile-core/src/leased/gateway/releases.rs
+++ b/laurelstile-core/src/leased/gateway/releases.rs
@@ -30,12 +30,14 @@
 struct RequestedRelease {
     /// Number of the first request for it.
     first: u64,
+    /// When it was first requested.
+    requested_at: Timestamp,
     /// Until when no task is placed.
     until: Timestamp,
+    /// Whether that time has passed.
+    is_timed_out: bool,
     /// When the next request is sent.
     next_request_at: Timestamp,
-    /// Whether the end of the wait without an answer was reported.
-    has_timed_out: bool,
 }
 
 /// Releases requested by this gateway and by others.
@@ -133,9 +135,10 @@
         }));
         let release = RequestedRelease {
             first: self.releases.last_number + 1,
+            requested_at: now,
             until: self.release_timeout_at(now, id, holder),
+            is_timed_out: false,
             next_request_at: now,
-            has_timed_out: false,
         };
         self.releases.requested.insert(key, release);
         if let Some(job) = self.jobs.get_mut(&id) {
@@ -187,14 +190,6 @@
         let requester = self.name().to_owned();
         let mut requests = Vec::new();
         for ((job, holder), release) in &mut self.releases.requested {
-            if now >= release.until && !release.has_timed_out {
-                release.has_timed_out = true;
-                effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseEnded {
-                    job: *job,
-                    holder: holder.clone(),
-                    is_confirmed: false,
-                }));
-            }
             if now >= release.next_request_at {
                 release.next_request_at = now.after(REQUEST_INTERVAL);
                 self.releases.last_number += 1;
@@ -211,6 +206,25 @@
         }
     }
 
+    /// Reports the holders that have not confirmed a release in time, once each.
+    pub(super) fn report_release_timeouts(
+        &mut self,
+        now: Timestamp,
+        effects: &mut Vec<GatewayEffect>,
+    ) {
+        for ((job, holder), release) in &mut self.releases.requested {
+            if now < release.until || release.is_timed_out {
+                continue;
+            }
+            release.is_timed_out = true;
+            effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseTimedOut {
+                job: *job,
+                holder: holder.clone(),
+                waited: now.since(release.requested_at),
+            }));
+        }
+    }
+
     pub(super) fn on_claim_message(
         &mut self,
         now: Timestamp,
@@ -325,16 +339,17 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         self.releases.record_alive(&request.holder);
-        if self.releases.answered(request).is_none() {
+        let Some(release) = self.releases.answered(request) else {
             return;
-        }
-        let key = (request.job, request.holder.clone());
-        self.releases.requested.remove(&key);
-        effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseEnded {
+        };
+        effects.push(GatewayEffect::Decided(GatewayDecision::ReleaseConfirmed {
             job: request.job,
             holder: request.holder.clone(),
-            is_confirmed: true,
+            waited: now.since(release.requested_at),
+            is_late: release.is_timed_out,
         }));
+        let key = (request.job, request.holder.clone());
+        self.releases.requested.remove(&key);
         if let Some(job) = self.jobs.get_mut(&request.job) {
             job.number_runs_after(last_run);
             job.may_have_started |= last_run > RunNumber::default();
