Store: one unreadable row hides no other row, and ends no list

What operators see: another writer leaves one row with a number like 1e400, nested over 128 levels deep, or with a byte that is no text. Every reader of that table stops following it for as long as the row is there: changes of the configuration and evacuations are not heard (`store_lost`), the list of gateways is not read (`membership_failed`). 33 unreadable rows in a row count as the end of the list of gateways, so that all gateways behind them seem to have no record; 507 end the operator's table.

Pages go on from the last key, of whatever row.

`set_aside.rs` is new with its module.

`members.rs`: its store says the last key as well (`Listing::last_key` is new); its check is unchanged.

--- a/laurelstiled/src/leased/membership.rs
+++ b/laurelstiled/src/leased/membership.rs
@@ -12,6 +12,7 @@
 
 use super::input::GatewayInput;
 use super::ports::{Record, RecordStore, StoreError};
+use super::set_aside::{self, Entry};
 
 /// Table that holds the records.
 const TABLE: &str = "gateways";
@@ -129,26 +130,22 @@
         .await
         .unwrap_or(Err(StoreError::Unavailable))?;
     let now = listing.now_millis;
-    let records = listing.records.iter();
-    let last = records.clone().next_back().map(|record| record.key.clone());
-    let members = records
-        .filter_map(parse_record)
+    let members = listing.records.iter().filter_map(parse_record);
+    let members = members
         .filter(|record| now.abs_diff(record.renewed_millis) <= EXPIRY_MILLIS)
         .map(|record| record.member)
         .collect();
     let page = Page {
         from: from.to_owned(),
-        until: last.filter(|_| listing.has_more),
+        until: listing.last_key.filter(|_| listing.has_more),
         members,
     };
     Ok((page, now))
 }
 
-/// Parses a record; logs and skips one that is malformed.
+/// Parses a record; logs, counts and skips one that is malformed.
 fn parse_record(record: &Record) -> Option<MemberRecord> {
     let parsed = serde_json::from_slice(&record.value);
-    let parsed = parsed.inspect_err(|error| {
-        log::warn!(event = "member_set_aside", key = record.key.as_str(), error:% = error; "malformed gateway record ignored");
-    });
+    let parsed = parsed.inspect_err(|error| set_aside::record(Entry::Member, &record.key, error));
     parsed.ok()
 }
--- a/laurelstiled/src/leased/mod.rs
+++ b/laurelstiled/src/leased/mod.rs
@@ -16,5 +16,6 @@
 pub mod ports;
 pub mod recall;
 pub mod sessions;
+pub mod set_aside;
 pub mod settings;
 mod traffic_log;
--- a/laurelstiled/src/leased/ports.rs
+++ b/laurelstiled/src/leased/ports.rs
@@ -95,8 +95,10 @@
 /// A page of a table, read at one point in time.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
-    /// The records in the order of their keys.
+    /// The records in the order of their keys; without those that cannot be read.
     pub records: Vec<Record>,
+    /// Key of the last record, which may be one that cannot be read; `None` if there is none.
+    pub last_key: Option<String>,
     /// Whether records follow after the last one.
     pub has_more: bool,
     /// Version of the store at the time of the read.
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -119,6 +119,9 @@
 /// Incarnations of the worker that crashed, restarted under the same id or were superseded by a
 /// worker with another id.
 pub const WORKER_CRASHES: &str = "laurelstile_worker_crashes_total";
+/// Entries of other writers that cannot be read and were left out; label `kind`. An entry counts each
+/// time that it is read.
+pub const ENTRIES_SET_ASIDE: &str = "laurelstile_entries_set_aside_total";
 /// Heartbeats of the worker that were not used; label `reason`.
 pub const HEARTBEATS_IGNORED: &str = "laurelstile_heartbeats_ignored_total";
 /// Unanswered starts held back because the worker's next incarnation might still execute them.
--- a/laurelstiled/tests/members.rs
+++ b/laurelstiled/tests/members.rs
@@ -18,8 +18,10 @@
             version: index,
         });
         let records = records.filter(|record| *record.key >= *from).take(limit);
+        let records: Vec<Record> = records.collect();
         Ok(Listing {
-            records: records.collect(),
+            last_key: records.last().map(|record| record.key.clone()),
+            records,
             has_more: false,
             version: 9,
             now_millis: NOW_MILLIS,
