Membership: a gateway's record is renewed although a page cannot be read

What operators see: a gateway that cannot read the next page of the list of gateways asks for that page once a second, and writes its record only after it has read one. Its record expires after 30 s, and the others take it for gone.

Cause: the position in the list was kept after a failure.

Change: the gateway begins again at its own key, where it began at its start. With a whole list that is readable again, the pages follow as before.

--- a/laurelstiled/src/leased/membership.rs
+++ b/laurelstiled/src/leased/membership.rs
@@ -55,6 +55,8 @@
                 RENEWAL_INTERVAL
             }
             Err(error) => {
+                // Whatever made the page unreadable must not keep the record from being renewed.
+                from = record_key(&member.name);
                 log::warn!(event = "membership_failed", error:% = error; "the gateway record was not renewed");
                 RETRY_DELAY
             }
