--- a/laurelstile-types/src/json.rs
+++ b/laurelstile-types/src/json.rs
@@ -6,6 +6,9 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+/// The largest integer that all readers and writers of JSON represent exactly (RFC 8259, section 6).
+pub const MAX_INTEGER: u64 = (1 << 53) - 1;
+
 /// Why a JSON file could not be read.
 #[derive(Debug, Error, Diagnostic)]
 pub enum JsonFileError {
