Jobs: numbers out of range are refused as malformed, and no sum wraps

What callers see: a job with an `estimate_ms` near 2^64 gets no answer from a debug build (the call's task panics), and 503 from a release build, as if its time were over, so that its caller sends it again. What operators see: with `slo_ms` or `stretch` out of range in a route, and with steps whose estimates exceed 2^64 us together, the gateway's state machine panics (debug), or an objective of 999 us comes out (release). Shown with the state machine; that the process ends with it was not run.

Cause: milliseconds were multiplied, and estimates, objectives and work were added, without regard to the ends of their types.

Durations saturate as they are made.

--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -168,7 +168,9 @@
             EndKind::Preempted => task.was_preempted = true,
             EndKind::Lost => task.may_have_been_preempted |= task.is_preemptible,
             EndKind::TooSlow { .. } | EndKind::Stopped => {}
-            EndKind::NotStarted(NotStartedReason::OldRun) => task.run.0 += RUN_NUMBER_INCREMENT,
+            EndKind::NotStarted(NotStartedReason::OldRun) => {
+                task.run.0 = task.run.0.saturating_add(RUN_NUMBER_INCREMENT);
+            }
             EndKind::NotStarted(_) => {}
         }
         let has_stalled = task.stalls > 0;
--- a/laurelstile-core/src/leased/gateway/intake.rs
+++ b/laurelstile-core/src/leased/gateway/intake.rs
@@ -190,7 +190,7 @@
         };
         let times = self.identity.stop;
         let objective = request.queue.objective(request.longest_chain());
-        let done_by = now.after(Span(objective.0 * STOPPING_OBJECTIVE_FACTOR));
+        let done_by = now.after(Span(objective.0.saturating_mul(STOPPING_OBJECTIVE_FACTOR)));
         let fits_before_limit = done_by <= since.after(times.limit);
         self.stop_reported || (now >= since.after(times.overlap) && !fits_before_limit)
     }
--- a/laurelstile-core/src/leased/gateway/job.rs
+++ b/laurelstile-core/src/leased/gateway/job.rs
@@ -78,10 +78,15 @@
 pub const MAX_STEPS: usize = 64;
 /// Maximum number of tasks of a job, over all steps.
 pub const MAX_TASKS: u32 = 10_000;
+/// Maximum estimate of a step: one day, far longer than any job is held.
+pub const MAX_ESTIMATE: Span = Span::from_secs(24 * 3_600);
+/// Largest work that a job counts with, in core-milliseconds, so that sums over all jobs stay within
+/// their type: some 35 years of a core, far more than can be done while a job is held.
+const MAX_WORK: u64 = 1 << 40;
 
 impl JobRequest {
     /// Whether each step depends only on earlier ones, has at least one task, and the limits
-    /// on steps and tasks are kept.
+    /// on steps, tasks and estimates are kept.
     pub fn is_well_formed(&self) -> bool {
         let has_order = self
             .steps
@@ -93,6 +98,7 @@
             && !self.steps.is_empty()
             && self.steps.len() <= MAX_STEPS
             && self.steps.iter().all(|step| step.count > 0)
+            && self.steps.iter().all(|step| step.estimate <= MAX_ESTIMATE)
             && tasks <= u64::from(MAX_TASKS)
     }
 
@@ -106,7 +112,7 @@
                 .map(|before| ends[*before])
                 .max()
                 .unwrap_or(0);
-            ends.push(begin + step.estimate.0);
+            ends.push(begin.saturating_add(step.estimate.0));
         }
         Span(ends.into_iter().max().unwrap_or(0))
     }
@@ -323,7 +329,11 @@
         }
         let chain = request.longest_chain();
         let objective = request.queue.objective(chain);
-        let slack = Span(objective.0.saturating_sub(chain.0 + CALLER_ROUND_TRIP.0));
+        let slack = Span(
+            objective
+                .0
+                .saturating_sub(chain.0.saturating_add(CALLER_ROUND_TRIP.0)),
+        );
         let decision = Span((objective.0 / DECISION_DIVISOR).saturating_sub(CALLER_ROUND_TRIP.0));
         Self {
             id: request.id,
@@ -372,7 +382,8 @@
             return self.latest_start;
         }
         let due = self.arrival.after(self.objective);
-        let needed = self.longest_waiting_chain().0 + CALLER_ROUND_TRIP.0;
+        let waiting = self.longest_waiting_chain().0;
+        let needed = waiting.saturating_add(CALLER_ROUND_TRIP.0);
         Timestamp(due.0.saturating_sub(needed))
     }
 
@@ -385,15 +396,9 @@
         for step in &self.steps {
             let before = step.request.after.iter().map(|before| ends[*before]);
             let begin = before.max().unwrap_or(0);
-            let is_waiting = step.has_waiting();
-            ends.push(
-                begin
-                    + if is_waiting {
-                        step.request.estimate.0
-                    } else {
-                        0
-                    },
-            );
+            let estimate = step.request.estimate.0;
+            let length = if step.has_waiting() { estimate } else { 0 };
+            ends.push(begin.saturating_add(length));
         }
         Span(ends.into_iter().max().unwrap_or(0))
     }
@@ -423,14 +428,15 @@
             .all(|before| self.steps[*before].is_done())
     }
 
-    /// Estimated total work, in core-milliseconds.
+    /// Estimated total work, in core-milliseconds; at most [`MAX_WORK`].
     pub fn work(&self) -> u64 {
         let step_work = |step: &Step| {
             let cpu_millis =
                 u64::from(step.request.resources.cpu_millis) * u64::from(step.request.count);
-            cpu_millis * step.request.estimate.as_millis() / 1_000
+            cpu_millis.saturating_mul(step.request.estimate.as_millis()) / 1_000
         };
-        self.steps.iter().map(step_work).sum()
+        let work = self.steps.iter().map(step_work);
+        work.fold(0, u64::saturating_add).min(MAX_WORK)
     }
 
     /// Indices of the steps with tasks that may be placed now.
--- a/laurelstile-core/src/leased/gateway/placement.rs
+++ b/laurelstile-core/src/leased/gateway/placement.rs
@@ -338,7 +338,7 @@
             run_time: Span(run_time),
             is_fast,
             tasks,
-            cost: run_time + zone_cost + UTILIZATION_COST_MICROS * used / capacity,
+            cost: run_time.saturating_add(zone_cost + UTILIZATION_COST_MICROS * used / capacity),
             offer: None,
             separated: None,
             is_exclusive: false,
@@ -359,7 +359,7 @@
         }
         let percent = u64::from(percent);
         let percent = percent + percent * REMOTE_DATA_COST_PERCENT / 100;
-        Span(request.estimate.0 * percent / 100)
+        Span(request.estimate.0.saturating_mul(percent) / 100)
     }
 
     /// Sends the candidate's agent a batch of the step's waiting tasks. Offered resources are
@@ -470,7 +470,11 @@
     worker: &Worker,
 ) -> Option<u32> {
     let run_time_percent = worker.report.run_time_percent;
-    let run_time = request.estimate.0 * u64::from(run_time_percent) / 100;
+    let run_time = request
+        .estimate
+        .0
+        .saturating_mul(u64::from(run_time_percent))
+        / 100;
     let is_slow =
         run_time > job.objective.0 && run_time_percent >= best_percent.saturating_mul(SLOW_FACTOR);
     match (is_slow, worker.is_idle()) {
@@ -504,7 +508,7 @@
         task.state = TaskState::Placed;
         task.placed_at = now;
         task.remote = remote;
-        task.run = RunNumber(task.run.max(earlier_run).0 + 1);
+        task.run = RunNumber(task.run.max(earlier_run).0.saturating_add(1));
         taken.push((index, task.run));
     }
     job.placed_count += u32::try_from(taken.len()).unwrap_or(u32::MAX);
--- a/laurelstile-core/src/leased/gateway/queues.rs
+++ b/laurelstile-core/src/leased/gateway/queues.rs
@@ -16,6 +16,10 @@
 /// Stands for a floor that could not be read. [`QueueConfiguration::check`] refuses it.
 pub const UNREADABLE_FLOOR_PERCENT: u32 = u32::MAX;
 
+/// Longest objective of a job: one day, far longer than any job is held. Bounds what is calculated
+/// from the operator's factors and constants.
+const MAX_OBJECTIVE: Span = Span::from_secs(24 * 3_600);
+
 /// Why a configuration is not put in force.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ConfigurationError {
@@ -135,16 +139,18 @@
         (floor != UNREADABLE_FLOOR_PERCENT).then_some(floor.min(MAX_FLOOR_PERCENT))
     }
 
-    /// Response time objective of a job whose longest chain of steps takes `chain`.
+    /// Response time objective of a job whose longest chain of steps takes `chain`, at most
+    /// [`MAX_OBJECTIVE`].
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss,
-        reason = "spans are far below 2^52 and positive"
+        reason = "spans are far below 2^52 and positive; the cast saturates"
     )]
     pub fn objective(&self, chain: Span) -> Span {
         let stretched = (chain.0 as f64 * self.stretch.max(0.0)) as u64;
-        Span(stretched + self.slack_millis * 1_000)
+        let slack = Span::from_millis(self.slack_millis);
+        Span(stretched.saturating_add(slack.0)).min(MAX_OBJECTIVE)
     }
 }
 
--- a/laurelstile-types/src/time.rs
+++ b/laurelstile-types/src/time.rs
@@ -17,14 +17,14 @@
 pub struct Span(pub u64);
 
 impl Span {
-    /// A duration of whole milliseconds.
+    /// A duration of whole milliseconds; saturates.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
-    /// A duration of whole seconds.
+    /// A duration of whole seconds; saturates.
     pub const fn from_secs(seconds: u64) -> Self {
-        Self(seconds * 1_000_000)
+        Self(seconds.saturating_mul(1_000_000))
     }
 
     /// The duration in milliseconds, rounded up.
