Settings: ranges of the heartbeat interval and the grace of capacity

What operators see: `heartbeat_millis` or `room_grace_millis` near 2^64 is accepted, and wraps as it is turned into microseconds (release) or ends the process as it starts (debug; by reading).

Change: both are at most an hour, and refused with field and range otherwise.

--- a/laurelstiled/src/leased/policy_settings.rs
+++ b/laurelstiled/src/leased/policy_settings.rs
@@ -99,7 +99,7 @@
 }
 
 /// Not a number is outside every range.
-fn check_range<T: PartialOrd + Display>(
+pub(super) fn check_range<T: PartialOrd + Display>(
     field: &'static str,
     value: T,
     range: RangeInclusive<T>,
--- a/laurelstiled/src/leased/settings.rs
+++ b/laurelstiled/src/leased/settings.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::policy_settings::{AgentPolicySettings, check_gateway_policies};
+use super::policy_settings::{AgentPolicySettings, check_gateway_policies, check_range};
 use crate::settings::{LogLevel, MIN_SECRET_BYTES, Node};
 
 /// Bounds of the grace period of a shutdown, in seconds.
@@ -25,6 +25,10 @@
 /// Part of an agent's grace period reserved for stopping the remaining runs, in seconds.
 const STOP_RESERVE_SECONDS: f64 = 0.9;
 
+/// Largest interval of heartbeats and grace of a worker's capacity, in milliseconds: one hour, far
+/// longer than capacity may be out of date.
+const MAX_HEARTBEAT_MILLIS: u64 = 3_600_000;
+
 /// Settings of one process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -114,7 +118,7 @@
         /// Value from the settings.
         seconds: f64,
     },
-    /// A value of a policy is outside its range.
+    /// A value is outside its range.
     #[error("{field}: {value} is not between {min} and {max}")]
     OutOfRange {
         /// Path of the field in the settings.
@@ -189,7 +193,14 @@
         }
         match &self.role {
             LeasedRole::Gateway(gateway) => check_gateway_policies(&gateway.policies),
-            LeasedRole::Agent(agent) => agent.policies.check(),
+            LeasedRole::Agent(agent) => {
+                let range = 0..=MAX_HEARTBEAT_MILLIS;
+                let interval = agent.heartbeat_millis;
+                check_range("role.agent.heartbeat_millis", interval, range.clone())?;
+                let grace = agent.room_grace_millis;
+                check_range("role.agent.room_grace_millis", grace, range)?;
+                agent.policies.check()
+            }
         }
     }
 }
