Request bodies share one memory budget

Cause: each client may send 256 KiB, whole or in chunks, for as long as it likes, and nobody counted the sum; a body in chunks of one byte took tens of bytes for each, since every slice of the read buffer was kept.

Bodies are kept in one piece, and their bytes are reserved before that from a budget of the process (platform.limits.body_bytes, a fifth of memory_mib; by default that of the machine or its control group, 160 MiB at most). They are returned on every way out; a job's share once it is answered. Where none are left, the body that has been read for longest, if for over a second, gives way; otherwise the new one gets 503 with Retry-After. A body that moves less than 1,000 bytes in 10 s gets 408. Refusals of unread bodies close the connection. A body that ends early or is malformed now gets 400; it got 413.

Tests of control::handle and front::handle pass a budget; nothing else in them changed. The settings of hostile_clients state the memory of their machine, 64 MiB, which is the bound that they check.

--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -127,6 +127,13 @@
 pub const CAPACITY_STALE: &str = "laurelstile_worker_room_aged_total";
 /// Number of times that the worker stopped answering.
 pub const WORKER_UNRESPONSIVE: &str = "laurelstile_worker_silent_total";
+/// Request bodies that were not read to their end; label `reason` (`memory`: the budget was used up;
+/// `displaced`: the body gave way to another; `too_slow`, `too_large`, `incomplete`).
+pub const BODIES_REFUSED: &str = "laurelstile_bodies_refused_total";
+/// Memory that is reserved for request bodies, in bytes.
+pub const BODY_BYTES: &str = "laurelstile_body_bytes";
+/// Memory that may be reserved for request bodies, in bytes.
+pub const BODY_BYTES_LIMIT: &str = "laurelstile_body_bytes_limit";
 
 /// Upper bounds of the buckets of all histograms: seconds, or the ratio of [`RUN_TIME_RATIO`].
 const BUCKETS: [f64; 14] = [
