Connections of each listener are limited and make room for others

Cause: a listener took connections until the process had no descriptor left, and kept those that sent nothing, or a head without its end, for ever. Ordinary callers, sessions and calls to the store then got none.

Each listener has a limit (platform.limits.connections for clients, by default from RLIMIT_NOFILE and the memory; 64 for probes, metrics and registrations; a quarter of the descriptors is left for sessions, the store and logs). A full one closes the connection that has waited for its client for longest: idle, or with a head or body that is not complete, counted from the beginning of that stage. A connection with a call in progress is never closed; if all have one, a new one gets 503 with Retry-After. A head has 10 s from its first byte. hyper's own header_read_timeout also closes idle connections, on which an ordinary caller may just be sending, so it stays off.

--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -134,6 +134,13 @@
 pub const BODY_BYTES: &str = "laurelstile_body_bytes";
 /// Memory that may be reserved for request bodies, in bytes.
 pub const BODY_BYTES_LIMIT: &str = "laurelstile_body_bytes_limit";
+/// Open connections; label `listener` (`front`, `ready`, `control`, `metrics`).
+pub const CONNECTIONS: &str = "laurelstile_connections";
+/// Largest number of open connections; label `listener`.
+pub const CONNECTIONS_LIMIT: &str = "laurelstile_connections_limit";
+/// Connections that were closed while they waited for their client, or refused; labels `listener`,
+/// `reason` (`displaced`: for another one; `head_timeout`; `refused`: all others had calls in progress).
+pub const CONNECTIONS_CLOSED: &str = "laurelstile_connections_closed_total";
 
 /// Upper bounds of the buckets of all histograms: seconds, or the ratio of [`RUN_TIME_RATIO`].
 const BUCKETS: [f64; 14] = [
