Handshakes at the session address are limited

Cause: a connection to the session address may say nothing for 5 s, and nobody counted them, so that clients which open new ones all the time take every descriptor of a gateway.

At most an eighth of the descriptors are for connections that have not said who they are; one more ends the oldest. Sessions are not counted.

--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -23,6 +23,7 @@
 
 use super::decisions::DecisionLog;
 use super::gate::{GatewayHandle, GatewayStatus};
+use super::handshakes::{Handshake, PendingHandshakes};
 use super::input::GatewayInput;
 use super::ports::{OperatorSource, RecordStore, SeedSource};
 use super::sessions::{Dialer, SessionHandler, record_session_end};
@@ -147,30 +148,39 @@
     local: LocalNode,
     input: mpsc::UnboundedSender<GatewayInput>,
 ) {
+    let handshakes = PendingHandshakes::for_this_process();
     loop {
         let Ok((stream, address)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let (local, input) = (local.clone(), input.clone());
+        let handshake = handshakes.begin();
         tokio::spawn(async move {
-            let error = run_accepted_session(stream, &local, &input).await;
-            record_session_end(&error, &address.to_string());
+            if let Some(error) = run_accepted_session(stream, handshake, &local, &input).await {
+                record_session_end(&error, &address.to_string());
+            }
         });
+        // A handshake that gave way frees its descriptor before the next connection is accepted.
+        tokio::task::yield_now().await;
     }
 }
 
+/// Returns why the session has ended; `None` if its handshake gave way to another one.
 async fn run_accepted_session(
     stream: TcpStream,
+    handshake: Handshake,
     local: &LocalNode,
     input: &mpsc::UnboundedSender<GatewayInput>,
-) -> WireError {
+) -> Option<WireError> {
     let expected = [NodeRole::Agent, NodeRole::Gateway];
-    match session::accept_any(stream, local, &expected).await {
+    let accepting = session::accept_any(stream, local, &expected);
+    let error = match handshake.run(accepting).await? {
         Ok((socket, NodeRole::Agent, remote)) => run_agent_session(socket, remote, input).await,
         Ok((socket, NodeRole::Gateway, _)) => run_peer_session(socket, false, input).await,
         Err(error) => error,
-    }
+    };
+    Some(error)
 }
 
 async fn run_agent_session(
--- a/laurelstiled/src/leased/mod.rs
+++ b/laurelstiled/src/leased/mod.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 pub mod gate;
 pub mod gateway;
+pub mod handshakes;
 pub mod input;
 mod links;
 pub mod log_output;
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -141,6 +141,8 @@
 /// Connections that were closed while they waited for their client, or refused; labels `listener`,
 /// `reason` (`displaced`: for another one; `head_timeout`; `refused`: all others had calls in progress).
 pub const CONNECTIONS_CLOSED: &str = "laurelstile_connections_closed_total";
+/// Connections to the session address that gave way to later ones before they had said who they are.
+pub const HANDSHAKES_DISPLACED: &str = "laurelstile_handshakes_displaced_total";
 
 /// Upper bounds of the buckets of all histograms: seconds, or the ratio of [`RUN_TIME_RATIO`].
 const BUCKETS: [f64; 14] = [
