--- a/laurelstiled/src/leased/mod.rs
+++ b/laurelstiled/src/leased/mod.rs
@@ -7,6 +7,7 @@
 pub mod decisions;
 pub mod gate;
 pub mod gateway;
+pub mod handshakes;
 pub mod input;
 pub mod line_limit;
 mod links;
