Releases: a gateway whose memory of messages is full handles those that are for it

Cause: a message that could not be remembered was dropped, also one that this gateway had to answer, so that no release was confirmed for up to 10 s. Found by review, by reading; no caller has seen it.

Change: only forwarding needs the memory.

--- a/laurelstile-core/src/leased/gateway/releases.rs
+++ b/laurelstile-core/src/leased/gateway/releases.rs
@@ -23,8 +23,8 @@
 /// How long sent, forwarded and handled messages are remembered. Copies of a message go round all
 /// gateways within this time, or else with it.
 const MESSAGE_RETENTION: Span = Span::from_secs(10);
-/// Maximum number of remembered messages. Further ones are dropped: forwarded without being remembered,
-/// copies would go round the gateways without end. Requests are repeated.
+/// Maximum number of remembered messages. Further ones are not forwarded, as their copies would go round
+/// the gateways without end. Requests are repeated.
 const MAX_REMEMBERED: usize = 16_384;
 /// How long the end of the last session to a gateway is remembered.
 const CLOSED_RETENTION: Span = Span::from_secs(5);
@@ -116,6 +116,17 @@
     Released,
 }
 
+/// What the copies of a message have in common; `None` if it is not forwarded.
+fn key_of(message: &ClaimMessage) -> Option<(ReleaseStep, ReleaseRequest)> {
+    let (step, request) = match message {
+        ClaimMessage::ReleaseRequested(request) => (ReleaseStep::Requested, request),
+        ClaimMessage::ReleasePending(request) => (ReleaseStep::Pending, request),
+        ClaimMessage::Released { request, .. } => (ReleaseStep::Released, request),
+        ClaimMessage::Claimed(_) | ClaimMessage::Confirmed(_) => return None,
+    };
+    Some((step, request.clone()))
+}
+
 /// Messages about releases that were sent, forwarded or handled lately.
 #[derive(Debug, Default)]
 struct RecentMessages {
@@ -124,14 +135,14 @@
 }
 
 impl RecentMessages {
+    fn contains(&self, message: &ClaimMessage) -> bool {
+        key_of(message).is_some_and(|key| self.messages.contains(&key))
+    }
+
     /// Remembers a message; returns whether it is new and was remembered.
     fn insert(&mut self, now: Timestamp, message: &ClaimMessage) -> bool {
-        let (step, request) = match message {
-            ClaimMessage::ReleaseRequested(request) => (ReleaseStep::Requested, request),
-            ClaimMessage::ReleasePending(request) => (ReleaseStep::Pending, request),
-            ClaimMessage::Released { request, .. } => (ReleaseStep::Released, request),
-            // Not forwarded.
-            ClaimMessage::Claimed(_) | ClaimMessage::Confirmed(_) => return true,
+        let Some((step, request)) = key_of(message) else {
+            return true;
         };
         while let Some((at, ..)) = self.order.front()
             && now.since(*at) > MESSAGE_RETENTION
@@ -142,7 +153,7 @@
         let is_new =
             self.messages.len() < MAX_REMEMBERED && self.messages.insert((step, request.clone()));
         if is_new {
-            self.order.push_back((now, step, request.clone()));
+            self.order.push_back((now, step, request));
         }
         is_new
     }
@@ -277,9 +288,10 @@
             }
             message => message,
         };
-        if !self.releases.remembered.insert(now, &message) {
+        if self.releases.remembered.contains(&message) {
             return;
         }
+        let is_remembered = self.releases.remembered.insert(now, &message);
         if let ClaimMessage::Released {
             request, number, ..
         } = &message
@@ -300,6 +312,7 @@
             } if request.requester == name => {
                 self.on_released(now, request, *last_run, effects);
             }
+            _ if !is_remembered => {}
             _ => self.send_to_peers_except(Some(source), &ToPeer::Claim(message), effects),
         }
     }
