Claims: an agent honors the claims that it has answered, no others; no wakeups in the past

Found by a reviewer who had not seen the work, by reading and by tests of his own.

* An agent that is full does not answer a claim, but may answer the next: the gateway took all lower numbers for answered.
It remembers the answered numbers now.
* A gateway that rejoins asked to be woken at a time at which it sends nothing yet, for up to 50 ms.
* Agents of older versions, which do not answer, were counted only in the next review.
* a_peer_of_an_older_version_is_sent_no_confirmations sent a claim without a number, which nobody answers; it has one now.

--- a/laurelstile-core/src/leased/gateway/claim_leases.rs
+++ b/laurelstile-core/src/leased/gateway/claim_leases.rs
@@ -31,6 +31,9 @@
 /// are asked at once.
 pub(super) const GATEWAY_WAIT: Span = Span::from_millis(300);
 
+/// Maximum number of claims that are remembered to be honored by an agent: more than are sent in a
+/// [`CLAIM_LEASE`].
+const MAX_HONORED: usize = 64;
 /// How long a job without runs is held after its lease, for the others to confirm a further claim. A
 /// gateway that was suspended or cut off takes about this long to reach its peers again.
 const REGAIN_TIME: Span = Span::from_millis(500);
@@ -300,6 +303,8 @@
             released: Vec::new(),
         };
         let agents = self.send_claims_to_agents(now, &claims, effects);
+        // Agents of older versions count without an answer.
+        self.claim_leases.needs_review = true;
         effects.push(GatewayEffect::Decided(GatewayDecision::ClaimSentToAgents {
             jobs: claims.jobs.len(),
             agents,
@@ -328,7 +333,8 @@
         self.send_claims_to_agents(now, &claims, effects);
     }
 
-    /// Shows an agent that this gateway understands [`NotStartedReason::Claimed`].
+    /// Shows an agent that this gateway understands [`NotStartedReason::Claimed`]. A gateway that reaches
+    /// all others knows their claims itself.
     pub(super) fn introduce_claims(
         &mut self,
         now: Timestamp,
@@ -336,7 +342,8 @@
         effects: &mut Vec<GatewayEffect>,
     ) {
         let worker = self.workers.get(&agent);
-        if worker.is_some_and(|worker| worker.claims.are_supported()) {
+        let is_supported = worker.is_some_and(|worker| worker.claims.are_supported());
+        if is_supported && !self.has_sessions_to_all_gateways() {
             let claims = AgentClaims::default();
             self.send(now, agent, ToAgentBody::Claims(claims), effects);
         }
@@ -415,8 +422,8 @@
     first_sent: Option<u64>,
     /// Number of the latest claim that was sent on the session.
     last_sent: u64,
-    /// Number of the latest claim that the agent honors; 0 if it honors none.
-    last_honored: u64,
+    /// Numbers of the latest claims that the agent honors.
+    honored: BTreeSet<u64>,
     /// Whether the agent answers claims; `None` before its snapshot.
     is_supported: Option<bool>,
 }
@@ -440,18 +447,21 @@
     }
 
     fn record_honored(&mut self, number: u64) {
-        self.last_honored = self.last_honored.max(number);
+        self.honored.insert(number);
+        if self.honored.len() > MAX_HONORED {
+            self.honored.pop_first();
+        }
     }
 
     /// Whether the agent honors claim `number`. An agent of an older version does not answer claims, and
     /// counts as if it did.
     fn honors(&self, number: u64) -> bool {
-        let last = match self.is_supported {
-            Some(true) => self.last_honored,
-            Some(false) => self.last_sent,
-            None => return false,
-        };
-        self.first_sent
-            .is_some_and(|first| (first..=last).contains(&number))
+        match self.is_supported {
+            Some(true) => self.honored.contains(&number),
+            Some(false) => self
+                .first_sent
+                .is_some_and(|first| (first..=self.last_sent).contains(&number)),
+            None => false,
+        }
     }
 }
--- a/laurelstile-core/src/leased/gateway/claims.rs
+++ b/laurelstile-core/src/leased/gateway/claims.rs
@@ -101,9 +101,14 @@
         }
     }
 
+    /// When claims may next be sent.
+    pub fn next_sending(&self) -> Timestamp {
+        self.sent_at.after(SEND_INTERVAL)
+    }
+
     /// When the next own job is to be claimed, or claims are to be sent.
     pub fn next_due(&self) -> Option<Timestamp> {
-        let next_sending = self.sent_at.after(SEND_INTERVAL);
+        let next_sending = self.next_sending();
         let claim = self.due.first().map(|(at, _)| (*at).max(next_sending));
         let sending = (!self.unsent.is_empty()).then_some(next_sending);
         claim.into_iter().chain(sending).min()
@@ -187,7 +192,7 @@
 
     /// Claims the own jobs that are due, and sends claims to peers.
     pub(super) fn claim_long_jobs(&mut self, now: Timestamp, effects: &mut Vec<GatewayEffect>) {
-        if now < self.claims.sent_at.after(SEND_INTERVAL) {
+        if now < self.claims.next_sending() {
             return;
         }
         self.probe_gateways(now);
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -365,7 +365,7 @@
         let configuration = self.next_configuration_request_at();
         let claim = self.claims.next_due();
         let claim_lease = self.claim_leases.next_due();
-        let rejoining = self.rejoining.next_due();
+        let rejoining = self.rejoining.next_due(self.claims.next_sending());
         let release = self.releases.next_due();
         let review = self.admission.next_review();
         let round = self.cancel_rounds.next_due();
--- a/laurelstile-core/src/leased/gateway/rejoining.rs
+++ b/laurelstile-core/src/leased/gateway/rejoining.rs
@@ -33,9 +33,10 @@
         self.since.map(|since| since.after(MAX_REJOIN_TIME))
     }
 
-    /// When the next claim is due, or the time is over.
-    pub fn next_due(&self) -> Option<Timestamp> {
-        self.until().map(|until| until.min(self.next_probe_at))
+    /// When the next claim is due, or the time is over. Claims are sent at `next_sending` at the earliest.
+    pub fn next_due(&self, next_sending: Timestamp) -> Option<Timestamp> {
+        let probe_at = self.next_probe_at.max(next_sending);
+        self.until().map(|until| until.min(probe_at))
     }
 }
 
--- a/laurelstile-core/tests/leased_claim_leases.rs
+++ b/laurelstile-core/tests/leased_claim_leases.rs
@@ -9,8 +9,8 @@
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent, Refusal};
 use laurelstile_core::leased::membership::digest::Digest;
 use laurelstile_core::leased::messages::{
-    AgentClaims, ClaimConfirmation, ClaimMessage, EndKind, FromAgentBody, HeldJobs, Introduction,
-    Member, NotStartedReason, Snapshot, ToAgentBody, ToPeer,
+    AgentClaims, ClaimConfirmation, ClaimMessage, ClaimNumber, EndKind, FromAgentBody, HeldJobs,
+    Introduction, Member, NotStartedReason, Snapshot, ToAgentBody, ToPeer,
 };
 use laurelstile_core::leased::task::JobId;
 use laurelstile_core::leased::timing::{
@@ -375,7 +375,10 @@
     let held = HeldJobs {
         holder: "gateway-1".into(),
         jobs: vec![JobId(1)],
-        number: None,
+        number: Some(ClaimNumber {
+            incarnation: Incarnation(9),
+            number: 1,
+        }),
         reaches_all: false,
     };
     let claimed = ToPeer::Claim(ClaimMessage::Claimed(vec![held]));
