--- a/laurelstile-core/src/leased/gateway/claim_leases.rs
+++ b/laurelstile-core/src/leased/gateway/claim_leases.rs
@@ -31,9 +31,6 @@
 /// are asked at once.
 pub(super) const GATEWAY_WAIT: Span = Span::from_millis(300);
 
-/// Maximum number of claims that are remembered to be honored by an agent: more than are sent in a
-/// [`CLAIM_LEASE`].
-const MAX_HONORED: usize = 64;
 /// How long a job without runs is held after its lease, for the others to confirm a further claim. A
 /// gateway that was suspended or cut off takes about this long to reach its peers again.
 const REGAIN_TIME: Span = Span::from_millis(500);
@@ -414,54 +411,3 @@
         self.finish(now, id, answer, effects);
     }
 }
-
-/// Which claims an agent honors, on the open session.
-#[derive(Debug, Default)]
-pub struct HonoredClaims {
-    /// Number of the first claim that was sent on the session.
-    first_sent: Option<u64>,
-    /// Number of the latest claim that was sent on the session.
-    last_sent: u64,
-    /// Numbers of the latest claims that the agent honors.
-    honored: BTreeSet<u64>,
-    /// Whether the agent answers claims; `None` before its snapshot.
-    is_supported: Option<bool>,
-}
-
-impl HonoredClaims {
-    /// Records whether the agent answers claims, as its snapshot says.
-    pub fn record_support(&mut self, is_supported: bool) {
-        self.is_supported = Some(is_supported);
-    }
-
-    /// Whether the agent understands claims.
-    pub fn are_supported(&self) -> bool {
-        self.is_supported == Some(true)
-    }
-
-    fn record_sent(&mut self, number: u64) {
-        if self.is_supported.is_some() {
-            self.first_sent.get_or_insert(number);
-            self.last_sent = number;
-        }
-    }
-
-    fn record_honored(&mut self, number: u64) {
-        self.honored.insert(number);
-        if self.honored.len() > MAX_HONORED {
-            self.honored.pop_first();
-        }
-    }
-
-    /// Whether the agent honors claim `number`. An agent of an older version does not answer claims, and
-    /// counts as if it did.
-    fn honors(&self, number: u64) -> bool {
-        match self.is_supported {
-            Some(true) => self.honored.contains(&number),
-            Some(false) => self
-                .first_sent
-                .is_some_and(|first| (first..=self.last_sent).contains(&number)),
-            None => false,
-        }
-    }
-}
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod candidate;
 pub mod capacity;
 mod checkpoints;
+mod claim_answers;
 mod claim_leases;
 mod claim_log;
 mod claims;
--- a/laurelstile-core/src/leased/gateway/workers.rs
+++ b/laurelstile-core/src/leased/gateway/workers.rs
@@ -13,7 +13,7 @@
     AGENT_EXPIRY, BUSY_HEARTBEAT_INTERVAL, BUSY_SUSPECT_AFTER, IDLE_SUSPECT_AFTER,
 };
 use super::agent_confirmations::AgentConfirmations;
-use super::claim_leases::HonoredClaims;
+use super::claim_answers::ClaimAnswers;
 use super::job::StepRequest;
 use super::worker_usage::WorkerUsage;
 use crate::session::{Remote, SessionId};
@@ -85,7 +85,7 @@
     /// Which cancellations the agent has confirmed.
     pub confirmations: AgentConfirmations,
     /// Which claims the agent honors.
-    pub claims: HonoredClaims,
+    pub claims: ClaimAnswers,
     /// Whether the agent's process has announced its end.
     pub is_ending: bool,
     /// Number of the latest batch on this session; 0 before the first.
@@ -128,7 +128,7 @@
             has_told_served: false,
             unsent_cancels: Vec::new(),
             confirmations: AgentConfirmations::default(),
-            claims: HonoredClaims::default(),
+            claims: ClaimAnswers::default(),
             is_ending: false,
             last_batch: 0,
             unreported: VecDeque::new(),
@@ -173,7 +173,7 @@
     ) {
         self.unsent_cancels = cancelled;
         self.confirmations.open(now);
-        self.claims = HonoredClaims::default();
+        self.claims = ClaimAnswers::default();
         let started_at = process_start(now, uptime);
         self.process_started_at = self.process_started_at.min(started_at);
         self.session = Some(session);
