--- a/laurelstiled/tests/decision_log.rs
+++ b/laurelstiled/tests/decision_log.rs
@@ -127,7 +127,7 @@
     }
 }
 
-/// Guards against an incident without a line of its job: at load, steps and outcomes used up the limit,
+/// Guards against a task that runs twice without a line of its job in the log: at load, steps and outcomes used up the limit,
 /// and what gateways knew of a second holder was dropped.
 #[rstest]
 #[case::claim("claimed", GatewayDecision::Claimed { jobs: vec![job()] })]
