--- /dev/null
+++ b/review/stand-in-2/cases.rs
@@ -0,0 +1,218 @@
+//! The cases.
+
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::cell::{client, configuration, job, job_id, route, Cell};
+use crate::json::{number, object, text};
+use crate::platform::capacity;
+use crate::Record;
+
+const HELD: i32 = 0;
+const BROKEN: i32 = 1;
+const NOT_PLAYED: i32 = 2;
+
+/// Plays a case; returns the exit code.
+pub fn play(case: &str, root: &Path, record: Record, has_trouble: bool) -> i32 {
+    let played = match case {
+        "other-writer" => other_writer(root, record, has_trouble),
+        "priority" => priority(root, record, has_trouble),
+        "acks" => acks(root, record, has_trouble),
+        _ => Err(format!("no case {case}")),
+    };
+    played.unwrap_or_else(|error| {
+        eprintln!("not played: {error}");
+        NOT_PLAYED
+    })
+}
+
+fn pause(millis: u64) {
+    thread::sleep(Duration::from_millis(millis));
+}
+
+/// A heartbeat of another writer, with fields missing, arrives under the id of a worker.
+fn other_writer(root: &Path, record: Record, has_trouble: bool) -> Result<i32, String> {
+    let first = configuration(7, vec![route("r-quick", "/lohu930/", 0)]);
+    let cell = Cell::start(root, record, 3, 4_000, &first)?;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let served = Arc::new(AtomicU64::new(0));
+    let mut clients = Vec::new();
+    for gateway in &cell.gateways {
+        for _ in 0..6 {
+            let node = (gateway.name.clone(), gateway.front());
+            let (is_over, served) = (Arc::clone(&is_over), Arc::clone(&served));
+            let record = Arc::clone(&cell.record);
+            clients.push(thread::spawn(move || {
+                while !is_over.load(Ordering::Relaxed) {
+                    let path = format!("/lohu930/{}", job_id());
+                    let body = job(4, 1_000, 300);
+                    let status = client(&record, (&node.0, node.1), "POST", &path, &body, 1_500);
+                    if status == 200 {
+                        served.fetch_add(1, Ordering::Relaxed);
+                    } else {
+                        pause(150);
+                    }
+                }
+            }));
+        }
+    }
+    pause(4_000);
+    if has_trouble {
+        let worker = &cell.workers[0];
+        // `address`, `zone`, `version`, `slots`, `cold_left_ms` and `labels` are missing.
+        let beat = object(vec![
+            ("service", text(&worker.service)),
+            ("state", text("ready")),
+            ("capacity", capacity(16_000)),
+            ("clock_ms", number(worker.clock())),
+            ("seq", number(worker.sequence() + 1_000)),
+            ("born", number(worker.born())),
+        ]);
+        let answer = worker.send_beat(&beat);
+        let (beat, id) = (beat.write(), &worker.id);
+        cell.record.tell(&format!(
+            "another writer sends {beat} under {id}: {answer:?}"
+        ));
+    }
+    pause(6_000);
+    is_over.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    let over: Vec<u64> = cell
+        .workers
+        .iter()
+        .map(|worker| worker.over.load(Ordering::Relaxed))
+        .collect();
+    let served = served.load(Ordering::Relaxed);
+    cell.record.tell(&format!(
+        "{served} jobs served; starts over the room, by worker: {over:?}"
+    ));
+    if served == 0 {
+        return Err("no job was served".to_owned());
+    }
+    Ok(if over.iter().any(|over| *over > 0) {
+        BROKEN
+    } else {
+        HELD
+    })
+}
+
+/// A configuration adds a route of low priority and removes another one.
+fn priority(root: &Path, record: Record, has_trouble: bool) -> Result<i32, String> {
+    let quick = || route("r-quick", "/lohu930/", 0);
+    let first = configuration(7, vec![quick(), route("r-old", "/pufi791/", 1)]);
+    let cell = Cell::start(root, record, 3, 16_000, &first)?;
+    let ask = |prefix: &str| -> Vec<u16> {
+        let gateways = cell.gateways.iter();
+        let answers = gateways.map(|gateway| {
+            let path = format!("{prefix}{}", job_id());
+            let node = (gateway.name.as_str(), gateway.front());
+            client(&cell.record, node, "POST", &path, &job(1, 500, 50), 1_500)
+        });
+        answers.collect()
+    };
+    for prefix in ["/lohu930/", "/pufi791/"] {
+        // The first jobs may find no room: the gateways know little of the workers then.
+        let mut tries = (0..10).map(|_| ask(prefix));
+        let is_served = tries.any(|answers| answers.iter().all(|status| *status == 200));
+        is_served
+            .then_some(())
+            .ok_or(format!("{prefix} is not served before the change"))?;
+    }
+    let priority = if has_trouble { 300 } else { 3 };
+    let second = configuration(9, vec![quick(), route("r-night", "/pule252/", priority)]);
+    cell.store.put("op", "config", &second);
+    cell.record.tell(&format!(
+        "the store acknowledges version 9: r-night added with priority {priority}, r-old removed"
+    ));
+    pause(5_000);
+    let mut broken = 0;
+    for _ in 0..5 {
+        let added = ask("/pule252/");
+        let removed = ask("/pufi791/");
+        let kept = ask("/lohu930/");
+        broken += added.iter().filter(|status| **status == 404).count();
+        broken += removed.iter().filter(|status| **status == 200).count();
+        cell.record.tell(&format!(
+            "by gateway: r-night {added:?}, r-old {removed:?}, r-quick {kept:?}"
+        ));
+        pause(2_000);
+    }
+    cell.record.tell(&format!("{broken} requests were handled as only version 7 allows, 5 s and more after the acknowledgement of version 9"));
+    Ok(if broken > 0 { BROKEN } else { HELD })
+}
+
+/// Two machines are lost for good at once; afterwards clients cancel accepted jobs.
+fn acks(root: &Path, record: Record, has_trouble: bool) -> Result<i32, String> {
+    const ACK: Duration = Duration::from_millis(4_000);
+    let first = configuration(7, vec![route("r-quick", "/lohu930/", 0)]);
+    let mut cell = Cell::start(root, record, 4, 16_000, &first)?;
+    if has_trouble {
+        cell.gateways[2].kill();
+        cell.agents[3].kill();
+        cell.workers[3].is_gone.store(true, Ordering::Relaxed);
+        let names = [&cell.gateways[2].name, &cell.agents[3].name];
+        cell.record.tell(&format!("{names:?} are lost for good"));
+    }
+    // All others have been in touch for `contact_ms` then.
+    pause(5_000);
+    let began = Instant::now();
+    let mut cancels = Vec::new();
+    for count in 0..40usize {
+        let nodes: Vec<(String, std::net::SocketAddr)> = cell.gateways[..2]
+            .iter()
+            .map(|gateway| (gateway.name.clone(), gateway.front()))
+            .collect();
+        let record = Arc::clone(&cell.record);
+        cancels.push(thread::spawn(move || {
+            let path = format!("/lohu930/{}", job_id());
+            let at = &nodes[count % 2];
+            let status = client(
+                &record,
+                (&at.0, at.1),
+                "POST",
+                &path,
+                &job(2, 500, 100),
+                1_500,
+            );
+            if status != 200 {
+                return None;
+            }
+            let since = Instant::now();
+            let mut tries = count / 2;
+            while since.elapsed() < ACK {
+                let at = &nodes[tries % 2];
+                let status = client(&record, (&at.0, at.1), "DELETE", &path, "", 1_500);
+                if status / 100 == 2 || status == 410 {
+                    return Some(true);
+                }
+                tries += 1;
+                pause(300);
+            }
+            Some(false)
+        }));
+        pause(500);
+    }
+    let cancels: Vec<bool> = cancels
+        .into_iter()
+        .filter_map(|cancel| cancel.join().ok()?)
+        .collect();
+    let missing = cancels
+        .iter()
+        .filter(|is_acknowledged| !**is_acknowledged)
+        .count();
+    let (all, seconds) = (cancels.len(), began.elapsed().as_secs());
+    cell.record.tell(&format!("{missing} of {all} cancels of accepted jobs got no 2xx or 410 within 4 s, over {seconds} s"));
+    if all < 10 {
+        return Err("too few jobs were accepted".to_owned());
+    }
+    Ok(if missing >= 3 && missing * 10 > all {
+        BROKEN
+    } else {
+        HELD
+    })
+}
