--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::cell::{client, configuration, job, job_id, route, Cell};
+use crate::cell::{client, configuration, job, job_for, job_id, route, Cell};
 use crate::json::{number, object, text};
 use crate::platform::capacity;
 use crate::Record;
@@ -21,6 +21,7 @@
         "other-writer" => other_writer(root, record, has_trouble),
         "priority" => priority(root, record, has_trouble),
         "acks" => acks(root, record, has_trouble),
+        "other-kind" => other_kind(root, record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     played.unwrap_or_else(|error| {
@@ -216,3 +217,68 @@
         HELD
     })
 }
+
+/// A worker crashes and is replaced by one of another kind, just as jobs for the first kind arrive. In the
+/// later rounds a packet from its agent to their gateway is lost at that moment, and arrives 200 ms later.
+fn other_kind(root: &Path, record: Record, has_trouble: bool) -> Result<i32, String> {
+    const ROUNDS: usize = 6;
+    let first = configuration(7, vec![route("r-quick", "/lohu930/", 0)]);
+    let mut cell = Cell::start(root, record, 3, 16_000, &first)?;
+    let submit = |cell: &Cell, jobs: u64, interval: u64| {
+        let mut clients = Vec::new();
+        for _ in 0..jobs {
+            let gateway = &cell.gateways[0];
+            let node = (gateway.name.clone(), gateway.front());
+            let record = Arc::clone(&cell.record);
+            clients.push(thread::spawn(move || {
+                let path = format!("/lohu930/{}", job_id());
+                let body = job_for("a", 500, 50);
+                client(&record, (&node.0, node.1), "POST", &path, &body, 1_500) == 200
+            }));
+            pause(interval);
+        }
+        let served = clients.into_iter().filter_map(|client| client.join().ok());
+        served.filter(|is_served| *is_served).count()
+    };
+    let mut served = 0;
+    let mut misplaced = [0, 0];
+    for round in 0..ROUNDS {
+        served += submit(&cell, 20, 50);
+        pause(300);
+        if has_trouble {
+            cell.workers[0].end_process();
+            pause(2_000);
+            let loses_packet = round >= ROUNDS / 2;
+            cell.relays[0].hold(loses_packet);
+            let next = cell.workers[0].succeed(&format!("i-0-{round}-b"), "b", 16_000);
+            if loses_packet {
+                pause(10);
+                let relay = Arc::clone(&cell.relays[0]);
+                let release = thread::spawn(move || {
+                    pause(190);
+                    relay.hold(false);
+                });
+                submit(&cell, 15, 10);
+                let _ = release.join();
+            } else {
+                submit(&cell, 20, 0);
+            }
+            misplaced[usize::from(loses_packet)] += next.misplaced.load(Ordering::Relaxed);
+            // A worker of the first kind comes back for the next round.
+            pause(1_500);
+            next.end_process();
+            pause(2_000);
+            cell.workers[0] = next.succeed(&format!("i-0-{round}-a"), "a", 16_000);
+            pause(3_000);
+        }
+    }
+    let [at_once, late] = misplaced;
+    cell.record.tell(&format!(
+        "{served} jobs served on the right kind; tasks started on a worker without the label that they \
+         require: {at_once} with no packet lost, {late} with one"
+    ));
+    if served < 20 {
+        return Err("too few jobs were served".to_owned());
+    }
+    Ok(if at_once + late > 0 { BROKEN } else { HELD })
+}
--- a/review/stand-in-2/cell.rs
+++ b/review/stand-in-2/cell.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 use crate::http;
 use crate::json::{number, object, text, Json};
 use crate::platform::{Store, Worker};
+use crate::relay::Relay;
 use crate::{name, Record};
 
 const FRONT: u16 = 8161;
@@ -53,6 +55,8 @@
     pub agents: Vec<Node>,
     pub workers: Vec<Arc<Worker>>,
     pub record: Arc<Record>,
+    /// Before the gateways' session addresses, in their order.
+    pub relays: Vec<Arc<Relay>>,
     folder: PathBuf,
 }
 
@@ -121,6 +125,23 @@
     job.write()
 }
 
+/// A job of one task, which asks for a worker of a kind.
+pub fn job_for(kind: &str, cpu: u64, millis: u64) -> String {
+    let step = object(vec![
+        ("count", number(1)),
+        ("cpu", number(cpu)),
+        ("mem_mb", number(64)),
+        ("estimate_ms", number(millis)),
+        ("requirements", text(kind)),
+    ]);
+    let job = object(vec![
+        ("spec", text(&format!("cpu={cpu} ms={millis} kind={kind}"))),
+        ("steps", Json::List(vec![step])),
+        (name("loose"), Json::Bool(true)),
+    ]);
+    job.write()
+}
+
 /// A new id of a job.
 pub fn job_id() -> String {
     let mut bytes = [0; 8];
@@ -162,27 +183,37 @@
         first: &Json,
     ) -> Result<Self, String> {
         let record = Arc::new(record);
-        let network = free_network(agents + 4).ok_or("no free loopback addresses")?;
+        let network = free_network(agents + 7).ok_or("no free loopback addresses")?;
         let ip = |host: usize| Ipv4Addr::new(127, network[0], network[1], host as u8 + 1);
         let folder = std::env::temp_dir().join(format!("cell-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let store_at: SocketAddr = (ip(0), STORE).into();
         let store = Store::start(store_at);
         store.put("op", "config", first);
-        let seeds: Vec<Ipv4Addr> = (1..=3).map(ip).collect();
+        // The relays' addresses; agents and gateways know no others of the gateways.
+        let seeds: Vec<Ipv4Addr> = (0..3).map(|index| ip(agents + 4 + index)).collect();
         let mut cell = Self {
             store,
             gateways: Vec::new(),
             agents: Vec::new(),
             workers: Vec::new(),
             record,
+            relays: Vec::new(),
             folder,
         };
         for index in 0..3 {
             let node = cell.start_node(root, "front", index, ip(index + 1), store_at, &seeds)?;
             cell.gateways.push(node);
+            let target = (ip(index + 1), SESSIONS).into();
+            let relay = Relay::start((seeds[index], SESSIONS).into(), target);
+            cell.relays.push(relay);
         }
         for index in 0..agents {
+            // The connections of the first agent are marked at the relays.
+            thread::sleep(Duration::from_millis(if index < 2 { 1_500 } else { 0 }));
+            cell.relays.iter().for_each(|relay| {
+                relay.is_marking.store(index == 0, Ordering::SeqCst);
+            });
             let at = ip(index + 4);
             let node = cell.start_node(root, "side", index, at, store_at, &seeds)?;
             cell.agents.push(node);
@@ -190,8 +221,10 @@
             let zone = ZONES[index % 3];
             let addresses = ((at, APP).into(), (at, CONTROL).into());
             let record = Arc::clone(&cell.record);
-            cell.workers
-                .push(Worker::start((&id, SERVICE, zone), cpu, addresses, record));
+            // The first worker is the only one of its kind.
+            let kind = if index == 0 { "a" } else { "b" };
+            let worker = Worker::start((&id, SERVICE, zone, kind), cpu, addresses, record);
+            cell.workers.push(worker);
         }
         cell.wait_until_ready()?;
         Ok(cell)
@@ -211,6 +244,7 @@
         let template = fs::read_to_string(template).map_err(|error| error.to_string())?;
         let zone = ZONES[index % 3];
         let node = format!("{class}-{zone}-{}", index + 1);
+        let relay = seeds[index % 3];
         let quoted = |port: u16| format!("\"{ip}:{port}\"");
         let seeds = seeds.iter().map(|seed| format!("\"{seed}:{CONTROL}\""));
         let seeds: Vec<String> = seeds.collect();
@@ -224,6 +258,12 @@
             ("{{heartbeat_ms}}", "1500".to_owned()),
             ("{{node_name|json}}", format!("\"{node}\"")),
             ("{{zone|json}}", format!("\"{zone}\"")),
+            (
+                "\"sessions\": \"{{ip}}:{{internal_ports.0}}\",",
+                format!(
+                    "\"sessions\": \"{ip}:{SESSIONS}\", \"advertised\": \"{relay}:{SESSIONS}\","
+                ),
+            ),
             ("{{ip}}", ip.to_string()),
             ("{{internal_ports.0}}", SESSIONS.to_string()),
             ("{{platform.address|json}}", format!("\"{store}\"")),
--- a/review/stand-in-2/http.rs
+++ b/review/stand-in-2/http.rs
@@ -1,8 +1,9 @@
 //! A small HTTP/1.1 server and client over blocking sockets.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -51,16 +52,51 @@
 /// Status and JSON body of an answer.
 pub type Answer = (u16, String);
 
+/// A running server.
+pub struct Server {
+    address: SocketAddr,
+    is_stopped: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Closes the listener and all connections, as the end of its process would.
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        // Wakes the listener.
+        let _ = TcpStream::connect(self.address);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// Serves requests on `address`, each connection in a thread of its own.
-pub fn serve(address: SocketAddr, handle: impl Fn(&Request) -> Answer + Send + Sync + 'static) {
+pub fn serve(
+    address: SocketAddr,
+    handle: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+) -> Server {
     let listener = TcpListener::bind(address).expect("a stand-in listens");
+    let server = Server {
+        address,
+        is_stopped: Arc::default(),
+        streams: Arc::default(),
+    };
     let handle = Arc::new(handle);
+    let (is_stopped, streams) = (Arc::clone(&server.is_stopped), Arc::clone(&server.streams));
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if is_stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            if let Ok(stream) = stream.try_clone() {
+                streams.lock().unwrap().push(stream);
+            }
             let handle = Arc::clone(&handle);
             thread::spawn(move || serve_connection(&stream, handle.as_ref()));
         }
     });
+    server
 }
 
 fn serve_connection(stream: &TcpStream, handle: &impl Fn(&Request) -> Answer) -> Option<()> {
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod platform;
+mod relay;
 
 use std::fs::File;
 use std::io::Write;
--- a/review/stand-in-2/platform.rs
+++ b/review/stand-in-2/platform.rs
@@ -198,6 +198,8 @@
     pub id: String,
     pub service: String,
     pub zone: String,
+    /// The label of its kind.
+    kind: String,
     pub address: SocketAddr,
     control: SocketAddr,
     born: u64,
@@ -209,6 +211,9 @@
     record: Arc<Record>,
     /// Starts that brought it over its room.
     pub over: AtomicU64,
+    /// Starts whose input asks for a worker of another kind.
+    pub misplaced: AtomicU64,
+    server: Mutex<Option<http::Server>>,
 }
 
 struct State {
@@ -230,8 +235,15 @@
 }
 
 impl Worker {
+    /// The next worker at the same address, after this one has ended: of another kind, with a new id.
+    pub fn succeed(&self, id: &str, kind: &str, cpu: u64) -> Arc<Self> {
+        let names = (id, self.service.as_str(), self.zone.as_str(), kind);
+        let addresses = (self.address, self.control);
+        Self::start(names, cpu, addresses, Arc::clone(&self.record))
+    }
+
     pub fn start(
-        (id, service, zone): (&str, &str, &str),
+        (id, service, zone, kind): (&str, &str, &str, &str),
         cpu: u64,
         (address, control): (SocketAddr, SocketAddr),
         record: Arc<Record>,
@@ -241,6 +253,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
+            kind: kind.to_owned(),
             address,
             control,
             born: unix.map_or(0, |since| since.as_millis() as u64),
@@ -259,9 +272,12 @@
             is_gone: AtomicBool::new(false),
             record,
             over: AtomicU64::new(0),
+            misplaced: AtomicU64::new(0),
+            server: Mutex::new(None),
         });
         let served = Arc::clone(&worker);
-        http::serve(address, move |request| served.answer(request));
+        let server = http::serve(address, move |request| served.answer(request));
+        *worker.server.lock().unwrap() = Some(server);
         let ticking = Arc::clone(&worker);
         thread::spawn(move || loop {
             thread::sleep(Duration::from_millis(1));
@@ -281,6 +297,15 @@
         worker
     }
 
+    /// Ends its process.
+    pub fn end_process(&self) {
+        self.is_gone.store(true, Ordering::Relaxed);
+        if let Some(server) = self.server.lock().unwrap().take() {
+            server.stop();
+        }
+        self.record.add(&format!("worker {} has ended", self.id));
+    }
+
     pub fn clock(&self) -> u64 {
         5_000 + self.began.elapsed().as_millis() as u64
     }
@@ -305,7 +330,7 @@
             ("state", text("ready")),
             ("cold_left_ms", number(0)),
             ("capacity", capacity(cpu)),
-            ("labels", Json::List(vec![text("a"), text("r1-1")])),
+            ("labels", Json::List(vec![text(&self.kind), text("r1-1")])),
             ("clock_ms", number(self.clock())),
             ("seq", number(sequence)),
             ("born", number(self.born)),
@@ -423,6 +448,11 @@
             self.over.fetch_add(1, Ordering::Relaxed);
             note = format!(" OVER ITS ROOM: {} of {}", taken + cpu, state.cpu);
         }
+        let wanted = spec.split(' ').find_map(|word| word.strip_prefix("kind="));
+        if wanted.is_some_and(|wanted| wanted != self.kind) {
+            self.misplaced.fetch_add(1, Ordering::Relaxed);
+            note.push_str(&format!(" ON ANOTHER KIND: {}", self.kind));
+        }
         self.record.add(&format!(
             "worker {} starts {task} run {number}{note}",
             self.id
