--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-CASE=priority
+CASE=other-kind
 source "$(dirname "$0")/../stand-in-2/run.sh"
--- a/review/stand-in-2/cases.rs
+++ b/review/stand-in-2/cases.rs
@@ -6,10 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::cell::{client, configuration, job, job_for, job_id, route, Cell};
+use crate::cell::{chain, client, configuration, job, job_for, job_id, route, Cell};
 use crate::json::{number, object, text};
 use crate::platform::capacity;
-use crate::Record;
+use crate::{http, Record};
 
 const HELD: i32 = 0;
 const BROKEN: i32 = 1;
@@ -21,6 +21,7 @@
         "other-writer" => other_writer(root, record, has_trouble),
         "priority" => priority(root, record, has_trouble),
         "acks" => acks(root, record, has_trouble),
+        "lost-cancel" => lost_cancel(root, record, has_trouble),
         "other-kind" => other_kind(root, record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -282,3 +283,114 @@
     }
     Ok(if at_once + late > 0 { BROKEN } else { HELD })
 }
+
+/// A client's connection breaks; before it submits its job again, another client cancels the job, and all
+/// machines lose power right after the acknowledgement.
+fn lost_cancel(root: &Path, record: Record, has_trouble: bool) -> Result<i32, String> {
+    const JOBS: usize = 4;
+    const DOWN: u64 = 1_200;
+    const RESEND: u64 = 1_300;
+    const CANCEL: Duration = Duration::from_millis(3_000);
+    const CONTACT: Duration = Duration::from_millis(3_000);
+    let first = configuration(7, vec![route("r-quick", "/lohu930/", 0)]);
+    let mut cell = Cell::start(root, record, 3, 16_000, &first)?;
+    let ids: Vec<String> = (0..JOBS).map(|_| job_id()).collect();
+    let body = chain(8, 500, 900);
+    let fronts: Vec<(String, std::net::SocketAddr)> = cell
+        .gateways
+        .iter()
+        .map(|gateway| (gateway.name.clone(), gateway.front()))
+        .collect();
+    let broken: Vec<_> = ids
+        .iter()
+        .map(|id| {
+            let (path, body, at) = (format!("/lohu930/{id}"), body.clone(), fronts[0].1);
+            cell.record.add(&format!(
+                "client POST {path} at {}: its connection breaks after 500 ms",
+                fronts[0].0
+            ));
+            thread::spawn(move || {
+                http::break_call(
+                    at,
+                    &path,
+                    "nony24.example",
+                    &body,
+                    Duration::from_millis(500),
+                );
+                Instant::now()
+            })
+        })
+        .collect();
+    let broken: Vec<Instant> = broken
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect();
+    pause(300);
+    let mut acknowledged = Vec::new();
+    for id in &ids {
+        let node = (fronts[1].0.as_str(), fronts[1].1);
+        let status = client(
+            &cell.record,
+            node,
+            "DELETE",
+            &format!("/lohu930/{id}"),
+            "",
+            1_500,
+        );
+        if status / 100 != 2 && status != 410 {
+            return Err(format!("a cancel is not acknowledged: {status}"));
+        }
+        acknowledged.push(Instant::now());
+    }
+    let mut up_at = Instant::now();
+    if has_trouble {
+        let nodes = cell.gateways.iter_mut().chain(&mut cell.agents);
+        nodes.for_each(|node| node.kill());
+        cell.workers.iter().for_each(|worker| worker.end_process());
+        cell.record.tell("all machines have lost power");
+        pause(DOWN);
+        for node in cell.gateways.iter_mut().chain(&mut cell.agents) {
+            node.start_again()?;
+        }
+        let next = cell.workers.iter().enumerate();
+        let next = next.map(|(index, worker)| worker.succeed(&format!("i-{index}-2"), "a", 16_000));
+        cell.workers = next.collect();
+        up_at = Instant::now();
+        cell.record.tell("all machines are up again");
+    }
+    // The clients submit their jobs again 1.3 s after each break, at any gateway.
+    let clients = ids
+        .iter()
+        .zip(broken)
+        .enumerate()
+        .map(|(index, (id, broken_at))| {
+            let (path, body, fronts) = (format!("/lohu930/{id}"), body.clone(), fronts.clone());
+            let record = Arc::clone(&cell.record);
+            thread::spawn(move || {
+                let first = Duration::from_millis(RESEND).saturating_sub(broken_at.elapsed());
+                thread::sleep(first);
+                for attempt in 0..6 {
+                    let at = &fronts[(index + attempt) % 3];
+                    let status = client(&record, (&at.0, at.1), "POST", &path, &body, 25_000);
+                    if status == 200 {
+                        return;
+                    }
+                    pause(RESEND);
+                }
+            })
+        });
+    let clients: Vec<_> = clients.collect();
+    clients.into_iter().for_each(|client| drop(client.join()));
+    let mut late = 0;
+    for worker in &cell.workers {
+        for (at, task) in worker.starts.lock().unwrap().iter() {
+            let index = ids.iter().position(|id| task.starts_with(id.as_str()));
+            let Some(index) = index else { continue };
+            let is_late = at.duration_since(acknowledged[index]) > CANCEL;
+            let is_in_touch = !has_trouble || at.duration_since(up_at) > CONTACT;
+            late += usize::from(is_late && is_in_touch);
+        }
+    }
+    cell.record.tell(&format!("{late} tasks of {JOBS} cancelled jobs started over 3 s after the acknowledgement, on machines in touch"));
+    Ok(if late > 0 { BROKEN } else { HELD })
+}
--- a/review/stand-in-2/cell.rs
+++ b/review/stand-in-2/cell.rs
@@ -34,6 +34,8 @@
 pub struct Node {
     pub name: String,
     ip: Ipv4Addr,
+    root: PathBuf,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -42,6 +44,12 @@
         (self.ip, FRONT).into()
     }
 
+    /// Starts the process again, with the same settings.
+    pub fn start_again(&mut self) -> Result<(), String> {
+        self.child = spawn(&self.root, &self.settings)?;
+        Ok(())
+    }
+
     /// Kills the process; it does not come back.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -125,6 +133,28 @@
     job.write()
 }
 
+/// A job whose steps, of one task each, run one after the other.
+pub fn chain(steps: u64, cpu: u64, millis: u64) -> String {
+    let steps = (0..steps).map(|index| {
+        let mut step = vec![
+            ("count", number(1)),
+            ("cpu", number(cpu)),
+            ("mem_mb", number(64)),
+            ("estimate_ms", number(millis)),
+        ];
+        if index > 0 {
+            step.push(("after", Json::List(vec![number(index - 1)])));
+        }
+        object(step)
+    });
+    let job = object(vec![
+        ("spec", text(&format!("cpu={cpu} ms={millis}"))),
+        ("steps", Json::List(steps.collect())),
+        (name("loose"), Json::Bool(true)),
+    ]);
+    job.write()
+}
+
 /// A job of one task, which asks for a worker of a kind.
 pub fn job_for(kind: &str, cpu: u64, millis: u64) -> String {
     let step = object(vec![
@@ -281,19 +311,13 @@
         }
         let path = self.folder.join(format!("{node}.json"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
-        let log = fs::File::create(self.folder.join(format!("{node}.log")));
-        let log = log.map_err(|error| error.to_string())?;
-        let child = Command::new(root.join("target/release/laurelstile-node"))
-            .current_dir(root)
-            .env("LAURELSTILE_CONFIG", &path)
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .map_err(|error| format!("laurelstile-node: {error}"))?;
+        let child = spawn(root, &path)?;
         self.record.add(&format!("{node} starts at {ip}"));
         Ok(Node {
             name: node,
             ip,
+            root: root.to_owned(),
+            settings: path,
             child,
         })
     }
@@ -326,6 +350,19 @@
     }
 }
 
+/// Starts a process as the bench does; its log goes to a file beside its settings.
+fn spawn(root: &Path, settings: &Path) -> Result<Child, String> {
+    let log = fs::File::create(settings.with_extension("log"));
+    let log = log.map_err(|error| error.to_string())?;
+    Command::new(root.join("target/release/laurelstile-node"))
+        .current_dir(root)
+        .env("LAURELSTILE_CONFIG", settings)
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .map_err(|error| format!("laurelstile-node: {error}"))
+}
+
 /// Two bytes of a loopback network whose first addresses have all the ports free.
 fn free_network(hosts: usize) -> Option<[u8; 2]> {
     let process = std::process::id();
--- a/review/stand-in-2/http.rs
+++ b/review/stand-in-2/http.rs
@@ -155,6 +155,19 @@
     })
 }
 
+/// Makes a call whose connection breaks after this time, before its answer.
+pub fn break_call(address: SocketAddr, path: &str, host: &str, body: &str, after: Duration) {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: {host}\r\nDeadline-Ms: 25000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    if let Ok(mut stream) = TcpStream::connect(address) {
+        let _ = stream.write_all(head.as_bytes());
+        thread::sleep(after);
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
+
 /// Makes a call on a connection of its own; `None` if it gets no whole answer in time.
 pub fn call(
     address: SocketAddr,
--- a/review/stand-in-2/platform.rs
+++ b/review/stand-in-2/platform.rs
@@ -213,6 +213,8 @@
     pub over: AtomicU64,
     /// Starts whose input asks for a worker of another kind.
     pub misplaced: AtomicU64,
+    /// When each task of a job was started.
+    pub starts: Mutex<Vec<(Instant, String)>>,
     server: Mutex<Option<http::Server>>,
 }
 
@@ -273,6 +275,7 @@
             record,
             over: AtomicU64::new(0),
             misplaced: AtomicU64::new(0),
+            starts: Mutex::default(),
             server: Mutex::new(None),
         });
         let served = Arc::clone(&worker);
@@ -457,6 +460,10 @@
             "worker {} starts {task} run {number}{note}",
             self.id
         ));
+        self.starts
+            .lock()
+            .unwrap()
+            .push((Instant::now(), task.clone()));
         let run = Run {
             number,
             cpu,
