Configurations: a value of one queue holds back no configuration

No gateway puts the version in force: callers of the added queue get 404, and jobs of the removed queue run.

Cause: gateways that share capacity between queues refused a version whole for the first priority over 255 or floor over 100, and kept the earlier one. A gateway without a configuration clamped the same values, so that gateways differed.

Change: a priority has no range. Floors out of range are clamped in the same way whatever was in force before, reported once per version (configuration_clamped, laurelstile_configurations_clamped_total). Nothing is refused, so the list of refused versions goes.

Why this works: what is put in force follows from the version alone, and only the order of priorities decides.

Ruled out: a version that gateways do not receive.

--- a/laurelstile-core/src/leased/gateway/events.rs
+++ b/laurelstile-core/src/leased/gateway/events.rs
@@ -437,14 +437,7 @@
         /// contention.
         waiting_cpu_millis: u64,
     },
-    /// A configuration was not put in force. The previous one stays.
-    ConfigurationRefused {
-        /// Version of the configuration.
-        version: u64,
-        /// The first wrong value.
-        error: ConfigurationError,
-    },
-    /// A configuration was put in force with its wrong values clamped, since none was in force.
+    /// A configuration was put in force with its wrong values clamped.
     ConfigurationClamped {
         /// Version of the configuration.
         version: u64,
--- a/laurelstile-core/src/leased/gateway/mod.rs
+++ b/laurelstile-core/src/leased/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod placement;
 pub mod policies;
 mod preemption;
+pub mod priorities;
 mod process_suspension;
 mod queue_loads;
 pub mod queues;
@@ -82,6 +83,7 @@
 use on_time_rates::OnTimeRates;
 use peers::Peer;
 use policies::Policies;
+use priorities::PriorityOrder;
 use process_suspension::ProcessSuspension;
 use queue_loads::QueueLoads;
 use queues::QueueConfiguration;
@@ -120,10 +122,11 @@
     identity: Identity,
     policies: Policies,
     configuration: Option<Arc<QueueConfiguration>>,
-    /// The configuration in force as it was read, which peers receive: they check it themselves.
+    /// The configuration in force as it was read, which peers receive: they report its wrong values
+    /// themselves.
     read_configuration: Option<QueueConfiguration>,
-    /// Versions of refused configurations that are newer than the one in force.
-    refused_versions: BTreeSet<u64>,
+    /// Order of the priorities in force.
+    priority_order: PriorityOrder,
     evacuations: Evacuations,
     workers: BTreeMap<Incarnation, Worker>,
     agent_sessions: BTreeMap<SessionId, Incarnation>,
@@ -198,7 +201,7 @@
             identity,
             configuration: None,
             read_configuration: None,
-            refused_versions: BTreeSet::new(),
+            priority_order: PriorityOrder::default(),
             evacuations: Evacuations::default(),
             workers: BTreeMap::new(),
             agent_sessions: BTreeMap::new(),
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -15,7 +15,8 @@
 use super::on_time_rates::SizeGroup;
 use super::placement::allowed_tasks;
 use super::preemption::PreemptionRight;
-use super::queues::{MAX_PRIORITY, QueueSettings};
+use super::priorities::MAX_POSITION;
+use super::queues::QueueSettings;
 use super::shares::Standing;
 use super::workers::Worker;
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
@@ -38,7 +39,11 @@
 /// Distance between the ranks of two priorities; more than there are on-time rates in thousandths.
 const RANKS_PER_PRIORITY: u32 = 2_000;
 /// Rank of unstarted jobs that can no longer be in time, under contention; above all other ranks.
-const LATE_RANK: u32 = 1_000_000;
+const LATE_RANK: u32 = u32::MAX;
+const _: () = assert!(
+    (LATE_RANK - FIRST_CONTENDING_RANK) / RANKS_PER_PRIORITY > MAX_POSITION,
+    "each priority has a rank"
+);
 
 /// The ranks of unstarted jobs by queue and size group, which are calculated once per round instead
 /// of once per job.
@@ -132,8 +137,8 @@
         match self.standing(now, &job.queue) {
             Standing::Guaranteed => FIRST_GUARANTEED_RANK + on_time,
             Standing::Contending => {
-                let priority = job.queue.priority.min(MAX_PRIORITY);
-                FIRST_CONTENDING_RANK + priority * RANKS_PER_PRIORITY + on_time
+                let position = self.priority_order.position(job.queue.priority);
+                FIRST_CONTENDING_RANK + position * RANKS_PER_PRIORITY + on_time
             }
         }
     }
--- a/laurelstile-core/src/leased/gateway/peers.rs
+++ b/laurelstile-core/src/leased/gateway/peers.rs
@@ -5,6 +5,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::cancel_rounds::PEER_SILENT_AFTER;
+use super::priorities::PriorityOrder;
 use super::queues::QueueConfiguration;
 use super::{GatewayDecision, GatewayEffect, LeasedGateway};
 use crate::leased::cancel_log::CancelList;
@@ -196,13 +197,10 @@
         if Some(configuration.version) <= self.version() {
             return;
         }
-        let Some(accepted) = self.accepted(&configuration, effects) else {
-            return;
-        };
-        let version = configuration.version;
-        self.refused_versions.retain(|refused| *refused > version);
+        let usable = self.usable(&configuration, effects);
         self.read_configuration = Some(configuration);
-        let configuration = Arc::new(accepted);
+        let configuration = Arc::new(usable);
+        self.priority_order = PriorityOrder::of(&configuration);
         self.configuration = Some(Arc::clone(&configuration));
         let is_kept = |name: &str| configuration.queues.iter().any(|queue| queue.name == name);
         self.run_times.retain(is_kept);
@@ -213,38 +211,29 @@
         effects.push(GatewayEffect::InForce(configuration));
     }
 
-    /// Checks a configuration whose queues share capacity, and returns what to put in force; `None` if
-    /// it is refused. One that is refused is reported once per version, although it may be received
-    /// repeatedly. Without a configuration in force the wrong values are clamped instead: a gateway
-    /// without any serves nobody, which all of them would be after a power failure.
-    fn accepted(
-        &mut self,
+    /// The configuration with the values that shares of queues can use, which depend on nothing but the
+    /// configuration: all gateways put the same ones in force. A wrong value of one queue is reported; if
+    /// it held back the configuration, callers of all queues would be served as an earlier version says.
+    fn usable(
+        &self,
         configuration: &QueueConfiguration,
         effects: &mut Vec<GatewayEffect>,
-    ) -> Option<QueueConfiguration> {
+    ) -> QueueConfiguration {
         if self.policies.queue_shares.is_none() {
-            return Some(configuration.clone());
+            return configuration.clone();
         }
         let Err(error) = configuration.check() else {
-            return Some(configuration.clone());
+            return configuration.clone();
         };
         let version = configuration.version;
-        if self.configuration.is_none() {
-            let decision = GatewayDecision::ConfigurationClamped { version, error };
-            effects.push(GatewayEffect::Decided(decision));
-            return Some(configuration.clamped());
-        }
-        if self.refused_versions.insert(version) {
-            let decision = GatewayDecision::ConfigurationRefused { version, error };
-            effects.push(GatewayEffect::Decided(decision));
-        }
-        None
+        let decision = GatewayDecision::ConfigurationClamped { version, error };
+        effects.push(GatewayEffect::Decided(decision));
+        configuration.clamped()
     }
 
-    /// Whether a peer has a newer configuration, other than one that was refused.
+    /// Whether a peer has a newer configuration.
     fn has_newer_configuration(&self, peer: &Peer) -> bool {
-        let is_refused = |version: u64| self.refused_versions.contains(&version);
-        peer.version > self.version() && !peer.version.is_some_and(is_refused)
+        peer.version > self.version()
     }
 
     /// Version of the configuration in force, or `None` before the first one.
--- a/laurelstile-core/src/leased/gateway/queues.rs
+++ b/laurelstile-core/src/leased/gateway/queues.rs
@@ -7,20 +7,18 @@
 use laurelstile_types::time::Span;
 use serde::{Deserialize, Serialize};
 
-/// The lowest priority that a queue may have. Ranks of waiting jobs have room for some 490; a lower
-/// limit would refuse whole configurations that operators' tools have accepted.
-pub const MAX_PRIORITY: u32 = 255;
 /// Maximum floor of a queue, and of all queues of a service together, in percent of the service's
 /// capacity.
 pub const MAX_FLOOR_PERCENT: u32 = 100;
-/// Stands for a floor that could not be read. [`QueueConfiguration::check`] refuses it.
+/// Stands for a floor that could not be read. [`QueueConfiguration::clamped`] drops it.
 pub const UNREADABLE_FLOOR_PERCENT: u32 = u32::MAX;
 
 /// Longest objective of a job: one day, far longer than any job is held. Bounds what is calculated
 /// from the operator's factors and constants.
 const MAX_OBJECTIVE: Span = Span::from_secs(24 * 3_600);
 
-/// Why a configuration is not put in force.
+/// A value of a configuration that shares of queues cannot use. It is clamped, and does not keep the rest
+/// of the configuration out of force.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ConfigurationError {
     /// A value of a queue is out of its range.
@@ -71,8 +69,6 @@
 
 /// Name of [`QueueSettings::floor_percent`] in errors.
 const FLOOR_FIELD: &str = "floor_percent";
-/// Name of [`QueueSettings::priority`] in errors.
-const PRIORITY_FIELD: &str = "priority";
 
 /// A complete version of the queue configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -94,7 +90,7 @@
     pub path_prefix: String,
     /// Name of the service whose workers run the tasks.
     pub service: String,
-    /// Priority; 0 is the highest.
+    /// Priority; 0 is the highest. Any number is permitted: only the order matters.
     pub priority: u32,
     /// Number of failed runs of a task after which its job fails.
     pub max_attempts: u32,
@@ -155,7 +151,7 @@
 }
 
 impl QueueConfiguration {
-    /// Checks the ranges of priorities and floors.
+    /// Checks the ranges of floors.
     ///
     /// # Errors
     /// [`ConfigurationError`] for the first queue with a value out of its range, or with which the
@@ -163,7 +159,6 @@
     pub fn check(&self) -> Result<(), ConfigurationError> {
         let mut floors: BTreeMap<&str, u32> = BTreeMap::new();
         for queue in &self.queues {
-            queue.check_range(PRIORITY_FIELD, queue.priority, MAX_PRIORITY)?;
             let floor = queue.floor_percent.unwrap_or(0);
             queue.check_range(FLOOR_FIELD, floor, MAX_FLOOR_PERCENT)?;
             let sum = floors.entry(&queue.service).or_default();
@@ -180,8 +175,8 @@
         Ok(())
     }
 
-    /// The configuration with values that [`Self::check`] accepts: the nearest priority, floors of a
-    /// service reduced in proportion to 100 percent, and no floor where it could not be read.
+    /// The configuration with values that [`Self::check`] accepts: floors of a service reduced in
+    /// proportion to 100 percent, and no floor where it could not be read.
     pub fn clamped(&self) -> Self {
         let mut sums: BTreeMap<&str, u32> = BTreeMap::new();
         for queue in &self.queues {
@@ -193,7 +188,6 @@
             let sum = sum.max(MAX_FLOOR_PERCENT);
             let scaled = |floor: u32| floor * MAX_FLOOR_PERCENT / sum;
             Arc::new(QueueSettings {
-                priority: queue.priority.min(MAX_PRIORITY),
                 floor_percent: queue.clamped_floor().map(scaled),
                 ..queue.as_ref().clone()
             })
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -17,7 +17,7 @@
 use super::ports::HeartbeatError;
 use crate::telemetry::{
     BACKLOG_CORE_SECONDS, CANCELS_ANSWERED, CANCELS_NOT_RECORDED, CAPACITY_STALE, CLAIMS,
-    CLAIMS_SENT_TO_AGENTS, CLAIMS_UNCONFIRMED, CONFIGURATIONS_REFUSED, CONTAINED_QUEUES,
+    CLAIMS_SENT_TO_AGENTS, CLAIMS_UNCONFIRMED, CONFIGURATIONS_CLAMPED, CONTAINED_QUEUES,
     DATA_TASKS_PLACED, DEPARTING_CORES, DEPARTURE_NOTICE_SECONDS, DRAIN_RATE_CORES,
     EVACUATED_ZONES, HEARTBEATS_IGNORED, JOB_SECONDS, JOB_STAGE_SECONDS, JOBS_ANSWERED,
     JOBS_GIVEN_UP_TO_PEERS, JOBS_REFUSED_FOR_CAPACITY, KNOWN_GATEWAYS, MISSING_SESSIONS,
@@ -173,11 +173,8 @@
             } => {
                 log::info!(event = "queue_share", queue = queue.as_str(), standing = standing.name(), is_contended = *is_contended, share_cpu_millis = *share_cpu_millis, running_cpu_millis = *running_cpu_millis, waiting_cpu_millis = *waiting_cpu_millis; "share of the queue in the capacity of its service");
             }
-            GatewayDecision::ConfigurationRefused { version, error } => {
-                log::warn!(event = "configuration_refused", version = *version, queue = error.queue(), field = error.field(), error:% = error; "configuration not put in force; the previous one stays");
-            }
             GatewayDecision::ConfigurationClamped { version, error } => {
-                log::warn!(event = "configuration_clamped", version = *version, queue = error.queue(), field = error.field(), error:% = error; "configuration put in force with wrong values clamped; there was no previous one");
+                log::warn!(event = "configuration_clamped", version = *version, queue = error.queue(), field = error.field(), error:% = error; "configuration put in force with wrong values clamped");
             }
             GatewayDecision::Neighbors(view) => {
                 log::info!(event = "neighbors", known = view.known, wanted = view.wanted, answering = view.answering, directory:% = view.directory; "");
@@ -546,8 +543,8 @@
                 gauge!(QUEUE_DEMAND, &labels).set(cores(*cpu_millis));
             }
         }
-        GatewayDecision::ConfigurationRefused { .. } => {
-            counter!(CONFIGURATIONS_REFUSED).increment(1);
+        GatewayDecision::ConfigurationClamped { .. } => {
+            counter!(CONFIGURATIONS_CLAMPED).increment(1);
         }
         GatewayDecision::RunsLost { runs, source, .. } => {
             counter!(RUNS_LOST, "evidence" => source.name()).increment(runs.len() as u64);
--- a/laurelstiled/src/leased/line_limit.rs
+++ b/laurelstiled/src/leased/line_limit.rs
@@ -108,7 +108,6 @@
         | GatewayDecision::Suspected { .. }
         | GatewayDecision::Contained { .. }
         | GatewayDecision::QueueShare { .. }
-        | GatewayDecision::ConfigurationRefused { .. }
         | GatewayDecision::ConfigurationClamped { .. }
         | GatewayDecision::Evacuated(_)
         | GatewayDecision::CapacityDeparting { .. }
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -127,8 +127,8 @@
 /// Cores that a queue's tasks take (`state` `running`) and wait for (`waiting`) under contention, at all
 /// gateways; labels `queue`, `state`.
 pub const QUEUE_DEMAND: &str = "laurelstile_queue_demand_cores";
-/// Configurations that were not put in force because of a wrong value.
-pub const CONFIGURATIONS_REFUSED: &str = "laurelstile_configurations_refused_total";
+/// Versions of the configuration that were put in force with wrong values clamped.
+pub const CONFIGURATIONS_CLAMPED: &str = "laurelstile_configurations_clamped_total";
 /// Incarnations of the worker that crashed, restarted under the same id or were superseded by a
 /// worker with another id.
 pub const WORKER_CRASHES: &str = "laurelstile_worker_crashes_total";
