Configurations: a number of a route does not hide the route

A route whose priority, max_attempts or slo_ms is 300.0, 3e2, null or over 32 or 64 bits, or whose stretch is 1e400, is left out, and its callers get 404. A version written as 9.0 sets the configuration aside.

Cause: numbers were parsed into integer types, which refuse what JSON permits.

Change: numbers are read by value; the nearest one stands for a number without a type, logged (route_number_set_aside) and counted. A fraction or a larger version is still no version. Texts in place of numbers still leave the route out.

--- a/laurelstiled/src/leased/set_aside.rs
+++ b/laurelstiled/src/leased/set_aside.rs
@@ -31,6 +31,8 @@
     Configuration,
     /// A queue of the operator's configuration.
     Route,
+    /// A number in a queue of the operator's configuration, for which the nearest usable one stands.
+    RouteNumber,
     /// An answer of a worker.
     WorkerAnswer,
     /// An entry of a worker's run lists.
@@ -38,7 +40,7 @@
 }
 
 /// Number of kinds of entries.
-const KINDS: usize = 7;
+const KINDS: usize = 8;
 
 impl Entry {
     /// Name in metrics; with the suffix `_set_aside`, the event in logs.
@@ -49,6 +51,7 @@
             Self::WorkerRecord => "worker_record",
             Self::Configuration => "configuration",
             Self::Route => "route",
+            Self::RouteNumber => "route_number",
             Self::WorkerAnswer => "worker_answer",
             Self::WorkerEntry => "worker_entries",
         }
@@ -89,7 +92,7 @@
     }
 }
 
-/// Counts an entry that was left out, and logs it with its key, if it has a readable one, and the
+/// Counts an entry that was left out or replaced by the nearest usable value, and logs it with its key, if it has a readable one, and the
 /// reason.
 pub fn record(entry: Entry, key: &str, reason: &dyn Display) {
     counter!(ENTRIES_SET_ASIDE, "kind" => entry.name()).increment(1);
@@ -99,7 +102,7 @@
     if let Some(suppressed) = admitted {
         let event = format!("{}_set_aside", entry.name());
         let (key, reason) = (shortened(key), shortened(&reason.to_string()));
-        log::warn!(event = event.as_str(), key = key.as_str(), error = reason.as_str(), suppressed = suppressed; "unreadable entry left out");
+        log::warn!(event = event.as_str(), key = key.as_str(), error = reason.as_str(), suppressed = suppressed; "unreadable entry left out, or the nearest usable value taken");
     }
 }
 
