--- a/laurelstiled/src/leased/gateway.rs
+++ b/laurelstiled/src/leased/gateway.rs
@@ -17,6 +17,7 @@
 use laurelstile_wire::error::WireError;
 use laurelstile_wire::hello::{LocalNode, NodeRole, Socket};
 use laurelstile_wire::session;
+use metrics::gauge;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -33,6 +34,7 @@
 use crate::error::DaemonError;
 use crate::gateway::{listen, local_node};
 use crate::session::next_session;
+use crate::telemetry::CONFIGURATION_VERSION;
 
 /// Maximum number of inputs handled before the state machine is flushed.
 const MAX_INPUT_BATCH: usize = 128;
@@ -361,6 +363,8 @@
             }
             GatewayEffect::InForce(configuration) => {
                 log::info!(event = "configuration_in_force", version = configuration.version, queues = configuration.queues.len(); "configuration in force");
+                #[expect(clippy::cast_precision_loss, reason = "versions are below 2^53")]
+                gauge!(CONFIGURATION_VERSION).set(configuration.version as f64);
                 self.status
                     .send_modify(|status| status.put_in_force(configuration));
             }
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -127,6 +127,8 @@
 /// Cores that a queue's tasks take (`state` `running`) and wait for (`waiting`) under contention, at all
 /// gateways; labels `queue`, `state`.
 pub const QUEUE_DEMAND: &str = "laurelstile_queue_demand_cores";
+/// Version of the configuration in force at the gateway.
+pub const CONFIGURATION_VERSION: &str = "laurelstile_configuration_version";
 /// Versions of the configuration that were put in force with wrong values clamped.
 pub const CONFIGURATIONS_CLAMPED: &str = "laurelstile_configurations_clamped_total";
 /// Incarnations of the worker that crashed, restarted under the same id or were superseded by a
