Starts: an agent does not start what was placed on an earlier worker

Cause: a start names neither the label nor the incarnation that it was placed for. The agent checked the echo's age (300 ms), room and availability, which the successor fulfils.

Change: an agent numbers the descriptions of its worker (incarnation, service, labels). Tasks that wait at the agent for room, announcements and offers end with the description, and gateways announce again. No field is added to any message, and starts of older gateways are covered. Line start_outdated, metric laurelstile_starts_outdated_total.

--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -276,6 +276,18 @@
     },
     /// A gateway did not answer an offer in time.
     OfferExpired,
+    /// A gateway had not received the current description of the worker when it sent starts, which were
+    /// refused: it chose the worker as it was before.
+    StartOutdated {
+        /// Id of the job.
+        job: JobId,
+        /// Index of the step within the job.
+        step: u32,
+        /// Number of tasks.
+        tasks: usize,
+        /// Age of the sender's echo.
+        echo_age: Span,
+    },
     /// A cancellation was not recorded, since too many are retained.
     CancelNotRecorded {
         /// Id of the job.
--- a/laurelstile-core/src/leased/agent/heartbeats.rs
+++ b/laurelstile-core/src/leased/agent/heartbeats.rs
@@ -106,7 +106,7 @@
         }
         self.on_departure_stated(now, departs_at, effects);
         if is_first || has_other_service {
-            self.invalidate_snapshots();
+            self.change_description(now, effects);
         }
         if is_first || has_other_service || begins_to_drain || has_shrunk {
             self.persist_record(now, effects);
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -9,6 +9,7 @@
 mod crash_history;
 mod departure;
 mod deregistration;
+mod description;
 mod duplicates;
 pub mod events;
 mod health;
@@ -50,6 +51,7 @@
 pub use capacity_freshness::HeartbeatTiming;
 use claims::HonoredClaims;
 use crash_history::CrashHistory;
+use description::DescriptionNumber;
 use duplicates::DuplicateRequest;
 pub use events::{
     AgentDecision, AgentEffect, AgentEvent, CommandAnswer, CommandKind, HeartbeatIgnoreReason,
@@ -95,6 +97,8 @@
     worker: Option<WorkerState>,
     /// Number of the current incarnation, or of the latest one if there is none.
     incarnation_number: IncarnationNumber,
+    /// Number of the current description of the worker.
+    description: DescriptionNumber,
     /// Fencing token of the current incarnation, or of the latest one if there is none.
     token: FenceToken,
     past_incarnations: PastIncarnations,
@@ -139,6 +143,7 @@
             options,
             worker: None,
             incarnation_number: IncarnationNumber::default(),
+            description: DescriptionNumber::default(),
             past_incarnations: PastIncarnations::default(),
             held_worker_id: None,
             runs: RunTable::default(),
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -7,6 +7,7 @@
 use super::super::messages::{FromAgent, FromAgentBody, Notice, Report, Snapshot};
 use super::super::task::TaskId;
 use super::super::timing::{BUSY_HEARTBEAT_INTERVAL, BUSY_LINGER, IDLE_HEARTBEAT_INTERVAL};
+use super::description::SentDescription;
 use super::owner::Owner;
 use super::run_table::{RunState, StopReason};
 use super::worker_state::WorkerState;
@@ -80,7 +81,13 @@
         let Some(owner) = self.owners.get_mut(&gateway) else {
             return;
         };
-        owner.has_snapshot |= matches!(body, Some(FromAgentBody::Snapshot(_)));
+        let has_snapshot = matches!(body, Some(FromAgentBody::Snapshot(_)));
+        owner.has_snapshot |= has_snapshot;
+        let clock = if has_snapshot {
+            SentDescription::record(&mut owner.sent_description, now, self.description)
+        } else {
+            now
+        };
         let body = body.unwrap_or_else(|| FromAgentBody::Ends(owner.take_unsent()));
         owner.last_sent = now;
         let offers = if owner.has_snapshot {
@@ -96,7 +103,7 @@
         let has_snapshot = owner.has_snapshot;
         let usage = has_snapshot.then(|| self.take_due_usage(now, gateway));
         let message = FromAgent {
-            clock: now,
+            clock,
             report: is_new.then_some(report),
             offers,
             candidates: None,
--- a/laurelstile-core/src/leased/agent/owner.rs
+++ b/laurelstile-core/src/leased/agent/owner.rs
@@ -15,6 +15,7 @@
 use super::super::task::{JobId, RunId};
 use super::super::timing::OWNER_TIMEOUT;
 use super::crash_history::ReportedCrashes;
+use super::description::SentDescription;
 use super::preemption::preemption_due;
 use super::queue_usage::SentUsage;
 use crate::session::SessionId;
@@ -108,6 +109,8 @@
     pub is_released: bool,
     /// Whether the current snapshot of the worker was sent on this session.
     pub has_snapshot: bool,
+    /// The description of the worker in the latest snapshot on this session.
+    pub sent_description: Option<SentDescription>,
     /// The crashes reported on this session.
     pub reported_crashes: ReportedCrashes,
     /// Whether the next message tells how queues were served.
@@ -154,6 +157,7 @@
             last_start_request: None,
             is_released: false,
             has_snapshot: false,
+            sent_description: None,
             reported_crashes: ReportedCrashes::default(),
             is_owed_served: false,
             sent_usage: SentUsage::default(),
@@ -193,6 +197,7 @@
         self.grown_since = None;
         self.is_released = false;
         self.has_snapshot = false;
+        self.sent_description = None;
         self.reported_crashes = ReportedCrashes::default();
         self.sent_usage = SentUsage::default();
         self.unsent = self.ends.len();
@@ -204,7 +209,8 @@
         self.clear_waiting();
     }
 
-    fn clear_waiting(&mut self) {
+    /// Forgets the waiting tasks, and cancels the offers for them.
+    pub fn clear_waiting(&mut self) {
         self.announced.clear();
         self.keyed_steps = 0;
         self.offers.clear();
--- a/laurelstile-core/src/leased/agent/sessions.rs
+++ b/laurelstile-core/src/leased/agent/sessions.rs
@@ -138,7 +138,9 @@
             }
             ToAgentBody::Members(members) => effects.push(AgentEffect::Members(members)),
             ToAgentBody::Announce(announcements) => {
-                self.on_announced(now, gateway, &announcements);
+                if self.knows_description(gateway, message.echo) {
+                    self.on_announced(now, gateway, &announcements);
+                }
             }
             ToAgentBody::Evacuations(update) => self.on_evacuations(update, effects),
             ToAgentBody::Predecessor { silence } => self.on_predecessor(now, silence),
--- a/laurelstile-core/src/leased/agent/starting.rs
+++ b/laurelstile-core/src/leased/agent/starting.rs
@@ -37,6 +37,15 @@
                 owner.end_offer(offer);
             }
         }
+        let is_outdated = !self.knows_description(gateway, echo);
+        if is_outdated {
+            effects.push(AgentEffect::Decided(AgentDecision::StartOutdated {
+                job: batch.job,
+                step: batch.step,
+                tasks: batch.tasks.len(),
+                echo_age: now.since(echo),
+            }));
+        }
         let is_cancelled = self.is_cancelled(now, gateway, batch.job);
         let claimed = self.claimed_reason(now, gateway, batch.job, effects);
         for (index, number) in &batch.tasks {
@@ -81,7 +90,9 @@
                 continue;
             }
             let cancelled = is_cancelled.then_some(NotStartedReason::Withdrawn);
-            if let Some(reason) = cancelled.or_else(|| self.refusal_reason(now, echo, id, &run)) {
+            let outdated = is_outdated.then_some(NotStartedReason::Unavailable);
+            let refused = cancelled.or(outdated);
+            if let Some(reason) = refused.or_else(|| self.refusal_reason(now, echo, id, &run)) {
                 self.end_unstarted(gateway, id, EndKind::NotStarted(reason), effects);
                 continue;
             }
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -217,7 +217,7 @@
             departure: None,
         });
         self.health = Health::default();
-        self.invalidate_snapshots();
+        self.change_description(now, effects);
         self.stop_held_starts(now);
         self.on_departure_stated(now, departs_at, effects);
     }
--- a/laurelstile-core/src/leased/gateway/ends.rs
+++ b/laurelstile-core/src/leased/gateway/ends.rs
@@ -272,7 +272,10 @@
             return;
         }
         let held: Vec<(TaskId, RunNumber)> = snapshot.held.clone();
-        let is_first = worker.snapshot.is_none();
+        let earlier = worker.snapshot.as_ref();
+        let is_first = earlier.is_none();
+        // The agent forgets what waits for the worker as it was described before.
+        let has_changed = earlier.is_some_and(|earlier| !earlier.describes_same_worker(&snapshot));
         worker.control = snapshot.control.clone();
         worker.claims.record_support(snapshot.honors_claims);
         worker.snapshot = Some(snapshot);
@@ -288,6 +291,9 @@
             }
             self.mark_lost(now, agent, &lost, EndSource::Snapshot, effects);
         }
+        if has_changed {
+            self.renew_announcements_to(agent);
+        }
         self.end_predecessors(now, agent, &name, effects);
     }
 
--- a/laurelstile-core/src/leased/gateway/offers.rs
+++ b/laurelstile-core/src/leased/gateway/offers.rs
@@ -351,9 +351,13 @@
     /// session has closed. With shares of queues only: otherwise they wait for the next announcement, and
     /// jobs with a short objective may be refused before.
     pub(super) fn forget_announcements_to(&mut self, agent: Incarnation) {
-        if self.policies.queue_shares.is_none() {
-            return;
+        if self.policies.queue_shares.is_some() {
+            self.renew_announcements_to(agent);
         }
+    }
+
+    /// Has the jobs that were announced to an agent announced again, since the agent has forgotten them.
+    pub(super) fn renew_announcements_to(&mut self, agent: Incarnation) {
         for announced in self.announced.values_mut() {
             let notified = announced.agents.len();
             announced.agents.retain(|(to, _)| *to != agent);
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -370,6 +370,19 @@
     pub honors_claims: bool,
 }
 
+impl Snapshot {
+    /// Whether two snapshots of an agent describe the same incarnation with the same service and labels.
+    pub fn describes_same_worker(&self, other: &Self) -> bool {
+        let incarnation = |snapshot: &Self| {
+            let control = snapshot.control.as_ref();
+            control.map(|control| control.incarnation.clone())
+        };
+        self.service == other.service
+            && self.labels == other.labels
+            && incarnation(self) == incarnation(other)
+    }
+}
+
 /// Amount by which an agent's token may exceed the one in its latest snapshot. An agent raises its
 /// token when another process commands the same worker incarnation.
 const TOKEN_MARGIN: u64 = 64;
@@ -545,7 +558,8 @@
     #[serde(rename = "e")]
     StaleSender,
     /// The agent is shutting down, or the worker is draining, evacuated, silent, not yet controlled
-    /// by the agent, on probation or at its limit of tasks, or has ended.
+    /// by the agent, on probation or at its limit of tasks, or has ended; or its incarnation, service or
+    /// labels have changed since the latest snapshot that the sender had received.
     #[serde(rename = "u")]
     Unavailable,
     /// The required resources were not free, or did not become free within the time that the batch
--- a/laurelstile-core/tests/leased_support/agent_rig.rs
+++ b/laurelstile-core/tests/leased_support/agent_rig.rs
@@ -197,7 +197,7 @@
     /// A session sends a message with a fresh echo.
     pub fn message_from(&mut self, now: Timestamp, session: SessionId, body: ToAgentBody) {
         let message = ToAgent {
-            echo: now,
+            echo: self.fresh_echo(now, session),
             acknowledged: 0,
             cancelled: Vec::new(),
             cancel_position: None,
@@ -208,6 +208,13 @@
         self.event(now, AgentEvent::Message { session, message });
     }
 
+    /// The echo of a gateway that has received all messages to its session.
+    pub fn fresh_echo(&self, now: Timestamp, session: SessionId) -> Timestamp {
+        let received = self.sent.iter().filter(|(to, _)| *to == session);
+        let latest = received.map(|(_, message)| message.clock).max();
+        latest.map_or(now, |latest| latest.max(now))
+    }
+
     /// A session sends this message.
     pub fn message_as(&mut self, now: Timestamp, session: SessionId, message: ToAgent) {
         self.event(now, AgentEvent::Message { session, message });
@@ -308,7 +315,8 @@
 
     /// The gateway sends a message with a fresh echo.
     pub fn message(&mut self, now: Timestamp, body: ToAgentBody) {
-        self.message_with_echo(now, now, body);
+        let echo = self.fresh_echo(now, SESSION);
+        self.message_with_echo(now, echo, body);
     }
 
     /// The gateway sends a message with this echo.
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -23,8 +23,8 @@
     JOBS_GIVEN_UP_TO_PEERS, JOBS_REFUSED_FOR_CAPACITY, KNOWN_GATEWAYS, MISSING_SESSIONS,
     NEAR_WAITS, OFFERS, OFFERS_EXPIRED, PREEMPTED_CORE_MILLIS, QUEUE_CONTENDING, QUEUE_DEMAND,
     QUEUE_FAIR_SHARE, RELEASES, RETRY_AFTER_SECONDS, RUN_TIME_RATIO, RUNS_ENDED, RUNS_LOST,
-    RUNS_MOVED, RUNS_STOPPED, STARTS_HELD, STOPS_UNANSWERED, TASKS_PREEMPTED, TASKS_RETURNED,
-    TASKS_SUSPECTED, WORKER_CRASHES, WORKER_UNRESPONSIVE,
+    RUNS_MOVED, RUNS_STOPPED, STARTS_HELD, STARTS_OUTDATED, STOPS_UNANSWERED, TASKS_PREEMPTED,
+    TASKS_RETURNED, TASKS_SUSPECTED, WORKER_CRASHES, WORKER_UNRESPONSIVE,
 };
 
 /// Maximum number of runs or jobs named in one line, which bounds its length.
@@ -266,6 +266,14 @@
             AgentDecision::StartOfClaimedJob { job, gateway } => {
                 log::warn!(event = "start_of_claimed_job", job:% = job, gateway:% = gateway; "starts rejected: another gateway has claimed the job");
             }
+            AgentDecision::StartOutdated {
+                job,
+                step,
+                tasks,
+                echo_age,
+            } => {
+                log::info!(event = "start_outdated", job:% = job, step = *step, tasks = *tasks, echo_age_ms = echo_age.as_millis(); "starts rejected: the worker has changed since the gateway chose it");
+            }
             AgentDecision::CancelNotRecorded { job } => {
                 log::warn!(event = "cancel_not_recorded", job:% = job; "cancellation not recorded: too many are retained");
             }
@@ -614,6 +622,9 @@
             counter!(PREEMPTED_CORE_MILLIS).increment(loss.as_core_millis());
         }
         AgentDecision::OfferExpired => counter!(OFFERS_EXPIRED).increment(1),
+        AgentDecision::StartOutdated { tasks, .. } => {
+            counter!(STARTS_OUTDATED).increment(*tasks as u64);
+        }
         AgentDecision::Departing { remaining, .. } => {
             let remaining = Duration::from_micros(remaining.0);
             histogram!(DEPARTURE_NOTICE_SECONDS).record(remaining);
--- a/laurelstiled/src/leased/line_limit.rs
+++ b/laurelstiled/src/leased/line_limit.rs
@@ -145,6 +145,7 @@
         | AgentDecision::IncarnationEnded { .. } => LineClass::Overlap,
         AgentDecision::Stopping { .. }
         | AgentDecision::Preempting { .. }
+        | AgentDecision::StartOutdated { .. }
         | AgentDecision::Ended { .. } => LineClass::Step,
         _ => LineClass::Outcome,
     }
--- a/laurelstiled/src/telemetry.rs
+++ b/laurelstiled/src/telemetry.rs
@@ -69,6 +69,9 @@
 pub const MISSING_SESSIONS: &str = "laurelstile_silent_neighbors";
 /// Offers of free resources that this gateway answered; label `outcome` (`used`, `declined`).
 pub const OFFERS: &str = "laurelstile_offers_total";
+/// Tasks that were not started because the worker's incarnation, service or labels had changed since the
+/// gateway chose it.
+pub const STARTS_OUTDATED: &str = "laurelstile_starts_outdated_total";
 /// Offers of this agent that no gateway answered in time.
 pub const OFFERS_EXPIRED: &str = "laurelstile_offers_expired_total";
 /// Ratio of the run time of a step's slowest task to the expected one; label `queue`.
