Starts: a task that waits for room is not lost with the worker

A task that waits at the agent when its worker is superseded is reported as lost, so that its job counts as one that may have run: 504 in place of a refusal with Retry-After.

Cause: the end of an incarnation ended all runs in the table, also those that were never sent.

Change: tasks that wait for room are returned as not started (Unavailable) first.

--- a/laurelstile-core/src/leased/agent/description.rs
+++ b/laurelstile-core/src/leased/agent/description.rs
@@ -66,6 +66,12 @@
         for owner in self.owners.values_mut() {
             owner.clear_waiting();
         }
+        self.return_all_waiting(now, effects);
+    }
+
+    /// Returns the tasks that wait for room on a worker that has ended, or is another one now. They have
+    /// not been sent to it.
+    pub(super) fn return_all_waiting(&mut self, now: Timestamp, effects: &mut Vec<AgentEffect>) {
         let how = EndKind::NotStarted(NotStartedReason::Unavailable);
         for task in self.runs.tasks_where(|run| run.state == RunState::Waiting) {
             self.end_run(now, task, how, EndProof::NotSent, effects);
--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -45,6 +45,7 @@
         };
         // A superseded id does not return: the worker with the other id rejects commands for it.
         let may_restart = incarnation.may_restart() && end != IncarnationEnd::Superseded;
+        self.return_all_waiting(now, effects);
         for task in self.runs.tasks_where(|_| true) {
             let is_unconfirmed = self.runs.get(task).is_some_and(Run::is_unconfirmed);
             if may_restart && is_unconfirmed {
--- a/laurelstile-core/tests/leased_worker_descriptions.rs
+++ b/laurelstile-core/tests/leased_worker_descriptions.rs
@@ -143,6 +143,31 @@
     assert!(rig.ends().iter().any(|(ended, _)| *ended == task(2, 0)));
 }
 
+/// Guards against jobs that count as started, and can no longer be refused truthfully, because a task of
+/// theirs waited for room on a worker that ended.
+#[rstest]
+#[case::superseded(|rig: &mut AgentRig| {
+    replace(rig, 100, worker(at(100), LATER, "parcels", &["b"]));
+})]
+#[case::crashed(|rig: &mut AgentRig| rig.crash(at(100)))]
+fn tasks_that_wait_for_room_are_not_started_if_the_worker_ends(
+    #[case] end_worker: impl FnOnce(&mut AgentRig),
+) {
+    let mut rig = agent();
+    let full = rig.batch(1, 4, 4);
+    rig.message(at(10), full);
+    for run in rig.take_starts() {
+        rig.answer_start(at(10), run, None);
+    }
+    let waiting = rig.batch(2, 1, 5_000);
+    rig.message(at(11), waiting);
+    end_worker(&mut rig);
+    let outcomes = rig.ends();
+    let of_waiting = outcomes.iter().find(|(ended, _)| *ended == task(2, 0));
+    let expected = not_started(NotStartedReason::Unavailable);
+    assert_eq!(of_waiting, Some(&(task(2, 0), expected)));
+}
+
 fn announce(job: u64, ttl_millis: u32) -> ToAgentBody {
     ToAgentBody::Announce(vec![Announcement {
         job: JobId(job),
