Workers: a label that a later heartbeat lacks is not used

A worker whose heartbeats state other labels than its first one goes on to get tasks that require the first labels.

Cause: an agent took the labels from the first heartbeat of an incarnation only.

Change: only labels that all heartbeats of the last two intervals state are used: one that a heartbeat lacks is lost at once, a new one is gained after two intervals, so that another sender under the worker's id can give it none. A change is a new description of the worker: what was placed by the one before is not started.

--- a/laurelstile-core/src/leased/agent/events.rs
+++ b/laurelstile-core/src/leased/agent/events.rs
@@ -389,6 +389,13 @@
         /// Capacity after the change.
         now: Resources,
     },
+    /// The labels that the worker's heartbeats agree on have changed.
+    LabelsChanged {
+        /// The current incarnation.
+        incarnation: WorkerIncarnation,
+        /// Labels that gateways are told from now on.
+        labels: Vec<String>,
+    },
     /// The worker began to drain.
     Draining {
         /// The draining incarnation.
--- a/laurelstile-core/src/leased/agent/heartbeats.rs
+++ b/laurelstile-core/src/leased/agent/heartbeats.rs
@@ -3,6 +3,7 @@
 use laurelstile_types::time::{Span, Timestamp};
 
 use super::super::worker_incarnation::StartTime;
+use super::stated_labels::StatedLabels;
 use super::worker::Registration;
 use super::worker_state::WorkerState;
 use super::{
@@ -51,7 +52,7 @@
         let worker = self.worker.as_ref()?;
         if worker.incarnation == *incarnation {
             let is_other = worker.service != registration.service;
-            let is_retained = now.since(worker.service_confirmed_at) <= self.service_retention();
+            let is_retained = now.since(worker.service_confirmed_at) <= self.statement_retention();
             return (is_other && is_retained).then_some(HeartbeatIgnoreReason::OtherService);
         }
         if worker.incarnation.id == incarnation.id && incarnation.started_at.is_none() {
@@ -61,10 +62,11 @@
         has_ended.then_some(HeartbeatIgnoreReason::EndedIncarnation)
     }
 
-    /// How long the service named by a heartbeat takes precedence over a different one: two
-    /// heartbeat intervals, so that the worker prevails over another sender that uses its id. A
-    /// restarted worker is expected to serve the same service as before.
-    fn service_retention(&self) -> Span {
+    /// How long what a heartbeat states holds against a different statement: two heartbeat intervals, so
+    /// that the worker prevails over another sender that uses its id. Its service takes precedence over
+    /// another one, since a restarted worker is expected to serve the same service as before; of
+    /// different labels only the common ones are used.
+    fn statement_retention(&self) -> Span {
         Span(self.options.heartbeats.interval.0.saturating_mul(2))
     }
 
@@ -75,6 +77,7 @@
         registration: Registration,
         effects: &mut Vec<AgentEffect>,
     ) {
+        let retention = self.statement_retention();
         let Some(worker) = &mut self.worker else {
             return;
         };
@@ -83,9 +86,16 @@
         let is_first = worker.source == IncarnationSource::Lists;
         if is_first {
             worker.source = IncarnationSource::Heartbeat;
-            worker.labels.clone_from(&registration.labels);
+            worker.labels = StatedLabels::new(now, registration.labels.clone());
             worker.least_capacity = registration.capacity;
         }
+        let has_other_labels = worker.labels.record(now, &registration.labels, retention);
+        if has_other_labels {
+            effects.push(AgentEffect::Decided(AgentDecision::LabelsChanged {
+                incarnation: worker.incarnation.clone(),
+                labels: worker.labels.usable().to_vec(),
+            }));
+        }
         let departs_at = registration.departs_at();
         let is_late = registration.sequence < worker.sequence;
         let has_other_service = worker.service != registration.service;
@@ -105,10 +115,11 @@
             self.resolve_deregistration(now, registration.draining, effects);
         }
         self.on_departure_stated(now, departs_at, effects);
-        if is_first || has_other_service {
+        let has_other_description = is_first || has_other_service || has_other_labels;
+        if has_other_description {
             self.change_description(now, effects);
         }
-        if is_first || has_other_service || begins_to_drain || has_shrunk {
+        if has_other_description || begins_to_drain || has_shrunk {
             self.persist_record(now, effects);
         }
     }
--- a/laurelstile-core/src/leased/agent/incarnation_end.rs
+++ b/laurelstile-core/src/leased/agent/incarnation_end.rs
@@ -97,7 +97,7 @@
                     incarnation: restarted,
                     service: ended.service,
                     capacity: ended.capacity,
-                    labels: ended.labels,
+                    labels: ended.labels.usable().to_vec(),
                     clock: WorkerClock::default(),
                     draining: false,
                     sequence: 0,
--- a/laurelstile-core/src/leased/agent/mod.rs
+++ b/laurelstile-core/src/leased/agent/mod.rs
@@ -29,6 +29,7 @@
 mod served_counts;
 mod sessions;
 mod starting;
+pub mod stated_labels;
 mod stopping;
 mod timeouts;
 mod watching;
--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -227,7 +227,7 @@
             zone: self.options.zone.clone(),
             capacity: self.capacity(),
             labels: worker
-                .map(|worker| worker.labels.clone())
+                .map(|worker| worker.labels.usable().to_vec())
                 .unwrap_or_default(),
             held,
             session: owner.map(|owner| owner.session_number),
--- a/laurelstile-core/src/leased/agent/worker_state.rs
+++ b/laurelstile-core/src/leased/agent/worker_state.rs
@@ -14,6 +14,7 @@
 use super::deregistration::Deregistration;
 use super::health::Health;
 use super::heartbeats::SuccessorCandidate;
+use super::stated_labels::StatedLabels;
 use super::worker::{ClockEstimate, FenceToken, IncarnationRecord, Registration, WorkerClock};
 use super::{AgentDecision, AgentEffect, IncarnationSource, LeasedAgent};
 
@@ -49,7 +50,8 @@
     pub has_shrunk: bool,
     /// Sequence number of the latest heartbeat.
     pub sequence: u64,
-    pub labels: Vec<String>,
+    /// Labels by its heartbeats.
+    pub labels: StatedLabels,
     /// Fencing token of commands to this incarnation.
     pub token: FenceToken,
     /// Number of commands rejected as fenced.
@@ -127,7 +129,7 @@
             incarnation: self.incarnation.clone(),
             service: self.service.clone(),
             capacity: self.least_capacity,
-            labels: self.labels.clone(),
+            labels: self.labels.usable().to_vec(),
             clock: self.clock.lower_bound(now),
             draining: self.draining,
             sequence: self.sequence,
@@ -189,7 +191,7 @@
             least_capacity: registration.capacity,
             has_shrunk: false,
             sequence: registration.sequence,
-            labels: registration.labels,
+            labels: StatedLabels::new(now, registration.labels),
             token: self.token,
             fenced: 0,
             has_contested_token: false,
--- a/laurelstile-core/tests/leased_worker_descriptions.rs
+++ b/laurelstile-core/tests/leased_worker_descriptions.rs
@@ -5,8 +5,9 @@
 
 use std::collections::VecDeque;
 
+use laurelstile_core::leased::agent::stated_labels::StatedLabels;
 use laurelstile_core::leased::agent::worker::{Registration, RunLists, WorkerEnd, WorkerEndKind};
-use laurelstile_core::leased::agent::{AgentDecision, AgentEvent, CommandKind};
+use laurelstile_core::leased::agent::{AgentDecision, AgentEvent, CommandKind, HeartbeatTiming};
 use laurelstile_core::leased::gateway::job::{CallNumber, JobRequest};
 use laurelstile_core::leased::gateway::{Answer, GatewayEvent};
 use laurelstile_core::leased::messages::{
@@ -216,6 +217,114 @@
     assert_eq!(rig.announced.len(), announcements);
 }
 
+/// Interval of the worker's heartbeats where labels change.
+const INTERVAL_MILLIS: u64 = 1_000;
+
+/// An agent whose worker has the label `a` and the rack `r`, and sends frequent heartbeats.
+fn agent_of_labelled_worker() -> AgentRig {
+    let mut rig = AgentRig::with_heartbeats(HeartbeatTiming {
+        interval: Span::from_millis(INTERVAL_MILLIS),
+        grace: Span::from_secs(3),
+    });
+    rig.heartbeat(at(0), worker(at(0), EARLIER, "parcels", &["a", "r"]));
+    rig.answer_watch(at(0), RunLists::default());
+    rig
+}
+
+/// The labels in the latest snapshot.
+fn sent_labels(rig: &AgentRig) -> Vec<String> {
+    let mut snapshots = rig.sent.iter().rev().filter_map(|(_, message)| {
+        let FromAgentBody::Snapshot(snapshot) = &message.body else {
+            return None;
+        };
+        Some(snapshot.labels.clone())
+    });
+    snapshots.next().expect("a snapshot")
+}
+
+/// Guards against tasks that start on a worker whose own heartbeat has changed its labels since it was
+/// chosen, or that still waited for room there.
+#[test]
+fn a_label_that_a_heartbeat_lacks_is_not_used() {
+    let mut rig = agent_of_labelled_worker();
+    let full = rig.batch(1, 4, 4);
+    rig.message(at(10), full);
+    assert_eq!(rig.take_starts().len(), 4);
+    let waiting = rig.batch(2, 1, 5_000);
+    rig.message(at(11), waiting);
+    let changed = |millis| worker(at(millis), EARLIER, "parcels", &["b", "r"]);
+    rig.heartbeat(at(900), changed(900));
+    assert_eq!(sent_labels(&rig), ["r"], "those that all heartbeats state");
+    let outcome = not_started(NotStartedReason::Unavailable);
+    assert_eq!(rig.ends(), [(task(2, 0), outcome)]);
+    let late = rig.batch(3, 1, 4);
+    rig.message_with_echo(at(910), at(899), late);
+    assert_eq!(rig.ends().last(), Some(&(task(3, 0), outcome)));
+    let record = rig.stored_records.last().expect("a record");
+    assert_eq!(record.registration.labels, ["r"], "for the next agent");
+    rig.heartbeat(at(1_900), changed(1_900));
+    assert_eq!(sent_labels(&rig), ["r"]);
+    rig.heartbeat(at(2_900), changed(2_900));
+    assert_eq!(sent_labels(&rig), ["b", "r"]);
+}
+
+/// Guards against a label that another sender claims under the worker's id, and against a worker that
+/// stays without its own labels after that.
+#[rstest]
+#[case::in_order(0)]
+#[case::ahead_of_all_others(1_000_000_000)]
+fn labels_of_another_sender_are_not_gained(#[case] sequence: u64) {
+    let mut rig = agent_of_labelled_worker();
+    let mut claimed = worker(at(500), EARLIER, "parcels", &["a", "b"]);
+    claimed.sequence += sequence;
+    rig.heartbeat(at(500), claimed);
+    assert_eq!(sent_labels(&rig), ["a"]);
+    for millis in (1_000..=3_000).step_by(1_000) {
+        let own = worker(at(millis), EARLIER, "parcels", &["r", "a"]);
+        rig.heartbeat(at(millis), own);
+        assert!(!sent_labels(&rig).contains(&"b".to_owned()));
+    }
+    assert_eq!(sent_labels(&rig), ["r", "a"]);
+}
+
+/// Guards against snapshots, and starts that are refused, for labels that are only listed in another order.
+#[test]
+fn labels_in_another_order_change_nothing() {
+    let mut rig = agent_of_labelled_worker();
+    rig.message(at(10), ToAgentBody::Heartbeat);
+    let sent = rig.sent.len();
+    rig.heartbeat(at(500), worker(at(500), EARLIER, "parcels", &["r", "a"]));
+    assert_eq!(rig.sent.len(), sent);
+    let batch = rig.batch(1, 1, 4);
+    rig.message_with_echo(at(501), at(490), batch);
+    assert_eq!(rig.take_starts().len(), 1);
+}
+
+proptest! {
+    /// Guards against a label that some heartbeat of the last two intervals did not state, however many
+    /// different ones there are.
+    #[test]
+    fn usable_labels_are_stated_by_all_recent_heartbeats(
+        heartbeats in prop::collection::vec((0..400_u64, prop::collection::btree_set(0..4_u8, 0..4)), 1..40)
+    ) {
+        let retention = Span::from_millis(500);
+        let name = |label: &u8| format!("label-{label}");
+        let mut labels = StatedLabels::new(at(0), Vec::new());
+        let mut stated: Vec<(u64, Vec<String>)> = vec![(0, Vec::new())];
+        let mut now = 0;
+        for (pause, set) in heartbeats {
+            now += pause;
+            let set: Vec<String> = set.iter().map(name).collect();
+            labels.record(at(now), &set, retention);
+            stated.push((now, set));
+            for label in labels.usable() {
+                let mut recent = stated.iter().filter(|(at, _)| now - at <= 500);
+                prop_assert!(recent.all(|(_, set)| set.contains(label)), "{label} at {now}");
+            }
+        }
+    }
+}
+
 fn labelled_job(id: u64, label: &str) -> JobRequest {
     let mut request = job(id, 1, 20);
     request.steps[0].label = Some(label.into());
--- a/laurelstiled/src/leased/decisions.rs
+++ b/laurelstiled/src/leased/decisions.rs
@@ -358,6 +358,12 @@
             } => {
                 log::info!(event = "worker_capacity_changed", life:% = incarnation, before_cpu_millis = before.cpu_millis, cpu_millis = now.cpu_millis, memory_mib = now.memory_mib, gpus = now.gpus; "");
             }
+            AgentDecision::LabelsChanged {
+                incarnation,
+                labels,
+            } => {
+                log::warn!(event = "worker_labels_changed", life:% = incarnation, labels:? = labels; "heartbeats state other labels than before");
+            }
             AgentDecision::Draining { incarnation } => {
                 log::info!(event = "worker_draining", life:% = incarnation; "");
             }
