--- a/laurelstile-history/src/leased/judge.rs
+++ b/laurelstile-history/src/leased/judge.rs
@@ -77,6 +77,9 @@
     crashes: BTreeMap<TaskName, Crashes>,
     drained: BTreeMap<Life, u64>,
     zones: BTreeMap<Life, String>,
+    /// The labels that jobs require, and those that lives of workers have.
+    required: BTreeMap<u64, String>,
+    labels: BTreeMap<Life, Vec<String>>,
     evacuated: BTreeMap<String, u64>,
     versions: BTreeMap<u64, u64>,
     violations: Vec<Violation>,
@@ -112,6 +115,12 @@
             Seen::Began { life, zone } => {
                 self.zones.insert(*life, zone.clone());
             }
+            Seen::Requires { job, label } => {
+                self.required.insert(*job, label.clone());
+            }
+            Seen::Labelled { life, labels } => {
+                self.labels.insert(*life, labels.clone());
+            }
             Seen::Evacuated { zone } => {
                 self.evacuated.entry(zone.clone()).or_insert(at);
             }
@@ -219,9 +228,22 @@
             let message = format!("{task:?} takes worker {life} to {taken} of {capacity}");
             self.break_rule(Rule::Room, at, message);
         }
+        self.check_label(at, life, task);
         self.check_crashes(at, task);
     }
 
+    fn check_label(&mut self, at: u64, life: Life, task: TaskName) {
+        let Some(label) = self.required.get(&task.job) else {
+            return;
+        };
+        let labels = self.labels.get(&life);
+        if labels.is_some_and(|labels| labels.contains(label)) {
+            return;
+        }
+        let message = format!("{task:?} requires {label}, and worker {life} has {labels:?}");
+        self.break_rule(Rule::Label, at, message);
+    }
+
     fn check_one_run(&mut self, at: u64, life: Life, task: TaskName) {
         let running = self.running.entry(task).or_default();
         running.insert(life, at);
--- a/laurelstile-history/src/leased/mod.rs
+++ b/laurelstile-history/src/leased/mod.rs
@@ -132,6 +132,20 @@
         /// Its zone.
         zone: String,
     },
+    /// A job requires a label of each worker that starts it.
+    Requires {
+        /// The job.
+        job: u64,
+        /// The label.
+        label: String,
+    },
+    /// The labels of a life of a worker.
+    Labelled {
+        /// Life of the worker.
+        life: Life,
+        /// Its labels.
+        labels: Vec<String>,
+    },
     /// The operator's word that a zone is evacuated was acknowledged.
     Evacuated {
         /// The zone.
@@ -235,6 +249,8 @@
 pub enum Rule {
     /// No start pushes a worker over its room.
     Room,
+    /// No task starts on a worker without the label that its job requires.
+    Label,
     /// No task runs twice at the same time.
     OneRun,
     /// No start after a drain's bound.
--- a/laurelstile-history/tests/leased_judge.rs
+++ b/laurelstile-history/tests/leased_judge.rs
@@ -322,3 +322,24 @@
 fn a_bad_history_is_rejected(#[case] history: Vec<Seen>, #[case] rule: Rule) {
     assert_eq!(rules(history), vec![rule]);
 }
+
+/// Guards against a judge that accepts starts on workers without a required label.
+#[rstest]
+#[case::with_the_label(Some("a"), vec![])]
+#[case::without_it(Some("b"), vec![Rule::Label])]
+#[case::of_unknown_labels(None, vec![Rule::Label])]
+fn a_task_starts_on_a_worker_with_the_required_label(
+    #[case] label: Option<&str>,
+    #[case] broken: Vec<Rule>,
+) {
+    let requires = Seen::Requires {
+        job: JOB,
+        label: "a".into(),
+    };
+    let labelled = label.map(|label| Seen::Labelled {
+        life: LIFE,
+        labels: vec![label.into()],
+    });
+    let seen = [submitted(), requires].into_iter().chain(labelled);
+    assert_eq!(rules(seen.chain([started(LIFE, 0)]).collect()), broken);
+}
--- a/laurelstile-sim/src/flags.rs
+++ b/laurelstile-sim/src/flags.rs
@@ -90,6 +90,9 @@
             optional --returning
             /// The same with heartbeats of other writers.
             optional --other-writers
+            /// Instead of these: workers of several kinds that are replaced by ones of other kinds,
+            /// and jobs that require a kind.
+            optional --other-kinds
             /// Instead of these: few gateways and workers, tasks of some seconds, and callers
             /// whose connections break while their gateways run on.
             optional --resending
--- a/laurelstile-sim/src/leased/contention.rs
+++ b/laurelstile-sim/src/leased/contention.rs
@@ -113,6 +113,7 @@
                 steps: 1,
                 patience: DEADLINE,
                 crashing: None,
+                kind: None,
             });
         }
     }
--- a/laurelstile-sim/src/leased/crashing.rs
+++ b/laurelstile-sim/src/leased/crashing.rs
@@ -188,6 +188,7 @@
                 steps: 1,
                 patience: DEADLINE,
                 crashing: is_poison.then_some(0),
+                kind: None,
             });
         }
     }
@@ -202,6 +203,7 @@
             steps: 1,
             patience: DEADLINE,
             crashing: Some(0),
+            kind: None,
         }));
     }
     jobs.sort_by_key(|job| job.at);
--- a/laurelstile-sim/src/leased/faults.rs
+++ b/laurelstile-sim/src/leased/faults.rs
@@ -318,6 +318,18 @@
     faults
 }
 
+/// Draws workers that crash, and soon have successors at their addresses.
+pub fn draw_of_successors(length: u64, workers: usize, random: &mut Pcg64) -> Vec<ScheduledFault> {
+    let count = random.random_range(10..40);
+    (0..count)
+        .map(|_| ScheduledFault {
+            at: random.random_range(500_000..length),
+            length: random.random_range(1_000..60_000),
+            fault: Fault::ReturnWorker(random.random_range(0..workers)),
+        })
+        .collect()
+}
+
 /// Draws heartbeats of other writers.
 pub fn draw_of_other_writers(
     length: u64,
--- a/laurelstile-sim/src/leased/mod.rs
+++ b/laurelstile-sim/src/leased/mod.rs
@@ -23,7 +23,7 @@
 pub use partitions::Partition;
 pub use run::{
     Outcome, run_cancel_seed, run_disruption_seed, run_hazard_seed, run_herd_seed,
-    run_leaving_seed, run_other_writers_seed, run_partition_seed, run_resending_seed,
-    run_returning_seed, run_seed, run_silences_seed,
+    run_leaving_seed, run_other_kinds_seed, run_other_writers_seed, run_partition_seed,
+    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 pub use surge::{Surge, run_surge};
--- a/laurelstile-sim/src/leased/run.rs
+++ b/laurelstile-sim/src/leased/run.rs
@@ -12,7 +12,7 @@
 use super::faults::{
     Sabotage, ScheduledFault, draw, draw_hazards, draw_of_herds, draw_of_leaving,
     draw_of_operators, draw_of_other_writers, draw_of_outages, draw_of_resending,
-    draw_of_returning, draw_of_silences,
+    draw_of_returning, draw_of_silences, draw_of_successors,
 };
 use super::partitions::Partition;
 use super::worker::SimWorker;
@@ -41,6 +41,11 @@
 const SILENCES_STREAM: u64 = 0x511e;
 const FEW_WORKERS_STREAM: u64 = 0xfe3;
 const CANCELS_STREAM: u64 = 0xca2c;
+const OTHER_KINDS_STREAM: u64 = 0x4e1d5;
+/// How soon after a worker is replaced jobs come, in microseconds.
+const AROUND_REPLACEMENT: u64 = 60_000;
+/// Kinds of workers, if there are any.
+const KINDS: u64 = 2;
 /// Largest numbers of gateways and workers beside partitions.
 const MANY_GATEWAYS: usize = 5;
 const MANY_WORKERS: usize = 8;
@@ -183,6 +188,30 @@
     play(random, sabotage, scene, true)
 }
 
+/// Runs one seed with workers of several kinds, which are replaced by ones of other kinds, and jobs that
+/// require a kind.
+pub fn run_other_kinds_seed(seed: u64, sabotage: Option<Sabotage>) -> Outcome {
+    let mut random = Pcg64::seed_from_u64(seed ^ SEED_STREAM);
+    let mut scene = draw_scene(seed, sabotage, &mut random);
+    let mut kinds = Pcg64::seed_from_u64(seed ^ OTHER_KINDS_STREAM);
+    let replacements = draw_of_successors(FAULTY, WORKERS, &mut kinds);
+    for worker in &mut scene.workers {
+        worker.kinds = KINDS;
+    }
+    for job in &mut scene.jobs {
+        let requires_kind = kinds.random_bool(0.7);
+        job.kind = requires_kind.then(|| kinds.random_range(0..KINDS));
+        // Starts are on their way while a worker is replaced.
+        if job.at < FAULTY && kinds.random_bool(0.5) {
+            let replacement = replacements[kinds.random_range(0..replacements.len())];
+            job.at = replacement.at + kinds.random_range(0..AROUND_REPLACEMENT);
+        }
+    }
+    scene.jobs.sort_by_key(|job| job.at);
+    scene.faults.extend(replacements);
+    play(random, sabotage, scene, true)
+}
+
 /// Runs one seed with two or three gateways, few workers and long tasks, where connections of
 /// callers break besides; their gateways notice within `latest_notice`, if that is given.
 pub fn run_resending_seed(
@@ -464,6 +493,7 @@
             steps: 1,
             patience: DEADLINE,
             crashing: None,
+            kind: None,
         });
     }
     jobs
--- a/laurelstile-sim/src/leased/surge.rs
+++ b/laurelstile-sim/src/leased/surge.rs
@@ -61,6 +61,7 @@
             steps: 1,
             patience: DEADLINE,
             crashing: None,
+            kind: None,
         });
     }
     jobs
--- a/laurelstile-sim/src/leased/worker.rs
+++ b/laurelstile-sim/src/leased/worker.rs
@@ -20,6 +20,9 @@
 const LATEST_CLOCK: u64 = 10_000_000;
 const CLOCK_STRIDE: u64 = 7_368_787;
 
+/// Spreads lives over kinds.
+const KIND_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Unix time at which a run begins, in milliseconds.
 pub const UNIX_MILLIS: u64 = 1_700_000_000_000;
 
@@ -98,6 +101,11 @@
     }
 }
 
+/// The label of the workers of a kind.
+pub fn name_of_kind(kind: u64) -> String {
+    format!("kind-{kind}")
+}
+
 /// A worker and its present life.
 #[derive(Clone, Debug)]
 pub struct SimWorker {
@@ -117,6 +125,8 @@
     pub draining: bool,
     /// How it treats what it runs.
     pub mood: Mood,
+    /// Number of kinds of workers, one of which each life is of; 0 if there are none.
+    pub kinds: u64,
     /// Whether leases run out (a switch of the proofs).
     pub has_leases: bool,
     /// How long a stop takes, in microseconds.
@@ -149,6 +159,7 @@
             full_capacity: capacity,
             draining: false,
             mood: Mood::Well,
+            kinds: 0,
             has_leases: true,
             stop_time: STOP_TIME,
             clock_permille,
@@ -183,6 +194,13 @@
         self.last_number = 0;
     }
 
+    /// Labels of the present life: the name of its kind, if there are kinds.
+    pub fn labels(&self) -> Vec<String> {
+        let mixed = self.life.wrapping_mul(KIND_MULTIPLIER) >> 32;
+        let kind = mixed.checked_rem(self.kinds);
+        kind.map(name_of_kind).into_iter().collect()
+    }
+
     /// Ends the life and all that runs.
     pub fn crash(&mut self) -> Vec<Change> {
         self.life = 0;
--- a/laurelstile-sim/src/leased/world/callers.rs
+++ b/laurelstile-sim/src/leased/world/callers.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 
 use super::super::nodes;
+use super::super::worker::name_of_kind;
 use super::{
     Caller, FIRST_CANCEL, FORMER_CALL, Happening, RESEND, RESTART, SimJob, TASK_ROOM, World,
     is_cancel, number_of,
@@ -33,7 +34,7 @@
         },
         estimate: Span(job.duration),
         after: index.checked_sub(1).into_iter().collect(),
-        label: None,
+        label: job.kind.map(name_of_kind),
         near: None,
         saves_progress: false,
     };
@@ -78,6 +79,10 @@
             max_attempts: nodes::MAX_ATTEMPTS,
             gateway: Some(gateway),
         });
+        if let Some(kind) = job.kind {
+            let label = name_of_kind(kind);
+            self.see(Seen::Requires { job: id.0, label });
+        }
         self.callers[index].gateway = Some((gateway, self.gateways[gateway].incarnation));
         self.schedule(leaves_at, Happening::Leave(index));
         let request = JobRequest {
--- a/laurelstile-sim/src/leased/world/heartbeats.rs
+++ b/laurelstile-sim/src/leased/world/heartbeats.rs
@@ -46,7 +46,7 @@
                 memory_mib: 0,
                 gpus: 0,
             },
-            labels: Vec::new(),
+            labels: state.labels(),
             clock: state.clock(self.now),
             draining: state.draining && !is_hidden,
             sequence: state.sequence(self.now),
--- a/laurelstile-sim/src/leased/world/leaving.rs
+++ b/laurelstile-sim/src/leased/world/leaving.rs
@@ -134,6 +134,10 @@
         self.workers[worker].begin(self.now, life);
         let zone = nodes::worker_zone(worker);
         self.see(Seen::Began { life, zone });
+        let labels = self.workers[worker].labels();
+        if !labels.is_empty() {
+            self.see(Seen::Labelled { life, labels });
+        }
         self.schedule(self.now, Happening::Heartbeat(worker, life));
     }
 
--- a/laurelstile-sim/src/leased/world/mod.rs
+++ b/laurelstile-sim/src/leased/world/mod.rs
@@ -79,6 +79,8 @@
     pub patience: u64,
     /// Index of the task that takes each worker down that starts it, if one does.
     pub crashing: Option<u32>,
+    /// The kind of worker that it requires, if any.
+    pub kind: Option<u64>,
 }
 
 /// Calls that cancel the job of a caller have its number and this.
--- a/laurelstile-sim/src/leased_command.rs
+++ b/laurelstile-sim/src/leased_command.rs
@@ -6,8 +6,8 @@
 use laurelstile_history::leased::DoubleRun;
 use laurelstile_sim::leased::{
     Disruption, Outcome, Partition, Sabotage, run_cancel_seed, run_disruption_seed,
-    run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_writers_seed, run_partition_seed,
-    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
+    run_hazard_seed, run_herd_seed, run_leaving_seed, run_other_kinds_seed, run_other_writers_seed,
+    run_partition_seed, run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 
 use crate::flags::{Leased, seed_range};
@@ -86,6 +86,8 @@
             run_cancel_seed(seed, flags.lost_callers, sabotage, flags.trace)
         } else if flags.other_writers {
             run_other_writers_seed(seed, sabotage)
+        } else if flags.other_kinds {
+            run_other_kinds_seed(seed, sabotage)
         } else if flags.returning {
             run_returning_seed(seed, sabotage)
         } else if flags.resending {
--- a/laurelstile-sim/tests/leased_seeds.rs
+++ b/laurelstile-sim/tests/leased_seeds.rs
@@ -4,8 +4,8 @@
 use laurelstile_history::leased::Rule;
 use laurelstile_sim::leased::{
     Disruption, Outcome, Sabotage, run_cancel_seed, run_disruption_seed, run_hazard_seed,
-    run_herd_seed, run_leaving_seed, run_other_writers_seed, run_resending_seed,
-    run_returning_seed, run_seed, run_silences_seed,
+    run_herd_seed, run_leaving_seed, run_other_kinds_seed, run_other_writers_seed,
+    run_resending_seed, run_returning_seed, run_seed, run_silences_seed,
 };
 use rstest::rstest;
 
@@ -111,6 +111,26 @@
     }
 }
 
+/// Guards against tasks that start on the next worker at an address, which is of another kind than the
+/// one that they were placed on.
+#[test]
+fn seeds_with_workers_of_other_kinds_keep_every_rule() {
+    for seed in 0..25 {
+        assert_keeps_every_rule(seed, &run_other_kinds_seed(seed, None));
+    }
+}
+
+/// An echo that is taken for fresh says that its sender knows which worker it places tasks on.
+#[test]
+fn tasks_start_on_workers_of_other_kinds_if_all_echoes_are_fresh() {
+    let is_broken = (0..25).any(|seed| {
+        let outcome = run_other_kinds_seed(seed, Some(Sabotage::NoOwnerSilence));
+        let mut broken = outcome.violations.iter();
+        broken.any(|violation| violation.rule == Rule::Label)
+    });
+    assert!(is_broken);
+}
+
 /// Callers resubmit while the gateway that has just learned that they disconnected stops the runs of
 /// before.
 #[test]
