--- a/laurelstile-core/tests/leased_worker_descriptions.rs
+++ b/laurelstile-core/tests/leased_worker_descriptions.rs
@@ -18,7 +18,10 @@
 use laurelstile_core::session::SessionId;
 use laurelstile_types::id::Incarnation;
 use laurelstile_types::time::{Span, Timestamp};
-use leased_support::{AgentRig, GATEWAY, GatewayRig, SESSION, at, cpu, job, registration, task};
+use leased_support::{
+    AgentRig, FIRST_START, GATEWAY, GatewayRig, SECOND_START, SESSION, answer_restarted, at, cpu,
+    heartbeat_of, incarnation, job, registration, task,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -115,6 +118,34 @@
     }
 }
 
+/// Guards against tasks that start on a worker that has started again under its id, by the labels that it
+/// had before: its run lists tell of the restart before its first heartbeat tells of its labels.
+#[test]
+fn labels_of_a_worker_that_starts_again_under_its_id_are_those_of_its_heartbeat() {
+    let labelled = |started_at: u64, age: u64, label: &str| Registration {
+        labels: vec![label.into()],
+        ..heartbeat_of(started_at, age, 4_000, false)
+    };
+    let mut rig = AgentRig::new();
+    rig.incarnation = incarnation(FIRST_START);
+    rig.heartbeat(at(0), labelled(FIRST_START, 9_000, "a"));
+    rig.answer_watch(at(1), RunLists::default());
+    assert!(rig.is_available());
+    answer_restarted(&mut rig, at(100), SECOND_START, RunLists::default());
+    let before = rig.batch(1, 1, 4);
+    rig.message(at(110), before);
+    assert!(rig.take_starts().is_empty(), "its labels are not known");
+    rig.heartbeat(at(120), labelled(SECOND_START, 20, "b"));
+    assert!(rig.is_available());
+    assert_eq!(sent_labels(&rig), ["b"]);
+    let late = rig.batch(2, 1, 4);
+    rig.message_with_echo(at(121), at(119), late);
+    assert!(rig.take_starts().is_empty());
+    let fresh = rig.batch(3, 1, 4);
+    rig.message(at(122), fresh);
+    assert_eq!(rig.take_starts().len(), 1);
+}
+
 /// Guards against a start that is accepted on a new session because the worker's description was known on
 /// an earlier one.
 #[test]
