--- a/laurelstile-core/src/leased/agent/outgoing.rs
+++ b/laurelstile-core/src/leased/agent/outgoing.rs
@@ -81,9 +81,9 @@
         let Some(owner) = self.owners.get_mut(&gateway) else {
             return;
         };
-        let has_snapshot = matches!(body, Some(FromAgentBody::Snapshot(_)));
-        owner.has_snapshot |= has_snapshot;
-        let clock = if has_snapshot {
+        let is_snapshot = matches!(body, Some(FromAgentBody::Snapshot(_)));
+        owner.has_snapshot |= is_snapshot;
+        let clock = if is_snapshot {
             SentDescription::record(&mut owner.sent_description, now, self.description)
         } else {
             now
--- a/laurelstile-core/src/leased/messages.rs
+++ b/laurelstile-core/src/leased/messages.rs
@@ -373,13 +373,15 @@
 impl Snapshot {
     /// Whether two snapshots of an agent describe the same incarnation with the same service and labels.
     pub fn describes_same_worker(&self, other: &Self) -> bool {
-        let incarnation = |snapshot: &Self| {
-            let control = snapshot.control.as_ref();
-            control.map(|control| control.incarnation.clone())
-        };
         self.service == other.service
             && self.labels == other.labels
-            && incarnation(self) == incarnation(other)
+            && self.incarnation() == other.incarnation()
+    }
+
+    /// The worker incarnation; `None` from an older version.
+    fn incarnation(&self) -> Option<&WorkerIncarnation> {
+        let control = self.control.as_ref()?;
+        Some(&control.incarnation)
     }
 }
 
