Review case 11: an agent does not notice that its idle worker has started again

Cause: nothing is asked of a worker that has nothing to run, and the heartbeat of before counts for 4 s. A worker that crashes and is back within that time under its id, as one of another kind, gets tasks for its old kind until its first heartbeat arrives.

--- a/review/stand-in-3/http.rs
+++ b/review/stand-in-3/http.rs
@@ -1,9 +1,10 @@
-//! HTTP/1.1 over TCP: a server with a thread for each connection, and a client with one connection
-//! for each call.
+//! HTTP/1.1 over TCP: a server with a thread for each connection, and a client.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 pub struct Request {
@@ -16,14 +17,46 @@
 /// Status and body of a server's answer.
 pub type Reply = (u16, String);
 
-pub fn serve(address: SocketAddr, handler: impl Fn(Request) -> Reply + Clone + Send + 'static) {
+/// A server, which may be ended with all its connections.
+#[derive(Clone, Default)]
+pub struct Server {
+    has_ended: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Ends it, as the end of its process does: connections are closed, new ones are refused.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // The listener is closed when it next looks.
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+pub fn serve(
+    address: SocketAddr,
+    handler: impl Fn(Request) -> Reply + Clone + Send + 'static,
+) -> Server {
     let listener = TcpListener::bind(address).expect("a free address");
+    listener.set_nonblocking(true).expect("a listener");
+    let server = Server::default();
+    let running = server.clone();
     std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !running.has_ended.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            running.streams.lock().unwrap().extend(stream.try_clone());
             let handler = handler.clone();
             std::thread::spawn(move || serve_connection(stream, &handler));
         }
     });
+    server
 }
 
 fn serve_connection(stream: TcpStream, handler: &impl Fn(Request) -> Reply) -> Option<()> {
--- a/review/stand-in-3/load.rs
+++ b/review/stand-in-3/load.rs
@@ -11,7 +11,7 @@
 use crate::json::{Json, number, object, text};
 use crate::names::name;
 use crate::record::Record;
-use crate::worker::Jobs;
+use crate::worker::{Jobs, Work};
 
 /// Room of the first worker after it has shrunk.
 pub const SHRUNK: u64 = 4_000;
@@ -66,13 +66,35 @@
 
 fn call(of: u64, front: SocketAddr, jobs: &Jobs, record: &Record) {
     let id = format!("{:016x}", 0x5c0e_7a21_d94b_0000 + of);
-    jobs.lock().unwrap().insert(id.clone(), (TASK_CPU, TASK_MILLIS));
-    let step = object([
-        ("count", number(TASKS)),
-        ("cpu", number(TASK_CPU)),
+    let work = Work {
+        cpu: TASK_CPU,
+        millis: TASK_MILLIS,
+        label: String::new(),
+    };
+    submit(&id, &work, TASKS, front, jobs, record);
+}
+
+/// Submits a job of `count` tasks, and waits for its answer.
+pub fn submit(
+    id: &str,
+    work: &Work,
+    count: u64,
+    front: SocketAddr,
+    jobs: &Jobs,
+    record: &Record,
+) {
+    jobs.lock().unwrap().insert(id.to_owned(), work.clone());
+    let mut step = object([
+        ("count", number(count)),
+        ("cpu", number(work.cpu)),
         ("mem_mb", number(64)),
-        ("estimate_ms", number(TASK_MILLIS)),
+        ("estimate_ms", number(work.millis)),
     ]);
+    if let Json::Object(fields) = &mut step
+        && !work.label.is_empty()
+    {
+        fields.insert("requirements".to_owned(), text(&work.label));
+    }
     let body = object([
         ("spec", text("a text")),
         ("steps", Json::List(vec![step])),
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod shrunk_room;
 mod store;
+mod unnoticed_crash;
 mod worker;
 
 use std::path::Path;
@@ -29,6 +30,7 @@
     let is_kept = match case.as_str() {
         "shrunk-room" => shrunk_room::play(directory, &record, has_trouble),
         "late-beat" => late_beat::play(directory, &record, has_trouble),
+        "unnoticed-crash" => unnoticed_crash::play(directory, &record, has_trouble),
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
--- a/review/stand-in-3/worker.rs
+++ b/review/stand-in-3/worker.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{self, Answer, Connection, Reply, Request};
+use crate::http::{self, Answer, Connection, Reply, Request, Server};
 use crate::json::{Json, number, object, text};
 use crate::names::name;
 use crate::record::Record;
@@ -17,8 +17,17 @@
 /// Time that a worker waits for the answer to a heartbeat.
 const BEAT_PATIENCE: Duration = Duration::from_secs(1);
 
-/// What the tasks of jobs take and how long they work, by the id of the job.
-pub type Jobs = Arc<Mutex<BTreeMap<String, (u64, u64)>>>;
+/// The tasks of a job.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    pub cpu: u64,
+    pub millis: u64,
+    /// The label that their worker must have; empty if any worker may run them.
+    pub label: String,
+}
+
+/// The tasks of jobs, by the ids of the jobs.
+pub type Jobs = Arc<Mutex<BTreeMap<String, Work>>>;
 
 struct Run {
     number: u64,
@@ -37,7 +46,12 @@
 #[derive(Default)]
 struct State {
     capacity: u64,
-    is_draining: bool,
+    /// The kind of the worker.
+    label: String,
+    /// When its process started: by the time of day, and on the steady clock.
+    born: u64,
+    began: Option<Instant>,
+    is_up: bool,
     fence: u64,
     lease: u64,
     running: BTreeMap<String, Run>,
@@ -52,7 +66,6 @@
 pub struct Worker {
     pub index: usize,
     id: String,
-    born: Instant,
     address: SocketAddr,
     /// Of the agent, and of the other nodes that are called if it does not answer.
     controls: Vec<SocketAddr>,
@@ -60,6 +73,7 @@
     jobs: Jobs,
     /// The open connection for heartbeats to the agent.
     beats: Arc<Mutex<Option<Connection>>>,
+    server: Arc<Mutex<Server>>,
     state: Arc<(Mutex<State>, Condvar)>,
     record: Record,
 }
@@ -74,24 +88,19 @@
         jobs: &Jobs,
         record: &Record,
     ) -> Self {
-        let state = State {
-            capacity,
-            ..State::default()
-        };
         let worker = Self {
             index,
             id: format!("i-{index:08x}"),
-            born: Instant::now(),
             address,
             controls,
             zone: zone.to_owned(),
             jobs: Arc::clone(jobs),
             beats: Arc::default(),
-            state: Arc::new((Mutex::new(state), Condvar::new())),
+            server: Arc::default(),
+            state: Arc::default(),
             record: record.clone(),
         };
-        let served = worker.clone();
-        http::serve(address, move |request| served.answer(&request));
+        worker.boot("a", capacity);
         let ticking = worker.clone();
         std::thread::spawn(move || {
             loop {
@@ -110,29 +119,53 @@
         worker
     }
 
+    /// Starts its process, under the id that it has always had: it knows nothing of before.
+    pub fn boot(&self, label: &str, capacity: u64) {
+        self.record.add(&format!("worker-{} is up, kind {label}, capacity {capacity}", self.index));
+        *self.state.0.lock().unwrap() = State {
+            capacity,
+            label: label.to_owned(),
+            born: unix_millis(),
+            began: Some(Instant::now()),
+            is_up: true,
+            ..State::default()
+        };
+        let served = self.clone();
+        *self.server.lock().unwrap() = http::serve(self.address, move |request| served.answer(&request));
+    }
+
+    /// Its process ends without a word.
+    pub fn crash(&self) {
+        self.record.add(&format!("worker-{} crashes", self.index));
+        let mut state = self.state.0.lock().unwrap();
+        state.is_up = false;
+        state.running.clear();
+        drop(state);
+        self.server.lock().unwrap().end();
+        *self.beats.lock().unwrap() = None;
+    }
+
     pub fn set_capacity(&self, capacity: u64) {
         self.record
             .add(&format!("worker-{} capacity {capacity}", self.index));
         self.state.0.lock().unwrap().capacity = capacity;
     }
 
-    fn clock(&self) -> u64 {
-        self.born.elapsed().as_millis() as u64
-    }
-
     /// Sends a heartbeat; returns whether it was acknowledged.
     pub fn beat(&self) -> bool {
         let body = {
             let mut state = self.state.0.lock().unwrap();
+            if !state.is_up {
+                return false;
+            }
             state.seq += 1;
-            let word = if state.is_draining { "draining" } else { "ready" };
             object([
                 ("service", text("parcels")),
                 ("address", text(&self.address.to_string())),
                 ("zone", text(&self.zone)),
                 ("version", text("v1")),
                 ("slots", number(8)),
-                ("state", text(word)),
+                ("state", text("ready")),
                 ("cold_left_ms", number(0)),
                 (
                     "capacity",
@@ -142,8 +175,9 @@
                         ("gpu", number(0)),
                     ]),
                 ),
-                ("labels", Json::List(vec![text("a"), text("r1-1")])),
-                ("clock_ms", number(self.clock())),
+                ("labels", Json::List(vec![text(&state.label), text("r1-1")])),
+                ("clock_ms", number(state.clock())),
+                ("born", number(state.born)),
                 ("seq", number(state.seq)),
             ])
         };
@@ -203,49 +237,40 @@
         }
     }
 
-    fn rejected(&self, reason: &str) -> Reply {
-        let answer = object([("clock_ms", number(self.clock())), ("reason", text(reason))]);
-        (409, answer.to_string())
-    }
-
-    fn done(&self) -> Reply {
-        (200, object([("clock_ms", number(self.clock()))]).to_string())
-    }
-
     fn on_start(&self, order: &Json) -> Reply {
         let task = order.field("task").text().to_owned();
         let number = order.field("run").number().unwrap_or(0);
-        let now = self.clock();
         let mut state = self.state.0.lock().unwrap();
+        let now = state.clock();
         if !state.accept_fence(order) {
-            return self.rejected("fence");
+            return state.rejected("fence");
         }
         let deadline = order.field("deadline_ms").number().unwrap_or(0);
         state.extend(deadline, now);
         if state.past.get(&task).is_some_and(|past| number <= *past) {
-            return self.rejected("old");
+            return state.rejected("old");
         }
         if let Some(run) = state.running.get(&task) {
-            return if run.number == number { self.done() } else { self.rejected("old") };
+            return if run.number == number { state.done() } else { state.rejected("old") };
         }
         if deadline <= now {
-            return self.rejected("late");
+            return state.rejected("late");
         }
         let job = task.split('.').next().unwrap_or_default();
-        let (cpu, millis) = self.jobs.lock().unwrap().get(job).copied().unwrap_or((0, 0));
+        let work = self.jobs.lock().unwrap().get(job).cloned().unwrap_or_default();
         let run = Run {
             number,
-            cpu,
+            cpu: work.cpu,
             began: now,
-            ends: now + millis,
+            ends: now + work.millis,
         };
         state.running.insert(task.clone(), run);
         let used: u64 = state.running.values().map(|run| run.cpu).sum();
         self.record.add(&format!(
-            "worker-{} starts {task} run={number} cpu={cpu} used={used}",
-            self.index
+            "worker-{} starts {task} run={number} kind={} needs={} cpu={} used={used}",
+            self.index, state.label, work.label, work.cpu
         ));
-        self.done()
+        state.done()
     }
 
     fn on_stop(&self, order: &Json) -> Reply {
@@ -253,14 +278,14 @@
         let number = order.field("run").number().unwrap_or(0);
         let mut state = self.state.0.lock().unwrap();
         if !state.accept_fence(order) {
-            return self.rejected("fence");
+            return state.rejected("fence");
         }
         let past = state.past.entry(task.clone()).or_default();
         *past = number.max(*past);
         if state.running.get(&task).is_some_and(|run| run.number <= number) {
             self.end(&mut state, &task, "stopped");
         }
-        self.done()
+        state.done()
     }
 
     fn on_hold(&self, order: &Json) -> Reply {
@@ -268,10 +293,10 @@
         let until = Instant::now() + wait;
         let mut state = self.state.0.lock().unwrap();
         if !state.accept_fence(order) {
-            return self.rejected("fence");
+            return state.rejected("fence");
         }
         if let Some(deadline) = order.field("deadline_ms").number() {
-            let now = self.clock();
+            let now = state.clock();
             state.extend(deadline, now);
         }
         let seen = order.field("last_seen").number().unwrap_or(0);
@@ -283,7 +308,7 @@
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
-        let now = self.clock();
+        let now = state.clock();
         let running = state.running.iter().map(|(task, run)| {
             let percent = (now - run.began) * 100 / (run.ends - run.began).max(1);
             let entry = [text(task), number(run.number), text(""), number(percent.min(99))];
@@ -302,6 +327,7 @@
         });
         let answer = object([
             ("clock_ms", number(now)),
+            ("born", number(state.born)),
             ("running", running),
             ("ended", Json::List(ended.collect())),
         ]);
@@ -309,8 +335,8 @@
     }
 
     fn end_runs(&self) {
-        let now = self.clock();
         let mut state = self.state.0.lock().unwrap();
+        let now = state.clock();
         let has_lapsed = now > state.lease;
         let runs = state.running.iter();
         let ended: Vec<(String, &'static str)> = runs
@@ -345,6 +371,19 @@
 }
 
 impl State {
+    fn clock(&self) -> u64 {
+        self.began.map_or(0, |began| began.elapsed().as_millis() as u64)
+    }
+
+    fn rejected(&self, reason: &str) -> Reply {
+        let answer = object([("clock_ms", number(self.clock())), ("reason", text(reason))]);
+        (409, answer.to_string())
+    }
+
+    fn done(&self) -> Reply {
+        (200, object([("clock_ms", number(self.clock()))]).to_string())
+    }
+
     fn accept_fence(&mut self, order: &Json) -> bool {
         let fence = order.field("fence_token").number().unwrap_or(0);
         let is_accepted = fence >= self.fence;
@@ -356,3 +395,8 @@
         self.lease = self.lease.max(deadline.min(now + HOLD_MAX));
     }
 }
+
+fn unix_millis() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.unwrap_or_default().as_millis() as u64
+}
