--- a/review/stand-in-3/cell.rs
+++ b/review/stand-in-3/cell.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http;
-use crate::json::{Json, object, number, text};
+use crate::json::{Json, number, object, text};
 use crate::link::{self, Cut};
 use crate::record::Record;
 use crate::store::Store;
@@ -25,8 +25,9 @@
 const CONTROL_PORT: u16 = 8166;
 const WORKER_PORT: u16 = 8080;
 const STORE_PORT: u16 = 8169;
-/// Where the links between a worker and its agent begin.
-const CONTROL_DOOR: u16 = 8176;
+/// Where the links of a worker begin: to the control addresses of its agent and of the gateways, and from
+/// its agent.
+const CONTROL_DOORS: u16 = 8176;
 const WORKER_DOOR: u16 = 8090;
 
 /// A process that is ended with its handle.
@@ -77,8 +78,8 @@
 }
 
 impl Cell {
-    /// Starts a cell; settings and logs go to `directory`. `cut` cuts the links between the first worker
-    /// and its agent.
+    /// Starts a cell; settings and logs go to `directory`. `cut` cuts the first worker off from all
+    /// machines.
     pub fn start(
         gateways: usize,
         agents: usize,
@@ -91,14 +92,32 @@
         let at = |index: usize, port: u16| SocketAddr::new(machine(index), port);
         let store = Store::start(at(0, STORE_PORT), record);
         store.operate("config", &configuration());
-        let seeds: Vec<SocketAddr> = (0..gateways.min(3)).map(|of| at(1 + of, CONTROL_PORT)).collect();
+        let seeds: Vec<SocketAddr> = (0..gateways.min(3))
+            .map(|of| at(1 + of, CONTROL_PORT))
+            .collect();
         let jobs = Jobs::default();
         let first = 1 + gateways;
-        link::start(at(first, CONTROL_DOOR), at(first, CONTROL_PORT), cut);
+        // The agent, then the gateways.
+        let controls: Vec<SocketAddr> = [first]
+            .into_iter()
+            .chain(1..first)
+            .map(|of| at(of, CONTROL_PORT))
+            .collect();
+        let doors: Vec<SocketAddr> = (CONTROL_DOORS..)
+            .take(controls.len())
+            .map(|port| at(first, port))
+            .collect();
+        for (door, control) in doors.iter().zip(&controls) {
+            link::start(*door, *control, cut);
+        }
         link::start(at(first, WORKER_DOOR), at(first, WORKER_PORT), cut);
         let node = |kind: &str, index: usize, of: usize| {
             let name = format!("{kind}-{index}");
-            let worker_port = if of == first { WORKER_DOOR } else { WORKER_PORT };
+            let worker_port = if of == first {
+                WORKER_DOOR
+            } else {
+                WORKER_PORT
+            };
             let gaps = [
                 ("node_name|json", quoted(&name)),
                 ("zone|json", quoted(ZONES[index % ZONES.len()])),
@@ -107,11 +126,17 @@
                 ("bounds.contact_ms", "3000".to_owned()),
                 ("bounds.spread_factor", "1.5".to_owned()),
                 ("heartbeat_ms", BEAT.as_millis().to_string()),
-                ("platform.address|json", quoted(&at(0, STORE_PORT).to_string())),
+                (
+                    "platform.address|json",
+                    quoted(&at(0, STORE_PORT).to_string()),
+                ),
                 ("internal_ports.0", SESSION_PORT.to_string()),
                 ("listen.front|json", quoted(&at(of, FRONT_PORT).to_string())),
                 ("listen.ready|json", quoted(&at(of, READY_PORT).to_string())),
-                ("listen.control|json", quoted(&at(of, CONTROL_PORT).to_string())),
+                (
+                    "listen.control|json",
+                    quoted(&at(of, CONTROL_PORT).to_string()),
+                ),
                 ("app|json", quoted(&at(of, worker_port).to_string())),
             ];
             let template = fs::read_to_string(format!("deploy/{kind}.json.template"));
@@ -129,19 +154,26 @@
             process.start();
             process
         };
-        let started: Vec<Process> = (0..gateways).map(|of| node("gateway", of, 1 + of)).collect();
+        let started: Vec<Process> = (0..gateways)
+            .map(|of| node("gateway", of, 1 + of))
+            .collect();
         let beside: Vec<Process> = (0..agents)
             .map(|of| node("agent", of, 1 + gateways + of))
             .collect();
         let fronts: Vec<SocketAddr> = (0..gateways).map(|of| at(1 + of, FRONT_PORT)).collect();
         let workers = (0..agents).map(|of| {
             let own = 1 + gateways + of;
-            let control_port = if own == first { CONTROL_DOOR } else { CONTROL_PORT };
-            let controls = [at(own, control_port)].into_iter().chain(seeds.iter().copied());
+            let beside = [at(own, CONTROL_PORT)];
+            let others = beside.into_iter().chain(seeds.iter().copied());
+            let controls = if own == first {
+                doors.clone()
+            } else {
+                others.collect()
+            };
             Worker::start(
                 of,
                 at(own, WORKER_PORT),
-                controls.collect(),
+                controls,
                 ZONES[of % ZONES.len()],
                 16_000,
                 &jobs,
@@ -187,8 +219,20 @@
         let net = (64 + (number % 128) as u8, (number / 128 % 250) as u8);
         let is_free = (0..machines).all(|of| {
             let machine = Ipv4Addr::new(127, net.0, net.1, 1 + of as u8);
-            let ports = [SESSION_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT, WORKER_PORT, STORE_PORT, CONTROL_DOOR, WORKER_DOOR, 9464];
-            ports.iter().all(|port| TcpListener::bind((machine, *port)).is_ok())
+            let ports = [
+                SESSION_PORT,
+                FRONT_PORT,
+                READY_PORT,
+                CONTROL_PORT,
+                WORKER_PORT,
+                STORE_PORT,
+                CONTROL_DOORS,
+                WORKER_DOOR,
+                9464,
+            ];
+            ports
+                .iter()
+                .all(|port| TcpListener::bind((machine, *port)).is_ok())
         });
         if is_free {
             return net;
@@ -210,7 +254,10 @@
         ("priority", number(0)),
         ("timeout_ms", number(1_500)),
     ]);
-    let service = object([("name", text("parcels")), ("rejects_overload", Json::Bool(false))]);
+    let service = object([
+        ("name", text("parcels")),
+        ("rejects_overload", Json::Bool(false)),
+    ]);
     let configuration = object([
         ("version", number(7)),
         ("routes", Json::List(vec![route])),
--- a/review/stand-in-3/http.rs
+++ b/review/stand-in-3/http.rs
@@ -116,7 +116,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let escaped = (bytes[at] == b'%').then(|| bytes.get(at + 1..at + 3)).flatten();
+        let escaped = (bytes[at] == b'%')
+            .then(|| bytes.get(at + 1..at + 3))
+            .flatten();
         let code = escaped.and_then(|digits| std::str::from_utf8(digits).ok());
         if let Some(byte) = code.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
             out.push(byte);
@@ -164,7 +166,10 @@
         }
         head += "Content-Type: application/json\r\n";
         head += &format!("Content-Length: {}\r\n\r\n", body.len());
-        self.reader.get_mut().write_all((head + body).as_bytes()).ok()?;
+        self.reader
+            .get_mut()
+            .write_all((head + body).as_bytes())
+            .ok()?;
         let (line, headers) = read_head(&mut self.reader)?;
         let status = line.split(' ').nth(1)?.parse().ok()?;
         let body = read_body(&mut self.reader, &headers)?;
--- a/review/stand-in-3/late_beat.rs
+++ b/review/stand-in-3/late_beat.rs
@@ -1,4 +1,4 @@
-//! A worker is cut off from its agent. A heartbeat that it has sent on an open connection is held up; then
+//! A worker is cut off from all machines. A heartbeat that it has sent on an open connection is held up; then
 //! its room shrinks. When the cut ends, the heartbeat arrives, and tells the room of before.
 
 use std::path::Path;
--- a/review/stand-in-3/link.rs
+++ b/review/stand-in-3/link.rs
@@ -4,13 +4,9 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
 
 use crate::record::Record;
 
-/// Time from a segment to its acknowledgement.
-const ROUND_TRIP: Duration = Duration::from_millis(1);
-
 /// Whether links are cut.
 #[derive(Clone, Default)]
 pub struct Cut(Arc<(Mutex<bool>, Condvar)>);
@@ -49,7 +45,11 @@
 fn open(near: TcpStream, target: SocketAddr, cut: &Cut) -> Option<()> {
     let opened_in_cut = cut.is_cut();
     cut.wait();
-    let first = if opened_in_cut { first_bytes(&near)? } else { Vec::new() };
+    let first = if opened_in_cut {
+        first_bytes(&near)?
+    } else {
+        Vec::new()
+    };
     let mut far = TcpStream::connect(target).ok()?;
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     far.write_all(&first).ok()?;
@@ -81,7 +81,6 @@
     let mut buffer = [0; 16 * 1_024];
     loop {
         let length = from.read(&mut buffer).unwrap_or(0);
-        let was_held = cut.is_cut();
         cut.wait();
         if length == 0 || to.write_all(&buffer[..length]).is_err() {
             let _ = to.shutdown(Shutdown::Write);
@@ -90,9 +89,5 @@
             }
             return;
         }
-        if was_held {
-            // What follows, as the end, is sent again once this was acknowledged.
-            std::thread::sleep(ROUND_TRIP);
-        }
     }
 }
--- a/review/stand-in-3/load.rs
+++ b/review/stand-in-3/load.rs
@@ -75,14 +75,7 @@
 }
 
 /// Submits a job of `count` tasks, and waits for its answer.
-pub fn submit(
-    id: &str,
-    work: &Work,
-    count: u64,
-    front: SocketAddr,
-    jobs: &Jobs,
-    record: &Record,
-) {
+pub fn submit(id: &str, work: &Work, count: u64, front: SocketAddr, jobs: &Jobs, record: &Record) {
     jobs.lock().unwrap().insert(id.to_owned(), work.clone());
     let mut step = object([
         ("count", number(count)),
@@ -112,15 +105,22 @@
 /// Whether no start has brought the first worker over its room later than [`GRACE`] after `since`.
 pub fn keeps_room(record: &Record, since: u64) -> bool {
     let text = record.read();
-    let mut starts = text.lines().filter(|line| line.contains("worker-0 starts "));
+    let mut starts = text
+        .lines()
+        .filter(|line| line.contains("worker-0 starts "));
     let over = starts.by_ref().filter(|line| {
-        let used = line.rsplit_once("used=").and_then(|(_, used)| used.parse().ok());
+        let used = line
+            .rsplit_once("used=")
+            .and_then(|(_, used)| used.parse().ok());
         time_of(line) > since + GRACE && used.unwrap_or(0) > SHRUNK
     });
     let over: Vec<&str> = over.collect();
     let most = over.iter().filter_map(|line| line.rsplit_once("used="));
     let most = most.filter_map(|(_, used)| used.parse::<u64>().ok()).max();
-    let starts = text.lines().filter(|line| line.contains(" starts ")).count();
+    let starts = text
+        .lines()
+        .filter(|line| line.contains(" starts "))
+        .count();
     record.add(&format!(
         "verdict: {} starts over the room {SHRUNK} of worker-0, to {} at most, from {} to {} ms after it counts; {starts} starts in all",
         over.len(),
--- a/review/stand-in-3/names.rs
+++ b/review/stand-in-3/names.rs
@@ -4,5 +4,7 @@
 
 pub fn name(of: &str) -> &'static str {
     let mut lines = NAMES.lines().filter_map(|line| line.split_once('='));
-    lines.find(|(key, _)| *key == of).map_or("", |(_, name)| name)
+    lines
+        .find(|(key, _)| *key == of)
+        .map_or("", |(_, name)| name)
 }
--- a/review/stand-in-3/record.rs
+++ b/review/stand-in-3/record.rs
@@ -40,6 +40,9 @@
 
     /// Number of lines so far that contain `part`.
     pub fn count(&self, part: &str) -> usize {
-        self.read().lines().filter(|line| line.contains(part)).count()
+        self.read()
+            .lines()
+            .filter(|line| line.contains(part))
+            .count()
     }
 }
--- a/review/stand-in-3/shrunk_room.rs
+++ b/review/stand-in-3/shrunk_room.rs
@@ -44,7 +44,9 @@
     // The time after which the room counts runs from the first acknowledged heartbeat that tells it.
     let text = record.read();
     let told = format!("worker-0 beat capacity={SHRUNK} ");
-    let mut told = text.lines().filter(|line| line.contains(&told) && line.ends_with(": 200"));
+    let mut told = text
+        .lines()
+        .filter(|line| line.contains(&told) && line.ends_with(": 200"));
     let Some(told) = told.next() else {
         eprintln!("no heartbeat was acknowledged");
         std::process::exit(2);
--- a/review/stand-in-3/store.rs
+++ b/review/stand-in-3/store.rs
@@ -145,10 +145,13 @@
         let field = |name: &str| request.query.get(name).map_or("", String::as_str);
         let limit = field("limit").parse().unwrap_or(500).min(500);
         let (from, until) = (field("from"), field("target_version"));
-        let mut rows = state.rows.iter().filter(|((table, part, key), (_, value))| {
-            let is_in_range = &key[..] >= from && (until.is_empty() || &key[..] < until);
-            table == field("table") && part == field("part") && is_in_range && value.is_some()
-        });
+        let mut rows = state
+            .rows
+            .iter()
+            .filter(|((table, part, key), (_, value))| {
+                let is_in_range = &key[..] >= from && (until.is_empty() || &key[..] < until);
+                table == field("table") && part == field("part") && is_in_range && value.is_some()
+            });
         let listed: Vec<Json> = rows
             .by_ref()
             .take(limit)
--- a/review/stand-in-3/unnoticed_crash.rs
+++ b/review/stand-in-3/unnoticed_crash.rs
@@ -34,7 +34,11 @@
             std::thread::sleep(Duration::from_millis(20));
         }
         std::thread::sleep(Duration::from_millis(50));
-        let next = if has_trouble { KINDS[(round + 1) % KINDS.len()] } else { kind };
+        let next = if has_trouble {
+            KINDS[(round + 1) % KINDS.len()]
+        } else {
+            kind
+        };
         if has_trouble {
             worker.crash();
             std::thread::sleep(AWAY);
@@ -77,13 +81,19 @@
 /// Looks for tasks that have started on a worker without the label that they require.
 fn judge(record: &Record) -> bool {
     let text = record.read();
-    let mut starts = text.lines().filter(|line| line.contains("worker-0 starts "));
+    let mut starts = text
+        .lines()
+        .filter(|line| line.contains("worker-0 starts "));
     let word = |line: &str, name: &str| {
-        let word = line.split_whitespace().find_map(|word| word.strip_prefix(name));
+        let word = line
+            .split_whitespace()
+            .find_map(|word| word.strip_prefix(name));
         word.unwrap_or_default().to_owned()
     };
     let all = starts.clone().count();
-    let wrong = starts.by_ref().filter(|line| word(line, "kind=") != word(line, "needs="));
+    let wrong = starts
+        .by_ref()
+        .filter(|line| word(line, "kind=") != word(line, "needs="));
     let wrong = wrong.count();
     record.add(&format!(
         "verdict: {wrong} of {all} tasks started on a worker without the label that they require"
--- a/review/stand-in-3/worker.rs
+++ b/review/stand-in-3/worker.rs
@@ -73,6 +73,8 @@
     jobs: Jobs,
     /// The open connection for heartbeats to the agent.
     beats: Arc<Mutex<Option<Connection>>>,
+    /// Connections on which heartbeats were not answered.
+    silent: Arc<Mutex<Vec<Connection>>>,
     server: Arc<Mutex<Server>>,
     state: Arc<(Mutex<State>, Condvar)>,
     record: Record,
@@ -96,6 +98,7 @@
             zone: zone.to_owned(),
             jobs: Arc::clone(jobs),
             beats: Arc::default(),
+            silent: Arc::default(),
             server: Arc::default(),
             state: Arc::default(),
             record: record.clone(),
@@ -111,9 +114,10 @@
         let beating = worker.clone();
         std::thread::spawn(move || {
             loop {
-                let began = Instant::now();
-                beating.beat();
-                std::thread::sleep(BEAT.saturating_sub(began.elapsed()));
+                // A beat that hangs delays no later one.
+                let beating = beating.clone();
+                std::thread::spawn(move || beating.beat());
+                std::thread::sleep(BEAT);
             }
         });
         worker
@@ -121,7 +125,10 @@
 
     /// Starts its process, under the id that it has always had: it knows nothing of before.
     pub fn boot(&self, label: &str, capacity: u64) {
-        self.record.add(&format!("worker-{} is up, kind {label}, capacity {capacity}", self.index));
+        self.record.add(&format!(
+            "worker-{} is up, kind {label}, capacity {capacity}",
+            self.index
+        ));
         *self.state.0.lock().unwrap() = State {
             capacity,
             label: label.to_owned(),
@@ -131,7 +138,8 @@
             ..State::default()
         };
         let served = self.clone();
-        *self.server.lock().unwrap() = http::serve(self.address, move |request| served.answer(&request));
+        *self.server.lock().unwrap() =
+            http::serve(self.address, move |request| served.answer(&request));
     }
 
     /// Its process ends without a word.
@@ -143,6 +151,7 @@
         drop(state);
         self.server.lock().unwrap().end();
         *self.beats.lock().unwrap() = None;
+        self.silent.lock().unwrap().clear();
     }
 
     pub fn set_capacity(&self, capacity: u64) {
@@ -184,11 +193,21 @@
         let capacity = body.field("capacity").field("cpu").number().unwrap_or(0);
         let path = format!("/laurelstile/workers/{}", self.id);
         for (index, control) in self.controls.iter().enumerate() {
-            self.record.add(&format!("worker-{} beats capacity={capacity} to {control}", self.index));
+            self.record.add(&format!(
+                "worker-{} beats capacity={capacity} to {control}",
+                self.index
+            ));
             let answer = if index == 0 {
                 self.beat_to_agent(*control, &path, &body.to_string())
             } else {
-                http::call(*control, "PUT", &path, &[], &body.to_string(), BEAT_PATIENCE)
+                http::call(
+                    *control,
+                    "PUT",
+                    &path,
+                    &[],
+                    &body.to_string(),
+                    BEAT_PATIENCE,
+                )
             };
             let status = answer.map_or(0, |(status, ..)| status);
             self.record.add(&format!(
@@ -202,13 +221,18 @@
         false
     }
 
-    /// Uses the open connection, or a new one if that has been closed. Closes one without an answer.
+    /// Uses the open connection, or a new one if that has been closed. A new one without an answer is
+    /// closed; one that has served before stays open, and is not used again.
     fn beat_to_agent(&self, control: SocketAddr, path: &str, body: &str) -> Option<Answer> {
         let began = Instant::now();
         let mut kept = self.beats.lock().unwrap();
         let mut connection = kept.take();
-        let mut answer = connection.as_mut().and_then(|open| open.call("PUT", path, &[], body));
-        if answer.is_none() && began.elapsed() < BEAT_PATIENCE {
+        let mut answer = connection
+            .as_mut()
+            .and_then(|open| open.call("PUT", path, &[], body));
+        if answer.is_none() && began.elapsed() >= BEAT_PATIENCE {
+            self.silent.lock().unwrap().extend(connection.take());
+        } else if answer.is_none() {
             let patience = BEAT_PATIENCE.saturating_sub(began.elapsed());
             connection = Connection::open(control, patience);
             answer = connection.as_mut()?.call("PUT", path, &[], body);
@@ -251,13 +275,23 @@
             return state.rejected("old");
         }
         if let Some(run) = state.running.get(&task) {
-            return if run.number == number { state.done() } else { state.rejected("old") };
+            return if run.number == number {
+                state.done()
+            } else {
+                state.rejected("old")
+            };
         }
         if deadline <= now {
             return state.rejected("late");
         }
         let job = task.split('.').next().unwrap_or_default();
-        let work = self.jobs.lock().unwrap().get(job).cloned().unwrap_or_default();
+        let work = self
+            .jobs
+            .lock()
+            .unwrap()
+            .get(job)
+            .cloned()
+            .unwrap_or_default();
         let run = Run {
             number,
             cpu: work.cpu,
@@ -282,7 +316,11 @@
         }
         let past = state.past.entry(task.clone()).or_default();
         *past = number.max(*past);
-        if state.running.get(&task).is_some_and(|run| run.number <= number) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|run| run.number <= number)
+        {
             self.end(&mut state, &task, "stopped");
         }
         state.done()
@@ -311,7 +349,12 @@
         let now = state.clock();
         let running = state.running.iter().map(|(task, run)| {
             let percent = (now - run.began) * 100 / (run.ends - run.began).max(1);
-            let entry = [text(task), number(run.number), text(""), number(percent.min(99))];
+            let entry = [
+                text(task),
+                number(run.number),
+                text(""),
+                number(percent.min(99)),
+            ];
             Json::List(entry.to_vec())
         });
         let running = Json::List(running.collect());
@@ -341,7 +384,12 @@
         let runs = state.running.iter();
         let ended: Vec<(String, &'static str)> = runs
             .filter(|(_, run)| has_lapsed || now >= run.ends)
-            .map(|(task, run)| (task.clone(), if now >= run.ends { "done" } else { "lapsed" }))
+            .map(|(task, run)| {
+                (
+                    task.clone(),
+                    if now >= run.ends { "done" } else { "lapsed" },
+                )
+            })
             .collect();
         for (task, how) in ended {
             self.end(&mut state, &task, how);
@@ -372,7 +420,8 @@
 
 impl State {
     fn clock(&self) -> u64 {
-        self.began.map_or(0, |began| began.elapsed().as_millis() as u64)
+        self.began
+            .map_or(0, |began| began.elapsed().as_millis() as u64)
     }
 
     fn rejected(&self, reason: &str) -> Reply {
@@ -381,7 +430,10 @@
     }
 
     fn done(&self) -> Reply {
-        (200, object([("clock_ms", number(self.clock()))]).to_string())
+        (
+            200,
+            object([("clock_ms", number(self.clock()))]).to_string(),
+        )
     }
 
     fn accept_fence(&mut self, order: &Json) -> bool {
